--- /dev/null
+++ b/crates/benchlink/src/link.rs
@@ -0,0 +1,181 @@
+//! Calls on the module from what is read, records from the module's calls. Instances share only the reply.
+
+use crate::frame::{Batch, Record, Reply};
+use crate::launch;
+use fennelgauge::choice::Gateway;
+use fennelgauge::host::{Arrival, CountName, Entry, Fate, Host, JobId, RelayEnd, ServerId, Standing};
+use fennelgauge::time::{Moment, Span};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+const ENTRY: usize = 23;
+
+#[derive(Default)]
+pub struct Link {
+    gateways: BTreeMap<u16, Gateway<Line>>,
+    reply: Rc<RefCell<Reply>>,
+}
+
+/// One instance's way into the reply.
+struct Line {
+    who: [u8; 2],
+    reply: Rc<RefCell<Reply>>,
+}
+
+impl Line {
+    fn push(&self, code: u16, fields: [&[u8]; 3]) {
+        let [a, b, c] = fields;
+        self.reply.borrow_mut().push(code, &[&self.who, a, b, c]);
+    }
+}
+
+/// The wire's widths are narrower than a span; what does not fit is cut to the widest.
+fn wide(span: Span) -> [u8; 4] {
+    u32::try_from(span.micros()).unwrap_or(u32::MAX).to_le_bytes()
+}
+
+impl Host for Line {
+    fn relay(&mut self, job: JobId, server: ServerId, patience: Span) {
+        self.push(1110, [&job.to_le_bytes(), &server.to_le_bytes(), &wide(patience)]);
+    }
+
+    fn withdraw(&mut self, job: JobId, relay: u8) {
+        self.push(1080, [&job.to_le_bytes(), &[relay], &[]]);
+    }
+
+    fn dismiss(&mut self, job: JobId, hold_off: Option<Span>) {
+        self.push(1100, [&job.to_le_bytes(), &wide(hold_off.unwrap_or_default()), &[]]);
+    }
+
+    fn forfeit(&mut self, job: JobId) {
+        self.push(1030, [&job.to_le_bytes(), &[], &[]]);
+    }
+
+    fn wake(&mut self, after: Span, mark: u64) {
+        self.push(1050, [&wide(after), &mark.to_le_bytes(), &[]]);
+    }
+
+    fn add(&mut self, name: CountName, amount: f64, keep: Span) {
+        self.push(1070, [&name.to_le_bytes(), &(amount as f32).to_le_bytes(), &wide(keep)]);
+    }
+
+    fn follow_roster(&mut self) {
+        self.push(1010, [&[1], &[], &[]]);
+    }
+}
+
+impl Link {
+    /// Plays one batch and returns the reply's frame. A record that cannot be read is told and skipped.
+    pub fn answer(&mut self, batch: &Batch) -> Vec<u8> {
+        let now = Moment::from_micros(batch.clock);
+        for (index, record) in batch.records().enumerate() {
+            if let Err(what) = self.play(now, record) {
+                eprintln!("fennelgauge-benchlink: batch {}, record {index}: {what}", batch.number);
+            }
+        }
+        self.reply.borrow_mut().finish(batch.number)
+    }
+
+    fn play(&mut self, now: Moment, record: Record) -> Result<(), String> {
+        let who = record.u16(2);
+        match record.u16(0) {
+            1030 => {
+                let text = record.bytes(12).ok_or("settings out of bounds")?;
+                let deployment = launch::read(text).map_err(|error| format!("settings: {error}"))?;
+                let line = Line { who: who.to_le_bytes(), reply: Rc::clone(&self.reply) };
+                self.gateways.insert(who, Gateway::start(now, line, deployment, record.u64(4)));
+                return Ok(());
+            }
+            1080 => {
+                self.gateways.remove(&who);
+                return Ok(());
+            }
+            _ => {}
+        }
+        let gateway = self.gateways.get_mut(&who).ok_or_else(|| format!("no instance {who}"))?;
+        match record.u16(0) {
+            1000 => {
+                let entries = record.pieces(9, ENTRY).ok_or("roster out of bounds")?.map(entry);
+                match record.u8(4) {
+                    0 => gateway.roster_changed(now, entries),
+                    1 | 2 => gateway.roster_listed(now, entries),
+                    _ => gateway.roster_failed(now),
+                }
+            }
+            1100 => gateway.job_arrived(now, arrival(record)?),
+            1010 => {
+                let fate = fate(record.u16(17)).ok_or("unknown outcome")?;
+                gateway.relay_ended(
+                    now,
+                    RelayEnd {
+                        job: record.u64(4),
+                        server: record.u32(13),
+                        fate,
+                        took: Span::from_micros(record.u32(19).into()),
+                        settled: record.u8(23) != 0,
+                    },
+                );
+            }
+            1050 => gateway.answer_began(now, record.u64(4), record.u32(17)),
+            1070 => gateway.job_abandoned(now, record.u64(4)),
+            1020 => gateway.woken(now, record.u64(4)),
+            1060 => {
+                let fate = fate(record.u16(12)).ok_or("unknown outcome")?;
+                let total = Some(f64::from(record.f32(14)))
+                    .filter(|total| fate == Fate::Satisfied && total.is_finite());
+                gateway.counted(now, record.u64(4), total, fate);
+            }
+            // Probes and messages between gateways are not used.
+            1040 | 1090 => {}
+            code => return Err(format!("unknown code {code}")),
+        }
+        Ok(())
+    }
+}
+
+fn arrival(record: Record) -> Result<Arrival, String> {
+    let (units, set_size) = (f64::from(record.f32(32)), record.f32(20));
+    if !(units.is_finite() && units >= 0.0) {
+        return Err(format!("{units} units"));
+    }
+    Ok(Arrival {
+        job: record.u64(4),
+        customer: record.u64(37),
+        band: record.u16(45).into(),
+        plan: record.u32(16) as usize,
+        units,
+        set_size: (set_size as u32).max(1),
+        abandon: Moment::from_micros(record.u64(24)),
+    })
+}
+
+fn fate(status: u16) -> Option<Fate> {
+    Some(match status {
+        0 => Fate::Satisfied,
+        255 => Fate::Error,
+        254 => Fate::Full,
+        253 => Fate::TimedOut,
+        252 => Fate::ConnectFailed,
+        251 => Fate::Reset,
+        250 => Fate::Withdrawn,
+        249 => Fate::Moot,
+        _ => return None,
+    })
+}
+
+fn entry(record: Record) -> Entry {
+    let since = record.u64(13);
+    Entry {
+        server: record.u32(3),
+        standing: match record.u8(2) {
+            0 => Standing::Gone,
+            1 => Standing::Ready,
+            _ => Standing::Draining,
+        },
+        rating: f64::from(record.f32(7)),
+        zone: record.u16(11),
+        cell: record.u16(21),
+        started: (since > 0).then(|| Moment::from_micros(since)),
+    }
+}
--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,152 @@
+//! What the decisions need from the program that embeds them, and the plain types that pass between the two.
+
+use crate::time::{Moment, Span};
+
+pub type JobId = u64;
+pub type ServerId = u32;
+pub type CustomerId = u64;
+pub type CountName = u64;
+
+/// The acts open to a gateway.
+pub trait Host {
+    /// Sends a job to a server and stops waiting for it after `patience`.
+    fn relay(&mut self, job: JobId, server: ServerId, patience: Span);
+    /// Stops waiting for one relay, numbered from 0 by job.
+    fn withdraw(&mut self, job: JobId, relay: u8);
+    /// Final answer: not done, a retry is harmless, best after `hold_off` where one is named.
+    fn dismiss(&mut self, job: JobId, hold_off: Option<Span>);
+    /// Final answer: failed, with no promise about effects.
+    fn forfeit(&mut self, job: JobId);
+    /// Asks for a call of `woken` with `mark`.
+    fn wake(&mut self, after: Span, mark: u64);
+    /// Adds to a count of the counter; a new name starts at 0 and is kept for `keep`.
+    fn add(&mut self, name: CountName, amount: f64, keep: Span);
+    /// Asks to be told of changes to the roster.
+    fn follow_roster(&mut self);
+}
+
+/// A deployment as told at start.
+#[derive(Clone, Debug, Default)]
+pub struct Deployment {
+    pub gateways: u32,
+    pub own_index: u32,
+    pub own_zone: u16,
+    /// How often the host can act at most.
+    pub tick: Span,
+    pub bands: Vec<Band>,
+    pub plans: Vec<Plan>,
+    pub has_counter: bool,
+    pub most_units: f64,
+    pub may_withdraw: bool,
+    pub most_relays: u8,
+    /// The longest wait that clients take as advice; none where they take no advice.
+    pub longest_hold_off: Option<Span>,
+    pub roster_is_asked: bool,
+    pub cold: Cold,
+}
+
+/// How a freshly started server has to be treated.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cold {
+    pub share: f64,
+    pub warm_after: Span,
+    pub fall_multiple: f64,
+    pub fall_span: Span,
+}
+
+#[derive(Clone, Debug)]
+pub struct Band {
+    pub target: Span,
+    /// Share of the benefit that a late answer earns.
+    pub late_share: f64,
+    pub repeat: Repeat,
+}
+
+/// Whether a job may run again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Repeat {
+    Pure,
+    /// Repeats are dropped within the group for the span after the first relay that may have run.
+    Receipted(Group, Span),
+    Effectful,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    /// Units a second; 0: no quota on the rate.
+    pub rate: f64,
+    pub burst: f64,
+    /// Most relays out at once; 0: no such quota.
+    pub relays_out: f64,
+    pub over_share: f64,
+    pub over_cost: f64,
+    pub ceiling: Option<Ceiling>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Ceiling {
+    pub rate: f64,
+    pub burst: f64,
+    pub slack: f64,
+}
+
+/// A job as it comes in.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub job: JobId,
+    pub customer: CustomerId,
+    pub band: usize,
+    pub plan: usize,
+    pub units: f64,
+    pub set_size: u32,
+    pub abandon: Moment,
+}
+
+/// How a relay, or a call to the counter, ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Satisfied,
+    Error,
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    Withdrawn,
+    Moot,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct RelayEnd {
+    pub job: JobId,
+    pub server: ServerId,
+    pub fate: Fate,
+    pub took: Span,
+    /// The job needs no further answer.
+    pub settled: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// A line of the roster.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    pub server: ServerId,
+    pub standing: Standing,
+    pub rating: f64,
+    pub zone: u16,
+    pub cell: u16,
+    /// Latest start; none: long past.
+    pub started: Option<Moment>,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,7 @@
+//! Admission decisions for a gateway in front of a service sold by plan.
+//!
+//! [`choice::Gateway`] decides; it acts through [`host::Host`], which the embedding program implements.
+
+pub mod choice;
+pub mod host;
+pub mod time;
