Take unused asks back at once, never refuse on slow answers alone

Cause: units asked for and not granted stayed on the count and shut out the other gateways; a job short of its ceiling could sleep past its abandon time; slow answers made every job look too late, and nothing was sent that could show otherwise.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -317,7 +317,10 @@
         // Answers take longer than usual as often as not: half as much again leaves most of them in time.
         const SLACK: f64 = 1.5;
         let by = target.min(arrival.abandon - self.deployment.tick - self.deployment.tick);
-        by - Span::from_secs(self.usual * SLACK)
+        // Never more than half the target time: else answers slow for any cause would end all relays, and with them
+        // all news of answers being quick again.
+        let most = self.deployment.bands[arrival.band].target.times(0.5);
+        by - Span::from_secs(self.usual * SLACK).min(most)
     }
 
     /// Names a count; all gateways come to the same name from the same clock.
@@ -371,14 +374,12 @@
         if customer.ask.is_some() || (self.counter.failing && now.since(self.counter.tried) < TRIED_ANEW) {
             return;
         }
-        if now < customer.shut {
-            return self.hold(id);
-        }
+        let open = now >= customer.shut;
         let mut asked = 0.0;
         let mut jobs = Vec::new();
         customer.waiting.retain(|job| self.jobs.get(job).is_some_and(|job| job.stage == Stage::Held));
         let most = if plan.rate > 0.0 { plan.burst } else { plan.relays_out };
-        for job in &customer.waiting {
+        for job in customer.waiting.iter().filter(|_| open) {
             let cost = plan.cost(self.jobs[job].arrival.units);
             if asked > 0.0 && asked + cost > most {
                 break;
@@ -387,8 +388,9 @@
             jobs.push(*job);
         }
         let amount = customer.used - customer.told + asked;
+        // What was asked for and not used is taken back even when shut: else other gateways see no room.
         if jobs.is_empty() && amount.abs() < 0.01 {
-            return;
+            return self.hold(id);
         }
         let name = hashed(&[id, customer.window, 0]);
         let keep = Span::from_micros(plan.window().micros().saturating_mul(3).min(60_000_000));
@@ -505,7 +507,7 @@
                 customer.shut = again;
             }
             self.host.wake(again.since(self.now), CUSTOMER_MARK + id);
-            return self.hold(id);
+            return self.ask(id);
         }
         let by_slots = self.deployment.plans[customer.plan].rate <= 0.0;
         if !customer.waiting.is_empty() || (by_slots && (customer.used - customer.told).abs() > 0.01) {
@@ -631,6 +633,7 @@
     fn dispatch(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let (arrival, first) = (job.arrival, job.relays == 0);
+        let latest = self.latest(&arrival, job.target);
         let tick = self.deployment.tick;
         let patience = (arrival.abandon - tick - tick).since(self.now);
         if patience <= tick {
@@ -647,6 +650,9 @@
             let short = arrival.units - customer.ceiling.0;
             if short > 0.0 {
                 let wait = Span::from_secs(short / (ceiling.rate * share)) + tick;
+                if self.now + wait > latest {
+                    return self.give_up(id, Some(wait));
+                }
                 return self.host.wake(wait, id);
             }
         }
@@ -654,7 +660,7 @@
             const PRESSED: Span = Span::from_millis(1_000);
             self.pressed_until = self.now + PRESSED;
             self.backlog.push_back(id);
-            return;
+            return self.host.wake(latest.since(self.now), id);
         };
         if let (true, Some(customer)) = (first, self.customers.get_mut(&arrival.customer)) {
             customer.ceiling.0 -= arrival.units;
@@ -783,8 +789,6 @@
                 if self.backlog.len() > backlog && self.deployment.bands[arrival.band].repeat != Repeat::Pure
                 {
                     self.give_up(end.job, None);
-                } else {
-                    self.host.wake(self.latest(&arrival, target).since(now), end.job);
                 }
             } else {
                 self.give_up(end.job, None);
@@ -951,9 +955,7 @@
             }
             return;
         }
-        if !customer.waiting.is_empty() {
-            self.ask(id);
-        }
+        self.ask(id);
     }
 
     /// Adds to the next pool what customers left unused; lent room must not reach a pressed back end.
