Bound the calls out to the counter, cut slow servers sooner

Calls out now have a bound that time-outs and refusals cut; a customer waits its turn and is judged alone if that takes unusually long.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,9 +13,13 @@
 
 /// The lent room of all customers is pooled by this span; the design's window of about a second.
 const POOL_WINDOW: Span = Span::from_millis(1_000);
+/// A pool is filled a window ahead and may be drawn from to the end of its own.
+const POOL_KEPT: Span = Span::from_millis(3_000);
 /// Marks of timers: a job's is its id, which is below this; a customer's is its id above this.
 const CUSTOMER_MARK: u64 = 1 << 52;
 const POOL_MARK: u64 = u64::MAX;
+/// Counts hold sums of rounded figures; less than this is no difference.
+const NOTHING: f64 = 0.01;
 
 /// Decides for one gateway.
 pub struct Gateway<H> {
@@ -64,11 +68,7 @@
 
 /// All that is known of one server.
 struct Server {
-    standing: Standing,
-    rating: f64,
-    zone: u16,
-    cell: u16,
-    started: Option<Moment>,
+    entry: Entry,
     out: f64,
     /// Relays that it may have of this gateway at once before it has enough.
     bound: f64,
@@ -86,6 +86,7 @@
     push: (f64, Moment),
 }
 
+#[derive(Default)]
 struct Customer {
     plan: usize,
     set_size: f64,
@@ -102,12 +103,13 @@
     last: (f64, f64),
     ask: Option<Ask>,
     looking: bool,
+    /// Waits since then for its turn to call the counter.
+    queued: Option<Moment>,
     /// No room is expected before.
     shut: Moment,
     /// Units a second lent out of this window.
     lent: f64,
-    /// Room left by this gateway's own share of quota and of ceiling, as of a moment.
-    alone: (f64, Moment),
+    /// Room left by this gateway's own share of the ceiling, as of a moment.
     ceiling: (f64, Moment),
 }
 
@@ -120,70 +122,106 @@
     sent: Moment,
 }
 
-#[derive(Default)]
 struct Counter {
     failing: bool,
     tried: Moment,
     /// How long calls take of late, in seconds.
     usual: f64,
+    out: f64,
+    /// Calls that may be out at once.
+    bound: f64,
+    queue: VecDeque<CustomerId>,
 }
 
 #[derive(Default)]
 struct Pool {
     waiting: Vec<JobId>,
-    draw: Option<(CountName, f64, Vec<JobId>)>,
-    /// Drawn too much from the named count.
-    back: (CountName, f64),
+    draw: Option<(CountName, f64, Vec<Arrival>)>,
 }
 
 impl Plan {
     /// Use beyond the quota earns something and costs nothing.
     fn soft(&self) -> bool {
-        self.rate > 0.0 && self.over_share > 0.0 && self.over_cost <= 0.0
+        self.by_rate() && self.over_share > 0.0 && self.over_cost <= 0.0
+    }
+
+    fn by_rate(&self) -> bool {
+        self.rate > 0.0
     }
 
     /// Half of what it takes to fill the burst, so that an unused window leaves the whole burst; a second at least.
     /// A plan by relays out has no windows; its counts begin anew so that what a dead gateway held is let go.
     fn window(&self) -> Span {
-        const SLOTS_ANEW: f64 = 10.0;
-        let length = if self.rate > 0.0 { self.burst / self.rate / 2.0 } else { SLOTS_ANEW };
-        Span::from_secs(length.clamp(1.0, 20.0))
+        const ANEW: f64 = 10.0;
+        const LONGEST: Span = Span::from_millis(20_000);
+        let length = if self.by_rate() { self.burst / self.rate / 2.0 } else { ANEW };
+        Span::from_secs(length).clamp(POOL_WINDOW, LONGEST)
     }
 
     fn in_window(&self) -> f64 {
-        if self.rate > 0.0 {
+        if self.by_rate() {
             self.rate * self.window().secs()
         } else {
             self.relays_out
         }
     }
 
-    fn cost(&self, units: f64) -> f64 {
-        if self.rate > 0.0 {
-            units
+    fn cost(&self, job: &Arrival) -> f64 {
+        if self.by_rate() {
+            job.units
         } else {
             1.0
         }
     }
 }
 
-/// A level that fills at `rate` up to `most`.
-fn filled(level: (f64, Moment), rate: f64, most: f64, now: Moment) -> (f64, Moment) {
-    ((level.0 + rate * now.since(level.1).secs()).min(most), now)
-}
-
 fn hashed(parts: &[u64]) -> u64 {
     let mut hasher = DefaultHasher::new();
     parts.hash(&mut hasher);
     hasher.finish()
 }
 
+/// May run again anywhere.
+fn is_free(repeat: Repeat) -> bool {
+    matches!(repeat, Repeat::Pure | Repeat::Receipted(Group::All, _))
+}
+
+/// Spans the mean of what a server carries, in seconds: some windows, less than a cold start.
+const CARRIED_OVER: f64 = 3.0;
+
+fn decayed(level: (f64, Moment), now: Moment) -> f64 {
+    level.0 * (-now.since(level.1).secs() / CARRIED_OVER).exp()
+}
+
+/// Accrual: a silence of this many usual gaps is unusual; about 1 in 400 if gaps were exponential.
+const UNUSUAL: f64 = 6.0;
+
 impl Server {
-    /// Accrual: silence is unusual at this many usual gaps; about 1 in 400 if gaps were exponential.
-    const UNUSUAL: f64 = 6.0;
+    fn new(entry: Entry, now: Moment, gap: f64) -> Self {
+        // A few relays at once to begin with; answers soon move it either way.
+        const BOUND: f64 = 4.0;
+        let (none, never) = ((0.0, now), now);
+        let (out, failing) = (0.0, 0.0);
+        Self {
+            entry,
+            out,
+            bound: BOUND,
+            cut: never,
+            heard: now,
+            gap,
+            failing,
+            tried: never,
+            carried: none,
+            push: none,
+        }
+    }
+
+    fn ready(&self) -> bool {
+        self.entry.standing == Standing::Ready
+    }
 
     fn silence_ends(&self, usual: f64) -> Moment {
-        self.heard + Span::from_secs(self.gap.max(usual / 2.0) * Self::UNUSUAL)
+        self.heard + Span::from_secs(self.gap.max(usual / 2.0) * UNUSUAL)
     }
 
     /// Silent for unusually long or failing often, from any cause: crash, cut, bad build, hang.
@@ -191,6 +229,14 @@
         const MOSTLY: f64 = 0.5;
         self.failing > MOSTLY || (self.out > 0.0 && now > self.silence_ends(usual))
     }
+
+    /// Slow or turned away, from any cause: it gets less at once, but is not cut twice for one backlog.
+    fn cut(&mut self, to: f64, now: Moment, apart: f64) {
+        if now.since(self.cut).secs() > apart {
+            self.bound = (self.bound * to).max(1.0);
+            self.cut = now;
+        }
+    }
 }
 
 impl<H: Host> Gateway<H> {
@@ -201,8 +247,12 @@
         if deployment.has_counter && deployment.plans.iter().any(Plan::soft) {
             host.wake(POOL_WINDOW, POOL_MARK);
         }
-        // Before any answer is seen, a small part of the tightest target stands in for the usual.
+        // Before any answer is seen, a small part of the tightest target stands in for the usual, and a few ticks
+        // for a call.
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
+        let usual = (deployment.tick.secs() * 4.0).max(0.005);
+        let counter =
+            Counter { failing: false, tried: now, usual, out: 0.0, bound: 4.0, queue: VecDeque::new() };
         Self {
             host,
             deployment,
@@ -214,7 +264,7 @@
             jobs: BTreeMap::new(),
             backlog: VecDeque::new(),
             callers: BTreeMap::new(),
-            counter: Counter { usual: 0.01, ..Counter::default() },
+            counter,
             pool: Pool::default(),
             usual: target / 6.0,
             spare_relays: 5.0,
@@ -225,39 +275,25 @@
     /// Changed lines of the roster.
     pub fn roster_changed(&mut self, now: Moment, entries: impl Iterator<Item = Entry>) {
         self.now = now;
-        for entry in entries {
-            let gap = self.usual;
-            let server = self.servers.entry(entry.server).or_insert_with(|| Server {
-                standing: entry.standing,
-                rating: 1.0,
-                zone: entry.zone,
-                cell: entry.cell,
-                started: None,
-                out: 0.0,
-                bound: 4.0,
-                cut: now,
-                heard: now,
-                gap,
-                failing: 0.0,
-                tried: now,
-                carried: (0.0, now),
-                push: (0.0, now),
-            });
-            if entry.standing != Standing::Gone {
-                if entry.started != server.started {
-                    (server.started, server.failing) = (entry.started, 0.0);
-                }
-                server.rating = if entry.rating > 0.0 { entry.rating } else { 1.0 };
-                (server.zone, server.cell) = (entry.zone, entry.cell);
+        for mut entry in entries {
+            let usual = self.usual;
+            let server = self.servers.entry(entry.server).or_insert_with(|| Server::new(entry, now, usual));
+            if entry.standing == Standing::Gone {
+                server.entry.standing = Standing::Gone;
+                continue;
             }
-            server.standing = entry.standing;
+            if entry.started != server.entry.started {
+                server.failing = 0.0;
+            }
+            entry.rating = if entry.rating > 0.0 { entry.rating } else { 1.0 };
+            server.entry = entry;
         }
         self.work_off();
     }
 
     /// The whole roster; a server that it lacks is gone.
     pub fn roster_listed(&mut self, now: Moment, entries: impl Iterator<Item = Entry>) {
-        self.servers.values_mut().for_each(|server| server.standing = Standing::Gone);
+        self.servers.values_mut().for_each(|server| server.entry.standing = Standing::Gone);
         self.roster_changed(now, entries);
     }
 
@@ -270,32 +306,22 @@
     pub fn job_arrived(&mut self, now: Moment, arrival: Arrival) {
         self.now = now;
         let id = arrival.job;
-        let (Some(band), Some(plan)) =
-            (self.deployment.bands.get(arrival.band), self.deployment.plans.get(arrival.plan))
-        else {
+        let (bands, plans) = (&self.deployment.bands, &self.deployment.plans);
+        let (Some(band), Some(plan)) = (bands.get(arrival.band), plans.get(arrival.plan)) else {
             return self.host.forfeit(id);
         };
         let target = now + band.target;
-        let (limited, set_size) = (plan.in_window() > 0.0, f64::from(arrival.set_size.max(1)));
-        let level = (if plan.rate > 0.0 { plan.burst } else { 0.0 }) / set_size;
-        self.customers.entry(arrival.customer).or_insert_with(|| Customer {
+        let limited = plan.in_window() > 0.0;
+        let customer = self.customers.entry(arrival.customer).or_insert_with(|| Customer {
             plan: arrival.plan,
-            set_size,
-            waiting: VecDeque::new(),
-            window: 0,
-            used: 0.0,
-            told: 0.0,
-            total: 0.0,
-            carried: None,
-            last: (0.0, 0.0),
-            ask: None,
-            looking: false,
-            shut: now,
-            lent: 0.0,
-            alone: (level, now),
-            // After a restart the own share may be spent already, so it starts empty.
+            set_size: f64::from(arrival.set_size.max(1)),
+            // After a restart the own share of the ceiling may be spent already, so it starts empty.
             ceiling: (0.0, now),
+            ..Customer::default()
         });
+        if limited {
+            customer.waiting.push_back(id);
+        }
         let stage = if limited { Stage::Held } else { Stage::Cleared };
         self.jobs.insert(id, Job { arrival, stage, target, relays: 0, server: 0, may_have_run: None });
         let latest = self.latest(&arrival, target);
@@ -303,13 +329,12 @@
             return self.give_up(id, None);
         }
         self.host.wake(latest.since(now), id);
-        if !limited {
-            return self.dispatch(id);
+        if limited {
+            self.roll(arrival.customer);
+            self.ask(arrival.customer);
+        } else {
+            self.dispatch(id);
         }
-        self.roll(arrival.customer);
-        let Some(customer) = self.customers.get_mut(&arrival.customer) else { return };
-        customer.waiting.push_back(id);
-        self.ask(arrival.customer);
     }
 
     /// When a relay must go out at the latest to be answered by its target time.
@@ -317,13 +342,18 @@
         // Answers take longer than usual as often as not: half as much again leaves most of them in time.
         const SLACK: f64 = 1.5;
         let by = target.min(arrival.abandon - self.deployment.tick - self.deployment.tick);
-        // Never more than half the target time: else answers slow for any cause would end all relays, and with them
-        // all news of answers being quick again.
+        // Never more than half the target time: else answers slow for any cause would end all relays, and with
+        // them all news of answers being quick again.
         let most = self.deployment.bands[arrival.band].target.times(0.5);
         by - Span::from_secs(self.usual * SLACK).min(most)
     }
 
-    /// Names a count; all gateways come to the same name from the same clock.
+    /// A job that is still held.
+    fn held(&self, id: JobId) -> Option<&Arrival> {
+        self.jobs.get(&id).filter(|job| job.stage == Stage::Held).map(|job| &job.arrival)
+    }
+
+    /// A customer's present window and its end; all gateways come to the same from the same clock.
     fn window_of(&self, id: CustomerId, plan: usize) -> (u64, Moment) {
         let length = self.deployment.plans[plan].window().micros();
         // Windows of different customers begin at different times, so that held jobs don't come in herds.
@@ -337,73 +367,81 @@
         let Some(plan) = self.customers.get(&id).map(|customer| customer.plan) else { return };
         let (window, _) = self.window_of(id, plan);
         let plan = &self.deployment.plans[plan];
-        let Some(customer) = self.customers.get_mut(&id) else { return };
-        if customer.window == window {
+        let Some(customer) = self.customers.get_mut(&id).filter(|customer| customer.window != window) else {
             return;
-        }
-        let base = plan.in_window();
-        let seen = customer.total.max(customer.used);
+        };
         // A window that this gateway took no part in is known only once it is looked up.
-        let known = customer.window + 1 == window;
-        customer.last = (base + customer.carried.unwrap_or(0.0), if known { seen } else { 0.0 });
-        if !known {
-            customer.last.0 = base;
-        }
-        customer.carried = if plan.rate > 0.0 { None } else { Some(0.0) };
-        customer.window = window;
-        if plan.rate > 0.0 {
-            customer.used = 0.0;
+        let known = customer.window.wrapping_add(1) == window;
+        let (carried, seen) = (customer.carried.unwrap_or(0.0), customer.total.max(customer.used));
+        customer.last = if known { (plan.in_window() + carried, seen) } else { (plan.in_window(), 0.0) };
+        // Relays out last over a window's end: they are told again to its new count.
+        if plan.by_rate() {
+            (customer.carried, customer.used) = (None, 0.0);
+        } else {
+            customer.carried = Some(0.0);
         }
         (customer.told, customer.total, customer.lent) = (0.0, 0.0, 0.0);
-        (customer.shut, customer.looking) = (self.now, false);
+        (customer.window, customer.shut, customer.looking) = (window, self.now, false);
     }
 
     /// Carries the units of a customer's held jobs to its count, one call at a time.
     fn ask(&mut self, id: CustomerId) {
-        let alone = self.deployment.has_counter && !self.counter.failing;
-        if !alone {
+        const TRIED_ANEW: Span = Span::from_millis(250);
+        let now = self.now;
+        if !self.deployment.has_counter || self.counter.failing {
             self.judge_alone(id);
+            if !self.deployment.has_counter || now.since(self.counter.tried) < TRIED_ANEW {
+                return;
+            }
         }
-        if !self.deployment.has_counter {
+        let Some(customer) = self.customers.get(&id).filter(|customer| customer.ask.is_none()) else {
             return;
-        }
-        const TRIED_ANEW: Span = Span::from_millis(250);
-        let now = self.now;
-        let Some(customer) = self.customers.get_mut(&id) else { return };
+        };
         let plan = &self.deployment.plans[customer.plan];
-        if customer.ask.is_some() || (self.counter.failing && now.since(self.counter.tried) < TRIED_ANEW) {
-            return;
-        }
+        let most = if plan.by_rate() { plan.burst } else { plan.relays_out };
+        let (mut asked, mut jobs) = (0.0, Vec::new());
         let open = now >= customer.shut;
-        let mut asked = 0.0;
-        let mut jobs = Vec::new();
-        customer.waiting.retain(|job| self.jobs.get(job).is_some_and(|job| job.stage == Stage::Held));
-        let most = if plan.rate > 0.0 { plan.burst } else { plan.relays_out };
-        for job in customer.waiting.iter().filter(|_| open) {
-            let cost = plan.cost(self.jobs[job].arrival.units);
-            if asked > 0.0 && asked + cost > most {
+        for job in customer.waiting.iter().filter(|_| open).filter_map(|job| self.held(*job)) {
+            if asked > 0.0 && asked + plan.cost(job) > most {
                 break;
             }
-            asked += cost;
-            jobs.push(*job);
+            asked += plan.cost(job);
+            jobs.push(job.job);
         }
-        let amount = customer.used - customer.told + asked;
         // What was asked for and not used is taken back even when shut: else other gateways see no room.
-        if jobs.is_empty() && amount.abs() < 0.01 {
+        let amount = customer.used - customer.told + asked;
+        if jobs.is_empty() && amount.abs() < NOTHING {
             return self.hold(id);
         }
         let name = hashed(&[id, customer.window, 0]);
-        let keep = Span::from_micros(plan.window().micros().saturating_mul(3).min(60_000_000));
+        let keep = plan.window().times(3.0).min(Span::from_millis(60_000));
+        let patience = self.call_patience();
+        let Some(customer) = self.customers.get_mut(&id) else { return };
+        // A counter slow or full, from any cause, must not drown in calls: beyond a bound they wait their turn, and
+        // a later call carries more. The jobs are judged alone if that takes unusually long.
+        if self.counter.out >= self.counter.bound {
+            if customer.queued.is_none() {
+                customer.queued = Some(now);
+                self.counter.queue.push_back(id);
+                self.host.wake(patience, CUSTOMER_MARK + id);
+            }
+            return;
+        }
         customer.ask = Some(Ask { jobs, amount, window: customer.window, total: None, sent: now });
+        self.call(name, id, amount, keep);
+        self.host.wake(patience, CUSTOMER_MARK + id);
+    }
+
+    fn call(&mut self, name: CountName, id: CustomerId, amount: f64, keep: Span) {
         self.callers.insert(name, id);
-        self.counter.tried = now;
+        self.counter.tried = self.now;
+        self.counter.out += 1.0;
         self.host.add(name, amount, keep);
-        self.host.wake(self.call_patience(), CUSTOMER_MARK + id);
     }
 
     /// A call out for longer is unusually slow: the same accrual as for servers.
     fn call_patience(&self) -> Span {
-        Span::from_secs(self.counter.usual * Server::UNUSUAL) + self.deployment.tick
+        Span::from_secs(self.counter.usual * UNUSUAL) + self.deployment.tick
     }
 
     /// A total came back, or word that none will.
@@ -413,50 +451,58 @@
             return self.drawn(total);
         }
         let Some(id) = self.callers.remove(&name) else { return };
+        self.counter.out -= 1.0;
+        self.counter.failing = total.is_none();
+        self.counter.bound = match total {
+            Some(_) => self.counter.bound + 0.1 / self.counter.bound,
+            None => (self.counter.bound * 0.7).max(1.0),
+        };
         self.roll(id);
+        self.answered(id, name, total, fate);
+        while self.counter.out < self.counter.bound {
+            let Some(next) = self.counter.queue.pop_front() else { return };
+            self.roll(next);
+            if let Some(customer) = self.customers.get_mut(&next) {
+                customer.queued = None;
+            }
+            self.ask(next);
+        }
+    }
+
+    fn answered(&mut self, id: CustomerId, name: CountName, total: Option<f64>, fate: Fate) {
         let Some(customer) = self.customers.get_mut(&id) else { return };
-        if name != hashed(&[id, customer.ask.as_ref().map_or(0, |ask| ask.window), 0]) {
+        let plan = &self.deployment.plans[customer.plan];
+        let asked = customer.ask.as_ref().map_or(0, |ask| ask.window);
+        if name != hashed(&[id, asked, 0]) {
             // The last window's count, looked up.
-            if let Some(total) = total.filter(|_| customer.looking) {
-                let plan = &self.deployment.plans[customer.plan];
-                let unused = (customer.last.0 - total.max(customer.last.1)).max(0.0);
-                let most = (plan.burst - plan.in_window()).max(0.0);
-                customer.carried = Some(unused.min(most));
-            } else {
-                customer.carried = Some(0.0);
-            }
+            let unused = total.map_or(0.0, |total| (customer.last.0 - total.max(customer.last.1)).max(0.0));
+            customer.carried = Some(unused.min((plan.burst - plan.in_window()).max(0.0)));
             customer.looking = false;
             return self.settle(id);
         }
         let Some(ask) = customer.ask.as_mut() else { return };
         let present = ask.window == customer.window;
-        let took = now.since(ask.sent).secs();
+        // What may have been added counts as added: the count then says too little, never too much.
+        if present && (total.is_some() || fate == Fate::TimedOut) {
+            customer.told += ask.amount;
+        }
         let Some(total) = total else {
-            // What may have been added counts as added: the count then says too little, never too much.
-            if fate == Fate::TimedOut && present {
-                customer.told += ask.amount;
-            }
             customer.ask = None;
-            self.counter.failing = true;
             return self.judge_alone(id);
         };
-        self.counter.failing = false;
-        self.counter.usual += 0.05 * (took - self.counter.usual);
+        self.counter.usual += 0.05 * (self.now.since(ask.sent).secs() - self.counter.usual);
         if !present {
             customer.ask = None;
             return self.ask(id);
         }
-        customer.told += ask.amount;
         // A count below what this gateway alone added has been forgotten, for any cause: it is told anew.
-        if total < customer.told - 0.01 {
+        if total < customer.told - NOTHING {
             customer.told = total;
         }
-        let plan = &self.deployment.plans[customer.plan];
-        if customer.total <= 0.0 && total <= ask.amount + 0.01 && plan.rate > 0.0 {
+        if customer.total <= 0.0 && total <= ask.amount + NOTHING && plan.by_rate() {
             // First gateway into the window: half of the last one's shortfall is lent, a second's part at a time.
             const LENT: f64 = 0.5;
-            let shortfall = (customer.last.0 - customer.last.1).max(0.0);
-            customer.lent = LENT * shortfall.min(customer.last.0) / plan.window().secs();
+            customer.lent = LENT * (customer.last.0 - customer.last.1).max(0.0) / plan.window().secs();
         }
         customer.total = customer.total.max(total);
         ask.total = Some(total);
@@ -471,116 +517,98 @@
         if total > plan.in_window() && customer.carried.is_none() {
             if !customer.looking {
                 customer.looking = true;
-                let name = hashed(&[id, customer.window - 1, 0]);
-                self.callers.insert(name, id);
-                self.host.add(name, 0.0, POOL_WINDOW);
+                let name = hashed(&[id, customer.window.wrapping_sub(1), 0]);
+                self.call(name, id, 0.0, POOL_WINDOW);
             }
             return;
         }
         let Some(ask) = customer.ask.take() else { return };
-        let jobs = &self.jobs;
-        let held = |id: &JobId| jobs.get(id).filter(|job| job.stage == Stage::Held);
-        let asked: f64 = ask.jobs.iter().filter_map(held).map(|job| plan.cost(job.arrival.units)).sum();
-        let mut room = plan.in_window() + customer.carried.unwrap_or(0.0) - (total - asked);
-        let mut granted = Vec::new();
-        for job in ask.jobs.iter().filter_map(held) {
-            let cost = plan.cost(job.arrival.units);
+        let (index, by_rate) = (customer.plan, plan.by_rate());
+        let allowance = plan.in_window() + customer.carried.unwrap_or(0.0);
+        let held: Vec<(JobId, f64)> =
+            ask.jobs.iter().filter_map(|job| self.held(*job)).map(|job| (job.job, plan.cost(job))).collect();
+        let mut room = allowance - (total - held.iter().map(|job| job.1).sum::<f64>());
+        let mut short = false;
+        for (job, cost) in held {
             if cost <= room {
                 room -= cost;
-                granted.push(job.arrival.job);
+                self.grant(job);
+            } else {
+                short = true;
             }
         }
-        let short = granted.len() < ask.jobs.iter().filter_map(held).count();
-        for job in granted {
-            self.grant(job);
-        }
-        let Some(customer) = self.customers.get_mut(&id) else { return };
         if short {
-            let plan = customer.plan;
-            let (_, next) = self.window_of(id, plan);
-            // A plan by relays out has room again as soon as one ends: after about a usual answer.
-            let by_rate = self.deployment.plans[plan].rate > 0.0;
+            // A plan by relays out has room again as soon as one ends: a part of a usual answer later.
             let spread = Span::from_secs(self.usual * 0.5 * self.chance());
-            let again =
-                if by_rate { next + spread } else { self.now + Span::from_secs(self.usual * 0.25) + spread };
+            let soon = self.now + Span::from_secs(self.usual * 0.25);
+            let shut = if by_rate { self.window_of(id, index).1 } else { soon } + spread;
+            self.host.wake(shut.since(self.now), CUSTOMER_MARK + id);
             if let Some(customer) = self.customers.get_mut(&id) {
-                customer.shut = again;
+                customer.shut = shut;
             }
-            self.host.wake(again.since(self.now), CUSTOMER_MARK + id);
-            return self.ask(id);
-        }
-        let by_slots = self.deployment.plans[customer.plan].rate <= 0.0;
-        if !customer.waiting.is_empty() || (by_slots && (customer.used - customer.told).abs() > 0.01) {
-            self.ask(id);
         }
+        self.ask(id);
     }
 
     /// What a shut window leaves to held jobs: a soft plan draws on the pool, and who would wait in vain goes now.
     fn hold(&mut self, id: CustomerId) {
-        let Some(customer) = self.customers.get_mut(&id) else { return };
+        let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
-        let (soft, window, shut) = (plan.soft(), plan.window(), customer.shut);
-        let (per_window, by_rate) = (plan.in_window().max(1.0), plan.rate > 0.0);
-        let waiting: Vec<JobId> = customer.waiting.iter().copied().collect();
-        let mut ahead = 0.0;
-        for id in waiting {
-            let Some(job) = self.jobs.get(&id).filter(|job| job.stage == Stage::Held) else { continue };
-            ahead += if by_rate { job.arrival.units } else { 0.0 };
-            let turn = shut + window.times(((ahead - job.arrival.units) / per_window).floor().max(0.0));
-            if soft && self.now >= self.pressed_until {
-                if !self.pool.waiting.contains(&id) {
-                    self.pool.waiting.push(id);
-                }
-            } else if turn > self.latest(&job.arrival, job.target) {
-                ahead -= if by_rate { job.arrival.units } else { 0.0 };
-                self.give_up(id, Some(turn.since(self.now)));
+        if plan.soft() && self.now >= self.pressed_until {
+            self.pool.waiting.extend(&customer.waiting);
+            return self.draw();
+        }
+        let (mut ahead, mut vain) = (0.0, Vec::new());
+        for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
+            let turns = if plan.by_rate() { (ahead / plan.in_window()).floor() } else { 0.0 };
+            let turn = customer.shut + plan.window().times(turns);
+            if turn > self.latest(job, self.jobs[&job.job].target) {
+                vain.push((job.job, turn));
+            } else {
+                ahead += job.units;
             }
         }
-        self.draw();
+        for (job, turn) in vain {
+            self.give_up(job, Some(turn.since(self.now)));
+        }
     }
 
     /// Draws the units of soft customers' jobs past their allowance from the present pool.
     fn draw(&mut self) {
-        if self.pool.draw.is_some() || self.pool.waiting.is_empty() {
+        if self.pool.draw.is_some() {
             return;
         }
-        let name = self.pool_name(0);
-        let jobs: Vec<JobId> = std::mem::take(&mut self.pool.waiting);
-        let jobs: Vec<JobId> = jobs
-            .into_iter()
-            .filter(|id| self.jobs.get(id).is_some_and(|job| job.stage == Stage::Held))
-            .collect();
-        let units: f64 = jobs.iter().map(|id| self.jobs[id].arrival.units).sum();
-        if jobs.is_empty() {
-            return;
+        let mut waiting = std::mem::take(&mut self.pool.waiting);
+        waiting.sort_unstable();
+        waiting.dedup();
+        let jobs: Vec<Arrival> = waiting.iter().filter_map(|job| self.held(*job)).copied().collect();
+        let units: f64 = jobs.iter().map(|job| job.units).sum();
+        if units > 0.0 {
+            let name = self.pool_name(0);
+            self.pool.draw = Some((name, units, jobs));
+            self.host.add(name, -units, POOL_KEPT);
         }
-        let back = if self.pool.back.0 == name { self.pool.back.1 } else { 0.0 };
-        self.pool.back = (name, 0.0);
-        self.pool.draw = Some((name, units, jobs));
-        self.host.add(name, back - units, POOL_WINDOW + POOL_WINDOW + POOL_WINDOW);
     }
 
+    /// What a draw brought: below nothing the pool is empty, and what it lacks was not granted.
     fn drawn(&mut self, total: Option<f64>) {
-        let Some((name, units, jobs)) = self.pool.draw.take() else { return };
-        let mut room = units + total.map_or(-units, |total| total.min(0.0));
-        for id in jobs {
-            let Some(job) = self.jobs.get(&id).filter(|job| job.stage == Stage::Held) else { continue };
-            let (arrival, target) = (job.arrival, job.target);
-            if arrival.units <= room {
-                room -= arrival.units;
-                if let Some(job) = self.jobs.get_mut(&id) {
-                    job.stage = Stage::Cleared;
-                }
-                self.dispatch(id);
-            } else if let Some(customer) = self.customers.get(&arrival.customer) {
-                let shut = customer.shut;
-                if shut > self.latest(&arrival, target) {
-                    self.give_up(id, Some(shut.since(self.now)));
-                }
+        let Some((_, units, jobs)) = self.pool.draw.take() else { return };
+        let mut room = total.map_or(0.0, |total| units + total.min(0.0));
+        for job in jobs {
+            let Some(held) = self.jobs.get_mut(&job.job).filter(|job| job.stage == Stage::Held) else {
+                continue;
+            };
+            if job.units <= room {
+                room -= job.units;
+                held.stage = Stage::Cleared;
+                self.dispatch(job.job);
+                continue;
+            }
+            let target = held.target;
+            let shut = self.customers.get(&job.customer).map_or(self.now, |customer| customer.shut);
+            if shut > self.latest(&job, target) {
+                self.give_up(job.job, Some(shut.since(self.now)));
             }
-        }
-        if total.is_some() {
-            self.pool.back = (name, room.max(0.0));
         }
         self.draw();
     }
@@ -589,28 +617,34 @@
         hashed(&[self.now.micros() / POOL_WINDOW.micros() + ahead, 1])
     }
 
-    /// Judges held jobs by this gateway's own share, while the counter is not to be had.
+    /// Adds to the next pool what customers left unused; lent room must not reach a pressed back end.
+    fn lend(&mut self) {
+        let lent: f64 = self.customers.values().map(|customer| customer.lent).sum();
+        if lent > 0.0 && self.now >= self.pressed_until && !self.counter.failing {
+            self.host.add(self.pool_name(1), lent * POOL_WINDOW.secs(), POOL_KEPT);
+        }
+        self.host.wake(POOL_WINDOW, POOL_MARK);
+    }
+
+    /// Judges held jobs by this gateway's own share of the allowance, while the counter is not to be had.
     fn judge_alone(&mut self, id: CustomerId) {
-        let Some(customer) = self.customers.get_mut(&id) else { return };
+        const AGAIN: Span = Span::from_millis(100);
+        let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
-        let share = 1.0 / customer.set_size;
-        let by_rate = plan.rate > 0.0;
-        customer.alone = filled(customer.alone, plan.rate * share, plan.burst * share, self.now);
-        let mut room =
-            if by_rate { customer.alone.0 } else { (plan.relays_out * share).max(1.0) - customer.used };
-        let jobs: Vec<JobId> = customer.waiting.iter().copied().collect();
-        for job in jobs {
-            let Some(held) = self.jobs.get(&job).filter(|job| job.stage == Stage::Held) else { continue };
-            let cost = if by_rate { held.arrival.units } else { 1.0 };
-            if cost <= room {
-                room -= cost;
-                self.grant(job);
+        let least = if plan.by_rate() { 0.0 } else { 1.0 };
+        let allowance = plan.in_window() + customer.carried.unwrap_or(0.0);
+        let mut room = (allowance / customer.set_size).max(least) - customer.used;
+        let mut granted = Vec::new();
+        for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
+            if plan.cost(job) <= room {
+                room -= plan.cost(job);
+                granted.push(job.job);
             }
         }
-        const AGAIN: Span = Span::from_millis(100);
-        if self.customers.get(&id).is_some_and(|customer| !customer.waiting.is_empty()) {
+        if granted.len() < customer.waiting.len() {
             self.host.wake(AGAIN, CUSTOMER_MARK + id);
         }
+        granted.into_iter().for_each(|job| self.grant(job));
     }
 
     /// A held job has room in its quota.
@@ -619,12 +653,8 @@
         job.stage = Stage::Cleared;
         let arrival = job.arrival;
         if let Some(customer) = self.customers.get_mut(&arrival.customer) {
-            let plan = &self.deployment.plans[customer.plan];
-            customer.used += plan.cost(arrival.units);
+            customer.used += self.deployment.plans[customer.plan].cost(&arrival);
             customer.waiting.retain(|waiting| *waiting != id);
-            let share = 1.0 / customer.set_size;
-            customer.alone = filled(customer.alone, plan.rate * share, plan.burst * share, self.now);
-            customer.alone.0 = (customer.alone.0 - arrival.units).max(0.0);
         }
         self.dispatch(id);
     }
@@ -645,8 +675,9 @@
             // Rule 5: an equal share of the ceiling is safe whatever the counter and the other gateways do; a little
             // less than it covers rounding.
             let share = 0.999 / customer.set_size;
-            let most = (ceiling.burst + ceiling.slack) * share;
-            customer.ceiling = filled(customer.ceiling, ceiling.rate * share, most, self.now);
+            let filled =
+                customer.ceiling.0 + ceiling.rate * share * self.now.since(customer.ceiling.1).secs();
+            customer.ceiling = (filled.min((ceiling.burst + ceiling.slack) * share), self.now);
             let short = arrival.units - customer.ceiling.0;
             if short > 0.0 {
                 let wait = Span::from_secs(short / (ceiling.rate * share)) + tick;
@@ -691,40 +722,37 @@
         let job = self.jobs.get(&id)?;
         let (now, usual, cold) = (self.now, self.usual, self.deployment.cold);
         let repeat = self.deployment.bands[job.arrival.band].repeat;
-        let ready = |server: &&mut Server| server.standing == Standing::Ready;
         let (mut out, mut rating, mut warm, mut carried) = (0.0, 0.0, 0.0, 0.0);
-        for server in self.servers.values_mut().filter(ready) {
+        for server in self.servers.values().filter(|server| server.ready()) {
             if !server.unwell(now, usual) {
                 out += server.out;
-                rating += server.rating;
+                rating += server.entry.rating;
             }
-            if server.started.is_none_or(|started| now.since(started) > cold.warm_after) {
-                warm += server.rating;
+            if server.entry.started.is_none_or(|started| now.since(started) > cold.warm_after) {
+                warm += server.entry.rating;
                 carried += decayed(server.carried, now);
             }
         }
-        let origin = job.may_have_run.and_then(|(since, server)| Some((since, self.servers.get(&server)?)));
-        let origin = origin.map(|(since, server)| (since, server.zone, server.cell));
-        let allowed = |server: &Server| match (repeat, origin) {
+        let origin = job.may_have_run.and_then(|(since, id)| Some((since, self.servers.get(&id)?.entry)));
+        let allowed = |to: &Entry| match (repeat, origin) {
             (_, None) | (Repeat::Pure, _) => true,
             (Repeat::Effectful, Some(_)) => false,
-            (Repeat::Receipted(group, window), Some((since, zone, cell))) => {
+            (Repeat::Receipted(group, window), Some((since, from))) => {
                 let same = match group {
                     Group::All => true,
-                    Group::Zone => server.zone == zone,
-                    Group::Cell => server.cell == cell,
+                    Group::Zone => to.zone == from.zone,
+                    Group::Cell => to.cell == from.cell,
                 };
                 same && now.since(since) < window
             }
         };
         let mut best: Option<(u64, ServerId)> = None;
-        for (&server_id, server) in
-            self.servers.iter_mut().filter(|(_, server)| server.standing == Standing::Ready)
-        {
-            let even = (UNEVEN * (out + 1.0) * server.rating / rating.max(server.rating)).ceil();
-            if !allowed(server) || (job.relays > 0 && job.server == server_id) {
+        for (&id, server) in self.servers.iter_mut().filter(|(_, server)| server.ready()) {
+            if !allowed(&server.entry) || (job.relays > 0 && job.server == id) {
                 continue;
             }
+            let part = server.entry.rating / rating.max(server.entry.rating);
+            let even = (UNEVEN * (out + 1.0) * part).ceil();
             if server.unwell(now, usual) {
                 // One relay at a time now and then shows whether it is well again.
                 if server.out > 0.0 || now.since(server.tried) < TRIAL || repeat != Repeat::Pure {
@@ -733,26 +761,24 @@
             } else if server.out >= even.min(server.bound) {
                 continue;
             }
-            if let Some(age) =
-                server.started.map(|started| now.since(started)).filter(|age| *age <= cold.warm_after)
-            {
+            let age = server.entry.started.map(|started| now.since(started));
+            if let Some(age) = age.filter(|age| *age <= cold.warm_after) {
                 // Rule 4: a cold server gets no more than a safe part of what warm ones are seen to carry. Half is
                 // kept back for slower machines and uneven work, and a burst of half the span counts on top.
                 const KEPT_BACK: f64 = 0.5;
                 let warmth = cold.share + (1.0 - cold.share) * age.secs() / cold.warm_after.secs().max(0.001);
-                let each = carried / warm.max(0.001) * server.rating;
+                let each = carried / warm.max(0.001) * server.entry.rating;
                 let rate = KEPT_BACK * cold.fall_multiple * warmth * each;
                 let left = server.push.0 - rate * now.since(server.push.1).secs();
                 server.push = (left.max(0.0), now);
-                if rate <= 0.0
-                    || (left > 0.0 && left + job.arrival.units > rate * cold.fall_span.secs() / 2.0)
-                {
+                let most = rate * cold.fall_span.secs() / 2.0;
+                if rate <= 0.0 || (left > 0.0 && left + job.arrival.units > most) {
                     continue;
                 }
             }
-            let rank = hashed(&[job.arrival.customer, u64::from(server_id)]);
+            let rank = hashed(&[job.arrival.customer, u64::from(id)]);
             if best.is_none_or(|best| rank > best.0) {
-                best = Some((rank, server_id));
+                best = Some((rank, id));
             }
         }
         best.map(|best| best.1)
@@ -761,12 +787,9 @@
     /// How a relay ended.
     pub fn relay_ended(&mut self, now: Moment, end: RelayEnd) {
         self.now = now;
-        let job = self
-            .jobs
-            .get(&end.job)
-            .filter(|job| matches!(job.stage, Stage::Out(_)) && job.server == end.server);
-        let units = job.map_or(1.0, |job| job.arrival.units);
-        let target = job.map_or(1.0, |job| self.deployment.bands[job.arrival.band].target.secs());
+        let job = self.jobs.get(&end.job).map(|job| &job.arrival);
+        let units = job.map_or(1.0, |job| job.units);
+        let target = job.map_or(1.0, |job| self.deployment.bands[job.band].target.secs());
         self.learn(&end, units, target);
         if let Some(job) = self.jobs.get_mut(&end.job) {
             let Stage::Out(sent) = job.stage else { return self.work_off() };
@@ -810,19 +833,15 @@
                 server.carried = (decayed(server.carried, now) + units / CARRIED_OVER, now);
                 self.usual += 0.02 * (took - self.usual);
                 // Slow answers, whatever slows them, cut what it gets at once; quick ones while it is full raise it.
-                if took > 0.6 * target && now.since(server.cut).secs() > took {
-                    server.bound = (server.bound * 0.85).max(1.0);
-                    server.cut = now;
-                } else if took < 0.4 * target && server.out + 2.0 > server.bound {
+                if took > 0.5 * target {
+                    server.cut(0.8, now, 0.2 * target);
+                } else if took < 0.3 * target && server.out + 2.0 > server.bound {
                     server.bound += 1.0 / server.bound;
                 }
             }
             Fate::Full => {
                 server.heard = now;
-                if now.since(server.cut).secs() > self.usual {
-                    server.bound = (server.bound * 0.7).max(1.0);
-                    server.cut = now;
-                }
+                server.cut(0.7, now, self.usual);
             }
             Fate::Error | Fate::Reset | Fate::ConnectFailed | Fate::TimedOut => {
                 server.failing += 0.3 * (1.0 - server.failing);
@@ -883,10 +902,7 @@
     /// The final answer to a job with no relay out: a dismissal where a retry is harmless, else a forfeit.
     fn give_up(&mut self, id: JobId, room_after: Option<Span>) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let harmless = match self.deployment.bands[job.arrival.band].repeat {
-            Repeat::Pure | Repeat::Receipted(Group::All, _) => true,
-            Repeat::Receipted(..) | Repeat::Effectful => job.may_have_run.is_none(),
-        };
+        let harmless = job.may_have_run.is_none() || is_free(self.deployment.bands[job.arrival.band].repeat);
         if harmless {
             let hold_off = self.deployment.longest_hold_off.and_then(|most| Some(room_after?.min(most)));
             self.host.dismiss(id, hold_off);
@@ -904,16 +920,12 @@
         } else if mark >= CUSTOMER_MARK {
             self.reconsider(mark - CUSTOMER_MARK);
         } else if let Some(job) = self.jobs.get(&mark) {
-            let (stage, arrival, target, server) = (job.stage, job.arrival, job.target, job.server);
+            let (stage, server, latest) = (job.stage, job.server, self.latest(&job.arrival, job.target));
             match stage {
-                Stage::Held | Stage::Cleared if now >= self.latest(&arrival, target) => {
-                    self.give_up(mark, None)
-                }
-                Stage::Cleared if !self.backlog.contains(&mark) => self.dispatch(mark),
-                Stage::Held | Stage::Cleared => {
-                    self.host.wake(self.latest(&arrival, target).since(now), mark);
-                }
                 Stage::Out(_) => self.check(mark, server),
+                _ if now >= latest => self.give_up(mark, None),
+                Stage::Cleared if !self.backlog.contains(&mark) => self.dispatch(mark),
+                _ => self.host.wake(latest.since(now), mark),
             }
         }
     }
@@ -921,11 +933,7 @@
     /// Takes a job back from a server that has gone silent, while another could still answer in time.
     fn check(&mut self, id: JobId, server: ServerId) {
         let (Some(job), Some(server)) = (self.jobs.get(&id), self.servers.get(&server)) else { return };
-        let repeatable = match self.deployment.bands[job.arrival.band].repeat {
-            Repeat::Pure => true,
-            Repeat::Receipted(group, _) => group == Group::All,
-            Repeat::Effectful => false,
-        };
+        let repeatable = is_free(self.deployment.bands[job.arrival.band].repeat);
         let in_time = self.now < self.latest(&job.arrival, job.target);
         if !repeatable
             || !in_time
@@ -947,28 +955,13 @@
     fn reconsider(&mut self, id: CustomerId) {
         self.roll(id);
         let patience = self.call_patience();
-        let Some(customer) = self.customers.get_mut(&id) else { return };
-        if let Some(ask) = &customer.ask {
-            if self.now.since(ask.sent) >= patience {
-                self.counter.failing = true;
-                self.judge_alone(id);
-            }
-            return;
-        }
-        self.ask(id);
-    }
-
-    /// Adds to the next pool what customers left unused; lent room must not reach a pressed back end.
-    fn lend(&mut self) {
-        let lent: f64 = self.customers.values().map(|customer| customer.lent).sum();
-        if lent > 0.0 && self.now >= self.pressed_until && !self.counter.failing {
-            self.host.add(
-                self.pool_name(1),
-                lent * POOL_WINDOW.secs(),
-                POOL_WINDOW + POOL_WINDOW + POOL_WINDOW,
-            );
+        let Some(customer) = self.customers.get(&id) else { return };
+        let since = customer.ask.as_ref().map(|ask| ask.sent).or(customer.queued);
+        if since.is_some_and(|since| self.now.since(since) >= patience) {
+            self.judge_alone(id);
+        } else if since.is_none() {
+            self.ask(id);
         }
-        self.host.wake(POOL_WINDOW, POOL_MARK);
     }
 
     /// An even chance between 0 and 1.
@@ -978,10 +971,3 @@
         (drawn >> 11) as f64 / (1u64 << 53) as f64
     }
 }
-
-/// Spans the mean of what a server carries.
-const CARRIED_OVER: f64 = 3.0;
-
-fn decayed(level: (f64, Moment), now: Moment) -> f64 {
-    level.0 * (-now.since(level.1).secs() / CARRIED_OVER).exp()
-}
