--- a/src/choice.rs
+++ b/src/choice.rs
@@ -833,9 +833,9 @@
                 server.carried = (decayed(server.carried, now) + units / CARRIED_OVER, now);
                 self.usual += 0.02 * (took - self.usual);
                 // Slow answers, whatever slows them, cut what it gets at once; quick ones while it is full raise it.
-                if took > 0.5 * target {
+                if took > 0.35 * target {
                     server.cut(0.8, now, 0.2 * target);
-                } else if took < 0.3 * target && server.out + 2.0 > server.bound {
+                } else if took < 0.2 * target && server.out + 2.0 > server.bound {
                     server.bound += 1.0 / server.bound;
                 }
             }
@@ -853,12 +853,12 @@
     /// Sends on what waits for a server, as far as there is room.
     fn work_off(&mut self) {
         for _ in 0..self.backlog.len() {
-            let Some(id) = self.backlog.pop_front() else { return };
+            let Some(id) = self.backlog.pop_back() else { return };
             if !self.jobs.get(&id).is_some_and(|job| job.stage == Stage::Cleared) {
                 continue;
             }
             if self.choose(id).is_none() {
-                self.backlog.push_front(id);
+                self.backlog.push_back(id);
                 return;
             }
             self.dispatch(id);
