--- a/src/choice.rs
+++ b/src/choice.rs
@@ -833,9 +833,9 @@
                 server.carried = (decayed(server.carried, now) + units / CARRIED_OVER, now);
                 self.usual += 0.02 * (took - self.usual);
                 // Slow answers, whatever slows them, cut what it gets at once; quick ones while it is full raise it.
-                if took > 0.25 * target {
+                if took > 0.18 * target {
                     server.cut(0.8, now, 0.2 * target);
-                } else if took < 0.14 * target && server.out + 2.0 > server.bound {
+                } else if took < 0.1 * target && server.out + 2.0 > server.bound {
                     server.bound += 1.0 / server.bound;
                 }
             }
