--- a/src/choice.rs
+++ b/src/choice.rs
@@ -523,7 +523,7 @@
             return;
         }
         let Some(ask) = customer.ask.take() else { return };
-        let (index, by_rate) = (customer.plan, plan.by_rate());
+        let (index, by_rate, set_size) = (customer.plan, plan.by_rate(), customer.set_size);
         let allowance = plan.in_window() + customer.carried.unwrap_or(0.0);
         let held: Vec<(JobId, f64)> =
             ask.jobs.iter().filter_map(|job| self.held(*job)).map(|job| (job.job, plan.cost(job))).collect();
@@ -538,10 +538,11 @@
             }
         }
         if short {
-            // A plan by relays out has room again as soon as one ends: a part of a usual answer later.
-            let spread = Span::from_secs(self.usual * 0.5 * self.chance());
-            let soon = self.now + Span::from_secs(self.usual * 0.25);
-            let shut = if by_rate { self.window_of(id, index).1 } else { soon } + spread;
+            // A plan by relays out has room again as soon as one ends anywhere: the gateways of the set take turns
+            // asking, so that together they ask about once a place that comes free.
+            let turn = self.usual * set_size / allowance.max(1.0) * (0.5 + self.chance());
+            let next = if by_rate { self.window_of(id, index).1 } else { self.now };
+            let shut = next + Span::from_secs(turn);
             self.host.wake(shut.since(self.now), CUSTOMER_MARK + id);
             if let Some(customer) = self.customers.get_mut(&id) {
                 customer.shut = shut;
@@ -629,11 +630,12 @@
     /// Judges held jobs by this gateway's own share of the allowance, while the counter is not to be had.
     fn judge_alone(&mut self, id: CustomerId) {
         const AGAIN: Span = Span::from_millis(100);
+        let chance = self.chance();
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
-        let least = if plan.by_rate() { 0.0 } else { 1.0 };
-        let allowance = plan.in_window() + customer.carried.unwrap_or(0.0);
-        let mut room = (allowance / customer.set_size).max(least) - customer.used;
+        let share = (plan.in_window() + customer.carried.unwrap_or(0.0)) / customer.set_size;
+        // A part of a relay is had by chance: if each gateway rounded up, they would pass the cap together.
+        let mut room = if plan.by_rate() { share } else { (share + chance).floor() } - customer.used;
         let mut granted = Vec::new();
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
             if plan.cost(job) <= room {
