--- a/src/choice.rs
+++ b/src/choice.rs
@@ -2,14 +2,12 @@
 //! it happens, with the present moment; the gateway acts through the [`Host`] it was given. The interface is in
 //! `host.rs`, the types of time in `time.rs`; `docs/design.md` tells what follows the design and what departs.
 
-use crate::host::{
-    Arrival, CountName, CustomerId, Deployment, Entry, Fate, Group, Host, JobId, Plan, RelayEnd, Repeat,
-    ServerId, Standing,
-};
+use crate::chance::{hashed, Chance};
+use crate::host::{Arrival, CountName, CustomerId, Deployment, Entry, Fate, Group, Host, JobId};
+use crate::host::{Plan, RelayEnd, Repeat, ServerId, Standing};
+use crate::state::{Ask, Counter, Customer, Job, Pool, Server, Stage};
 use crate::time::{Moment, Span};
-use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, VecDeque};
-use std::hash::{Hash, Hasher};
 
 /// The lent room of all customers is pooled by this span; the design's window of about a second.
 const POOL_WINDOW: Span = Span::from_millis(1_000);
@@ -26,8 +24,7 @@
     host: H,
     deployment: Deployment,
     now: Moment,
-    seed: u64,
-    drawn: u64,
+    chance: Chance,
     servers: BTreeMap<ServerId, Server>,
     customers: BTreeMap<CustomerId, Customer>,
     jobs: BTreeMap<JobId, Job>,
@@ -44,111 +41,12 @@
     pressed_until: Moment,
 }
 
-struct Job {
-    arrival: Arrival,
-    stage: Stage,
-    /// When an answer is wanted.
-    target: Moment,
-    relays: u8,
-    /// The latest relay's server.
-    server: ServerId,
-    /// When the first relay that may have run was sent, and where.
-    may_have_run: Option<(Moment, ServerId)>,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Stage {
-    /// Held until the quota has room.
-    Held,
-    /// The quota has room; waits for the ceiling or a server.
-    Cleared,
-    /// A relay is out since then.
-    Out(Moment),
-}
-
-/// All that is known of one server.
-struct Server {
-    entry: Entry,
-    out: f64,
-    /// Relays that it may have of this gateway at once before it has enough.
-    bound: f64,
-    cut: Moment,
-    /// The latest sign of health while it owed answers, or since when it owes one.
-    heard: Moment,
-    /// The usual span between such signs, in seconds.
-    gap: f64,
-    /// Share of late relays that ended badly.
-    failing: f64,
-    tried: Moment,
-    /// Units a second it answered well, decaying, as of a moment.
-    carried: (f64, Moment),
-    /// Units sent while cold and not yet worked off, as of a moment.
-    push: (f64, Moment),
-}
-
-#[derive(Default)]
-struct Customer {
-    plan: usize,
-    set_size: f64,
-    waiting: VecDeque<JobId>,
-    window: u64,
-    /// Units used through this gateway in the window, or relays out; and how many of them the count was told.
-    used: f64,
-    told: f64,
-    /// The highest total heard in the window.
-    total: f64,
-    /// Room carried from the last window, once known.
-    carried: Option<f64>,
-    /// Allowance and total of the last window as far as known.
-    last: (f64, f64),
-    ask: Option<Ask>,
-    looking: bool,
-    /// Waits since then for its turn to call the counter.
-    queued: Option<Moment>,
-    /// No room is expected before.
-    shut: Moment,
-    /// Units a second lent out of this window.
-    lent: f64,
-    /// Room left by this gateway's own share of the ceiling, as of a moment.
-    ceiling: (f64, Moment),
-}
-
-/// A call to the counter that is out, and the jobs whose units it carries.
-struct Ask {
-    jobs: Vec<JobId>,
-    amount: f64,
-    window: u64,
-    total: Option<f64>,
-    sent: Moment,
-}
-
-struct Counter {
-    failing: bool,
-    tried: Moment,
-    /// How long calls take of late, in seconds.
-    usual: f64,
-    out: f64,
-    /// Calls that may be out at once.
-    bound: f64,
-    queue: VecDeque<CustomerId>,
-}
-
-#[derive(Default)]
-struct Pool {
-    waiting: Vec<JobId>,
-    draw: Option<(CountName, f64, Vec<Arrival>)>,
-}
-
 impl Plan {
     /// Use beyond the quota earns something and costs nothing.
     fn soft(&self) -> bool {
         self.by_rate() && self.over_share > 0.0 && self.over_cost <= 0.0
     }
 
-    fn by_rate(&self) -> bool {
-        self.rate > 0.0
-    }
-
     /// Half of what it takes to fill the burst, so that an unused window leaves the whole burst; a second at least.
     /// A plan by relays out has no windows; its counts begin anew so that what a dead gateway held is let go.
     fn window(&self) -> Span {
@@ -165,25 +63,6 @@
             self.relays_out
         }
     }
-
-    fn cost(&self, job: &Arrival) -> f64 {
-        if self.by_rate() {
-            job.units
-        } else {
-            1.0
-        }
-    }
-}
-
-fn hashed(parts: &[u64]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    parts.hash(&mut hasher);
-    hasher.finish()
-}
-
-/// May run again anywhere.
-fn is_free(repeat: Repeat) -> bool {
-    matches!(repeat, Repeat::Pure | Repeat::Receipted(Group::All, _))
 }
 
 /// Spans the mean of what a server carries, in seconds: some windows, less than a cold start.
@@ -197,29 +76,6 @@
 const UNUSUAL: f64 = 6.0;
 
 impl Server {
-    fn new(entry: Entry, now: Moment, gap: f64) -> Self {
-        // A few relays at once to begin with; answers soon move it either way.
-        const BOUND: f64 = 4.0;
-        let (none, never) = ((0.0, now), now);
-        let (out, failing) = (0.0, 0.0);
-        Self {
-            entry,
-            out,
-            bound: BOUND,
-            cut: never,
-            heard: now,
-            gap,
-            failing,
-            tried: never,
-            carried: none,
-            push: none,
-        }
-    }
-
-    fn ready(&self) -> bool {
-        self.entry.standing == Standing::Ready
-    }
-
     fn silence_ends(&self, usual: f64) -> Moment {
         self.heard + Span::from_secs(self.gap.max(usual / 2.0) * UNUSUAL)
     }
@@ -250,21 +106,20 @@
         // Before any answer is seen, a small part of the tightest target stands in for the usual, and a few ticks
         // for a call.
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
+        let chance = Chance::new(seed, deployment.own_index);
         let usual = (deployment.tick.secs() * 4.0).max(0.005);
-        let counter =
-            Counter { failing: false, tried: now, usual, out: 0.0, bound: 4.0, queue: VecDeque::new() };
         Self {
             host,
             deployment,
             now,
-            seed,
-            drawn: 0,
+            chance,
             servers: BTreeMap::new(),
             customers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             backlog: VecDeque::new(),
             callers: BTreeMap::new(),
-            counter,
+            // Few calls at once to begin with; answers soon move it either way.
+            counter: Counter { usual, bound: 4.0, ..Counter::default() },
             pool: Pool::default(),
             usual: target / 6.0,
             spare_relays: 5.0,
@@ -277,7 +132,11 @@
         self.now = now;
         for mut entry in entries {
             let usual = self.usual;
-            let server = self.servers.entry(entry.server).or_insert_with(|| Server::new(entry, now, usual));
+            let server = self.servers.entry(entry.server).or_insert_with(|| {
+                // A few relays at once to begin with; answers soon move it either way.
+                const BOUND: f64 = 4.0;
+                Server { entry, bound: BOUND, heard: now, gap: usual, ..Server::default() }
+            });
             if entry.standing == Standing::Gone {
                 server.entry.standing = Standing::Gone;
                 continue;
@@ -540,7 +399,7 @@
         if short {
             // A plan by relays out has room again as soon as one ends anywhere: the gateways of the set take turns
             // asking, so that together they ask about once a place that comes free.
-            let turn = self.usual * set_size / allowance.max(1.0) * (0.5 + self.chance());
+            let turn = self.usual * set_size / allowance.max(1.0) * (0.5 + self.chance.draw());
             let next = if by_rate { self.window_of(id, index).1 } else { self.now };
             let shut = next + Span::from_secs(turn);
             self.host.wake(shut.since(self.now), CUSTOMER_MARK + id);
@@ -556,7 +415,9 @@
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
         if plan.soft() && self.now >= self.pressed_until {
-            self.pool.waiting.extend(&customer.waiting);
+            let new = customer.waiting.iter().filter(|job| !self.pool.waiting.contains(job)).copied();
+            let new: Vec<JobId> = new.collect();
+            self.pool.waiting.extend(new);
             return self.draw();
         }
         let (mut ahead, mut vain) = (0.0, Vec::new());
@@ -579,9 +440,7 @@
         if self.pool.draw.is_some() {
             return;
         }
-        let mut waiting = std::mem::take(&mut self.pool.waiting);
-        waiting.sort_unstable();
-        waiting.dedup();
+        let waiting = std::mem::take(&mut self.pool.waiting);
         let jobs: Vec<Arrival> = waiting.iter().filter_map(|job| self.held(*job)).copied().collect();
         let units: f64 = jobs.iter().map(|job| job.units).sum();
         if units > 0.0 {
@@ -603,12 +462,11 @@
                 room -= job.units;
                 held.stage = Stage::Cleared;
                 self.dispatch(job.job);
-                continue;
-            }
-            let target = held.target;
-            let shut = self.customers.get(&job.customer).map_or(self.now, |customer| customer.shut);
-            if shut > self.latest(&job, target) {
-                self.give_up(job.job, Some(shut.since(self.now)));
+            } else if let Some(customer) = self.customers.get(&job.customer) {
+                let (target, shut) = (held.target, customer.shut);
+                if shut > self.latest(&job, target) {
+                    self.give_up(job.job, Some(shut.since(self.now)));
+                }
             }
         }
         self.draw();
@@ -630,7 +488,7 @@
     /// Judges held jobs by this gateway's own share of the allowance, while the counter is not to be had.
     fn judge_alone(&mut self, id: CustomerId) {
         const AGAIN: Span = Span::from_millis(100);
-        let chance = self.chance();
+        let chance = self.chance.draw();
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
         let share = (plan.in_window() + customer.carried.unwrap_or(0.0)) / customer.set_size;
@@ -808,13 +666,7 @@
                 && now < self.latest(&arrival, target)
             {
                 self.spare_relays = (self.spare_relays - 1.0).max(0.0);
-                let backlog = self.backlog.len();
                 self.dispatch(end.job);
-                // A job that no server may repeat now has nothing to wait for.
-                if self.backlog.len() > backlog && self.deployment.bands[arrival.band].repeat != Repeat::Pure
-                {
-                    self.give_up(end.job, None);
-                }
             } else {
                 self.give_up(end.job, None);
             }
@@ -854,16 +706,14 @@
 
     /// Sends on what waits for a server, as far as there is room.
     fn work_off(&mut self) {
-        for _ in 0..self.backlog.len() {
-            let Some(id) = self.backlog.pop_back() else { return };
-            if !self.jobs.get(&id).is_some_and(|job| job.stage == Stage::Cleared) {
-                continue;
-            }
-            if self.choose(id).is_none() {
-                self.backlog.push_back(id);
-                return;
+        while let Some(id) = self.backlog.pop_back() {
+            let cleared = |job: &Job| job.stage == Stage::Cleared;
+            if self.jobs.get(&id).is_some_and(cleared) {
+                self.dispatch(id);
+                if self.jobs.get(&id).is_some_and(cleared) {
+                    return;
+                }
             }
-            self.dispatch(id);
         }
     }
 
@@ -904,7 +754,7 @@
     /// The final answer to a job with no relay out: a dismissal where a retry is harmless, else a forfeit.
     fn give_up(&mut self, id: JobId, room_after: Option<Span>) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let harmless = job.may_have_run.is_none() || is_free(self.deployment.bands[job.arrival.band].repeat);
+        let harmless = job.may_have_run.is_none() || self.deployment.bands[job.arrival.band].repeat.is_free();
         if harmless {
             let hold_off = self.deployment.longest_hold_off.and_then(|most| Some(room_after?.min(most)));
             self.host.dismiss(id, hold_off);
@@ -935,22 +785,17 @@
     /// Takes a job back from a server that has gone silent, while another could still answer in time.
     fn check(&mut self, id: JobId, server: ServerId) {
         let (Some(job), Some(server)) = (self.jobs.get(&id), self.servers.get(&server)) else { return };
-        let repeatable = is_free(self.deployment.bands[job.arrival.band].repeat);
+        let repeatable = self.deployment.bands[job.arrival.band].repeat.is_free();
         let in_time = self.now < self.latest(&job.arrival, job.target);
-        if !repeatable
-            || !in_time
-            || !self.deployment.may_withdraw
-            || job.relays >= self.deployment.most_relays
-        {
+        let left = job.relays < self.deployment.most_relays && self.spare_relays >= 1.0;
+        if !(repeatable && in_time && left && self.deployment.may_withdraw) {
             return;
         }
         let ends = server.silence_ends(self.usual);
         if self.now <= ends {
             return self.host.wake(ends.since(self.now) + self.deployment.tick, id);
         }
-        if self.spare_relays >= 1.0 {
-            self.host.withdraw(id, job.relays - 1);
-        }
+        self.host.withdraw(id, job.relays - 1);
     }
 
     /// A customer's held jobs are asked for again, and a call that takes unusually long is not waited for.
@@ -965,11 +810,4 @@
             self.ask(id);
         }
     }
-
-    /// An even chance between 0 and 1.
-    fn chance(&mut self) -> f64 {
-        self.drawn += 1;
-        let drawn = hashed(&[self.seed, u64::from(self.deployment.own_index), self.drawn]);
-        (drawn >> 11) as f64 / (1u64 << 53) as f64
-    }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -71,6 +71,13 @@
     Effectful,
 }
 
+impl Repeat {
+    /// May run again anywhere.
+    pub fn is_free(self) -> bool {
+        matches!(self, Self::Pure | Self::Receipted(Group::All, _))
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
     All,
@@ -90,6 +97,21 @@
     pub ceiling: Option<Ceiling>,
 }
 
+impl Plan {
+    pub fn by_rate(&self) -> bool {
+        self.rate > 0.0
+    }
+
+    /// What a job takes of its plan's quota: its units, or one relay.
+    pub fn cost(&self, job: &Arrival) -> f64 {
+        if self.by_rate() {
+            job.units
+        } else {
+            1.0
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Ceiling {
     pub rate: f64,
@@ -132,15 +154,16 @@
     pub settled: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
 /// A line of the roster.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Entry {
     pub server: ServerId,
     pub standing: Standing,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! [`choice::Gateway`] decides; it acts through [`host::Host`], which the embedding program implements.
 
+mod chance;
 pub mod choice;
 pub mod host;
+mod state;
 pub mod time;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,108 @@
+//! What a gateway remembers; `choice.rs` alone decides by it.
+
+use crate::host::{Arrival, CountName, CustomerId, Entry, JobId, ServerId, Standing};
+use crate::time::Moment;
+use std::collections::VecDeque;
+
+pub(crate) struct Job {
+    pub(crate) arrival: Arrival,
+    pub(crate) stage: Stage,
+    /// When an answer is wanted.
+    pub(crate) target: Moment,
+    pub(crate) relays: u8,
+    /// The latest relay's server.
+    pub(crate) server: ServerId,
+    /// When the first relay that may have run was sent, and where.
+    pub(crate) may_have_run: Option<(Moment, ServerId)>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Stage {
+    /// Held until the quota has room.
+    Held,
+    /// The quota has room; waits for the ceiling or a server.
+    Cleared,
+    /// A relay is out since then.
+    Out(Moment),
+}
+
+/// All that is known of one server.
+#[derive(Default)]
+pub(crate) struct Server {
+    pub(crate) entry: Entry,
+    pub(crate) out: f64,
+    /// Relays that it may have of this gateway at once before it has enough.
+    pub(crate) bound: f64,
+    pub(crate) cut: Moment,
+    /// The latest sign of health while it owed answers, or since when it owes one.
+    pub(crate) heard: Moment,
+    /// The usual span between such signs, in seconds.
+    pub(crate) gap: f64,
+    /// Share of late relays that ended badly.
+    pub(crate) failing: f64,
+    pub(crate) tried: Moment,
+    /// Units a second it answered well, decaying, as of a moment.
+    pub(crate) carried: (f64, Moment),
+    /// Units sent while cold and not yet worked off, as of a moment.
+    pub(crate) push: (f64, Moment),
+}
+
+#[derive(Default)]
+pub(crate) struct Customer {
+    pub(crate) plan: usize,
+    pub(crate) set_size: f64,
+    pub(crate) waiting: VecDeque<JobId>,
+    pub(crate) window: u64,
+    /// Units used through this gateway in the window, or relays out; and how many of them the count was told.
+    pub(crate) used: f64,
+    pub(crate) told: f64,
+    /// The highest total heard in the window.
+    pub(crate) total: f64,
+    /// Room carried from the last window, once known.
+    pub(crate) carried: Option<f64>,
+    /// Allowance and total of the last window as far as known.
+    pub(crate) last: (f64, f64),
+    pub(crate) ask: Option<Ask>,
+    pub(crate) looking: bool,
+    /// Waits since then for its turn to call the counter.
+    pub(crate) queued: Option<Moment>,
+    /// No room is expected before.
+    pub(crate) shut: Moment,
+    /// Units a second lent out of this window.
+    pub(crate) lent: f64,
+    /// Room left by this gateway's own share of the ceiling, as of a moment.
+    pub(crate) ceiling: (f64, Moment),
+}
+
+/// A call to the counter that is out, and the jobs whose units it carries.
+pub(crate) struct Ask {
+    pub(crate) jobs: Vec<JobId>,
+    pub(crate) amount: f64,
+    pub(crate) window: u64,
+    pub(crate) total: Option<f64>,
+    pub(crate) sent: Moment,
+}
+
+#[derive(Default)]
+pub(crate) struct Counter {
+    pub(crate) failing: bool,
+    pub(crate) tried: Moment,
+    /// How long calls take of late, in seconds.
+    pub(crate) usual: f64,
+    pub(crate) out: f64,
+    /// Calls that may be out at once.
+    pub(crate) bound: f64,
+    pub(crate) queue: VecDeque<CustomerId>,
+}
+
+#[derive(Default)]
+pub(crate) struct Pool {
+    pub(crate) waiting: Vec<JobId>,
+    pub(crate) draw: Option<(CountName, f64, Vec<Arrival>)>,
+}
+
+impl Server {
+    pub(crate) fn ready(&self) -> bool {
+        self.entry.standing == Standing::Ready
+    }
+}
