--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,6 +1,6 @@
-//! Every decision of a gateway. Build one with [`Gateway::start`], then call the method named for each thing as
-//! it happens, with the present moment; the gateway acts through the [`Host`] it was given. The interface is in
-//! `host.rs`, the types of time in `time.rs`; `docs/design.md` tells what follows the design and what departs.
+//! Every decision of a gateway. Build one with [`Gateway::start`], then call the method named for each thing
+//! as it happens, with the present moment; it acts through the [`Host`] it was given. The interface is in
+//! `host.rs`, the records in `state.rs`; `docs/design.md` tells what follows the design and what departs.
 
 use crate::chance::{hashed, Chance};
 use crate::host::{Arrival, CountName, CustomerId, Deployment, Entry, Fate, Group, Host, JobId};
@@ -47,7 +47,7 @@
         self.by_rate() && self.over_share > 0.0 && self.over_cost <= 0.0
     }
 
-    /// Half of what it takes to fill the burst, so that an unused window leaves the whole burst; a second at least.
+    /// Half of what fills the burst, so that an unused window leaves the whole burst; a second at least.
     /// A plan by relays out has no windows; its counts begin anew so that what a dead gateway held is let go.
     fn window(&self) -> Span {
         const ANEW: f64 = 10.0;
@@ -103,8 +103,7 @@
         if deployment.has_counter && deployment.plans.iter().any(Plan::soft) {
             host.wake(POOL_WINDOW, POOL_MARK);
         }
-        // Before any answer is seen, a small part of the tightest target stands in for the usual, and a few ticks
-        // for a call.
+        // Until one is seen, a part of the tightest target stands in for an answer, some ticks for a call.
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
         let chance = Chance::new(seed, deployment.own_index);
         let usual = (deployment.tick.secs() * 4.0).max(0.005);
@@ -182,8 +181,9 @@
             customer.waiting.push_back(id);
         }
         let stage = if limited { Stage::Held } else { Stage::Cleared };
-        self.jobs.insert(id, Job { arrival, stage, target, relays: 0, server: 0, may_have_run: None });
-        let latest = self.latest(&arrival, target);
+        let job = Job { arrival, stage, target, relays: 0, server: 0, may_have_run: None };
+        let latest = self.latest(&job);
+        self.jobs.insert(id, job);
         if latest <= now {
             return self.give_up(id, None);
         }
@@ -197,13 +197,12 @@
     }
 
     /// When a relay must go out at the latest to be answered by its target time.
-    fn latest(&self, arrival: &Arrival, target: Moment) -> Moment {
+    fn latest(&self, job: &Job) -> Moment {
         // Answers take longer than usual as often as not: half as much again leaves most of them in time.
         const SLACK: f64 = 1.5;
-        let by = target.min(arrival.abandon - self.deployment.tick - self.deployment.tick);
-        // Never more than half the target time: else answers slow for any cause would end all relays, and with
-        // them all news of answers being quick again.
-        let most = self.deployment.bands[arrival.band].target.times(0.5);
+        let by = job.target.min(job.arrival.abandon - self.deployment.tick - self.deployment.tick);
+        // At most half the target time: else answers slow for any cause would end all relays, and all news.
+        let most = self.deployment.bands[job.arrival.band].target.times(0.5);
         by - Span::from_secs(self.usual * SLACK).min(most)
     }
 
@@ -217,8 +216,8 @@
         let length = self.deployment.plans[plan].window().micros();
         // Windows of different customers begin at different times, so that held jobs don't come in herds.
         let phase = hashed(&[id]) % length;
-        let index = (self.now.micros() + phase) / length;
-        (index, Moment::from_micros(((index + 1) * length).saturating_sub(phase)))
+        let index = self.now.micros().saturating_add(phase) / length;
+        (index, Moment::from_micros((index + 1).saturating_mul(length).saturating_sub(phase)))
     }
 
     /// Brings a customer's records into the present window.
@@ -274,21 +273,17 @@
         }
         let name = hashed(&[id, customer.window, 0]);
         let keep = plan.window().times(3.0).min(Span::from_millis(60_000));
-        let patience = self.call_patience();
         let Some(customer) = self.customers.get_mut(&id) else { return };
-        // A counter slow or full, from any cause, must not drown in calls: beyond a bound they wait their turn, and
-        // a later call carries more. The jobs are judged alone if that takes unusually long.
-        if self.counter.out >= self.counter.bound {
-            if customer.queued.is_none() {
-                customer.queued = Some(now);
-                self.counter.queue.push_back(id);
-                self.host.wake(patience, CUSTOMER_MARK + id);
-            }
-            return;
+        // A counter slow or full, from any cause, must not drown in calls: beyond a bound they wait, and later
+        // calls carry more. The jobs are judged alone if that takes unusually long.
+        if self.counter.out < self.counter.bound {
+            customer.ask = Some(Ask { jobs, amount, window: customer.window, total: None, sent: now });
+            self.call(name, id, amount, keep);
+        } else if customer.queued.is_none() {
+            customer.queued = Some(now);
+            self.counter.queue.push_back(id);
         }
-        customer.ask = Some(Ask { jobs, amount, window: customer.window, total: None, sent: now });
-        self.call(name, id, amount, keep);
-        self.host.wake(patience, CUSTOMER_MARK + id);
+        self.host.wake(self.call_patience(), CUSTOMER_MARK + id);
     }
 
     fn call(&mut self, name: CountName, id: CustomerId, amount: f64, keep: Span) {
@@ -345,21 +340,17 @@
         if present && (total.is_some() || fate == Fate::TimedOut) {
             customer.told += ask.amount;
         }
-        let Some(total) = total else {
+        let Some(total) = total.filter(|_| present) else {
             customer.ask = None;
-            return self.judge_alone(id);
+            return self.ask(id);
         };
         self.counter.usual += 0.05 * (self.now.since(ask.sent).secs() - self.counter.usual);
-        if !present {
-            customer.ask = None;
-            return self.ask(id);
-        }
         // A count below what this gateway alone added has been forgotten, for any cause: it is told anew.
         if total < customer.told - NOTHING {
             customer.told = total;
         }
         if customer.total <= 0.0 && total <= ask.amount + NOTHING && plan.by_rate() {
-            // First gateway into the window: half of the last one's shortfall is lent, a second's part at a time.
+            // First gateway into the window: half of the last one's shortfall is lent, second by second.
             const LENT: f64 = 0.5;
             customer.lent = LENT * (customer.last.0 - customer.last.1).max(0.0) / plan.window().secs();
         }
@@ -397,8 +388,7 @@
             }
         }
         if short {
-            // A plan by relays out has room again as soon as one ends anywhere: the gateways of the set take turns
-            // asking, so that together they ask about once a place that comes free.
+            // A plan by relays out has room once one ends anywhere: the gateways of the set take turns.
             let turn = self.usual * set_size / allowance.max(1.0) * (0.5 + self.chance.draw());
             let next = if by_rate { self.window_of(id, index).1 } else { self.now };
             let shut = next + Span::from_secs(turn);
@@ -410,21 +400,24 @@
         self.ask(id);
     }
 
-    /// What a shut window leaves to held jobs: a soft plan draws on the pool, and who would wait in vain goes now.
+    /// What a shut window leaves to held jobs: soft plans draw on the pool; who would wait in vain goes now.
     fn hold(&mut self, id: CustomerId) {
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
         if plan.soft() && self.now >= self.pressed_until {
-            let new = customer.waiting.iter().filter(|job| !self.pool.waiting.contains(job)).copied();
-            let new: Vec<JobId> = new.collect();
-            self.pool.waiting.extend(new);
+            let pooled = &mut self.pool.waiting;
+            for job in &customer.waiting {
+                if !pooled.contains(job) {
+                    pooled.push(*job);
+                }
+            }
             return self.draw();
         }
         let (mut ahead, mut vain) = (0.0, Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
             let turns = if plan.by_rate() { (ahead / plan.in_window()).floor() } else { 0.0 };
             let turn = customer.shut + plan.window().times(turns);
-            if turn > self.latest(job, self.jobs[&job.job].target) {
+            if turn > self.latest(&self.jobs[&job.job]) {
                 vain.push((job.job, turn));
             } else {
                 ahead += job.units;
@@ -455,6 +448,7 @@
         let Some((_, units, jobs)) = self.pool.draw.take() else { return };
         let mut room = total.map_or(0.0, |total| units + total.min(0.0));
         for job in jobs {
+            let shut = self.customers.get(&job.customer).map_or(self.now, |customer| customer.shut);
             let Some(held) = self.jobs.get_mut(&job.job).filter(|job| job.stage == Stage::Held) else {
                 continue;
             };
@@ -462,11 +456,8 @@
                 room -= job.units;
                 held.stage = Stage::Cleared;
                 self.dispatch(job.job);
-            } else if let Some(customer) = self.customers.get(&job.customer) {
-                let (target, shut) = (held.target, customer.shut);
-                if shut > self.latest(&job, target) {
-                    self.give_up(job.job, Some(shut.since(self.now)));
-                }
+            } else if shut > self.latest(&self.jobs[&job.job]) {
+                self.give_up(job.job, Some(shut.since(self.now)));
             }
         }
         self.draw();
@@ -523,7 +514,7 @@
     fn dispatch(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let (arrival, first) = (job.arrival, job.relays == 0);
-        let latest = self.latest(&arrival, job.target);
+        let latest = self.latest(job);
         let tick = self.deployment.tick;
         let patience = (arrival.abandon - tick - tick).since(self.now);
         if patience <= tick {
@@ -532,8 +523,7 @@
         if let (true, Some(ceiling), Some(customer)) =
             (first, self.deployment.plans[arrival.plan].ceiling, self.customers.get_mut(&arrival.customer))
         {
-            // Rule 5: an equal share of the ceiling is safe whatever the counter and the other gateways do; a little
-            // less than it covers rounding.
+            // Rule 5: an equal share of the ceiling is safe whatever others do; a little less for rounding.
             let share = 0.999 / customer.set_size;
             let filled =
                 customer.ceiling.0 + ceiling.rate * share * self.now.since(customer.ceiling.1).secs();
@@ -623,8 +613,8 @@
             }
             let age = server.entry.started.map(|started| now.since(started));
             if let Some(age) = age.filter(|age| *age <= cold.warm_after) {
-                // Rule 4: a cold server gets no more than a safe part of what warm ones are seen to carry. Half is
-                // kept back for slower machines and uneven work, and a burst of half the span counts on top.
+                // Rule 4: a cold server gets a safe part of what warm ones are seen to carry. Half is kept
+                // back for slower machines and uneven work; a burst of half the span counts on top.
                 const KEPT_BACK: f64 = 0.5;
                 let warmth = cold.share + (1.0 - cold.share) * age.secs() / cold.warm_after.secs().max(0.001);
                 let each = carried / warm.max(0.001) * server.entry.rating;
@@ -658,13 +648,11 @@
             if !unrun && job.may_have_run.is_none() {
                 job.may_have_run = Some((sent, end.server));
             }
-            let (arrival, target, relays) = (job.arrival, job.target, job.relays);
+            let left = job.relays < self.deployment.most_relays
+                && (self.spare_relays >= 1.0 || end.fate == Fate::ConnectFailed);
             if end.settled || end.fate == Fate::Satisfied {
                 self.forget(end.job);
-            } else if relays < self.deployment.most_relays
-                && (self.spare_relays >= 1.0 || end.fate == Fate::ConnectFailed)
-                && now < self.latest(&arrival, target)
-            {
+            } else if left && self.jobs.get(&end.job).is_some_and(|job| now < self.latest(job)) {
                 self.spare_relays = (self.spare_relays - 1.0).max(0.0);
                 self.dispatch(end.job);
             } else {
@@ -686,7 +674,8 @@
                 server.failing *= 0.9;
                 server.carried = (decayed(server.carried, now) + units / CARRIED_OVER, now);
                 self.usual += 0.02 * (took - self.usual);
-                // Slow answers, whatever slows them, cut what it gets at once; quick ones while it is full raise it.
+                // Slow answers, whatever slows them, cut what it gets at once: a server driven hard stays so.
+                // Quick ones raise it again while it is in use.
                 if took > 0.18 * target {
                     server.cut(0.8, now, 0.2 * target);
                 } else if took < 0.1 * target && server.out + 2.0 > server.bound {
@@ -737,17 +726,19 @@
         let arrival = job.arrival;
         let Some(customer) = self.customers.get_mut(&arrival.customer) else { return };
         customer.waiting.retain(|waiting| *waiting != id);
-        let by_rate = self.deployment.plans[customer.plan].rate > 0.0;
-        if job.stage != Stage::Held && self.deployment.plans[customer.plan].in_window() > 0.0 {
-            if !by_rate {
-                // A relay out has ended: its place goes back to the count, or to the next that waits.
-                customer.used = (customer.used - 1.0).max(0.0);
-                customer.shut = self.now;
-                self.roll(arrival.customer);
-                self.ask(arrival.customer);
-            } else if job.relays == 0 {
-                customer.used = (customer.used - arrival.units).max(0.0);
-            }
+        let plan = &self.deployment.plans[customer.plan];
+        if job.stage == Stage::Held || plan.in_window() <= 0.0 {
+            return;
+        }
+        if plan.by_rate() {
+            let unused = if job.relays == 0 { arrival.units } else { 0.0 };
+            customer.used = (customer.used - unused).max(0.0);
+        } else {
+            // A relay out has ended: its place goes back to the count, or to the next that waits.
+            customer.used = (customer.used - 1.0).max(0.0);
+            customer.shut = self.now;
+            self.roll(arrival.customer);
+            self.ask(arrival.customer);
         }
     }
 
@@ -772,7 +763,7 @@
         } else if mark >= CUSTOMER_MARK {
             self.reconsider(mark - CUSTOMER_MARK);
         } else if let Some(job) = self.jobs.get(&mark) {
-            let (stage, server, latest) = (job.stage, job.server, self.latest(&job.arrival, job.target));
+            let (stage, server, latest) = (job.stage, job.server, self.latest(job));
             match stage {
                 Stage::Out(_) => self.check(mark, server),
                 _ if now >= latest => self.give_up(mark, None),
@@ -786,7 +777,7 @@
     fn check(&mut self, id: JobId, server: ServerId) {
         let (Some(job), Some(server)) = (self.jobs.get(&id), self.servers.get(&server)) else { return };
         let repeatable = self.deployment.bands[job.arrival.band].repeat.is_free();
-        let in_time = self.now < self.latest(&job.arrival, job.target);
+        let in_time = self.now < self.latest(job);
         let left = job.relays < self.deployment.most_relays && self.spare_relays >= 1.0;
         if !(repeatable && in_time && left && self.deployment.may_withdraw) {
             return;
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,110 @@
+//! A host that keeps what a gateway asked of it, and a small deployment to run it in.
+
+use fennelgauge::choice::Gateway;
+use fennelgauge::host::*;
+use fennelgauge::time::{Moment, Span};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Act {
+    Relay(JobId, ServerId, Span),
+    Withdraw(JobId, u8),
+    Dismiss(JobId),
+    Forfeit(JobId),
+    Wake(Span, u64),
+    Add(CountName, f64),
+}
+
+#[derive(Clone, Default)]
+pub struct Notes(pub Rc<RefCell<Vec<Act>>>);
+
+impl Notes {
+    pub fn take(&self) -> Vec<Act> {
+        self.0.take()
+    }
+
+    fn put(&self, act: Act) {
+        self.0.borrow_mut().push(act);
+    }
+}
+
+impl Host for Notes {
+    fn relay(&mut self, job: JobId, server: ServerId, patience: Span) {
+        self.put(Act::Relay(job, server, patience));
+    }
+    fn withdraw(&mut self, job: JobId, relay: u8) {
+        self.put(Act::Withdraw(job, relay));
+    }
+    fn dismiss(&mut self, job: JobId, _: Option<Span>) {
+        self.put(Act::Dismiss(job));
+    }
+    fn forfeit(&mut self, job: JobId) {
+        self.put(Act::Forfeit(job));
+    }
+    fn wake(&mut self, after: Span, mark: u64) {
+        self.put(Act::Wake(after, mark));
+    }
+    fn add(&mut self, name: CountName, amount: f64, _: Span) {
+        self.put(Act::Add(name, amount));
+    }
+    fn follow_roster(&mut self) {}
+}
+
+pub const CEILING: Ceiling = Ceiling { rate: 3.0, burst: 12.0, slack: 1.0 };
+
+/// Every kind of band; a plan of rate, one of relays out, a soft one with a ceiling.
+pub fn deployment() -> Deployment {
+    let band = |repeat| Band { target: Span::from_millis(500), late_share: 0.1, repeat };
+    let window = Span::from_millis(300);
+    Deployment {
+        gateways: 2,
+        tick: Span::from_millis(2),
+        bands: vec![
+            band(Repeat::Pure),
+            band(Repeat::Receipted(Group::All, window)),
+            band(Repeat::Receipted(Group::Cell, window)),
+            band(Repeat::Effectful),
+        ],
+        plans: vec![
+            Plan { rate: 4.0, burst: 12.0, over_cost: 1.0, ..Plan::default() },
+            Plan { relays_out: 3.0, over_cost: 0.5, ..Plan::default() },
+            Plan { rate: 15.0, burst: 12.0, over_share: 0.2, ceiling: Some(CEILING), ..Plan::default() },
+        ],
+        has_counter: true,
+        may_withdraw: true,
+        most_relays: 4,
+        longest_hold_off: Some(Span::from_millis(1_000)),
+        cold: Cold {
+            share: 0.3,
+            warm_after: Span::from_millis(10_000),
+            fall_multiple: 2.0,
+            fall_span: Span::from_millis(1_000),
+        },
+        ..Deployment::default()
+    }
+}
+
+pub fn at(millis: u64) -> Moment {
+    Moment::from_micros(1_000_000_000 + millis * 1_000)
+}
+
+pub fn entry(server: ServerId, standing: Standing, started: Option<Moment>) -> Entry {
+    Entry { server, standing, rating: 1.0, zone: 0, cell: (server % 2) as u16, started }
+}
+
+pub fn arrival(job: JobId, band: usize, plan: usize, units: f64, abandon: Moment) -> Arrival {
+    Arrival { job, customer: 7 + plan as u64, band, plan, units, set_size: 2, abandon }
+}
+
+/// A gateway that knows `servers` warm servers.
+pub fn gateway(deployment: Deployment, servers: u32) -> (Gateway<Notes>, Notes) {
+    let notes = Notes::default();
+    let mut gateway = Gateway::start(at(0), notes.clone(), deployment, 5);
+    gateway.roster_listed(at(0), (0..servers).map(|id| entry(id, Standing::Ready, None)));
+    (gateway, notes)
+}
+
+pub fn end(job: JobId, server: ServerId, fate: Fate, took: u64) -> RelayEnd {
+    RelayEnd { job, server, fate, took: Span::from_millis(took), settled: fate == Fate::Satisfied }
+}
--- /dev/null
+++ b/tests/found.rs
@@ -0,0 +1,84 @@
+//! One small test for each failure found.
+
+mod common;
+
+use common::*;
+use fennelgauge::host::*;
+
+fn count_of(acts: &[Act]) -> Option<(CountName, f64)> {
+    acts.iter().find_map(|act| if let Act::Add(name, amount) = act { Some((*name, *amount)) } else { None })
+}
+
+fn relayed(acts: &[Act]) -> Option<ServerId> {
+    acts.iter().find_map(|act| if let Act::Relay(_, server, _) = act { Some(*server) } else { None })
+}
+
+/// A job with room in its quota but not in its ceiling slept past its abandon time.
+#[test]
+fn a_job_short_of_its_ceiling_is_ended_in_time() {
+    let mut deployment = deployment();
+    deployment.plans[2].ceiling = Some(Ceiling { rate: 0.01, ..CEILING });
+    let (mut gateway, notes) = gateway(deployment, 2);
+    gateway.job_arrived(at(10), arrival(1, 0, 2, 4.0, at(400)));
+    let (name, amount) = count_of(&notes.take()).expect("an ask");
+    gateway.counted(at(12), name, Some(amount), Fate::Satisfied);
+    assert!(notes.take().contains(&Act::Dismiss(1)));
+}
+
+/// Slow answers made every job look too late, and nothing was sent that could show otherwise.
+#[test]
+fn slow_answers_do_not_end_all_relays() {
+    let mut deployment = deployment();
+    deployment.plans[0] = Plan::default();
+    let (mut gateway, notes) = gateway(deployment, 2);
+    for job in 0..200 {
+        let now = job * 2_000;
+        gateway.job_arrived(at(now), arrival(job, 0, 0, 1.0, at(now + 1_900)));
+        let server = relayed(&notes.take()).expect("a relay");
+        gateway.relay_ended(at(now + 1_500), end(job, server, Fate::Satisfied, 1_500));
+    }
+}
+
+/// Units asked for and not granted stayed on the count and shut out the other gateways.
+#[test]
+fn what_was_asked_in_vain_is_taken_back() {
+    let (mut gateway, notes) = gateway(deployment(), 2);
+    gateway.job_arrived(at(10), arrival(1, 0, 1, 1.0, at(2_000)));
+    let (name, amount) = count_of(&notes.take()).expect("an ask");
+    gateway.counted(at(12), name, Some(amount + 3.0), Fate::Satisfied);
+    assert_eq!(count_of(&notes.take()), Some((name, -amount)));
+}
+
+/// Time-outs of a crowded counter made more calls, which crowded it further.
+#[test]
+fn a_crowded_counter_is_not_called_more() {
+    let (mut gateway, notes) = gateway(deployment(), 2);
+    for job in 0..100 {
+        let arrival = Arrival { customer: 1_000 + job, ..arrival(job, 0, 0, 1.0, at(2_000)) };
+        gateway.job_arrived(at(10), arrival);
+    }
+    let calls = notes.take().iter().filter(|act| matches!(act, Act::Add(..))).count();
+    assert!((1..=4).contains(&calls), "{calls}");
+}
+
+/// Judged alone, every gateway rounded its part of a relay up, and together they passed the cap.
+#[test]
+fn a_part_of_a_relay_is_had_by_chance_only() {
+    let (mut gateway, notes) = gateway(deployment(), 4);
+    let mut sent = 0;
+    for job in 0..200 {
+        let arrival = Arrival { customer: 1_000 + job, set_size: 30, ..arrival(job, 0, 1, 1.0, at(2_000)) };
+        gateway.job_arrived(at(10), arrival);
+        for act in notes.take() {
+            match act {
+                Act::Add(name, _) => gateway.counted(at(10), name, None, Fate::Full),
+                Act::Relay(job, server, _) => {
+                    sent += 1;
+                    gateway.relay_ended(at(10), end(job, server, Fate::Satisfied, 1));
+                }
+                _ => {}
+            }
+        }
+    }
+    assert!((4..=60).contains(&sent), "{sent}");
+}
