--- a/src/choice.rs
+++ b/src/choice.rs
@@ -274,7 +274,7 @@
         let name = hashed(&[id, customer.window, 0]);
         let keep = plan.window().times(3.0).min(Span::from_millis(60_000));
         let Some(customer) = self.customers.get_mut(&id) else { return };
-        // A counter slow or full, from any cause, must not drown in calls: beyond a bound they wait, and later
+        // A counter slow or full, from any cause, must not drown in calls: past a bound they wait, and later
         // calls carry more. The jobs are judged alone if that takes unusually long.
         if self.counter.out < self.counter.bound {
             customer.ask = Some(Ask { jobs, amount, window: customer.window, total: None, sent: now });
