--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,6 +16,9 @@
 /// Marks of timers: a job's is its id, which is below this; a customer's is its id above this.
 const CUSTOMER_MARK: u64 = 1 << 52;
 const POOL_MARK: u64 = u64::MAX;
+/// Relays at a server, and calls at the counter, that all gateways together begin with: about what a small
+/// machine works on at once. Answers soon move it either way.
+const FEW: f64 = 12.0;
 /// Counts hold sums of rounded figures; less than this is no difference.
 const NOTHING: f64 = 0.01;
 
@@ -86,10 +89,11 @@
         self.failing > MOSTLY || (self.out > 0.0 && now > self.silence_ends(usual))
     }
 
-    /// Slow or turned away, from any cause: it gets less at once, but is not cut twice for one backlog.
-    fn cut(&mut self, to: f64, now: Moment, apart: f64) {
+    /// Slow or turned away, from any cause: it gets less at once, but is not cut twice for one backlog. The bound
+    /// of many gateways may fall below one relay each: then the server rests between relays.
+    fn cut(&mut self, to: f64, now: Moment, apart: f64, least: f64) {
         if now.since(self.cut).secs() > apart {
-            self.bound = (self.bound * to).max(1.0);
+            self.bound = (self.bound * to).max(least);
             self.cut = now;
         }
     }
@@ -106,6 +110,7 @@
         // Until one is seen, a part of the tightest target stands in for an answer, some ticks for a call.
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
         let chance = Chance::new(seed, deployment.own_index);
+        let gateways = f64::from(deployment.gateways);
         let usual = (deployment.tick.secs() * 4.0).max(0.005);
         Self {
             host,
@@ -117,8 +122,7 @@
             jobs: BTreeMap::new(),
             backlog: VecDeque::new(),
             callers: BTreeMap::new(),
-            // Few calls at once to begin with; answers soon move it either way.
-            counter: Counter { usual, bound: 4.0, ..Counter::default() },
+            counter: Counter { usual, bound: FEW / gateways, ..Counter::default() },
             pool: Pool::default(),
             usual: target / 6.0,
             spare_relays: 5.0,
@@ -130,11 +134,13 @@
     pub fn roster_changed(&mut self, now: Moment, entries: impl Iterator<Item = Entry>) {
         self.now = now;
         for mut entry in entries {
-            let usual = self.usual;
-            let server = self.servers.entry(entry.server).or_insert_with(|| {
-                // A few relays at once to begin with; answers soon move it either way.
-                const BOUND: f64 = 4.0;
-                Server { entry, bound: BOUND, heard: now, gap: usual, ..Server::default() }
+            let (usual, gateways) = (self.usual, f64::from(self.deployment.gateways));
+            let server = self.servers.entry(entry.server).or_insert_with(|| Server {
+                entry,
+                bound: FEW / gateways,
+                heard: now,
+                gap: usual,
+                ..Server::default()
             });
             if entry.standing == Standing::Gone {
                 server.entry.standing = Standing::Gone;
@@ -608,7 +614,7 @@
                 if server.out > 0.0 || now.since(server.tried) < TRIAL || repeat != Repeat::Pure {
                     continue;
                 }
-            } else if server.out >= even.min(server.bound) {
+            } else if server.out >= even.min(server.bound.max(1.0)) || now < server.rested {
                 continue;
             }
             let age = server.entry.started.map(|started| now.since(started));
@@ -665,8 +671,12 @@
     /// Takes what a relay's end tells of its server.
     fn learn(&mut self, end: &RelayEnd, units: f64, target: f64) {
         let (now, took) = (self.now, end.took.secs());
+        // About as many relays as a small machine has cores keep it at work, however slow its answers.
+        const LEAST: f64 = 3.0;
+        let least = (LEAST / f64::from(self.deployment.gateways)).min(1.0);
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = (server.out - 1.0).max(0.0);
+        server.rested = now + end.took.times((1.0 / server.bound - 1.0).max(0.0));
         match end.fate {
             Fate::Satisfied => {
                 server.gap += 0.1 * (now.since(server.heard).secs() - server.gap);
@@ -677,14 +687,14 @@
                 // Slow answers, whatever slows them, cut what it gets at once: a server driven hard stays so.
                 // Quick ones raise it again while it is in use.
                 if took > 0.18 * target {
-                    server.cut(0.8, now, 0.2 * target);
+                    server.cut(0.8, now, 0.2 * target, least);
                 } else if took < 0.1 * target && server.out + 2.0 > server.bound {
-                    server.bound += 1.0 / server.bound;
+                    server.bound += (1.0 / server.bound).min(server.bound / 4.0);
                 }
             }
             Fate::Full => {
                 server.heard = now;
-                server.cut(0.7, now, self.usual);
+                server.cut(0.7, now, self.usual, least);
             }
             Fate::Error | Fate::Reset | Fate::ConnectFailed | Fate::TimedOut => {
                 server.failing += 0.3 * (1.0 - server.failing);
--- a/src/state.rs
+++ b/src/state.rs
@@ -34,6 +34,8 @@
     /// Relays that it may have of this gateway at once before it has enough.
     pub(crate) bound: f64,
     pub(crate) cut: Moment,
+    /// Rests until then where less than one relay at a time is enough.
+    pub(crate) rested: Moment,
     /// The latest sign of health while it owed answers, or since when it owes one.
     pub(crate) heard: Moment,
     /// The usual span between such signs, in seconds.
