--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -100,7 +100,7 @@
                 match record.u8(4) {
                     0 => gateway.roster_changed(now, entries),
                     1 | 2 => gateway.roster_listed(now, entries),
-                    _ => gateway.roster_failed(now),
+                    _ => gateway.roster_failed(),
                 }
             }
             1100 => gateway.job_arrived(now, arrival(record)?),
@@ -145,6 +145,7 @@
         band: record.u16(45).into(),
         plan: record.u32(16) as usize,
         units,
+        set_first: record.f32(12) as u32,
         set_size: (set_size as u32).max(1),
         abandon: Moment::from_micros(record.u64(24)),
     })
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,8 +16,7 @@
 /// Marks of timers: a job's is its id, which is below this; a customer's is its id above this.
 const CUSTOMER_MARK: u64 = 1 << 52;
 const POOL_MARK: u64 = u64::MAX;
-/// Relays at a server, and calls at the counter, that all gateways together begin with: about what a small
-/// machine works on at once. Answers soon move it either way.
+/// Relays at a server, and calls, that all gateways begin with in all: what a small machine works on at once.
 const FEW: f64 = 12.0;
 /// Counts hold sums of rounded figures; less than this is no difference.
 const NOTHING: f64 = 0.01;
@@ -75,6 +74,9 @@
     level.0 * (-now.since(level.1).secs() / CARRIED_OVER).exp()
 }
 
+/// A server or a counter of which more than this share ended badly of late is not to be had.
+const MOSTLY: f64 = 0.5;
+
 /// Accrual: a silence of this many usual gaps is unusual; about 1 in 400 if gaps were exponential.
 const UNUSUAL: f64 = 6.0;
 
@@ -85,12 +87,11 @@
 
     /// Silent for unusually long or failing often, from any cause: crash, cut, bad build, hang.
     fn unwell(&self, now: Moment, usual: f64) -> bool {
-        const MOSTLY: f64 = 0.5;
         self.failing > MOSTLY || (self.out > 0.0 && now > self.silence_ends(usual))
     }
 
-    /// Slow or turned away, from any cause: it gets less at once, but is not cut twice for one backlog. The bound
-    /// of many gateways may fall below one relay each: then the server rests between relays.
+    /// Slow or turned away, from any cause: it gets less, but is not cut twice for one backlog. Below one
+    /// relay at a time it rests between relays.
     fn cut(&mut self, to: f64, now: Moment, apart: f64, least: f64) {
         if now.since(self.cut).secs() > apart {
             self.bound = (self.bound * to).max(least);
@@ -109,8 +110,7 @@
         }
         // Until one is seen, a part of the tightest target stands in for an answer, some ticks for a call.
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
-        let chance = Chance::new(seed, deployment.own_index);
-        let gateways = f64::from(deployment.gateways);
+        let (chance, gateways) = (Chance::new(seed, deployment.own_index), deployment.gateways);
         let usual = (deployment.tick.secs() * 4.0).max(0.005);
         Self {
             host,
@@ -122,7 +122,7 @@
             jobs: BTreeMap::new(),
             backlog: VecDeque::new(),
             callers: BTreeMap::new(),
-            counter: Counter { usual, bound: FEW / gateways, ..Counter::default() },
+            counter: Counter { usual, bound: FEW / f64::from(gateways), ..Counter::default() },
             pool: Pool::default(),
             usual: target / 6.0,
             spare_relays: 5.0,
@@ -162,8 +162,7 @@
     }
 
     /// The roster could not be had; the old one stands.
-    pub fn roster_failed(&mut self, now: Moment) {
-        self.now = now;
+    pub fn roster_failed(&mut self) {
         self.host.follow_roster();
     }
 
@@ -176,9 +175,12 @@
         };
         let target = now + band.target;
         let limited = plan.in_window() > 0.0;
+        let (own, gateways) =
+            (u64::from(self.deployment.own_index), u64::from(self.deployment.gateways.max(1)));
         let customer = self.customers.entry(arrival.customer).or_insert_with(|| Customer {
             plan: arrival.plan,
             set_size: f64::from(arrival.set_size.max(1)),
+            position: (own + gateways - u64::from(arrival.set_first) % gateways) % gateways,
             // After a restart the own share of the ceiling may be spent already, so it starts empty.
             ceiling: (0.0, now),
             ..Customer::default()
@@ -245,14 +247,14 @@
             customer.carried = Some(0.0);
         }
         (customer.told, customer.total, customer.lent) = (0.0, 0.0, 0.0);
-        (customer.window, customer.shut, customer.looking) = (window, self.now, false);
+        (customer.window, customer.shut) = (window, self.now);
     }
 
     /// Carries the units of a customer's held jobs to its count, one call at a time.
     fn ask(&mut self, id: CustomerId) {
         const TRIED_ANEW: Span = Span::from_millis(250);
         let now = self.now;
-        if !self.deployment.has_counter || self.counter.failing {
+        if !self.deployment.has_counter || self.counter.failed > MOSTLY {
             self.judge_alone(id);
             if !self.deployment.has_counter || now.since(self.counter.tried) < TRIED_ANEW {
                 return;
@@ -312,7 +314,7 @@
         }
         let Some(id) = self.callers.remove(&name) else { return };
         self.counter.out -= 1.0;
-        self.counter.failing = total.is_none();
+        self.counter.failed += 0.3 * (f64::from(u8::from(total.is_none())) - self.counter.failed);
         self.counter.bound = match total {
             Some(_) => self.counter.bound + 0.1 / self.counter.bound,
             None => (self.counter.bound * 0.7).max(1.0),
@@ -332,16 +334,14 @@
     fn answered(&mut self, id: CustomerId, name: CountName, total: Option<f64>, fate: Fate) {
         let Some(customer) = self.customers.get_mut(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
-        let asked = customer.ask.as_ref().map_or(0, |ask| ask.window);
-        if name != hashed(&[id, asked, 0]) {
+        let Some(ask) = customer.ask.as_mut() else { return };
+        let present = ask.window == customer.window;
+        if present && name != hashed(&[id, ask.window, 0]) {
             // The last window's count, looked up.
             let unused = total.map_or(0.0, |total| (customer.last.0 - total.max(customer.last.1)).max(0.0));
             customer.carried = Some(unused.min((plan.burst - plan.in_window()).max(0.0)));
-            customer.looking = false;
             return self.settle(id);
         }
-        let Some(ask) = customer.ask.as_mut() else { return };
-        let present = ask.window == customer.window;
         // What may have been added counts as added: the count then says too little, never too much.
         if present && (total.is_some() || fate == Fate::TimedOut) {
             customer.told += ask.amount;
@@ -371,12 +371,8 @@
         let plan = &self.deployment.plans[customer.plan];
         let Some(total) = customer.ask.as_ref().and_then(|ask| ask.total) else { return };
         if total > plan.in_window() && customer.carried.is_none() {
-            if !customer.looking {
-                customer.looking = true;
-                let name = hashed(&[id, customer.window.wrapping_sub(1), 0]);
-                self.call(name, id, 0.0, POOL_WINDOW);
-            }
-            return;
+            let name = hashed(&[id, customer.window.wrapping_sub(1), 0]);
+            return self.call(name, id, 0.0, POOL_WINDOW);
         }
         let Some(ask) = customer.ask.take() else { return };
         let (index, by_rate, set_size) = (customer.plan, plan.by_rate(), customer.set_size);
@@ -411,12 +407,8 @@
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
         if plan.soft() && self.now >= self.pressed_until {
-            let pooled = &mut self.pool.waiting;
-            for job in &customer.waiting {
-                if !pooled.contains(job) {
-                    pooled.push(*job);
-                }
-            }
+            self.pool.waiting.retain(|job| !customer.waiting.contains(job));
+            self.pool.waiting.extend(&customer.waiting);
             return self.draw();
         }
         let (mut ahead, mut vain) = (0.0, Vec::new());
@@ -476,7 +468,7 @@
     /// Adds to the next pool what customers left unused; lent room must not reach a pressed back end.
     fn lend(&mut self) {
         let lent: f64 = self.customers.values().map(|customer| customer.lent).sum();
-        if lent > 0.0 && self.now >= self.pressed_until && !self.counter.failing {
+        if lent > 0.0 && self.now >= self.pressed_until && self.counter.failed <= MOSTLY {
             self.host.add(self.pool_name(1), lent * POOL_WINDOW.secs(), POOL_KEPT);
         }
         self.host.wake(POOL_WINDOW, POOL_MARK);
@@ -485,12 +477,14 @@
     /// Judges held jobs by this gateway's own share of the allowance, while the counter is not to be had.
     fn judge_alone(&mut self, id: CustomerId) {
         const AGAIN: Span = Span::from_millis(100);
-        let chance = self.chance.draw();
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
         let share = (plan.in_window() + customer.carried.unwrap_or(0.0)) / customer.set_size;
-        // A part of a relay is had by chance: if each gateway rounded up, they would pass the cap together.
-        let mut room = if plan.by_rate() { share } else { (share + chance).floor() } - customer.used;
+        // Parts of a relay are had by turns of the set: if each gateway rounded up, they would pass the cap.
+        let turn = (self.now.micros() / POOL_WINDOW.micros()).wrapping_add(customer.position);
+        let part = (share.fract() * customer.set_size).round() as u64;
+        let extra = if turn % (customer.set_size as u64).max(1) < part { 1.0 } else { 0.0 };
+        let mut room = if plan.by_rate() { share } else { share.floor() + extra } - customer.used;
         let mut granted = Vec::new();
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
             if plan.cost(job) <= room {
@@ -684,8 +678,7 @@
                 server.failing *= 0.9;
                 server.carried = (decayed(server.carried, now) + units / CARRIED_OVER, now);
                 self.usual += 0.02 * (took - self.usual);
-                // Slow answers, whatever slows them, cut what it gets at once: a server driven hard stays so.
-                // Quick ones raise it again while it is in use.
+                // Slow answers, whatever slows them, cut what it gets: a server driven hard stays slow.
                 if took > 0.18 * target {
                     server.cut(0.8, now, 0.2 * target, least);
                 } else if took < 0.1 * target && server.out + 2.0 > server.bound {
--- a/src/state.rs
+++ b/src/state.rs
@@ -53,6 +53,8 @@
 pub(crate) struct Customer {
     pub(crate) plan: usize,
     pub(crate) set_size: f64,
+    /// This gateway's place in the set.
+    pub(crate) position: u64,
     pub(crate) waiting: VecDeque<JobId>,
     pub(crate) window: u64,
     /// Units used through this gateway in the window, or relays out; and how many of them the count was told.
@@ -65,7 +67,6 @@
     /// Allowance and total of the last window as far as known.
     pub(crate) last: (f64, f64),
     pub(crate) ask: Option<Ask>,
-    pub(crate) looking: bool,
     /// Waits since then for its turn to call the counter.
     pub(crate) queued: Option<Moment>,
     /// No room is expected before.
@@ -87,7 +88,8 @@
 
 #[derive(Default)]
 pub(crate) struct Counter {
-    pub(crate) failing: bool,
+    /// Share of late calls that failed.
+    pub(crate) failed: f64,
     pub(crate) tried: Moment,
     /// How long calls take of late, in seconds.
     pub(crate) usual: f64,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -94,7 +94,7 @@
 }
 
 pub fn arrival(job: JobId, band: usize, plan: usize, units: f64, abandon: Moment) -> Arrival {
-    Arrival { job, customer: 7 + plan as u64, band, plan, units, set_size: 2, abandon }
+    Arrival { job, customer: 7 + plan as u64, band, plan, units, set_first: 0, set_size: 2, abandon }
 }
 
 /// A gateway that knows `servers` warm servers.
