Take back relays that hang where a late answer earns nothing

Should also catch answers lost on the way; would harm where a late answer is wanted and slow servers finish what was taken back.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -59,11 +59,8 @@
     }
 
     fn in_window(&self) -> f64 {
-        if self.by_rate() {
-            self.rate * self.window().secs()
-        } else {
-            self.relays_out
-        }
+        let relays_out = if self.by_rate() { 0.0 } else { self.relays_out };
+        relays_out + self.rate * self.window().secs()
     }
 }
 
@@ -588,11 +585,8 @@
             (_, None) | (Repeat::Pure, _) => true,
             (Repeat::Effectful, Some(_)) => false,
             (Repeat::Receipted(group, window), Some((since, from))) => {
-                let same = match group {
-                    Group::All => true,
-                    Group::Zone => to.zone == from.zone,
-                    Group::Cell => to.cell == from.cell,
-                };
+                let zone = group == Group::Zone && to.zone == from.zone;
+                let same = zone || group == Group::All || (group == Group::Cell && to.cell == from.cell);
                 same && now.since(since) < window
             }
         };
@@ -698,11 +692,11 @@
 
     /// Sends on what waits for a server, as far as there is room.
     fn work_off(&mut self) {
+        let cleared = |job: Option<&Job>| job.is_some_and(|job| job.stage == Stage::Cleared);
         while let Some(id) = self.backlog.pop_back() {
-            let cleared = |job: &Job| job.stage == Stage::Cleared;
-            if self.jobs.get(&id).is_some_and(cleared) {
+            if cleared(self.jobs.get(&id)) {
                 self.dispatch(id);
-                if self.jobs.get(&id).is_some_and(cleared) {
+                if cleared(self.jobs.get(&id)) {
                     return;
                 }
             }
@@ -766,9 +760,9 @@
         } else if mark >= CUSTOMER_MARK {
             self.reconsider(mark - CUSTOMER_MARK);
         } else if let Some(job) = self.jobs.get(&mark) {
-            let (stage, server, latest) = (job.stage, job.server, self.latest(job));
+            let (stage, latest) = (job.stage, self.latest(job));
             match stage {
-                Stage::Out(_) => self.check(mark, server),
+                Stage::Out(_) => self.check(mark),
                 _ if now >= latest => self.give_up(mark, None),
                 Stage::Cleared if !self.backlog.contains(&mark) => self.dispatch(mark),
                 _ => self.host.wake(latest.since(now), mark),
@@ -776,20 +770,25 @@
         }
     }
 
-    /// Takes a job back from a server that has gone silent, while another could still answer in time.
-    fn check(&mut self, id: JobId, server: ServerId) {
-        let (Some(job), Some(server)) = (self.jobs.get(&id), self.servers.get(&server)) else { return };
-        let repeatable = self.deployment.bands[job.arrival.band].repeat.is_free();
-        let in_time = self.now < self.latest(job);
-        let left = job.relays < self.deployment.most_relays && self.spare_relays >= 1.0;
-        if !(repeatable && in_time && left && self.deployment.may_withdraw) {
+    /// Takes a job back from a server gone silent while another could still answer in time, or one that hangs for
+    /// unusually long past its target time where a late answer earns nothing.
+    fn check(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let (Stage::Out(sent), Some(server)) = (job.stage, self.servers.get(&job.server)) else { return };
+        let band = &self.deployment.bands[job.arrival.band];
+        if !band.repeat.is_free() || !self.deployment.may_withdraw {
             return;
         }
-        let ends = server.silence_ends(self.usual);
-        if self.now <= ends {
-            return self.host.wake(ends.since(self.now) + self.deployment.tick, id);
+        let left = job.relays < self.deployment.most_relays && self.spare_relays >= 1.0;
+        let silent = server.silence_ends(self.usual);
+        let late = if band.late_share > 0.0 { job.arrival.abandon } else { job.target };
+        let hung = late.max(sent + Span::from_secs(self.usual * UNUSUAL));
+        let next = if left && self.now < self.latest(job) { silent.min(hung) } else { hung };
+        if self.now > next {
+            self.host.withdraw(id, job.relays - 1);
+        } else {
+            self.host.wake(next.since(self.now) + self.deployment.tick, id);
         }
-        self.host.withdraw(id, job.relays - 1);
     }
 
     /// A customer's held jobs are asked for again, and a call that takes unusually long is not waited for.
--- a/tests/found.rs
+++ b/tests/found.rs
@@ -82,3 +82,22 @@
     }
     assert_eq!(sent, 3);
 }
+
+/// Relays of one kind that hung until their abandon time kept their places at servers that answered all else.
+#[test]
+fn a_relay_that_hangs_gives_its_place_back_where_late_earns_nothing() {
+    for (late_share, taken_back) in [(0.0, true), (0.2, false)] {
+        let mut deployment = deployment();
+        deployment.plans[0] = Plan::default();
+        deployment.bands[0].late_share = late_share;
+        let (mut gateway, notes) = gateway(deployment, 1);
+        gateway.job_arrived(at(10), arrival(1, 0, 0, 1.0, at(5_000)));
+        for job in 2..60 {
+            let now = job * 40;
+            gateway.job_arrived(at(now), arrival(job, 0, 0, 1.0, at(now + 4_000)));
+            gateway.relay_ended(at(now + 20), end(job, 0, Fate::Satisfied, 20));
+            gateway.woken(at(now + 20), 1);
+        }
+        assert_eq!(notes.take().contains(&Act::Withdraw(1, 0)), taken_back);
+    }
+}
