Let trials of failing servers back off and be short

Should catch any server that keeps failing; would harm one that heals after long: its next trial may be ten seconds off.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -546,6 +546,9 @@
         }
         let (now, usual) = (self.now, self.usual);
         let Some(to) = self.servers.get_mut(&server) else { return };
+        // A trial is not waited for longer than unusual, so that its job can still go elsewhere.
+        let trial = Span::from_secs(usual * UNUSUAL);
+        let patience = if to.unwell(now, usual) { patience.min(trial) } else { patience };
         if to.out <= 0.0 {
             to.heard = now;
         }
@@ -598,8 +601,9 @@
             let part = server.entry.rating / rating.max(server.entry.rating);
             let even = (UNEVEN * (out + 1.0) * part).ceil();
             if server.unwell(now, usual) {
-                // One relay at a time now and then shows whether it is well again.
-                if server.out > 0.0 || now.since(server.tried) < TRIAL || repeat != Repeat::Pure {
+                // One relay at a time shows whether it is well again, the more seldom the more of them failed.
+                let rest = TRIAL.times(1.0 / (1.0 - server.failing).max(0.05));
+                if server.out > 0.0 || now.since(server.tried) < rest || repeat != Repeat::Pure {
                     continue;
                 }
             } else if server.out >= even.min(server.bound.max(1.0)) || now < server.rested {
