--- a/src/choice.rs
+++ b/src/choice.rs
@@ -284,9 +284,12 @@
         if self.counter.out < self.counter.bound {
             customer.ask = Some(Ask { jobs, amount, window: customer.window, total: None, sent: now });
             self.call(name, id, amount, keep);
-        } else if customer.queued.is_none() {
-            customer.queued = Some(now);
-            self.counter.queue.push_back(id);
+        } else {
+            if customer.queued.is_none() {
+                customer.queued = Some(now);
+                self.counter.queue.push_back(id);
+            }
+            return self.judge_alone(id);
         }
         self.host.wake(self.call_patience(), CUSTOMER_MARK + id);
     }
