--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,6 +38,8 @@
     pool: Pool,
     /// How long answers take of late, in seconds.
     usual: f64,
+    /// How many units answered jobs have of late.
+    units: f64,
     /// Further relays that may still be made; earned by first ones.
     spare_relays: f64,
     pressed_until: Moment,
@@ -86,15 +88,6 @@
     fn unwell(&self, now: Moment, usual: f64) -> bool {
         self.failing > MOSTLY || (self.out > 0.0 && now > self.silence_ends(usual))
     }
-
-    /// Slow or turned away, from any cause: it gets less, but is not cut twice for one backlog. Below one
-    /// relay at a time it rests between relays.
-    fn cut(&mut self, to: f64, now: Moment, apart: f64, least: f64) {
-        if now.since(self.cut).secs() > apart {
-            self.bound = (self.bound * to).max(least);
-            self.cut = now;
-        }
-    }
 }
 
 impl<H: Host> Gateway<H> {
@@ -122,6 +115,7 @@
             counter: Counter { usual, bound: FEW / f64::from(gateways), ..Counter::default() },
             pool: Pool::default(),
             usual: target / 6.0,
+            units: 1.0,
             spare_relays: 5.0,
             pressed_until: now,
         }
@@ -171,7 +165,7 @@
             return self.host.forfeit(id);
         };
         let target = now + band.target;
-        let limited = plan.in_window() > 0.0;
+        let (limited, cost) = (plan.in_window() > 0.0, plan.cost(&arrival));
         let (own, gateways) =
             (u64::from(self.deployment.own_index), u64::from(self.deployment.gateways.max(1)));
         let customer = self.customers.entry(arrival.customer).or_insert_with(|| Customer {
@@ -186,7 +180,7 @@
             customer.waiting.push_back(id);
         }
         let stage = if limited { Stage::Held } else { Stage::Cleared };
-        let job = Job { arrival, stage, target, relays: 0, server: 0, may_have_run: None };
+        let job = Job { arrival, cost, stage, target, relays: 0, server: 0, may_have_run: None };
         let latest = self.latest(&job);
         self.jobs.insert(id, job);
         if latest <= now {
@@ -212,64 +206,73 @@
     }
 
     /// A job that is still held.
-    fn held(&self, id: JobId) -> Option<&Arrival> {
-        self.jobs.get(&id).filter(|job| job.stage == Stage::Held).map(|job| &job.arrival)
+    fn held(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id).filter(|job| job.stage == Stage::Held)
     }
 
-    /// A customer's present window and its end; all gateways come to the same from the same clock.
+    /// A customer's present window and its start; all gateways come to the same from the same clock.
     fn window_of(&self, id: CustomerId, plan: usize) -> (u64, Moment) {
         let length = self.deployment.plans[plan].window().micros();
         // Windows of different customers begin at different times, so that held jobs don't come in herds.
         let phase = hashed(&[id]) % length;
         let index = self.now.micros().saturating_add(phase) / length;
-        (index, Moment::from_micros((index + 1).saturating_mul(length).saturating_sub(phase)))
+        (index, Moment::from_micros(index.saturating_mul(length).saturating_sub(phase)))
+    }
+
+    /// What a customer may have used by now: the window's units come in evenly, since use ahead of them is beyond
+    /// the quota. Before the last window is known, a whole window's.
+    fn allowance(&self, customer: &Customer) -> f64 {
+        let plan = &self.deployment.plans[customer.plan];
+        match customer.carried {
+            Some(carried) => carried + plan.rate * self.now.since(customer.began).secs(),
+            None => plan.in_window(),
+        }
     }
 
     /// Brings a customer's records into the present window.
     fn roll(&mut self, id: CustomerId) {
         let Some(plan) = self.customers.get(&id).map(|customer| customer.plan) else { return };
-        let (window, _) = self.window_of(id, plan);
+        let (window, began) = self.window_of(id, plan);
         let plan = &self.deployment.plans[plan];
-        let Some(customer) = self.customers.get_mut(&id).filter(|customer| customer.window != window) else {
+        let Some(customer) = self.customers.get_mut(&id).filter(|known| known.window != window) else {
             return;
         };
+        // A window of which no total was heard is taken to have gone elsewhere as it did here.
+        let heard = customer.total > 0.0;
+        let seen = if heard { customer.total } else { customer.used * customer.set_size };
+        let most = plan.in_window() + customer.carried.unwrap_or(plan.burst);
         // A window that this gateway took no part in is known only once it is looked up.
-        let known = customer.window.wrapping_add(1) == window;
-        let (carried, seen) = (customer.carried.unwrap_or(0.0), customer.total.max(customer.used));
-        customer.last = if known { (plan.in_window() + carried, seen) } else { (plan.in_window(), 0.0) };
+        let known = plan.by_rate() && customer.window.wrapping_add(1) == window;
+        customer.last = if known { (most, seen) } else { (plan.in_window() + plan.burst, 0.0) };
+        customer.carried = known.then(|| (most - seen).clamp(0.0, plan.burst.max(0.0)));
         // Relays out last over a window's end: they are told again to its new count.
         if plan.by_rate() {
-            (customer.carried, customer.used) = (None, 0.0);
-        } else {
-            customer.carried = Some(0.0);
+            customer.used = 0.0;
         }
         (customer.told, customer.total, customer.lent) = (0.0, 0.0, 0.0);
-        (customer.window, customer.shut) = (window, self.now);
+        (customer.window, customer.began, customer.shut) = (window, began, self.now);
     }
 
     /// Carries the units of a customer's held jobs to its count, one call at a time.
     fn ask(&mut self, id: CustomerId) {
-        const TRIED_ANEW: Span = Span::from_millis(250);
         let now = self.now;
         if !self.deployment.has_counter || self.counter.failed > MOSTLY {
             self.judge_alone(id);
-            if !self.deployment.has_counter || now.since(self.counter.tried) < TRIED_ANEW {
+            if !self.deployment.has_counter {
                 return;
             }
         }
-        let Some(customer) = self.customers.get(&id).filter(|customer| customer.ask.is_none()) else {
-            return;
-        };
+        let Some(customer) = self.customers.get(&id).filter(|known| known.ask.is_none()) else { return };
         let plan = &self.deployment.plans[customer.plan];
         let most = if plan.by_rate() { plan.burst } else { plan.relays_out };
         let (mut asked, mut jobs) = (0.0, Vec::new());
         let open = now >= customer.shut;
         for job in customer.waiting.iter().filter(|_| open).filter_map(|job| self.held(*job)) {
-            if asked > 0.0 && asked + plan.cost(job) > most {
+            if asked > 0.0 && asked + job.cost > most {
                 break;
             }
-            asked += plan.cost(job);
-            jobs.push(job.job);
+            asked += job.cost;
+            jobs.push(job.arrival.job);
         }
         // What was asked for and not used is taken back even when shut: else other gateways see no room.
         let amount = customer.used - customer.told + asked;
@@ -296,7 +299,6 @@
 
     fn call(&mut self, name: CountName, id: CustomerId, amount: f64, keep: Span) {
         self.callers.insert(name, id);
-        self.counter.tried = self.now;
         self.counter.out += 1.0;
         self.host.add(name, amount, keep);
     }
@@ -339,7 +341,7 @@
         if present && name != hashed(&[id, ask.window, 0]) {
             // The last window's count, looked up.
             let unused = total.map_or(0.0, |total| (customer.last.0 - total.max(customer.last.1)).max(0.0));
-            customer.carried = Some(unused.min((plan.burst - plan.in_window()).max(0.0)));
+            customer.carried = Some(unused.min(plan.burst));
             return self.settle(id);
         }
         // What may have been added counts as added: the count then says too little, never too much.
@@ -358,7 +360,8 @@
         if customer.total <= 0.0 && total <= ask.amount + NOTHING && plan.by_rate() {
             // First gateway into the window: half of the last one's shortfall is lent, second by second.
             const LENT: f64 = 0.5;
-            customer.lent = LENT * (customer.last.0 - customer.last.1).max(0.0) / plan.window().secs();
+            let shortfall = (customer.last.0 - customer.last.1).clamp(0.0, plan.in_window());
+            customer.lent = LENT * shortfall / plan.window().secs();
         }
         customer.total = customer.total.max(total);
         ask.total = Some(total);
@@ -370,30 +373,19 @@
         let Some(customer) = self.customers.get_mut(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
         let Some(total) = customer.ask.as_ref().and_then(|ask| ask.total) else { return };
-        if total > plan.in_window() && customer.carried.is_none() {
+        if total > plan.in_window() && customer.carried.is_none() && plan.by_rate() {
             let name = hashed(&[id, customer.window.wrapping_sub(1), 0]);
             return self.call(name, id, 0.0, POOL_WINDOW);
         }
         let Some(ask) = customer.ask.take() else { return };
-        let (index, by_rate, set_size) = (customer.plan, plan.by_rate(), customer.set_size);
-        let allowance = plan.in_window() + customer.carried.unwrap_or(0.0);
-        let held: Vec<(JobId, f64)> =
-            ask.jobs.iter().filter_map(|job| self.held(*job)).map(|job| (job.job, plan.cost(job))).collect();
-        let mut room = allowance - (total - held.iter().map(|job| job.1).sum::<f64>());
-        let mut short = false;
-        for (job, cost) in held {
-            if cost <= room {
-                room -= cost;
-                self.grant(job);
-            } else {
-                short = true;
-            }
-        }
-        if short {
+        let (rate, set_size) = (plan.rate, customer.set_size);
+        let allowance = self.customers.get(&id).map_or(0.0, |customer| self.allowance(customer));
+        let asked: f64 = ask.jobs.iter().filter_map(|job| self.held(*job)).map(|job| job.cost).sum();
+        let lacking = self.grant_from(allowance - (total - asked), &ask.jobs);
+        if let Some(lacking) = lacking {
             // A plan by relays out has room once one ends anywhere: the gateways of the set take turns.
             let turn = self.usual * set_size / allowance.max(1.0) * (0.5 + self.chance.draw());
-            let next = if by_rate { self.window_of(id, index).1 } else { self.now };
-            let shut = next + Span::from_secs(turn);
+            let shut = self.now + Span::from_secs(if rate > 0.0 { lacking / rate } else { turn });
             self.host.wake(shut.since(self.now), CUSTOMER_MARK + id);
             if let Some(customer) = self.customers.get_mut(&id) {
                 customer.shut = shut;
@@ -402,28 +394,43 @@
         self.ask(id);
     }
 
+    /// Grants room to held jobs in their order; tells the least that one lacks.
+    fn grant_from(&mut self, mut room: f64, jobs: &[JobId]) -> Option<f64> {
+        let mut lacking: Option<f64> = None;
+        for id in jobs {
+            let Some(cost) = self.held(*id).map(|job| job.cost) else { continue };
+            if cost <= room {
+                room -= cost;
+                self.grant(*id);
+            } else {
+                lacking = Some(lacking.unwrap_or(f64::MAX).min(cost - room));
+            }
+        }
+        lacking
+    }
+
     /// What a shut window leaves to held jobs: soft plans draw on the pool; who would wait in vain goes now.
     fn hold(&mut self, id: CustomerId) {
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
-        if plan.soft() && self.now >= self.pressed_until {
-            self.pool.waiting.retain(|job| !customer.waiting.contains(job));
-            self.pool.waiting.extend(&customer.waiting);
-            return self.draw();
-        }
         let (mut ahead, mut vain) = (0.0, Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
-            let turns = if plan.by_rate() { (ahead / plan.in_window()).floor() } else { 0.0 };
-            let turn = customer.shut + plan.window().times(turns);
-            if turn > self.latest(&self.jobs[&job.job]) {
-                vain.push((job.job, turn));
+            let turn = if plan.by_rate() { Span::from_secs(ahead / plan.rate) } else { Span::ZERO };
+            if customer.shut + turn > self.latest(job) {
+                vain.push((job.arrival.job, customer.shut + turn));
             } else {
-                ahead += job.units;
+                ahead += job.cost;
             }
         }
+        let pooled = plan.soft() && self.now >= self.pressed_until;
         for (job, turn) in vain {
-            self.give_up(job, Some(turn.since(self.now)));
+            if !pooled {
+                self.give_up(job, Some(turn.since(self.now)));
+            } else if !self.pool.waiting.contains(&job) {
+                self.pool.waiting.push(job);
+            }
         }
+        self.draw();
     }
 
     /// Draws the units of soft customers' jobs past their allowance from the present pool.
@@ -432,10 +439,10 @@
             return;
         }
         let waiting = std::mem::take(&mut self.pool.waiting);
-        let jobs: Vec<Arrival> = waiting.iter().filter_map(|job| self.held(*job)).copied().collect();
-        let units: f64 = jobs.iter().map(|job| job.units).sum();
+        let jobs: Vec<JobId> = waiting.into_iter().filter(|job| self.held(*job).is_some()).collect();
+        let units: f64 = jobs.iter().filter_map(|job| self.held(*job)).map(|job| job.cost).sum();
         if units > 0.0 {
-            let name = self.pool_name(0);
+            let name = hashed(&[self.now.micros() / POOL_WINDOW.micros(), 1]);
             self.pool.draw = Some((name, units, jobs));
             self.host.add(name, -units, POOL_KEPT);
         }
@@ -445,31 +452,26 @@
     fn drawn(&mut self, total: Option<f64>) {
         let Some((_, units, jobs)) = self.pool.draw.take() else { return };
         let mut room = total.map_or(0.0, |total| units + total.min(0.0));
-        for job in jobs {
-            let shut = self.customers.get(&job.customer).map_or(self.now, |customer| customer.shut);
-            let Some(held) = self.jobs.get_mut(&job.job).filter(|job| job.stage == Stage::Held) else {
-                continue;
-            };
-            if job.units <= room {
-                room -= job.units;
-                held.stage = Stage::Cleared;
-                self.dispatch(job.job);
-            } else if shut > self.latest(&self.jobs[&job.job]) {
-                self.give_up(job.job, Some(shut.since(self.now)));
+        for id in jobs {
+            match self.jobs.get_mut(&id).filter(|job| job.stage == Stage::Held) {
+                Some(job) if job.cost <= room => {
+                    room -= job.cost;
+                    job.stage = Stage::Cleared;
+                    self.dispatch(id);
+                }
+                Some(_) => self.give_up(id, None),
+                None => {}
             }
         }
         self.draw();
     }
 
-    fn pool_name(&self, ahead: u64) -> CountName {
-        hashed(&[self.now.micros() / POOL_WINDOW.micros() + ahead, 1])
-    }
-
     /// Adds to the next pool what customers left unused; lent room must not reach a pressed back end.
     fn lend(&mut self) {
         let lent: f64 = self.customers.values().map(|customer| customer.lent).sum();
         if lent > 0.0 && self.now >= self.pressed_until && self.counter.failed <= MOSTLY {
-            self.host.add(self.pool_name(1), lent * POOL_WINDOW.secs(), POOL_KEPT);
+            let next = hashed(&[self.now.micros() / POOL_WINDOW.micros() + 1, 1]);
+            self.host.add(next, lent * POOL_WINDOW.secs(), POOL_KEPT);
         }
         self.host.wake(POOL_WINDOW, POOL_MARK);
     }
@@ -479,32 +481,24 @@
         const AGAIN: Span = Span::from_millis(100);
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
-        let share = (plan.in_window() + customer.carried.unwrap_or(0.0)) / customer.set_size;
+        let share = self.allowance(customer) / customer.set_size;
         // Parts of a relay are had by turns of the set: if each gateway rounded up, they would pass the cap.
         let turn = (self.now.micros() / POOL_WINDOW.micros()).wrapping_add(customer.position);
         let part = (share.fract() * customer.set_size).round() as u64;
         let extra = if turn % (customer.set_size as u64).max(1) < part { 1.0 } else { 0.0 };
-        let mut room = if plan.by_rate() { share } else { share.floor() + extra } - customer.used;
-        let mut granted = Vec::new();
-        for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
-            if plan.cost(job) <= room {
-                room -= plan.cost(job);
-                granted.push(job.job);
-            }
-        }
-        if granted.len() < customer.waiting.len() {
+        let room = if plan.by_rate() { share } else { share.floor() + extra } - customer.used;
+        let jobs: Vec<JobId> = customer.waiting.iter().copied().collect();
+        if self.grant_from(room, &jobs).is_some() {
             self.host.wake(AGAIN, CUSTOMER_MARK + id);
         }
-        granted.into_iter().for_each(|job| self.grant(job));
     }
 
     /// A held job has room in its quota.
     fn grant(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.stage = Stage::Cleared;
-        let arrival = job.arrival;
-        if let Some(customer) = self.customers.get_mut(&arrival.customer) {
-            customer.used += self.deployment.plans[customer.plan].cost(&arrival);
+        if let Some(customer) = self.customers.get_mut(&job.arrival.customer) {
+            customer.used += job.cost;
             customer.waiting.retain(|waiting| *waiting != id);
         }
         self.dispatch(id);
@@ -604,7 +598,7 @@
             let part = server.entry.rating / rating.max(server.entry.rating);
             let even = (UNEVEN * (out + 1.0) * part).ceil();
             if server.unwell(now, usual) {
-                // One relay at a time shows whether it is well again, the more seldom the more of them failed.
+                // One relay at a time shows if it is well again, the more seldom the more failed.
                 let rest = TRIAL.times(1.0 / (1.0 - server.failing).max(0.05));
                 if server.out > 0.0 || now.since(server.tried) < rest || repeat != Repeat::Pure {
                     continue;
@@ -628,9 +622,7 @@
                 }
             }
             let rank = hashed(&[job.arrival.customer, u64::from(id)]);
-            if best.is_none_or(|best| rank > best.0) {
-                best = Some((rank, id));
-            }
+            best = best.max(Some((rank, id)));
         }
         best.map(|best| best.1)
     }
@@ -680,9 +672,12 @@
                 server.carried = (decayed(server.carried, now) + units / CARRIED_OVER, now);
                 self.usual += 0.02 * (took - self.usual);
                 // Slow answers, whatever slows them, cut what it gets: a server driven hard stays slow.
-                if took > 0.18 * target {
+                // Work goes by units where they differ, so a large job's answer is no slower for its size.
+                self.units += 0.02 * (units - self.units);
+                let slow = took / target * self.units / units.max(NOTHING);
+                if slow > 0.15 {
                     server.cut(0.8, now, 0.2 * target, least);
-                } else if took < 0.1 * target && server.out + 2.0 > server.bound {
+                } else if slow < 0.09 && server.out + 2.0 > server.bound {
                     server.bound += (1.0 / server.bound).min(server.bound / 4.0);
                 }
             }
@@ -734,12 +729,11 @@
         if job.stage == Stage::Held || plan.in_window() <= 0.0 {
             return;
         }
-        if plan.by_rate() {
-            let unused = if job.relays == 0 { arrival.units } else { 0.0 };
-            customer.used = (customer.used - unused).max(0.0);
-        } else {
-            // A relay out has ended: its place goes back to the count, or to the next that waits.
-            customer.used = (customer.used - 1.0).max(0.0);
+        // Units unsent, or the place of a relay that has ended, go back to the count or to the next.
+        if job.relays == 0 || !plan.by_rate() {
+            customer.used = (customer.used - job.cost).max(0.0);
+        }
+        if !plan.by_rate() {
             customer.shut = self.now;
             self.roll(arrival.customer);
             self.ask(arrival.customer);
@@ -777,8 +771,8 @@
         }
     }
 
-    /// Takes a job back from a server gone silent while another could still answer in time, or one that hangs for
-    /// unusually long past its target time where a late answer earns nothing.
+    /// Takes a job back from a server gone silent while another could still answer in time, or one that hangs
+    /// for unusually long past its target time where a late answer earns nothing.
     fn check(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let (Stage::Out(sent), Some(server)) = (job.stage, self.servers.get(&job.server)) else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,8 @@
 
 pub(crate) struct Job {
     pub(crate) arrival: Arrival,
+    /// What it takes of its plan's quota.
+    pub(crate) cost: f64,
     pub(crate) stage: Stage,
     /// When an answer is wanted.
     pub(crate) target: Moment,
@@ -57,6 +59,7 @@
     pub(crate) position: u64,
     pub(crate) waiting: VecDeque<JobId>,
     pub(crate) window: u64,
+    pub(crate) began: Moment,
     /// Units used through this gateway in the window, or relays out; and how many of them the count was told.
     pub(crate) used: f64,
     pub(crate) told: f64,
@@ -90,7 +93,6 @@
 pub(crate) struct Counter {
     /// Share of late calls that failed.
     pub(crate) failed: f64,
-    pub(crate) tried: Moment,
     /// How long calls take of late, in seconds.
     pub(crate) usual: f64,
     pub(crate) out: f64,
@@ -102,10 +104,19 @@
 #[derive(Default)]
 pub(crate) struct Pool {
     pub(crate) waiting: Vec<JobId>,
-    pub(crate) draw: Option<(CountName, f64, Vec<Arrival>)>,
+    pub(crate) draw: Option<(CountName, f64, Vec<JobId>)>,
 }
 
 impl Server {
+    /// Slow or turned away, from any cause: it gets less, but is not cut twice for one backlog. Below one
+    /// relay at a time it rests between relays.
+    pub(crate) fn cut(&mut self, to: f64, now: Moment, apart: f64, least: f64) {
+        if now.since(self.cut).secs() > apart {
+            self.bound = (self.bound * to).max(least);
+            self.cut = now;
+        }
+    }
+
     pub(crate) fn ready(&self) -> bool {
         self.entry.standing == Standing::Ready
     }
