--- a/src/choice.rs
+++ b/src/choice.rs
@@ -219,7 +219,7 @@
         (index, Moment::from_micros(index.saturating_mul(length).saturating_sub(phase)))
     }
 
-    /// What a customer may have used by now: the window's units come in evenly, as use ahead of them is beyond
+    /// What a customer may have used by now: the window's units come in evenly, as use before is beyond
     /// the quota. Before the last window is known, a whole window's.
     fn allowance(&self, customer: &Customer) -> f64 {
         let plan = &self.deployment.plans[customer.plan];
