--- a/crates/benchlink/src/launch.rs
+++ b/crates/benchlink/src/launch.rs
@@ -9,7 +9,6 @@
 struct Params {
     balancers: u32,
     self_index: u32,
-    my_zone: u16,
     tick: u64,
     discovery: String,
     services: Vec<Service>,
@@ -46,7 +45,6 @@
 #[serde(default)]
 struct Extra {
     has_counter: bool,
-    max_units: f64,
 }
 
 #[derive(Deserialize, Default)]
@@ -73,7 +71,6 @@
         Self {
             balancers: 1,
             self_index: 0,
-            my_zone: 0,
             tick: 1_000,
             discovery: String::new(),
             services: Vec::new(),
@@ -97,12 +94,10 @@
     Ok(Deployment {
         gateways: params.balancers.max(1),
         own_index: params.self_index,
-        own_zone: params.my_zone,
         tick: Span::from_micros(params.tick),
         bands: params.services.iter().map(band).collect(),
         plans: params.tariffs.iter().map(plan).collect(),
         has_counter: params.extra.has_counter,
-        most_units: params.extra.max_units,
         may_withdraw: params.caps.may_cancel,
         most_relays: params.caps.attempts_cap.max(1),
         longest_hold_off: params.caps.retry_after.then(|| Span::from_micros(params.caps.max_retry_after)),
--- a/src/host.rs
+++ b/src/host.rs
@@ -30,13 +30,11 @@
 pub struct Deployment {
     pub gateways: u32,
     pub own_index: u32,
-    pub own_zone: u16,
     /// How often the host can act at most.
     pub tick: Span,
     pub bands: Vec<Band>,
     pub plans: Vec<Plan>,
     pub has_counter: bool,
-    pub most_units: f64,
     pub may_withdraw: bool,
     pub most_relays: u8,
     /// The longest wait that clients take as advice; none where they take no advice.
