--- a/src/choice.rs
+++ b/src/choice.rs
@@ -663,7 +663,8 @@
         let least = (LEAST / f64::from(self.deployment.gateways)).min(1.0);
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = (server.out - 1.0).max(0.0);
-        server.rested = now + end.took.times((1.0 / server.bound - 1.0).max(0.0));
+        let rest = took * (1.0 / server.bound - 1.0).max(0.0);
+        server.rested = now + Span::from_secs(rest);
         match end.fate {
             Fate::Satisfied => {
                 server.gap += 0.1 * (now.since(server.heard).secs() - server.gap);
@@ -682,7 +683,8 @@
                 }
             }
             Fate::Full => {
-                server.heard = now;
+                // A server that turns all away at once, from any cause, would look idle and draw all jobs.
+                server.failing += 0.1 * (1.0 - server.failing);
                 server.cut(0.7, now, self.usual, least);
             }
             Fate::Error | Fate::Reset | Fate::ConnectFailed | Fate::TimedOut => {
