--- a/src/choice.rs
+++ b/src/choice.rs
@@ -238,12 +238,12 @@
             return;
         };
         // A window of which no total was heard is taken to have gone elsewhere as it did here.
-        let heard = customer.total > 0.0;
-        let seen = if heard { customer.total } else { customer.used * customer.set_size };
-        let most = plan.in_window() + customer.carried.unwrap_or(plan.burst);
+        let heard = Some(customer.total).filter(|total| *total > 0.0);
+        let seen = heard.unwrap_or(customer.used * customer.set_size);
+        let most = plan.in_window() + customer.carried.unwrap_or(plan.burst / 2.0);
         // A window that this gateway took no part in is known only once it is looked up.
         let known = plan.by_rate() && customer.window.wrapping_add(1) == window;
-        customer.last = if known { (most, seen) } else { (plan.in_window() + plan.burst, 0.0) };
+        customer.last = if known { (most, seen) } else { (plan.in_window() + plan.burst / 2.0, 0.0) };
         customer.carried = known.then(|| (most - seen).clamp(0.0, plan.burst.max(0.0)));
         // Relays out last over a window's end: they are told again to its new count.
         if plan.by_rate() {
@@ -532,8 +532,7 @@
             }
         }
         let Some(server) = self.choose(id) else {
-            const PRESSED: Span = Span::from_millis(1_000);
-            self.pressed_until = self.now + PRESSED;
+            self.pressed_until = self.now + POOL_WINDOW;
             self.backlog.push_back(id);
             return self.host.wake(latest.since(self.now), id);
         };
@@ -565,6 +564,7 @@
     fn choose(&mut self, id: JobId) -> Option<ServerId> {
         /// How far above the even part a server's relays may go before the next in rank is taken.
         const UNEVEN: f64 = 1.25;
+        /// Some usual answers apart; jobs that may not run again are risked a quarter as often.
         const TRIAL: Span = Span::from_millis(500);
         let job = self.jobs.get(&id)?;
         let (now, usual, cold) = (self.now, self.usual, self.deployment.cold);
@@ -583,7 +583,7 @@
         let origin = job.may_have_run.and_then(|(since, id)| Some((since, self.servers.get(&id)?.entry)));
         let allowed = |to: &Entry| match (repeat, origin) {
             (_, None) | (Repeat::Pure, _) => true,
-            (Repeat::Effectful, Some(_)) => false,
+            (Repeat::Effectful, _) => false,
             (Repeat::Receipted(group, window), Some((since, from))) => {
                 let zone = group == Group::Zone && to.zone == from.zone;
                 let same = zone || group == Group::All || (group == Group::Cell && to.cell == from.cell);
@@ -595,12 +595,13 @@
             if !allowed(&server.entry) || (job.relays > 0 && job.server == id) {
                 continue;
             }
-            let part = server.entry.rating / rating.max(server.entry.rating);
-            let even = (UNEVEN * (out + 1.0) * part).ceil();
+            let own = server.entry.rating;
+            let even = (UNEVEN * (out + 1.0) * own / rating.max(own)).ceil();
             if server.unwell(now, usual) {
                 // One relay at a time shows if it is well again, the more seldom the more failed.
-                let rest = TRIAL.times(1.0 / (1.0 - server.failing).max(0.05));
-                if server.out > 0.0 || now.since(server.tried) < rest || repeat != Repeat::Pure {
+                let rest = if repeat.is_free() { TRIAL } else { TRIAL.times(4.0) };
+                let rest = rest.times(1.0 / (1.0 - server.failing).max(0.05));
+                if server.out > 0.0 || now.since(server.tried) < rest {
                     continue;
                 }
             } else if server.out >= even.min(server.bound.max(1.0)) || now < server.rested {
@@ -612,8 +613,7 @@
                 // back for slower machines and uneven work; a burst of half the span counts on top.
                 const KEPT_BACK: f64 = 0.5;
                 let warmth = cold.share + (1.0 - cold.share) * age.secs() / cold.warm_after.secs().max(0.001);
-                let each = carried / warm.max(0.001) * server.entry.rating;
-                let rate = KEPT_BACK * cold.fall_multiple * warmth * each;
+                let rate = KEPT_BACK * cold.fall_multiple * warmth * carried / warm.max(0.001) * own;
                 let left = server.push.0 - rate * now.since(server.push.1).secs();
                 server.push = (left.max(0.0), now);
                 let most = rate * cold.fall_span.secs() / 2.0;
@@ -621,8 +621,7 @@
                     continue;
                 }
             }
-            let rank = hashed(&[job.arrival.customer, u64::from(id)]);
-            best = best.max(Some((rank, id)));
+            best = best.max(Some((hashed(&[job.arrival.customer, u64::from(id)]), id)));
         }
         best.map(|best| best.1)
     }
@@ -630,9 +629,9 @@
     /// How a relay ended.
     pub fn relay_ended(&mut self, now: Moment, end: RelayEnd) {
         self.now = now;
-        let job = self.jobs.get(&end.job).map(|job| &job.arrival);
-        let units = job.map_or(1.0, |job| job.units);
-        let target = job.map_or(1.0, |job| self.deployment.bands[job.band].target.secs());
+        let job = self.jobs.get(&end.job).map(|job| (job.arrival.units, job.arrival.band));
+        let (units, target) =
+            job.map_or((1.0, 1.0), |job| (job.0, self.deployment.bands[job.1].target.secs()));
         self.learn(&end, units, target);
         if let Some(job) = self.jobs.get_mut(&end.job) {
             let Stage::Out(sent) = job.stage else { return self.work_off() };
@@ -663,13 +662,12 @@
         let least = (LEAST / f64::from(self.deployment.gateways)).min(1.0);
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = (server.out - 1.0).max(0.0);
-        let rest = took * (1.0 / server.bound - 1.0).max(0.0);
-        server.rested = now + Span::from_secs(rest);
+        server.rested = now + end.took.times((1.0 / server.bound - 1.0).max(0.0));
         match end.fate {
             Fate::Satisfied => {
                 server.gap += 0.1 * (now.since(server.heard).secs() - server.gap);
                 server.heard = now;
-                server.failing *= 0.9;
+                server.failing *= 0.8;
                 server.carried = (decayed(server.carried, now) + units / CARRIED_OVER, now);
                 self.usual += 0.02 * (took - self.usual);
                 // Slow answers, whatever slows them, cut what it gets: a server driven hard stays slow.
@@ -688,7 +686,7 @@
                 server.cut(0.7, now, self.usual, least);
             }
             Fate::Error | Fate::Reset | Fate::ConnectFailed | Fate::TimedOut => {
-                server.failing += 0.3 * (1.0 - server.failing);
+                server.failing += 0.2 * (1.0 - server.failing);
             }
             Fate::Withdrawn | Fate::Moot => {}
         }
--- a/tests/found.rs
+++ b/tests/found.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use fennelgauge::host::*;
+use std::collections::BTreeMap;
 
 fn count_of(acts: &[Act]) -> Option<(CountName, f64)> {
     acts.iter().find_map(|act| if let Act::Add(name, amount) = act { Some((*name, *amount)) } else { None })
@@ -101,3 +102,60 @@
         assert_eq!(notes.take().contains(&Act::Withdraw(1, 0)), taken_back);
     }
 }
+
+/// Eleven gateways each began with four relays a server and together gave it more than it could work off.
+#[test]
+fn what_a_server_gets_at_first_is_divided_by_the_gateways() {
+    for (gateways, most) in [(2, 6), (12, 1)] {
+        let mut deployment = Deployment { gateways, ..deployment() };
+        deployment.plans[0] = Plan::default();
+        let (mut gateway, notes) = gateway(deployment, 1);
+        (0..20).for_each(|job| gateway.job_arrived(at(10), arrival(job, 0, 0, 1.0, at(2_000))));
+        assert_eq!(notes.take().iter().filter(|act| matches!(act, Act::Relay(..))).count(), most);
+    }
+}
+
+/// A server that turned all away at once looked idle and drew most of the relays.
+#[test]
+fn a_server_that_turns_all_away_draws_no_relays() {
+    let mut deployment = deployment();
+    deployment.plans[0] = Plan::default();
+    let (mut gateway, notes) = gateway(deployment, 4);
+    let mut sent = 0;
+    for job in 0..200 {
+        gateway.job_arrived(at(job * 20), arrival(job, 0, 0, 1.0, at(job * 20 + 2_000)));
+        while let Some(server) = relayed(&notes.take()) {
+            let fate = if server == 0 { Fate::Full } else { Fate::Satisfied };
+            sent += usize::from(server == 0);
+            gateway.relay_ended(at(job * 20 + 1), end(job, server, fate, 1));
+        }
+    }
+    assert!(sent < 40, "{sent}");
+}
+
+/// A window's units were all to be had at its start, ahead of what the quota had filled.
+#[test]
+fn the_units_of_a_window_come_in_evenly() {
+    let (mut gateway, notes) = gateway(deployment(), 4);
+    let mut sent = 0.0;
+    let mut totals = BTreeMap::new();
+    for job in 0..1_000 {
+        gateway.job_arrived(at(job * 10), arrival(job, 0, 0, 1.0, at(job * 10 + 200)));
+        for act in notes.take() {
+            match act {
+                Act::Add(name, amount) => {
+                    let total = totals.entry(name).or_insert(0.0);
+                    *total += amount;
+                    gateway.counted(at(job * 10), name, Some(*total), Fate::Satisfied);
+                }
+                Act::Relay(job, server, _) => {
+                    sent += 1.0;
+                    gateway.relay_ended(at(job * 10), end(job, server, Fate::Satisfied, 1));
+                }
+                _ => {}
+            }
+        }
+    }
+    let plan = &deployment().plans[0];
+    assert!(sent <= plan.burst + plan.rate * 10.0 + 6.0, "{sent}");
+}
