--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,9 @@
     usual: f64,
     /// How many units answered jobs have of late.
     units: f64,
+    /// How long usual jobs' answers take, in target times: of late, and at their quickest.
+    pace: f64,
+    calm: f64,
     /// Further relays that may still be made; earned by first ones.
     spare_relays: f64,
     pressed_until: Moment,
@@ -116,6 +119,8 @@
             pool: Pool::default(),
             usual: target / 6.0,
             units: 1.0,
+            pace: 0.12,
+            calm: 0.12,
             spare_relays: 5.0,
             pressed_until: now,
         }
@@ -674,9 +679,16 @@
                 // Work goes by units where they differ, so a large job's answer is no slower for its size.
                 self.units += 0.02 * (units - self.units);
                 let slow = took / target * self.units / units.max(NOTHING);
-                if slow > 0.15 {
+                // Slow is told by the pace of servers that get the least already, kept within a safe range.
+                self.pace += 0.02 * (slow - self.pace);
+                if server.bound <= least {
+                    self.calm += 0.002 * (slow - self.calm);
+                }
+                self.calm = self.calm.min(self.pace).clamp(0.12, 0.25);
+                let calm = self.calm;
+                if slow > 1.25 * calm {
                     server.cut(0.8, now, 0.2 * target, least);
-                } else if slow < 0.09 && server.out + 2.0 > server.bound {
+                } else if slow < 0.75 * calm && server.out + 2.0 > server.bound {
                     server.bound += (1.0 / server.bound).min(server.bound / 4.0);
                 }
             }
@@ -725,6 +737,7 @@
         let arrival = job.arrival;
         let Some(customer) = self.customers.get_mut(&arrival.customer) else { return };
         customer.waiting.retain(|waiting| *waiting != id);
+        self.backlog.retain(|waiting| *waiting != id);
         let plan = &self.deployment.plans[customer.plan];
         if job.stage == Stage::Held || plan.in_window() <= 0.0 {
             return;
