Judge slowness by the pace of unhurried servers; clear the backlog of ended jobs

Would harm where a fleet is overdriven from outside for long: its pace is then learned as calm, within the range.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,8 +40,7 @@
     usual: f64,
     /// How many units answered jobs have of late.
     units: f64,
-    /// How long usual jobs' answers take, in target times: of late, and at their quickest.
-    pace: f64,
+    /// How long answers to usual jobs take of an unhurried server, in target times.
     calm: f64,
     /// Further relays that may still be made; earned by first ones.
     spare_relays: f64,
@@ -119,7 +118,6 @@
             pool: Pool::default(),
             usual: target / 6.0,
             units: 1.0,
-            pace: 0.12,
             calm: 0.12,
             spare_relays: 5.0,
             pressed_until: now,
@@ -210,7 +208,6 @@
         by - Span::from_secs(self.usual * SLACK).min(most)
     }
 
-    /// A job that is still held.
     fn held(&self, id: JobId) -> Option<&Job> {
         self.jobs.get(&id).filter(|job| job.stage == Stage::Held)
     }
@@ -483,7 +480,6 @@
 
     /// Judges held jobs by this gateway's own share of the allowance, while the counter is not to be had.
     fn judge_alone(&mut self, id: CustomerId) {
-        const AGAIN: Span = Span::from_millis(100);
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
         let share = self.allowance(customer) / customer.set_size;
@@ -494,11 +490,10 @@
         let room = if plan.by_rate() { share } else { share.floor() + extra } - customer.used;
         let jobs: Vec<JobId> = customer.waiting.iter().copied().collect();
         if self.grant_from(room, &jobs).is_some() {
-            self.host.wake(AGAIN, CUSTOMER_MARK + id);
+            self.host.wake(Span::from_secs(self.usual), CUSTOMER_MARK + id);
         }
     }
 
-    /// A held job has room in its quota.
     fn grant(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.stage = Stage::Cleared;
@@ -511,7 +506,7 @@
 
     /// Sends a cleared job on, if its customer's ceiling and some server have room for it.
     fn dispatch(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(job) = self.jobs.get(&id).filter(|job| job.stage == Stage::Cleared) else { return };
         let (arrival, first) = (job.arrival, job.relays == 0);
         let latest = self.latest(job);
         let tick = self.deployment.tick;
@@ -659,7 +654,6 @@
         self.work_off();
     }
 
-    /// Takes what a relay's end tells of its server.
     fn learn(&mut self, end: &RelayEnd, units: f64, target: f64) {
         let (now, took) = (self.now, end.took.secs());
         // About as many relays as a small machine has cores keep it at work, however slow its answers.
@@ -680,15 +674,12 @@
                 self.units += 0.02 * (units - self.units);
                 let slow = took / target * self.units / units.max(NOTHING);
                 // Slow is told by the pace of servers that get the least already, kept within a safe range.
-                self.pace += 0.02 * (slow - self.pace);
                 if server.bound <= least {
-                    self.calm += 0.002 * (slow - self.calm);
+                    self.calm = (self.calm + 0.002 * (slow - self.calm)).clamp(0.12, 0.18);
                 }
-                self.calm = self.calm.min(self.pace).clamp(0.12, 0.25);
-                let calm = self.calm;
-                if slow > 1.25 * calm {
+                if slow > 1.25 * self.calm {
                     server.cut(0.8, now, 0.2 * target, least);
-                } else if slow < 0.75 * calm && server.out + 2.0 > server.bound {
+                } else if slow < 0.75 * self.calm && server.out + 2.0 > server.bound {
                     server.bound += (1.0 / server.bound).min(server.bound / 4.0);
                 }
             }
@@ -706,13 +697,10 @@
 
     /// Sends on what waits for a server, as far as there is room.
     fn work_off(&mut self) {
-        let cleared = |job: Option<&Job>| job.is_some_and(|job| job.stage == Stage::Cleared);
         while let Some(id) = self.backlog.pop_back() {
-            if cleared(self.jobs.get(&id)) {
-                self.dispatch(id);
-                if cleared(self.jobs.get(&id)) {
-                    return;
-                }
+            self.dispatch(id);
+            if self.backlog.back() == Some(&id) {
+                return;
             }
         }
     }
@@ -734,8 +722,7 @@
 
     fn forget(&mut self, id: JobId) {
         let Some(job) = self.jobs.remove(&id) else { return };
-        let arrival = job.arrival;
-        let Some(customer) = self.customers.get_mut(&arrival.customer) else { return };
+        let Some(customer) = self.customers.get_mut(&job.arrival.customer) else { return };
         customer.waiting.retain(|waiting| *waiting != id);
         self.backlog.retain(|waiting| *waiting != id);
         let plan = &self.deployment.plans[customer.plan];
@@ -748,8 +735,8 @@
         }
         if !plan.by_rate() {
             customer.shut = self.now;
-            self.roll(arrival.customer);
-            self.ask(arrival.customer);
+            self.roll(job.arrival.customer);
+            self.ask(job.arrival.customer);
         }
     }
 
