--- a/tests/found.rs
+++ b/tests/found.rs
@@ -122,8 +122,9 @@
     deployment.plans[0] = Plan::default();
     let (mut gateway, notes) = gateway(deployment, 4);
     let mut sent = 0;
-    for job in 0..200 {
-        gateway.job_arrived(at(job * 20), arrival(job, 0, 0, 1.0, at(job * 20 + 2_000)));
+    for job in 0..400 {
+        let arrival = Arrival { customer: job % 50, ..arrival(job, 0, 0, 1.0, at(job * 20 + 2_000)) };
+        gateway.job_arrived(at(job * 20), arrival);
         while let Some(server) = relayed(&notes.take()) {
             let fate = if server == 0 { Fate::Full } else { Fate::Satisfied };
             sent += usize::from(server == 0);
@@ -159,3 +160,23 @@
     let plan = &deployment().plans[0];
     assert!(sent <= plan.burst + plan.rate * 10.0 + 6.0, "{sent}");
 }
+
+/// Where idle servers take a fifth of the target time, every answer counted as slow and each server got the least.
+#[test]
+fn servers_of_a_slow_kind_are_not_cut_for_their_pace() {
+    let mut deployment = Deployment { gateways: 12, ..deployment() };
+    deployment.plans[0] = Plan::default();
+    let (mut gateway, notes) = gateway(deployment, 1);
+    let mut last = 0;
+    for job in 0..4_000 {
+        let (now, took) = (job * 200, [60, 94, 102][job as usize / 4 % 3]);
+        gateway.job_arrived(at(now), arrival(job, 0, 0, 1.0, at(now + 190)));
+        for act in notes.take() {
+            if let Act::Relay(id, server, _) = act {
+                last += usize::from(job >= 3_500);
+                gateway.relay_ended(at(now + took), end(id, server, Fate::Satisfied, took));
+            }
+        }
+    }
+    assert!(last > 450, "{last}");
+}
