--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,7 +5,7 @@
 use crate::chance::{hashed, Chance};
 use crate::host::{Arrival, CountName, CustomerId, Deployment, Entry, Fate, Group, Host, JobId};
 use crate::host::{Plan, RelayEnd, Repeat, ServerId, Standing};
-use crate::state::{Ask, Counter, Customer, Job, Pool, Server, Stage};
+use crate::state::{Ask, Counter, Customer, Job, Pool, Server, Stage, Step};
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -16,6 +16,7 @@
 /// Marks of timers: a job's is its id, which is below this; a customer's is its id above this.
 const CUSTOMER_MARK: u64 = 1 << 52;
 const POOL_MARK: u64 = u64::MAX;
+const CALLS_MARK: u64 = u64::MAX - 1;
 /// Relays at a server, and calls, that all gateways begin with in all: what a small machine works on at once.
 const FEW: f64 = 12.0;
 /// Counts hold sums of rounded figures; less than this is no difference.
@@ -36,6 +37,8 @@
     callers: BTreeMap<CountName, CustomerId>,
     counter: Counter,
     pool: Pool,
+    /// The share of late asks that found room at once, by plan.
+    room: Vec<f64>,
     /// How long answers take of late, in seconds.
     usual: f64,
     /// How many units answered jobs have of late.
@@ -53,18 +56,26 @@
         self.by_rate() && self.over_share > 0.0 && self.over_cost <= 0.0
     }
 
+    fn limited(&self) -> bool {
+        self.by_rate() || self.relays_out > 0.0
+    }
+
     /// Half of what fills the burst, so that an unused window leaves the whole burst; a second at least.
-    /// A plan by relays out has no windows; its counts begin anew so that what a dead gateway held is let go.
     fn window(&self) -> Span {
-        const ANEW: f64 = 10.0;
         const LONGEST: Span = Span::from_millis(20_000);
-        let length = if self.by_rate() { self.burst / self.rate / 2.0 } else { ANEW };
+        let length = if self.by_rate() { self.burst / self.rate / 2.0 } else { 0.0 };
         Span::from_secs(length).clamp(POOL_WINDOW, LONGEST)
     }
 
     fn in_window(&self) -> f64 {
-        let relays_out = if self.by_rate() { 0.0 } else { self.relays_out };
-        relays_out + self.rate * self.window().secs()
+        self.rate * self.window().secs()
+    }
+
+    /// A count that holds this much more also holds what the burst lacked at the window's start.
+    fn mark(&self) -> f64 {
+        // Far above what a window's jobs add up to, and little enough for seven digits to tell units apart.
+        const FAR: f64 = 256.0;
+        FAR * (self.burst + self.in_window())
     }
 }
 
@@ -104,6 +115,7 @@
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
         let (chance, gateways) = (Chance::new(seed, deployment.own_index), deployment.gateways);
         let usual = (deployment.tick.secs() * 4.0).max(0.005);
+        let room = vec![0.5; deployment.plans.len()];
         Self {
             host,
             deployment,
@@ -116,6 +128,7 @@
             callers: BTreeMap::new(),
             counter: Counter { usual, bound: FEW / f64::from(gateways), ..Counter::default() },
             pool: Pool::default(),
+            room,
             usual: target / 6.0,
             units: 1.0,
             calm: 0.12,
@@ -168,13 +181,10 @@
             return self.host.forfeit(id);
         };
         let target = now + band.target;
-        let (limited, cost) = (plan.in_window() > 0.0, plan.cost(&arrival));
-        let (own, gateways) =
-            (u64::from(self.deployment.own_index), u64::from(self.deployment.gateways.max(1)));
+        let (limited, cost) = (plan.limited(), plan.cost(&arrival));
         let customer = self.customers.entry(arrival.customer).or_insert_with(|| Customer {
             plan: arrival.plan,
             set_size: f64::from(arrival.set_size.max(1)),
-            position: (own + gateways - u64::from(arrival.set_first) % gateways) % gateways,
             // After a restart the own share of the ceiling may be spent already, so it starts empty.
             ceiling: (0.0, now),
             ..Customer::default()
@@ -221,16 +231,28 @@
         (index, Moment::from_micros(index.saturating_mul(length).saturating_sub(phase)))
     }
 
-    /// What a customer may have used by now: the window's units come in evenly, as use before is beyond
-    /// the quota. Before the last window is known, a whole window's.
-    fn allowance(&self, customer: &Customer) -> f64 {
-        let plan = &self.deployment.plans[customer.plan];
-        match customer.carried {
-            Some(carried) => carried + plan.rate * self.now.since(customer.began).secs(),
-            None => plan.in_window(),
+    /// Units a second and at once. Relays out make room as answers come, so a cap on them is a pace as well.
+    fn pace(&self, plan: &Plan) -> (f64, f64) {
+        if plan.by_rate() {
+            (plan.rate, plan.burst)
+        } else {
+            (plan.relays_out / self.usual.max(0.001), plan.relays_out)
         }
     }
 
+    /// When a customer's allowance reaches a total. The window's units come in evenly, as use before is beyond
+    /// the quota. Half of the burst is there at first, or what the count itself tells was left of it.
+    fn turn(&self, customer: &Customer, total: f64) -> Moment {
+        let plan = &self.deployment.plans[customer.plan];
+        let (rate, burst) = self.pace(plan);
+        let at_first = match plan.by_rate() {
+            true if total >= plan.mark() => plan.mark() + burst,
+            true => burst / 2.0,
+            false => burst,
+        };
+        customer.began + Span::from_secs((total - at_first) / rate)
+    }
+
     /// Brings a customer's records into the present window.
     fn roll(&mut self, id: CustomerId) {
         let Some(plan) = self.customers.get(&id).map(|customer| customer.plan) else { return };
@@ -239,75 +261,83 @@
         let Some(customer) = self.customers.get_mut(&id).filter(|known| known.window != window) else {
             return;
         };
-        // A window of which no total was heard is taken to have gone elsewhere as it did here.
-        let heard = Some(customer.total).filter(|total| *total > 0.0);
-        let seen = heard.unwrap_or(customer.used * customer.set_size);
-        let most = plan.in_window() + customer.carried.unwrap_or(plan.burst / 2.0);
-        // A window that this gateway took no part in is known only once it is looked up.
-        let known = plan.by_rate() && customer.window.wrapping_add(1) == window;
-        customer.last = if known { (most, seen) } else { (plan.in_window() + plan.burst / 2.0, 0.0) };
-        customer.carried = known.then(|| (most - seen).clamp(0.0, plan.burst.max(0.0)));
-        // Relays out last over a window's end: they are told again to its new count.
-        if plan.by_rate() {
-            customer.used = 0.0;
+        let heard = if customer.window.wrapping_add(1) == window { customer.total } else { 0.0 };
+        customer.unused = (plan.in_window() - heard).max(0.0);
+        (customer.used, customer.told, customer.total) = (0.0, 0.0, 0.0);
+        (customer.window, customer.began) = (window, began);
+        // Who awaits a turn past the old window's end is counted in the new one.
+        for job in &customer.waiting {
+            if let Some(job) = self.jobs.get_mut(job).filter(|job| matches!(job.stage, Stage::Counted(_))) {
+                job.stage = Stage::Held;
+            }
         }
-        (customer.told, customer.total, customer.lent) = (0.0, 0.0, 0.0);
-        (customer.window, customer.began, customer.shut) = (window, began, self.now);
     }
 
     /// Carries the units of a customer's held jobs to its count, one call at a time.
     fn ask(&mut self, id: CustomerId) {
-        let now = self.now;
-        if !self.deployment.has_counter || self.counter.failed > MOSTLY {
-            self.judge_alone(id);
-            if !self.deployment.has_counter {
-                return;
-            }
+        if !self.deployment.has_counter {
+            return self.judge_alone(id);
         }
+        let now = self.now;
         let Some(customer) = self.customers.get(&id).filter(|known| known.ask.is_none()) else { return };
         let plan = &self.deployment.plans[customer.plan];
-        let most = if plan.by_rate() { plan.burst } else { plan.relays_out };
-        let (mut asked, mut jobs) = (0.0, Vec::new());
-        let open = now >= customer.shut;
-        for job in customer.waiting.iter().filter(|_| open).filter_map(|job| self.held(*job)) {
-            if asked > 0.0 && asked + job.cost > most {
-                break;
+        let (most, keep) = (self.pace(plan).1, plan.window().times(3.0).min(Span::from_millis(60_000)));
+        let untold = customer.used - customer.told;
+        let (mut asked, mut jobs, mut vain) = (0.0, Vec::new(), Vec::new());
+        for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
+            let total = customer.total + untold + asked + job.cost;
+            let turn = self.turn(customer, total).max(customer.shut);
+            if turn > self.latest(job) {
+                vain.push((job.arrival.job, turn));
+            } else if now >= customer.shut && (asked <= 0.0 || asked + job.cost <= most) {
+                asked += job.cost;
+                jobs.push((job.arrival.job, job.cost));
             }
-            asked += job.cost;
-            jobs.push(job.arrival.job);
         }
+        let (name, window) = (hashed(&[id, customer.window, 0]), customer.window);
+        self.turn_away(vain);
         // What was asked for and not used is taken back even when shut: else other gateways see no room.
-        let amount = customer.used - customer.told + asked;
+        let amount = untold + asked;
         if jobs.is_empty() && amount > -NOTHING {
-            return self.hold(id);
+            return;
         }
-        let name = hashed(&[id, customer.window, 0]);
-        let keep = plan.window().times(3.0).min(Span::from_millis(60_000));
+        let may_call = self.may_call();
         let Some(customer) = self.customers.get_mut(&id) else { return };
         // A counter slow or full, from any cause, must not drown in calls: past a bound they wait, and later
-        // calls carry more. The jobs are judged alone if that takes unusually long.
-        if self.counter.out < self.counter.bound {
-            customer.ask = Some(Ask { jobs, amount, window: customer.window, total: None, sent: now });
+        // calls carry more. The jobs are judged alone if that takes long.
+        if may_call {
+            customer.ask = Some(Ask { jobs, amount, window, step: Step::Count, sent: now });
             self.call(name, id, amount, keep);
-        } else {
-            if customer.queued.is_none() {
-                customer.queued = Some(now);
-                self.counter.queue.push_back(id);
+        } else if customer.queued.is_none() {
+            customer.queued = Some(now);
+            self.counter.queue.push_back(id);
+            if self.counter.queue.len() == 1 {
+                self.host.wake(self.counter.rested.since(now), CALLS_MARK);
             }
+        }
+        if self.counter.failed > MOSTLY {
             return self.judge_alone(id);
         }
         self.host.wake(self.call_patience(), CUSTOMER_MARK + id);
     }
 
+    fn may_call(&self) -> bool {
+        self.counter.out < self.counter.bound.max(1.0) && self.now >= self.counter.rested
+    }
+
     fn call(&mut self, name: CountName, id: CustomerId, amount: f64, keep: Span) {
         self.callers.insert(name, id);
-        self.counter.out += 1.0;
+        let counter = &mut self.counter;
+        counter.out += 1.0;
+        // With many gateways one call at a time of each is too many: it rests between calls.
+        let rest = counter.usual * (1.0 / counter.bound - 1.0).max(0.0);
+        counter.rested = self.now.max(counter.rested) + Span::from_secs(rest);
         self.host.add(name, amount, keep);
     }
 
-    /// A call out for longer is unusually slow: the same accrual as for servers.
+    /// A call that waits for longer is unusually slow, and an answer's time can be spared for it.
     fn call_patience(&self) -> Span {
-        Span::from_secs(self.counter.usual * UNUSUAL) + self.deployment.tick
+        Span::from_secs((self.counter.usual * UNUSUAL).max(self.usual)) + self.deployment.tick
     }
 
     /// A total came back, or word that none will.
@@ -319,14 +349,26 @@
         let Some(id) = self.callers.remove(&name) else { return };
         self.counter.out -= 1.0;
         self.counter.failed += 0.3 * (f64::from(u8::from(total.is_none())) - self.counter.failed);
+        // Steps small enough that one call in some twenty fails where the counter is the narrowest place.
         self.counter.bound = match total {
-            Some(_) => self.counter.bound + 0.1 / self.counter.bound,
-            None => (self.counter.bound * 0.7).max(1.0),
+            Some(_) => self.counter.bound + (0.1 / self.counter.bound).min(self.counter.bound * 0.02),
+            None => (self.counter.bound * 0.7).max(0.01),
         };
         self.roll(id);
-        self.answered(id, name, total, fate);
-        while self.counter.out < self.counter.bound {
-            let Some(next) = self.counter.queue.pop_front() else { return };
+        self.answered(id, total, fate);
+        self.serve_callers();
+    }
+
+    /// Lets customers that wait for a call have it, as far as calls may be made.
+    fn serve_callers(&mut self) {
+        while let Some(&next) = self.counter.queue.front() {
+            if !self.may_call() {
+                if self.counter.out < self.counter.bound.max(1.0) {
+                    self.host.wake(self.counter.rested.since(self.now), CALLS_MARK);
+                }
+                return;
+            }
+            self.counter.queue.pop_front();
             self.roll(next);
             if let Some(customer) = self.customers.get_mut(&next) {
                 customer.queued = None;
@@ -335,101 +377,116 @@
         }
     }
 
-    fn answered(&mut self, id: CustomerId, name: CountName, total: Option<f64>, fate: Fate) {
+    fn answered(&mut self, id: CustomerId, total: Option<f64>, fate: Fate) {
         let Some(customer) = self.customers.get_mut(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
-        let Some(ask) = customer.ask.as_mut() else { return };
-        let present = ask.window == customer.window;
-        if present && name != hashed(&[id, ask.window, 0]) {
-            // The last window's count, looked up.
-            let unused = total.map_or(0.0, |total| (customer.last.0 - total.max(customer.last.1)).max(0.0));
-            customer.carried = Some(unused.min(plan.burst));
-            return self.settle(id);
-        }
-        // What may have been added counts as added: the count then says too little, never too much.
-        if present && (total.is_some() || fate == Fate::TimedOut) {
-            customer.told += ask.amount;
-        }
-        let Some(total) = total.filter(|_| present) else {
-            customer.ask = None;
+        let Some(mut ask) = customer.ask.take() else { return };
+        if ask.window != customer.window {
             return self.ask(id);
-        };
-        self.counter.usual += 0.05 * (self.now.since(ask.sent).secs() - self.counter.usual);
-        // A count below what this gateway alone added has been forgotten, for any cause: it is told anew.
-        if total < customer.told - NOTHING {
-            customer.told = total;
         }
-        if customer.total <= 0.0 && total <= ask.amount + NOTHING && plan.by_rate() {
-            // First gateway into the window: half of the last one's shortfall is lent, second by second.
-            const LENT: f64 = 0.5;
-            let shortfall = (customer.last.0 - customer.last.1).clamp(0.0, plan.in_window());
-            customer.lent = LENT * shortfall / plan.window().secs();
-        }
-        customer.total = customer.total.max(total);
-        ask.total = Some(total);
-        self.settle(id);
-    }
-
-    /// Gives the room that a total leaves to the jobs that asked, in their order.
-    fn settle(&mut self, id: CustomerId) {
-        let Some(customer) = self.customers.get_mut(&id) else { return };
-        let plan = &self.deployment.plans[customer.plan];
-        let Some(total) = customer.ask.as_ref().and_then(|ask| ask.total) else { return };
-        if total > plan.in_window() && customer.carried.is_none() && plan.by_rate() {
-            let name = hashed(&[id, customer.window.wrapping_sub(1), 0]);
-            return self.call(name, id, 0.0, POOL_WINDOW);
-        }
-        let Some(ask) = customer.ask.take() else { return };
-        let (rate, set_size) = (plan.rate, customer.set_size);
-        let allowance = self.customers.get(&id).map_or(0.0, |customer| self.allowance(customer));
-        let asked: f64 = ask.jobs.iter().filter_map(|job| self.held(*job)).map(|job| job.cost).sum();
-        let lacking = self.grant_from(allowance - (total - asked), &ask.jobs);
-        if let Some(lacking) = lacking {
-            // A plan by relays out has room once one ends anywhere: the gateways of the set take turns.
-            let turn = self.usual * set_size / allowance.max(1.0) * (0.5 + self.chance.draw());
-            let shut = self.now + Span::from_secs(if rate > 0.0 { lacking / rate } else { turn });
-            self.host.wake(shut.since(self.now), CUSTOMER_MARK + id);
-            if let Some(customer) = self.customers.get_mut(&id) {
-                customer.shut = shut;
+        let (mark, last) = (plan.mark(), hashed(&[id, ask.window.wrapping_sub(1), 0]));
+        match (ask.step, total) {
+            (Step::Count, None) => {
+                // What may have been added counts as added: the count then says too little, never too much.
+                if fate == Fate::TimedOut {
+                    customer.told += ask.amount;
+                }
+                return self.ask(id);
+            }
+            (Step::Count, Some(total)) => {
+                customer.told += ask.amount;
+                let (half, before) = (plan.burst / 2.0, total - ask.amount);
+                if before <= NOTHING && plan.by_rate() {
+                    // First gateway into the window: half of the last one's shortfall is lent.
+                    const LENT: f64 = 0.5;
+                    self.pool.lent += LENT * customer.unused;
+                }
+                let took = self.now.since(ask.sent).secs();
+                self.counter.usual += 0.05 * (took - self.counter.usual);
+                // Just one call takes the count past what is granted unseen: it looks the last window up, and
+                // adds for all what the burst lacks at the start of this one.
+                if plan.by_rate() && total < mark && total > half && before <= half {
+                    ask.step = Step::LookUp(total);
+                    customer.ask = Some(ask);
+                    return self.call(last, id, 0.0, POOL_WINDOW);
+                }
+                self.settle(id, ask, total);
             }
+            (Step::LookUp(counted), total) => {
+                let lacked = match total.unwrap_or(0.0) {
+                    total if total >= mark => total - mark - plan.in_window(),
+                    total => total - plan.burst / 2.0,
+                };
+                let lacked = mark + lacked.clamp(0.0, plan.burst.max(0.0));
+                ask.step = Step::Tell(counted + lacked);
+                let (name, keep) = (hashed(&[id, ask.window, 0]), plan.window().times(3.0));
+                customer.ask = Some(ask);
+                self.call(name, id, lacked, keep.min(Span::from_millis(60_000)));
+            }
+            (Step::Tell(counted), _) => self.settle(id, ask, counted),
         }
-        self.ask(id);
     }
 
-    /// Grants room to held jobs in their order; tells the least that one lacks.
-    fn grant_from(&mut self, mut room: f64, jobs: &[JobId]) -> Option<f64> {
-        let mut lacking: Option<f64> = None;
-        for id in jobs {
-            let Some(cost) = self.held(*id).map(|job| job.cost) else { continue };
-            if cost <= room {
-                room -= cost;
-                self.grant(*id);
+    /// Tells the jobs that asked when their turn comes, in their order; those too late for it are let go.
+    fn settle(&mut self, id: CustomerId, ask: Ask, total: f64) {
+        let now = self.now;
+        let Some(customer) = self.customers.get(&id) else { return };
+        let (plan, set_size) = (customer.plan, customer.set_size);
+        let asked: f64 = ask.jobs.iter().map(|job| job.1).sum();
+        let (mut position, mut used, mut vain, mut ready) = (total - asked, 0.0, Vec::new(), Vec::new());
+        let rate = self.pace(&self.deployment.plans[plan]).0;
+        if let Some(first) = ask.jobs.first() {
+            let room = self.turn(customer, position + first.1) <= now;
+            self.room[plan] += 0.1 * (f64::from(u8::from(room)) - self.room[plan]);
+        }
+        for &(job, cost) in &ask.jobs {
+            position += cost;
+            let Some(held) = self.held(job) else { continue };
+            let turn = self.turn(customer, position);
+            if turn > self.latest(held) {
+                vain.push((job, turn));
             } else {
-                lacking = Some(lacking.unwrap_or(f64::MAX).min(cost - room));
+                used += cost;
+                ready.push((job, turn));
             }
         }
-        lacking
+        // Each gateway of a set that asks in vain costs calls: it asks the more seldom the more often in vain,
+        // down to its even part of what comes in.
+        let vainly = ready.is_empty() && !vain.is_empty();
+        let even = asked.max(1.0) / rate;
+        let (chance, longest) = (0.5 + self.chance.draw(), self.deployment.plans[plan].window().secs());
+        let Some(customer) = self.customers.get_mut(&id) else { return };
+        customer.total = total;
+        customer.used += used;
+        if vainly {
+            customer.apart = (customer.apart * 2.0).clamp(even, even * set_size).min(longest);
+            customer.shut = now + Span::from_secs(customer.apart * chance);
+            self.host.wake(customer.shut.since(now), CUSTOMER_MARK + id);
+        } else if !ready.is_empty() {
+            customer.apart /= 2.0;
+        }
+        self.turn_away(vain);
+        for (job, turn) in ready {
+            if turn <= now {
+                self.clear(job);
+            } else if let Some(held) = self.jobs.get_mut(&job) {
+                held.stage = Stage::Counted(turn);
+                self.host.wake(turn.since(now), job);
+            }
+        }
+        self.ask(id);
     }
 
-    /// What a shut window leaves to held jobs: soft plans draw on the pool; who would wait in vain goes now.
-    fn hold(&mut self, id: CustomerId) {
-        let Some(customer) = self.customers.get(&id) else { return };
-        let plan = &self.deployment.plans[customer.plan];
-        let (mut ahead, mut vain) = (0.0, Vec::new());
-        for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
-            let turn = if plan.by_rate() { Span::from_secs(ahead / plan.rate) } else { Span::ZERO };
-            if customer.shut + turn > self.latest(job) {
-                vain.push((job.arrival.job, customer.shut + turn));
+    /// Jobs whose turn would come too late: soft plans draw on the pool, the others go now.
+    fn turn_away(&mut self, vain: Vec<(JobId, Moment)>) {
+        for (id, turn) in vain {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let soft = self.deployment.plans[job.arrival.plan].soft();
+            if soft && self.now >= self.pressed_until.max(self.pool.empty_until) {
+                job.stage = Stage::Drawing;
+                self.pool.waiting.push(id);
             } else {
-                ahead += job.cost;
-            }
-        }
-        let pooled = plan.soft() && self.now >= self.pressed_until;
-        for (job, turn) in vain {
-            if !pooled {
-                self.give_up(job, Some(turn.since(self.now)));
-            } else if !self.pool.waiting.contains(&job) {
-                self.pool.waiting.push(job);
+                self.give_up(id, Some(turn.since(self.now)));
             }
         }
         self.draw();
@@ -441,8 +498,8 @@
             return;
         }
         let waiting = std::mem::take(&mut self.pool.waiting);
-        let jobs: Vec<JobId> = waiting.into_iter().filter(|job| self.held(*job).is_some()).collect();
-        let units: f64 = jobs.iter().filter_map(|job| self.held(*job)).map(|job| job.cost).sum();
+        let jobs: Vec<JobId> = waiting.into_iter().filter(|job| self.jobs.contains_key(job)).collect();
+        let units: f64 = jobs.iter().filter_map(|job| self.jobs.get(job)).map(|job| job.cost).sum();
         if units > 0.0 {
             let name = hashed(&[self.now.micros() / POOL_WINDOW.micros(), 1]);
             self.pool.draw = Some((name, units, jobs));
@@ -455,13 +512,17 @@
         let Some((_, units, jobs)) = self.pool.draw.take() else { return };
         let mut room = total.map_or(0.0, |total| units + total.min(0.0));
         for id in jobs {
-            match self.jobs.get_mut(&id).filter(|job| job.stage == Stage::Held) {
+            match self.jobs.get_mut(&id).filter(|job| job.stage == Stage::Drawing) {
                 Some(job) if job.cost <= room => {
                     room -= job.cost;
-                    job.stage = Stage::Cleared;
-                    self.dispatch(id);
+                    self.release(id);
+                }
+                Some(_) => {
+                    // An empty pool is not asked again before the next one opens.
+                    let over = self.now.micros() / POOL_WINDOW.micros() + 1;
+                    self.pool.empty_until = Moment::from_micros(over * POOL_WINDOW.micros());
+                    self.give_up(id, None);
                 }
-                Some(_) => self.give_up(id, None),
                 None => {}
             }
         }
@@ -470,38 +531,53 @@
 
     /// Adds to the next pool what customers left unused; lent room must not reach a pressed back end.
     fn lend(&mut self) {
-        let lent: f64 = self.customers.values().map(|customer| customer.lent).sum();
+        let lent = std::mem::take(&mut self.pool.lent);
         if lent > 0.0 && self.now >= self.pressed_until && self.counter.failed <= MOSTLY {
             let next = hashed(&[self.now.micros() / POOL_WINDOW.micros() + 1, 1]);
-            self.host.add(next, lent * POOL_WINDOW.secs(), POOL_KEPT);
+            self.host.add(next, lent, POOL_KEPT);
         }
-        self.host.wake(POOL_WINDOW, POOL_MARK);
+        // Some gateways lend in each window, and each as seldom as it takes: else the pool's adds alone would
+        // crowd a counter of many gateways.
+        const LENDERS: f64 = 16.0;
+        let apart = (f64::from(self.deployment.gateways) / LENDERS).max(1.0);
+        self.host.wake(POOL_WINDOW.times(apart), POOL_MARK);
     }
 
-    /// Judges held jobs by this gateway's own share of the allowance, while the counter is not to be had.
+    /// Judges held jobs without a total: by this gateway's own share of a window; and where its asks of late
+    /// mostly found room, the first job of a customer that it knows nothing of.
     fn judge_alone(&mut self, id: CustomerId) {
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
-        let share = self.allowance(customer) / customer.set_size;
-        // Parts of a relay are had by turns of the set: if each gateway rounded up, they would pass the cap.
-        let turn = (self.now.micros() / POOL_WINDOW.micros()).wrapping_add(customer.position);
-        let part = (share.fract() * customer.set_size).round() as u64;
-        let extra = if turn % (customer.set_size as u64).max(1) < part { 1.0 } else { 0.0 };
-        let room = if plan.by_rate() { share } else { share.floor() + extra } - customer.used;
-        let jobs: Vec<JobId> = customer.waiting.iter().copied().collect();
-        if self.grant_from(room, &jobs).is_some() {
-            self.host.wake(Span::from_secs(self.usual), CUSTOMER_MARK + id);
+        let window = self.pace(plan).0 * plan.window().secs();
+        let trusted = self.room[customer.plan] > (plan.over_cost / (1.0 + plan.over_cost)).max(MOSTLY);
+        let (mut used, mut jobs) = (customer.used, Vec::new());
+        for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
+            let first = trusted && used <= 0.0 && customer.total <= 0.0;
+            if first || used + job.cost <= window / customer.set_size {
+                used += job.cost;
+                jobs.push(job.arrival.job);
+            }
+        }
+        if let Some(customer) = self.customers.get_mut(&id) {
+            customer.used = used;
         }
+        jobs.into_iter().for_each(|job| self.clear(job));
     }
 
-    fn grant(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.stage = Stage::Cleared;
+    /// A counted job's turn has come.
+    fn clear(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
         if let Some(customer) = self.customers.get_mut(&job.arrival.customer) {
-            customer.used += job.cost;
             customer.waiting.retain(|waiting| *waiting != id);
         }
-        self.dispatch(id);
+        self.release(id);
+    }
+
+    fn release(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.stage = Stage::Cleared;
+            self.dispatch(id);
+        }
     }
 
     /// Sends a cleared job on, if its customer's ceiling and some server have room for it.
@@ -725,19 +801,10 @@
         let Some(customer) = self.customers.get_mut(&job.arrival.customer) else { return };
         customer.waiting.retain(|waiting| *waiting != id);
         self.backlog.retain(|waiting| *waiting != id);
-        let plan = &self.deployment.plans[customer.plan];
-        if job.stage == Stage::Held || plan.in_window() <= 0.0 {
-            return;
-        }
-        // Units unsent, or the place of a relay that has ended, go back to the count or to the next.
-        if job.relays == 0 || !plan.by_rate() {
+        // Units counted and unsent go back to the count.
+        if job.relays == 0 && matches!(job.stage, Stage::Counted(_) | Stage::Cleared) {
             customer.used = (customer.used - job.cost).max(0.0);
         }
-        if !plan.by_rate() {
-            customer.shut = self.now;
-            self.roll(job.arrival.customer);
-            self.ask(job.arrival.customer);
-        }
     }
 
     /// The final answer to a job with no relay out: a dismissal where a retry is harmless, else a forfeit.
@@ -758,12 +825,23 @@
         self.now = now;
         if mark == POOL_MARK {
             self.lend();
+        } else if mark == CALLS_MARK {
+            self.serve_callers();
         } else if mark >= CUSTOMER_MARK {
             self.reconsider(mark - CUSTOMER_MARK);
         } else if let Some(job) = self.jobs.get(&mark) {
             let (stage, latest) = (job.stage, self.latest(job));
             match stage {
                 Stage::Out(_) => self.check(mark),
+                Stage::Counted(turn) if now >= turn => {
+                    let customer = job.arrival.customer;
+                    self.roll(customer);
+                    if self.held(mark).is_some() {
+                        self.ask(customer);
+                    } else {
+                        self.clear(mark);
+                    }
+                }
                 _ if now >= latest => self.give_up(mark, None),
                 Stage::Cleared if !self.backlog.contains(&mark) => self.dispatch(mark),
                 _ => self.host.wake(latest.since(now), mark),
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,6 +22,10 @@
 pub(crate) enum Stage {
     /// Held until the quota has room.
     Held,
+    /// Its units are on the count; room for it comes then.
+    Counted(Moment),
+    /// Draws on the pool.
+    Drawing,
     /// The quota has room; waits for the ceiling or a server.
     Cleared,
     /// A relay is out since then.
@@ -55,40 +59,45 @@
 pub(crate) struct Customer {
     pub(crate) plan: usize,
     pub(crate) set_size: f64,
-    /// This gateway's place in the set.
-    pub(crate) position: u64,
     pub(crate) waiting: VecDeque<JobId>,
     pub(crate) window: u64,
     pub(crate) began: Moment,
-    /// Units used through this gateway in the window, or relays out; and how many of them the count was told.
+    /// Units used through this gateway in the window, and how many of them the count was told.
     pub(crate) used: f64,
     pub(crate) told: f64,
-    /// The highest total heard in the window.
+    /// The latest total heard in the window.
     pub(crate) total: f64,
-    /// Room carried from the last window, once known.
-    pub(crate) carried: Option<f64>,
-    /// Allowance and total of the last window as far as known.
-    pub(crate) last: (f64, f64),
+    /// What the last window left unused, as far as known.
+    pub(crate) unused: f64,
     pub(crate) ask: Option<Ask>,
     /// Waits since then for its turn to call the counter.
     pub(crate) queued: Option<Moment>,
-    /// No room is expected before.
+    /// Not asked for before; and how far asks in vain are apart, in seconds.
     pub(crate) shut: Moment,
-    /// Units a second lent out of this window.
-    pub(crate) lent: f64,
+    pub(crate) apart: f64,
     /// Room left by this gateway's own share of the ceiling, as of a moment.
     pub(crate) ceiling: (f64, Moment),
 }
 
 /// A call to the counter that is out, and the jobs whose units it carries.
 pub(crate) struct Ask {
-    pub(crate) jobs: Vec<JobId>,
+    pub(crate) jobs: Vec<(JobId, f64)>,
     pub(crate) amount: f64,
     pub(crate) window: u64,
-    pub(crate) total: Option<f64>,
+    pub(crate) step: Step,
     pub(crate) sent: Moment,
 }
 
+/// What a call is for; with the total that it goes on from.
+#[derive(Clone, Copy)]
+pub(crate) enum Step {
+    Count,
+    /// Reads the last window's count.
+    LookUp(f64),
+    /// Tells all what the burst lacked.
+    Tell(f64),
+}
+
 #[derive(Default)]
 pub(crate) struct Counter {
     /// Share of late calls that failed.
@@ -98,11 +107,16 @@
     pub(crate) out: f64,
     /// Calls that may be out at once.
     pub(crate) bound: f64,
+    /// Rests until then where less than one call at a time is enough.
+    pub(crate) rested: Moment,
     pub(crate) queue: VecDeque<CustomerId>,
 }
 
 #[derive(Default)]
 pub(crate) struct Pool {
+    /// Units to lend.
+    pub(crate) lent: f64,
+    pub(crate) empty_until: Moment,
     pub(crate) waiting: Vec<JobId>,
     pub(crate) draw: Option<(CountName, f64, Vec<JobId>)>,
 }
