--- a/src/choice.rs
+++ b/src/choice.rs
@@ -142,9 +142,12 @@
         self.now = now;
         for mut entry in entries {
             let (usual, gateways) = (self.usual, f64::from(self.deployment.gateways));
+            let (bound, chance) = (FEW / gateways, &mut self.chance);
             let server = self.servers.entry(entry.server).or_insert_with(|| Server {
                 entry,
-                bound: FEW / gateways,
+                bound,
+                // Many gateways that start with one relay each would push a server over together.
+                rested: now + Span::from_secs(usual * (1.0 / bound - 1.0).max(0.0) * chance.draw()),
                 heard: now,
                 gap: usual,
                 ..Server::default()
@@ -552,7 +555,7 @@
         let trusted = self.room[customer.plan] > (plan.over_cost / (1.0 + plan.over_cost)).max(MOSTLY);
         let (mut used, mut jobs) = (customer.used, Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
-            let first = trusted && used <= 0.0 && customer.total <= 0.0;
+            let first = false && trusted && used <= 0.0 && customer.total <= 0.0;
             if first || used + job.cost <= window / customer.set_size {
                 used += job.cost;
                 jobs.push(job.arrival.job);
@@ -731,13 +734,15 @@
     }
 
     fn learn(&mut self, end: &RelayEnd, units: f64, target: f64) {
-        let (now, took) = (self.now, end.took.secs());
+        let (now, took, usual) = (self.now, end.took.secs(), self.usual);
         // About as many relays as a small machine has cores keep it at work, however slow its answers.
         const LEAST: f64 = 3.0;
         let least = (LEAST / f64::from(self.deployment.gateways)).min(1.0);
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = (server.out - 1.0).max(0.0);
-        server.rested = now + end.took.times((1.0 / server.bound - 1.0).max(0.0));
+        // A refusal comes at once; rested only by that, many gateways would ask again in a herd.
+        let took_of_use = if end.fate == Fate::Satisfied { end.took } else { end.took.max(Span::from_secs(usual)) };
+        server.rested = now + took_of_use.times((1.0 / server.bound - 1.0).max(0.0));
         match end.fate {
             Fate::Satisfied => {
                 server.gap += 0.1 * (now.since(server.heard).secs() - server.gap);
