--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,8 +37,6 @@
     callers: BTreeMap<CountName, CustomerId>,
     counter: Counter,
     pool: Pool,
-    /// The share of late asks that found room at once, by plan.
-    room: Vec<f64>,
     /// How long answers take of late, in seconds.
     usual: f64,
     /// How many units answered jobs have of late.
@@ -115,7 +113,6 @@
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
         let (chance, gateways) = (Chance::new(seed, deployment.own_index), deployment.gateways);
         let usual = (deployment.tick.secs() * 4.0).max(0.005);
-        let room = vec![0.5; deployment.plans.len()];
         Self {
             host,
             deployment,
@@ -128,7 +125,6 @@
             callers: BTreeMap::new(),
             counter: Counter { usual, bound: FEW / f64::from(gateways), ..Counter::default() },
             pool: Pool::default(),
-            room,
             usual: target / 6.0,
             units: 1.0,
             calm: 0.12,
@@ -264,9 +260,13 @@
         let Some(customer) = self.customers.get_mut(&id).filter(|known| known.window != window) else {
             return;
         };
-        let heard = if customer.window.wrapping_add(1) == window { customer.total } else { 0.0 };
+        let follows = customer.window.wrapping_add(1) == window;
+        let heard = if follows { customer.total } else { 0.0 };
         customer.unused = (plan.in_window() - heard).max(0.0);
-        (customer.used, customer.told, customer.total) = (0.0, 0.0, 0.0);
+        // What was judged alone is told to the next window's count if there was no call for it.
+        let told = customer.told + customer.ask.as_ref().map_or(0.0, |ask| ask.amount);
+        customer.used = if follows { (customer.used - told).max(0.0) } else { 0.0 };
+        (customer.told, customer.total) = (0.0, 0.0);
         (customer.window, customer.began) = (window, began);
         // Who awaits a turn past the old window's end is counted in the new one.
         for job in &customer.waiting {
@@ -318,7 +318,7 @@
                 self.host.wake(self.counter.rested.since(now), CALLS_MARK);
             }
         }
-        if self.counter.failed > MOSTLY {
+        if !may_call || self.counter.failed > MOSTLY {
             return self.judge_alone(id);
         }
         self.host.wake(self.call_patience(), CUSTOMER_MARK + id);
@@ -438,10 +438,6 @@
         let asked: f64 = ask.jobs.iter().map(|job| job.1).sum();
         let (mut position, mut used, mut vain, mut ready) = (total - asked, 0.0, Vec::new(), Vec::new());
         let rate = self.pace(&self.deployment.plans[plan]).0;
-        if let Some(first) = ask.jobs.first() {
-            let room = self.turn(customer, position + first.1) <= now;
-            self.room[plan] += 0.1 * (f64::from(u8::from(room)) - self.room[plan]);
-        }
         for &(job, cost) in &ask.jobs {
             position += cost;
             let Some(held) = self.held(job) else { continue };
@@ -461,6 +457,7 @@
         let Some(customer) = self.customers.get_mut(&id) else { return };
         customer.total = total;
         customer.used += used;
+        customer.ahead.0 += used;
         if vainly {
             customer.apart = (customer.apart * 2.0).clamp(even, even * set_size).min(longest);
             customer.shut = now + Span::from_secs(customer.apart * chance);
@@ -546,23 +543,22 @@
         self.host.wake(POOL_WINDOW.times(apart), POOL_MARK);
     }
 
-    /// Judges held jobs without a total: by this gateway's own share of a window; and where its asks of late
-    /// mostly found room, the first job of a customer that it knows nothing of.
+    /// Judges held jobs without a total, by this gateway's part of the pace. Where that is far below a job, one
+    /// job goes as soon as those before are made up for: together the gateways keep to the pace.
     fn judge_alone(&mut self, id: CustomerId) {
         let Some(customer) = self.customers.get(&id) else { return };
-        let plan = &self.deployment.plans[customer.plan];
-        let window = self.pace(plan).0 * plan.window().secs();
-        let trusted = self.room[customer.plan] > (plan.over_cost / (1.0 + plan.over_cost)).max(MOSTLY);
-        let (mut used, mut jobs) = (customer.used, Vec::new());
+        let (rate, burst) = self.pace(&self.deployment.plans[customer.plan]);
+        let made_up = rate / customer.set_size * self.now.since(customer.ahead.1).secs();
+        let (mut ahead, mut used, mut jobs) = ((customer.ahead.0 - made_up).max(0.0), customer.used, Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
-            let first = false && trusted && used <= 0.0 && customer.total <= 0.0;
-            if first || used + job.cost <= window / customer.set_size {
+            if ahead <= 0.0 || ahead + job.cost <= burst / customer.set_size {
+                ahead += job.cost;
                 used += job.cost;
                 jobs.push(job.arrival.job);
             }
         }
         if let Some(customer) = self.customers.get_mut(&id) {
-            customer.used = used;
+            (customer.used, customer.ahead) = (used, (ahead, self.now));
         }
         jobs.into_iter().for_each(|job| self.clear(job));
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -75,6 +75,8 @@
     /// Not asked for before; and how far asks in vain are apart, in seconds.
     pub(crate) shut: Moment,
     pub(crate) apart: f64,
+    /// Units ahead of this gateway's part of the pace, as of a moment.
+    pub(crate) ahead: (f64, Moment),
     /// Room left by this gateway's own share of the ceiling, as of a moment.
     pub(crate) ceiling: (f64, Moment),
 }
