--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,6 +17,7 @@
 const CUSTOMER_MARK: u64 = 1 << 52;
 const POOL_MARK: u64 = u64::MAX;
 const CALLS_MARK: u64 = u64::MAX - 1;
+const BACKLOG_MARK: u64 = u64::MAX - 2;
 /// Relays at a server, and calls, that all gateways begin with in all: what a small machine works on at once.
 const FEW: f64 = 12.0;
 /// Counts hold sums of rounded figures; less than this is no difference.
@@ -43,6 +44,10 @@
     units: f64,
     /// How long answers to usual jobs take of an unhurried server, in target times.
     calm: f64,
+    /// Relays out through this gateway, and how many there may be where its part of a server is below one.
+    out: f64,
+    bound: f64,
+    rested: Moment,
     /// Further relays that may still be made; earned by first ones.
     spare_relays: f64,
     pressed_until: Moment,
@@ -128,6 +133,9 @@
             usual: target / 6.0,
             units: 1.0,
             calm: 0.12,
+            out: 0.0,
+            bound: 0.0,
+            rested: now,
             spare_relays: 5.0,
             pressed_until: now,
         }
@@ -158,6 +166,9 @@
             entry.rating = if entry.rating > 0.0 { entry.rating } else { 1.0 };
             server.entry = entry;
         }
+        if self.bound <= 0.0 {
+            self.bound = FEW / 2.0 * self.servers.len() as f64 / f64::from(self.deployment.gateways);
+        }
         self.work_off();
     }
 
@@ -608,6 +619,9 @@
         }
         let Some(server) = self.choose(id) else {
             self.pressed_until = self.now + POOL_WINDOW;
+            if self.backlog.is_empty() {
+                self.host.wake(Span::from_secs(self.usual / 2.0), BACKLOG_MARK);
+            }
             self.backlog.push_back(id);
             return self.host.wake(latest.since(self.now), id);
         };
@@ -624,6 +638,7 @@
             to.heard = now;
         }
         to.out += 1.0;
+        self.out += 1.0;
         to.tried = now;
         to.push.0 += arrival.units;
         let check = to.silence_ends(usual).since(now) + tick;
@@ -642,6 +657,12 @@
         /// Some usual answers apart; jobs that may not run again are risked a quarter as often.
         const TRIAL: Span = Span::from_millis(500);
         let job = self.jobs.get(&id)?;
+        // Where this gateway's part of a server is below one relay, its relays to all of them are bounded together:
+        // each alone answers too seldom to learn by, and all might get one at once from every gateway.
+        let many = f64::from(self.deployment.gateways) > FEW;
+        if many && (self.out >= self.bound.max(1.0) || self.now < self.rested) {
+            return None;
+        }
         let (now, usual, cold) = (self.now, self.usual, self.deployment.cold);
         let repeat = self.deployment.bands[job.arrival.band].repeat;
         let (mut out, mut rating, mut warm, mut carried) = (0.0, 0.0, 0.0, 0.0);
@@ -733,12 +754,15 @@
         let (now, took, usual) = (self.now, end.took.secs(), self.usual);
         // About as many relays as a small machine has cores keep it at work, however slow its answers.
         const LEAST: f64 = 3.0;
+        const LEAST_OF_ALL: f64 = 0.25;
         let least = (LEAST / f64::from(self.deployment.gateways)).min(1.0);
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = (server.out - 1.0).max(0.0);
         // A refusal comes at once; rested only by that, many gateways would ask again in a herd.
         let took_of_use = if end.fate == Fate::Satisfied { end.took } else { end.took.max(Span::from_secs(usual)) };
         server.rested = now + took_of_use.times((1.0 / server.bound - 1.0).max(0.0));
+        self.rested = now + took_of_use.times((1.0 / self.bound - 1.0).max(0.0));
+        self.out = (self.out - 1.0).max(0.0);
         match end.fate {
             Fate::Satisfied => {
                 server.gap += 0.1 * (now.since(server.heard).secs() - server.gap);
@@ -756,14 +780,21 @@
                 }
                 if slow > 1.25 * self.calm {
                     server.cut(0.8, now, 0.2 * target, least);
-                } else if slow < 0.75 * self.calm && server.out + 2.0 > server.bound {
-                    server.bound += (1.0 / server.bound).min(server.bound / 4.0);
+                    self.bound = (self.bound * 0.9).max(LEAST_OF_ALL);
+                } else if slow < 0.75 * self.calm {
+                    if server.out + 2.0 > server.bound {
+                        server.bound += (1.0 / server.bound).min(server.bound / 4.0);
+                    }
+                    if self.out + 2.0 > self.bound {
+                        self.bound += 0.1 / self.bound.max(1.0);
+                    }
                 }
             }
             Fate::Full => {
                 // A server that turns all away at once, from any cause, would look idle and draw all jobs.
                 server.failing += 0.1 * (1.0 - server.failing);
                 server.cut(0.7, now, self.usual, least);
+                self.bound = (self.bound * 0.9).max(LEAST_OF_ALL);
             }
             Fate::Error | Fate::Reset | Fate::ConnectFailed | Fate::TimedOut => {
                 server.failing += 0.2 * (1.0 - server.failing);
@@ -828,6 +859,8 @@
             self.lend();
         } else if mark == CALLS_MARK {
             self.serve_callers();
+        } else if mark == BACKLOG_MARK {
+            self.work_off();
         } else if mark >= CUSTOMER_MARK {
             self.reconsider(mark - CUSTOMER_MARK);
         } else if let Some(job) = self.jobs.get(&mark) {
