--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,12 +38,16 @@
     callers: BTreeMap<CountName, CustomerId>,
     counter: Counter,
     pool: Pool,
+    /// The share of late asks that found room at once, by plan.
+    room: Vec<f64>,
     /// How long answers take of late, in seconds.
     usual: f64,
     /// How many units answered jobs have of late.
     units: f64,
     /// How long answers to usual jobs take of an unhurried server, in target times.
     calm: f64,
+    /// The same of all servers.
+    slow: f64,
     /// Relays out through this gateway, and how many there may be where its part of a server is below one.
     out: f64,
     bound: f64,
@@ -118,6 +122,7 @@
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
         let (chance, gateways) = (Chance::new(seed, deployment.own_index), deployment.gateways);
         let usual = (deployment.tick.secs() * 4.0).max(0.005);
+        let room = vec![0.5; deployment.plans.len()];
         Self {
             host,
             deployment,
@@ -130,9 +135,11 @@
             callers: BTreeMap::new(),
             counter: Counter { usual, bound: FEW / f64::from(gateways), ..Counter::default() },
             pool: Pool::default(),
+            room,
             usual: target / 6.0,
             units: 1.0,
             calm: 0.12,
+            slow: 0.12,
             out: 0.0,
             bound: 0.0,
             rested: now,
@@ -449,6 +456,10 @@
         let asked: f64 = ask.jobs.iter().map(|job| job.1).sum();
         let (mut position, mut used, mut vain, mut ready) = (total - asked, 0.0, Vec::new(), Vec::new());
         let rate = self.pace(&self.deployment.plans[plan]).0;
+        if let Some(first) = ask.jobs.first() {
+            let room = self.turn(customer, position + first.1) <= now;
+            self.room[plan] += 0.1 * (f64::from(u8::from(room)) - self.room[plan]);
+        }
         for &(job, cost) in &ask.jobs {
             position += cost;
             let Some(held) = self.held(job) else { continue };
@@ -560,9 +571,14 @@
         let Some(customer) = self.customers.get(&id) else { return };
         let (rate, burst) = self.pace(&self.deployment.plans[customer.plan]);
         let made_up = rate / customer.set_size * self.now.since(customer.ahead.1).secs();
+        let plan = &self.deployment.plans[customer.plan];
+        let room = self.room[customer.plan];
+        let doubt = room + (1.0 - room) * (plan.over_share - plan.over_cost) > 0.1
+            && self.now >= self.pressed_until
+            && self.now > customer.shut + plan.window();
         let (mut ahead, mut used, mut jobs) = ((customer.ahead.0 - made_up).max(0.0), customer.used, Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
-            if ahead <= 0.0 || ahead + job.cost <= burst / customer.set_size {
+            if (doubt && used <= customer.told) || ahead <= 0.0 || ahead + job.cost <= burst / customer.set_size {
                 ahead += job.cost;
                 used += job.cost;
                 jobs.push(job.arrival.job);
@@ -754,7 +770,6 @@
         let (now, took, usual) = (self.now, end.took.secs(), self.usual);
         // About as many relays as a small machine has cores keep it at work, however slow its answers.
         const LEAST: f64 = 3.0;
-        const LEAST_OF_ALL: f64 = 0.25;
         let least = (LEAST / f64::from(self.deployment.gateways)).min(1.0);
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = (server.out - 1.0).max(0.0);
@@ -780,27 +795,31 @@
                 }
                 if slow > 1.25 * self.calm {
                     server.cut(0.8, now, 0.2 * target, least);
-                    self.bound = (self.bound * 0.9).max(LEAST_OF_ALL);
                 } else if slow < 0.75 * self.calm {
                     if server.out + 2.0 > server.bound {
                         server.bound += (1.0 / server.bound).min(server.bound / 4.0);
                     }
-                    if self.out + 2.0 > self.bound {
-                        self.bound += 0.1 / self.bound.max(1.0);
-                    }
+                }
+                // One answer says little of all servers, the last ten do.
+                self.slow += 0.1 * (slow - self.slow);
+                if self.slow > 2.0 * self.calm {
+                    self.bound *= 0.97;
+                } else if self.slow < 1.5 * self.calm && self.out + 2.0 > self.bound {
+                    self.bound *= 1.03;
                 }
             }
             Fate::Full => {
                 // A server that turns all away at once, from any cause, would look idle and draw all jobs.
                 server.failing += 0.1 * (1.0 - server.failing);
                 server.cut(0.7, now, self.usual, least);
-                self.bound = (self.bound * 0.9).max(LEAST_OF_ALL);
+                self.bound *= 0.97;
             }
             Fate::Error | Fate::Reset | Fate::ConnectFailed | Fate::TimedOut => {
                 server.failing += 0.2 * (1.0 - server.failing);
             }
             Fate::Withdrawn | Fate::Moot => {}
         }
+        self.bound = self.bound.max(least * self.servers.len() as f64);
     }
 
     /// Sends on what waits for a server, as far as there is room.
