--- a/src/choice.rs
+++ b/src/choice.rs
@@ -154,6 +154,9 @@
         for mut entry in entries {
             let (usual, gateways) = (self.usual, f64::from(self.deployment.gateways));
             let (bound, chance) = (FEW / gateways, &mut self.chance);
+            // Rule 4: where a gateway's part of a cold server is below one job, all would send their first one at
+            // once: each begins as far from it as chance has it.
+            let push = (self.units * chance.draw(), now);
             let server = self.servers.entry(entry.server).or_insert_with(|| Server {
                 entry,
                 bound,
@@ -161,6 +164,7 @@
                 rested: now + Span::from_secs(usual * (1.0 / bound - 1.0).max(0.0) * chance.draw()),
                 heard: now,
                 gap: usual,
+                push,
                 ..Server::default()
             });
             if entry.standing == Standing::Gone {
@@ -169,6 +173,7 @@
             }
             if entry.started != server.entry.started {
                 server.failing = 0.0;
+                server.push = push;
             }
             entry.rating = if entry.rating > 0.0 { entry.rating } else { 1.0 };
             server.entry = entry;
