--- a/src/choice.rs
+++ b/src/choice.rs
@@ -68,9 +68,11 @@
     }
 
     /// Half of what fills the burst, so that an unused window leaves the whole burst; a second at least.
+    /// A plan by relays out has no windows; its counts begin anew so that what a dead gateway held is let go.
     fn window(&self) -> Span {
+        const ANEW: f64 = 10.0;
         const LONGEST: Span = Span::from_millis(20_000);
-        let length = if self.by_rate() { self.burst / self.rate / 2.0 } else { 0.0 };
+        let length = if self.by_rate() { self.burst / self.rate / 2.0 } else { ANEW };
         Span::from_secs(length).clamp(POOL_WINDOW, LONGEST)
     }
 
@@ -267,12 +269,12 @@
     fn turn(&self, customer: &Customer, total: f64) -> Moment {
         let plan = &self.deployment.plans[customer.plan];
         let (rate, burst) = self.pace(plan);
-        let at_first = match plan.by_rate() {
-            true if total >= plan.mark() => plan.mark() + burst,
-            true => burst / 2.0,
-            false => burst,
+        let (from, at_first) = match plan.by_rate() {
+            true if total >= plan.mark() => (customer.began, plan.mark() + burst),
+            true => (customer.began, burst / 2.0),
+            false => (self.now, burst),
         };
-        customer.began + Span::from_secs((total - at_first) / rate)
+        from + Span::from_secs((total - at_first) / rate)
     }
 
     /// Brings a customer's records into the present window.
@@ -283,20 +285,25 @@
         let Some(customer) = self.customers.get_mut(&id).filter(|known| known.window != window) else {
             return;
         };
-        let follows = customer.window.wrapping_add(1) == window;
-        let heard = if follows { customer.total } else { 0.0 };
-        customer.unused = (plan.in_window() - heard).max(0.0);
-        // What was judged alone is told to the next window's count if there was no call for it.
-        let told = customer.told + customer.ask.as_ref().map_or(0.0, |ask| ask.amount);
-        customer.used = if follows { (customer.used - told).max(0.0) } else { 0.0 };
-        (customer.told, customer.total) = (0.0, 0.0);
-        (customer.window, customer.began) = (window, began);
         // Who awaits a turn past the old window's end is counted in the new one.
+        let mut told = customer.told + customer.ask.as_ref().map_or(0.0, |ask| ask.amount);
         for job in &customer.waiting {
             if let Some(job) = self.jobs.get_mut(job).filter(|job| matches!(job.stage, Stage::Counted(_))) {
                 job.stage = Stage::Held;
+                customer.used -= job.cost;
+                told -= job.cost;
             }
         }
+        let follows = customer.window.wrapping_add(1) == window;
+        let heard = if follows { customer.total } else { 0.0 };
+        customer.unused = (plan.in_window() - heard).max(0.0);
+        // What was judged alone is told to the next window's count if there was no call for it; relays out last
+        // over a window's end.
+        if plan.by_rate() {
+            customer.used = if follows { (customer.used - told).max(0.0) } else { 0.0 };
+        }
+        (customer.told, customer.total) = (0.0, 0.0);
+        (customer.window, customer.began) = (window, began);
     }
 
     /// Carries the units of a customer's held jobs to its count, one call at a time.
@@ -857,9 +864,20 @@
         let Some(customer) = self.customers.get_mut(&job.arrival.customer) else { return };
         customer.waiting.retain(|waiting| *waiting != id);
         self.backlog.retain(|waiting| *waiting != id);
-        // Units counted and unsent go back to the count.
-        if job.relays == 0 && matches!(job.stage, Stage::Counted(_) | Stage::Cleared) {
+        // Units counted and unsent, or the place of a relay that has ended, go back to the count.
+        let plan = &self.deployment.plans[customer.plan];
+        let by_cap = plan.limited() && !plan.by_rate();
+        let counted = match job.stage {
+            Stage::Counted(_) | Stage::Cleared => by_cap || job.relays == 0,
+            Stage::Out(_) => by_cap,
+            Stage::Held | Stage::Drawing => false,
+        };
+        if counted {
             customer.used = (customer.used - job.cost).max(0.0);
+            if by_cap {
+                self.roll(job.arrival.customer);
+                self.ask(job.arrival.customer);
+            }
         }
     }
 
