--- a/src/choice.rs
+++ b/src/choice.rs
@@ -467,7 +467,8 @@
         let (plan, set_size) = (customer.plan, customer.set_size);
         let asked: f64 = ask.jobs.iter().map(|job| job.1).sum();
         let (mut position, mut used, mut vain, mut ready) = (total - asked, 0.0, Vec::new(), Vec::new());
-        let rate = self.pace(&self.deployment.plans[plan]).0;
+        let (rate, by_rate) = (self.pace(&self.deployment.plans[plan]).0, self.deployment.plans[plan].by_rate());
+        let mut short = false;
         if let Some(first) = ask.jobs.first() {
             let room = self.turn(customer, position + first.1) <= now;
             self.room[plan] += 0.1 * (f64::from(u8::from(room)) - self.room[plan]);
@@ -478,21 +479,25 @@
             let turn = self.turn(customer, position);
             if turn > self.latest(held) {
                 vain.push((job, turn));
-            } else {
+            } else if by_rate || turn <= now {
                 used += cost;
                 ready.push((job, turn));
+            } else {
+                // Under a cap on relays out there is room once one ends anywhere, which cannot be foretold.
+                position -= cost;
+                short = true;
             }
         }
         // Each gateway of a set that asks in vain costs calls: it asks the more seldom the more often in vain,
         // down to its even part of what comes in.
-        let vainly = ready.is_empty() && !vain.is_empty();
+        short |= ready.is_empty() && !vain.is_empty();
         let even = asked.max(1.0) / rate;
         let (chance, longest) = (0.5 + self.chance.draw(), self.deployment.plans[plan].window().secs());
         let Some(customer) = self.customers.get_mut(&id) else { return };
         customer.total = total;
         customer.used += used;
         customer.ahead.0 += used;
-        if vainly {
+        if short {
             customer.apart = (customer.apart * 2.0).clamp(even, even * set_size).min(longest);
             customer.shut = now + Span::from_secs(customer.apart * chance);
             self.host.wake(customer.shut.since(now), CUSTOMER_MARK + id);
@@ -875,6 +880,7 @@
         if counted {
             customer.used = (customer.used - job.cost).max(0.0);
             if by_cap {
+                customer.shut = self.now;
                 self.roll(job.arrival.customer);
                 self.ask(job.arrival.customer);
             }
