--- a/src/choice.rs
+++ b/src/choice.rs
@@ -242,6 +242,12 @@
         by - Span::from_secs(self.usual * SLACK).min(most)
     }
 
+    /// A turn is not waited for longer than half the time that there is: were all held jobs of a customer far over
+    /// quota sent at the last moment, each slow answer would be late.
+    fn latest_turn(&self, job: &Job) -> Moment {
+        self.now + self.latest(job).since(self.now).times(0.5)
+    }
+
     fn held(&self, id: JobId) -> Option<&Job> {
         self.jobs.get(&id).filter(|job| job.stage == Stage::Held)
     }
@@ -320,7 +326,7 @@
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
             let total = customer.total + untold + asked + job.cost;
             let turn = self.turn(customer, total).max(customer.shut);
-            if turn > self.latest(job) {
+            if turn > self.latest_turn(job) {
                 vain.push((job.arrival.job, turn));
             } else if now >= customer.shut && (asked <= 0.0 || asked + job.cost <= most) {
                 asked += job.cost;
@@ -477,7 +483,7 @@
             position += cost;
             let Some(held) = self.held(job) else { continue };
             let turn = self.turn(customer, position);
-            if turn > self.latest(held) {
+            if turn > self.latest_turn(held) {
                 vain.push((job, turn));
             } else if by_rate || turn <= now {
                 used += cost;
