--- a/src/choice.rs
+++ b/src/choice.rs
@@ -242,10 +242,10 @@
         by - Span::from_secs(self.usual * SLACK).min(most)
     }
 
-    /// A turn is not waited for longer than half the time that there is: were all held jobs of a customer far over
+    /// A turn is not waited for longer than a quarter of the time that there is: were all held jobs of a customer far over
     /// quota sent at the last moment, each slow answer would be late.
     fn latest_turn(&self, job: &Job) -> Moment {
-        self.now + self.latest(job).since(self.now).times(0.5)
+        self.now + self.latest(job).since(self.now).times(0.25)
     }
 
     fn held(&self, id: JobId) -> Option<&Job> {
