--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,6 +28,7 @@
     host: H,
     deployment: Deployment,
     now: Moment,
+    started: Moment,
     chance: Chance,
     servers: BTreeMap<ServerId, Server>,
     customers: BTreeMap<CustomerId, Customer>,
@@ -137,6 +138,7 @@
             callers: BTreeMap::new(),
             counter: Counter { usual, bound: FEW / f64::from(gateways), ..Counter::default() },
             pool: Pool::default(),
+            started: now,
             room,
             usual: target / 6.0,
             units: 1.0,
@@ -209,8 +211,8 @@
         let customer = self.customers.entry(arrival.customer).or_insert_with(|| Customer {
             plan: arrival.plan,
             set_size: f64::from(arrival.set_size.max(1)),
-            // After a restart the own share of the ceiling may be spent already, so it starts empty.
-            ceiling: (0.0, now),
+            // After a restart the own share of the ceiling may be spent already, so it fills from then on.
+            ceiling: (0.0, self.started),
             ..Customer::default()
         });
         if limited {
