--- a/src/choice.rs
+++ b/src/choice.rs
@@ -758,7 +758,7 @@
                     continue;
                 }
             }
-            best = best.max(Some((hashed(&[job.arrival.customer, u64::from(id)]), id)));
+            best = best.max(Some((hashed(&[job.arrival.customer, u64::from(self.deployment.own_index), u64::from(id)]), id)));
         }
         best.map(|best| best.1)
     }
