--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,8 +39,6 @@
     callers: BTreeMap<CountName, CustomerId>,
     counter: Counter,
     pool: Pool,
-    /// The share of late asks that found room at once, by plan.
-    room: Vec<f64>,
     /// How long answers take of late, in seconds.
     usual: f64,
     /// How many units answered jobs have of late.
@@ -125,7 +123,6 @@
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
         let (chance, gateways) = (Chance::new(seed, deployment.own_index), deployment.gateways);
         let usual = (deployment.tick.secs() * 4.0).max(0.005);
-        let room = vec![0.5; deployment.plans.len()];
         Self {
             host,
             deployment,
@@ -139,7 +136,6 @@
             counter: Counter { usual, bound: FEW / f64::from(gateways), ..Counter::default() },
             pool: Pool::default(),
             started: now,
-            room,
             usual: target / 6.0,
             units: 1.0,
             calm: 0.12,
@@ -477,10 +473,6 @@
         let (mut position, mut used, mut vain, mut ready) = (total - asked, 0.0, Vec::new(), Vec::new());
         let (rate, by_rate) = (self.pace(&self.deployment.plans[plan]).0, self.deployment.plans[plan].by_rate());
         let mut short = false;
-        if let Some(first) = ask.jobs.first() {
-            let room = self.turn(customer, position + first.1) <= now;
-            self.room[plan] += 0.1 * (f64::from(u8::from(room)) - self.room[plan]);
-        }
         for &(job, cost) in &ask.jobs {
             position += cost;
             let Some(held) = self.held(job) else { continue };
@@ -596,14 +588,9 @@
         let Some(customer) = self.customers.get(&id) else { return };
         let (rate, burst) = self.pace(&self.deployment.plans[customer.plan]);
         let made_up = rate / customer.set_size * self.now.since(customer.ahead.1).secs();
-        let plan = &self.deployment.plans[customer.plan];
-        let room = self.room[customer.plan];
-        let doubt = room + (1.0 - room) * (plan.over_share - plan.over_cost) > 0.1
-            && self.now >= self.pressed_until
-            && self.now > customer.shut + plan.window();
         let (mut ahead, mut used, mut jobs) = ((customer.ahead.0 - made_up).max(0.0), customer.used, Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
-            if (doubt && used <= customer.told) || ahead <= 0.0 || ahead + job.cost <= burst / customer.set_size {
+            if ahead <= 0.0 || ahead + job.cost <= burst / customer.set_size {
                 ahead += job.cost;
                 used += job.cost;
                 jobs.push(job.arrival.job);
