--- a/src/choice.rs
+++ b/src/choice.rs
@@ -428,7 +428,7 @@
                 if fate == Fate::TimedOut {
                     customer.told += ask.amount;
                 }
-                return self.ask(id);
+                self.ask(id);
             }
             (Step::Count, Some(total)) => {
                 customer.told += ask.amount;
@@ -471,7 +471,8 @@
         let (plan, set_size) = (customer.plan, customer.set_size);
         let asked: f64 = ask.jobs.iter().map(|job| job.1).sum();
         let (mut position, mut used, mut vain, mut ready) = (total - asked, 0.0, Vec::new(), Vec::new());
-        let (rate, by_rate) = (self.pace(&self.deployment.plans[plan]).0, self.deployment.plans[plan].by_rate());
+        let (rate, by_rate) =
+            (self.pace(&self.deployment.plans[plan]).0, self.deployment.plans[plan].by_rate());
         let mut short = false;
         for &(job, cost) in &ask.jobs {
             position += cost;
@@ -588,7 +589,8 @@
         let Some(customer) = self.customers.get(&id) else { return };
         let (rate, burst) = self.pace(&self.deployment.plans[customer.plan]);
         let made_up = rate / customer.set_size * self.now.since(customer.ahead.1).secs();
-        let (mut ahead, mut used, mut jobs) = ((customer.ahead.0 - made_up).max(0.0), customer.used, Vec::new());
+        let (mut ahead, mut used, mut jobs) =
+            ((customer.ahead.0 - made_up).max(0.0), customer.used, Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
             if ahead <= 0.0 || ahead + job.cost <= burst / customer.set_size {
                 ahead += job.cost;
@@ -745,7 +747,10 @@
                     continue;
                 }
             }
-            best = best.max(Some((hashed(&[job.arrival.customer, u64::from(self.deployment.own_index), u64::from(id)]), id)));
+            best = best.max(Some((
+                hashed(&[job.arrival.customer, u64::from(self.deployment.own_index), u64::from(id)]),
+                id,
+            )));
         }
         best.map(|best| best.1)
     }
@@ -786,7 +791,8 @@
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = (server.out - 1.0).max(0.0);
         // A refusal comes at once; rested only by that, many gateways would ask again in a herd.
-        let took_of_use = if end.fate == Fate::Satisfied { end.took } else { end.took.max(Span::from_secs(usual)) };
+        let took_of_use =
+            if end.fate == Fate::Satisfied { end.took } else { end.took.max(Span::from_secs(usual)) };
         server.rested = now + took_of_use.times((1.0 / server.bound - 1.0).max(0.0));
         self.rested = now + took_of_use.times((1.0 / self.bound - 1.0).max(0.0));
         self.out = (self.out - 1.0).max(0.0);
@@ -807,10 +813,8 @@
                 }
                 if slow > 1.25 * self.calm {
                     server.cut(0.8, now, 0.2 * target, least);
-                } else if slow < 0.75 * self.calm {
-                    if server.out + 2.0 > server.bound {
-                        server.bound += (1.0 / server.bound).min(server.bound / 4.0);
-                    }
+                } else if slow < 0.75 * self.calm && server.out + 2.0 > server.bound {
+                    server.bound += (1.0 / server.bound).min(server.bound / 4.0);
                 }
                 // One answer says little of all servers, the last ten do.
                 self.slow += 0.1 * (slow - self.slow);
