--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,6 +31,9 @@
     started: Moment,
     chance: Chance,
     servers: BTreeMap<ServerId, Server>,
+    /// How often the roster has changed, and the ratings of those ready.
+    roster: u64,
+    rating: f64,
     customers: BTreeMap<CustomerId, Customer>,
     jobs: BTreeMap<JobId, Job>,
     /// Jobs with room in their quota that no server had room for, first come first.
@@ -129,6 +132,8 @@
             now,
             chance,
             servers: BTreeMap::new(),
+            roster: 0,
+            rating: 0.0,
             customers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             backlog: VecDeque::new(),
@@ -178,6 +183,8 @@
             entry.rating = if entry.rating > 0.0 { entry.rating } else { 1.0 };
             server.entry = entry;
         }
+        self.roster += 1;
+        self.rating = self.servers.values().filter(|to| to.ready()).map(|to| to.entry.rating).sum();
         if self.bound <= 0.0 {
             self.bound = FEW / 2.0 * self.servers.len() as f64 / f64::from(self.deployment.gateways);
         }
@@ -660,6 +667,7 @@
             self.spare_relays = (self.spare_relays + 0.15).min(20.0);
         }
         let (now, usual) = (self.now, self.usual);
+        let pushed = self.servers.get(&server).and_then(|to| self.cold_part(to)).map_or(0.0, |part| part.1);
         let Some(to) = self.servers.get_mut(&server) else { return };
         // A trial is not waited for longer than unusual, so that its job can still go elsewhere.
         let trial = Span::from_secs(usual * UNUSUAL);
@@ -670,7 +678,7 @@
         to.out += 1.0;
         self.out += 1.0;
         to.tried = now;
-        to.push.0 += arrival.units;
+        to.push = (pushed + arrival.units, now);
         let check = to.silence_ends(usual).since(now) + tick;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.stage = Stage::Out(now);
@@ -680,79 +688,86 @@
         self.host.wake(check, id);
     }
 
-    /// The first server in the customer's fixed ranking that does not have enough.
+    /// The first server in the customer's fixed ranking that does not have enough. Rankings differ by gateway:
+    /// else a heavy customer would lead the jobs of a hundred gateways to one server, and none would see it.
     fn choose(&mut self, id: JobId) -> Option<ServerId> {
-        /// How far above the even part a server's relays may go before the next in rank is taken.
-        const UNEVEN: f64 = 1.25;
-        /// Some usual answers apart; jobs that may not run again are risked a quarter as often.
-        const TRIAL: Span = Span::from_millis(500);
-        let job = self.jobs.get(&id)?;
-        // Where this gateway's part of a server is below one relay, its relays to all of them are bounded together:
-        // each alone answers too seldom to learn by, and all might get one at once from every gateway.
+        // Where this gateway's part of a server is below one relay, its relays to all are bounded together: each
+        // alone answers too seldom to learn by, and all might get one at once from every gateway.
         let many = f64::from(self.deployment.gateways) > FEW;
         if many && (self.out >= self.bound.max(1.0) || self.now < self.rested) {
             return None;
         }
-        let (now, usual, cold) = (self.now, self.usual, self.deployment.cold);
-        let repeat = self.deployment.bands[job.arrival.band].repeat;
-        let (mut out, mut rating, mut warm, mut carried) = (0.0, 0.0, 0.0, 0.0);
-        for server in self.servers.values().filter(|server| server.ready()) {
-            if !server.unwell(now, usual) {
-                out += server.out;
-                rating += server.entry.rating;
-            }
-            if server.entry.started.is_none_or(|started| now.since(started) > cold.warm_after) {
-                warm += server.entry.rating;
-                carried += decayed(server.carried, now);
-            }
+        let by = self.jobs.get(&id)?.arrival.customer;
+        let customer = self.customers.get_mut(&by)?;
+        if customer.ranked != self.roster {
+            let own = u64::from(self.deployment.own_index);
+            customer.ranked = self.roster;
+            customer.ranking = self.servers.keys().copied().collect();
+            customer.ranking.sort_by_cached_key(|server| hashed(&[by, own, u64::from(*server)]));
         }
+        let (job, ranking) = (self.jobs.get(&id)?, &self.customers.get(&by)?.ranking);
+        ranking.iter().copied().find(|server| self.has_room(*server, job))
+    }
+
+    fn has_room(&self, id: ServerId, job: &Job) -> bool {
+        /// How far above the even part a server's relays may go before the next in rank is taken.
+        const UNEVEN: f64 = 1.25;
+        /// Some usual answers apart; jobs that may not run again are risked a quarter as often.
+        const TRIAL: Span = Span::from_millis(500);
+        let Some(server) = self.servers.get(&id).filter(|server| server.ready()) else { return false };
+        if job.relays > 0 && (job.server == id || !self.may_repeat(job, &server.entry)) {
+            return false;
+        }
+        let (own, now) = (server.entry.rating, self.now);
+        let even = (UNEVEN * (self.out + 1.0) * own / self.rating.max(own)).ceil();
+        let enough = if server.unwell(now, self.usual) {
+            // One relay at a time shows if it is well again, the more seldom the more failed.
+            let free = self.deployment.bands[job.arrival.band].repeat.is_free();
+            let rest = if free { TRIAL } else { TRIAL.times(4.0) };
+            server.out > 0.0 || now.since(server.tried) < rest.times(1.0 / (1.0 - server.failing).max(0.05))
+        } else {
+            server.out >= even.min(server.bound.max(1.0)) || now < server.rested
+        };
+        let cold = self.cold_part(server).is_none_or(|(rate, left)| {
+            let at_once = rate * self.deployment.cold.fall_span.secs() / 2.0;
+            rate > 0.0 && (left <= 0.0 || left + job.arrival.units <= at_once)
+        });
+        !enough && cold
+    }
+
+    fn may_repeat(&self, job: &Job, to: &Entry) -> bool {
         let origin = job.may_have_run.and_then(|(since, id)| Some((since, self.servers.get(&id)?.entry)));
-        let allowed = |to: &Entry| match (repeat, origin) {
+        match (self.deployment.bands[job.arrival.band].repeat, origin) {
             (_, None) | (Repeat::Pure, _) => true,
             (Repeat::Effectful, _) => false,
             (Repeat::Receipted(group, window), Some((since, from))) => {
                 let zone = group == Group::Zone && to.zone == from.zone;
                 let same = zone || group == Group::All || (group == Group::Cell && to.cell == from.cell);
-                same && now.since(since) < window
-            }
-        };
-        let mut best: Option<(u64, ServerId)> = None;
-        for (&id, server) in self.servers.iter_mut().filter(|(_, server)| server.ready()) {
-            if !allowed(&server.entry) || (job.relays > 0 && job.server == id) {
-                continue;
-            }
-            let own = server.entry.rating;
-            let even = (UNEVEN * (out + 1.0) * own / rating.max(own)).ceil();
-            if server.unwell(now, usual) {
-                // One relay at a time shows if it is well again, the more seldom the more failed.
-                let rest = if repeat.is_free() { TRIAL } else { TRIAL.times(4.0) };
-                let rest = rest.times(1.0 / (1.0 - server.failing).max(0.05));
-                if server.out > 0.0 || now.since(server.tried) < rest {
-                    continue;
-                }
-            } else if server.out >= even.min(server.bound.max(1.0)) || now < server.rested {
-                continue;
+                same && self.now.since(since) < window
             }
-            let age = server.entry.started.map(|started| now.since(started));
-            if let Some(age) = age.filter(|age| *age <= cold.warm_after) {
-                // Rule 4: a cold server gets a safe part of what warm ones are seen to carry. Half is kept
-                // back for slower machines and uneven work; a burst of half the span counts on top.
-                const KEPT_BACK: f64 = 0.5;
-                let warmth = cold.share + (1.0 - cold.share) * age.secs() / cold.warm_after.secs().max(0.001);
-                let rate = KEPT_BACK * cold.fall_multiple * warmth * carried / warm.max(0.001) * own;
-                let left = server.push.0 - rate * now.since(server.push.1).secs();
-                server.push = (left.max(0.0), now);
-                let most = rate * cold.fall_span.secs() / 2.0;
-                if rate <= 0.0 || (left > 0.0 && left + job.arrival.units > most) {
-                    continue;
-                }
-            }
-            best = best.max(Some((
-                hashed(&[job.arrival.customer, u64::from(self.deployment.own_index), u64::from(id)]),
-                id,
-            )));
         }
-        best.map(|best| best.1)
+    }
+
+    /// Rule 4: a cold server gets a safe part of what warm ones are seen to carry, in units a second; and how much
+    /// of it is still ahead. Half is kept back for slower machines and uneven work; half a span's part may go at
+    /// once.
+    fn cold_part(&self, server: &Server) -> Option<(f64, f64)> {
+        const KEPT_BACK: f64 = 0.5;
+        let (now, cold) = (self.now, self.deployment.cold);
+        let age = now.since(server.entry.started?);
+        if age > cold.warm_after {
+            return None;
+        }
+        let is_warm = |to: &&Server| to.entry.started.is_none_or(|at| now.since(at) > cold.warm_after);
+        let (mut warm, mut carried) = (0.0, 0.0);
+        for to in self.servers.values().filter(|to| to.ready()).filter(is_warm) {
+            warm += to.entry.rating;
+            carried += decayed(to.carried, now);
+        }
+        let warmth = cold.share + (1.0 - cold.share) * age.secs() / cold.warm_after.secs().max(0.001);
+        let multiple = KEPT_BACK * cold.fall_multiple * warmth;
+        let rate = multiple * carried / f64::max(warm, 0.001) * server.entry.rating;
+        Some((rate, (server.push.0 - rate * now.since(server.push.1).secs()).max(0.0)))
     }
 
     /// How a relay ended.
@@ -832,6 +847,7 @@
             }
             Fate::Error | Fate::Reset | Fate::ConnectFailed | Fate::TimedOut => {
                 server.failing += 0.2 * (1.0 - server.failing);
+                self.slow += 0.1 * (took / target - self.slow).max(0.0);
             }
             Fate::Withdrawn | Fate::Moot => {}
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -59,6 +59,9 @@
 pub(crate) struct Customer {
     pub(crate) plan: usize,
     pub(crate) set_size: f64,
+    /// The servers in this customer's order, as of a state of the roster.
+    pub(crate) ranking: Vec<ServerId>,
+    pub(crate) ranked: u64,
     pub(crate) waiting: VecDeque<JobId>,
     pub(crate) window: u64,
     pub(crate) began: Moment,
