--- a/crates/benchlink/src/launch.rs
+++ b/crates/benchlink/src/launch.rs
@@ -22,6 +22,7 @@
 #[serde(default)]
 struct Service {
     aim: u64,
+    points: f64,
     late_worth: f64,
     semantics: String,
     group: String,
@@ -122,7 +123,12 @@
         "idempotency_key" => Repeat::Receipted(group, Span::from_micros(service.repeat_window)),
         _ => Repeat::Effectful,
     };
-    Band { target: Span::from_micros(service.aim), late_share: service.late_worth, repeat }
+    Band {
+        target: Span::from_micros(service.aim),
+        benefit: service.points.max(0.0),
+        late_share: service.late_worth,
+        repeat,
+    }
 }
 
 fn plan(tariff: &Tariff) -> Plan {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,7 +7,7 @@
 use crate::host::{Plan, RelayEnd, Repeat, ServerId, Standing};
 use crate::state::{Ask, Counter, Customer, Job, Pool, Server, Stage, Step};
 use crate::time::{Moment, Span};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The lent room of all customers is pooled by this span; the design's window of about a second.
 const POOL_WINDOW: Span = Span::from_millis(1_000);
@@ -36,8 +36,8 @@
     rating: f64,
     customers: BTreeMap<CustomerId, Customer>,
     jobs: BTreeMap<JobId, Job>,
-    /// Jobs with room in their quota that no server had room for, first come first.
-    backlog: VecDeque<JobId>,
+    /// Jobs with room in their quota that no server had room for, by benefit, then target time.
+    backlog: BTreeSet<(u64, Moment, JobId)>,
     /// Who awaits a total by a name.
     callers: BTreeMap<CountName, CustomerId>,
     counter: Counter,
@@ -136,7 +136,7 @@
             rating: 0.0,
             customers: BTreeMap::new(),
             jobs: BTreeMap::new(),
-            backlog: VecDeque::new(),
+            backlog: BTreeSet::new(),
             callers: BTreeMap::new(),
             counter: Counter { usual, bound: FEW / f64::from(gateways), ..Counter::default() },
             pool: Pool::default(),
@@ -631,7 +631,7 @@
     fn dispatch(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id).filter(|job| job.stage == Stage::Cleared) else { return };
         let (arrival, first) = (job.arrival, job.relays == 0);
-        let latest = self.latest(job);
+        let (latest, place) = (self.latest(job), self.place(job));
         let tick = self.deployment.tick;
         let patience = (arrival.abandon - tick - tick).since(self.now);
         if patience <= tick {
@@ -659,7 +659,7 @@
             if self.backlog.is_empty() {
                 self.host.wake(Span::from_secs(self.usual / 2.0), BACKLOG_MARK);
             }
-            self.backlog.push_back(id);
+            self.backlog.insert(place);
             return self.host.wake(latest.since(self.now), id);
         };
         if let (true, Some(customer)) = (first, self.customers.get_mut(&arrival.customer)) {
@@ -854,11 +854,17 @@
         self.bound = self.bound.max(least * self.servers.len() as f64);
     }
 
+    /// What goes first when no server has room: the most benefit, and of that the newest, as the oldest would be
+    /// answered late.
+    fn place(&self, job: &Job) -> (u64, Moment, JobId) {
+        (self.deployment.bands[job.arrival.band].benefit.to_bits(), job.target, job.arrival.job)
+    }
+
     /// Sends on what waits for a server, as far as there is room.
     fn work_off(&mut self) {
-        while let Some(id) = self.backlog.pop_back() {
-            self.dispatch(id);
-            if self.backlog.back() == Some(&id) {
+        while let Some(place) = self.backlog.pop_last() {
+            self.dispatch(place.2);
+            if self.backlog.contains(&place) {
                 return;
             }
         }
@@ -881,9 +887,10 @@
 
     fn forget(&mut self, id: JobId) {
         let Some(job) = self.jobs.remove(&id) else { return };
+        let place = self.place(&job);
         let Some(customer) = self.customers.get_mut(&job.arrival.customer) else { return };
         customer.waiting.retain(|waiting| *waiting != id);
-        self.backlog.retain(|waiting| *waiting != id);
+        self.backlog.remove(&place);
         // Units counted and unsent, or the place of a relay that has ended, go back to the count.
         let plan = &self.deployment.plans[customer.plan];
         let by_cap = plan.limited() && !plan.by_rate();
@@ -940,7 +947,7 @@
                     }
                 }
                 _ if now >= latest => self.give_up(mark, None),
-                Stage::Cleared if !self.backlog.contains(&mark) => self.dispatch(mark),
+                Stage::Cleared if !self.backlog.contains(&self.place(job)) => self.dispatch(mark),
                 _ => self.host.wake(latest.since(now), mark),
             }
         }
--- a/src/host.rs
+++ b/src/host.rs
@@ -55,6 +55,8 @@
 #[derive(Clone, Debug)]
 pub struct Band {
     pub target: Span,
+    /// What a job is worth; never negative.
+    pub benefit: f64,
     /// Share of the benefit that a late answer earns.
     pub late_share: f64,
     pub repeat: Repeat,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -55,7 +55,7 @@
 
 /// Every kind of band; a plan of rate, one of relays out, a soft one with a ceiling.
 pub fn deployment() -> Deployment {
-    let band = |repeat| Band { target: Span::from_millis(500), late_share: 0.1, repeat };
+    let band = |repeat| Band { target: Span::from_millis(500), benefit: 1.0, late_share: 0.1, repeat };
     let window = Span::from_millis(300);
     Deployment {
         gateways: 2,
