--- a/crates/benchlink/src/launch.rs
+++ b/crates/benchlink/src/launch.rs
@@ -35,6 +35,7 @@
     refill: f64,
     store_size: f64,
     parallel: f64,
+    price: f64,
     over_worth: f64,
     over_cost: f64,
     never_over_rate: f64,
@@ -136,6 +137,7 @@
         rate: tariff.refill,
         burst: tariff.store_size,
         relays_out: tariff.parallel,
+        price: tariff.price.max(0.0),
         over_share: tariff.over_worth,
         over_cost: tariff.over_cost,
         ceiling: (tariff.never_over_rate > 0.0).then_some(Ceiling {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -857,7 +857,8 @@
     /// What goes first when no server has room: the most benefit, and of that the newest, as the oldest would be
     /// answered late.
     fn place(&self, job: &Job) -> (u64, Moment, JobId) {
-        (self.deployment.bands[job.arrival.band].benefit.to_bits(), job.target, job.arrival.job)
+        let benefit = self.deployment.bands[job.arrival.band].benefit * self.deployment.plans[job.arrival.plan].price;
+        (benefit.to_bits(), job.target, job.arrival.job)
     }
 
     /// Sends on what waits for a server, as far as there is room.
--- a/src/host.rs
+++ b/src/host.rs
@@ -92,6 +92,8 @@
     pub burst: f64,
     /// Most relays out at once; 0: no such quota.
     pub relays_out: f64,
+    /// Multiplies the benefit; never negative.
+    pub price: f64,
     pub over_share: f64,
     pub over_cost: f64,
     pub ceiling: Option<Ceiling>,
