--- a/src/choice.rs
+++ b/src/choice.rs
@@ -346,6 +346,8 @@
             return;
         }
         let may_call = self.may_call();
+        let benefit = jobs.iter().filter_map(|job| self.jobs.get(&job.0)).map(|job| self.place(job).0).max();
+        let benefit = benefit.unwrap_or(0);
         let Some(customer) = self.customers.get_mut(&id) else { return };
         // A counter slow or full, from any cause, must not drown in calls: past a bound they wait, and later
         // calls carry more. The jobs are judged alone if that takes long.
@@ -354,7 +356,7 @@
             self.call(name, id, amount, keep);
         } else if customer.queued.is_none() {
             customer.queued = Some(now);
-            self.counter.queue.push_back(id);
+            self.counter.queue.insert((benefit, now, id));
             if self.counter.queue.len() == 1 {
                 self.host.wake(self.counter.rested.since(now), CALLS_MARK);
             }
@@ -405,14 +407,14 @@
 
     /// Lets customers that wait for a call have it, as far as calls may be made.
     fn serve_callers(&mut self) {
-        while let Some(&next) = self.counter.queue.front() {
+        while let Some(&(.., next)) = self.counter.queue.last() {
             if !self.may_call() {
                 if self.counter.out < self.counter.bound.max(1.0) {
                     self.host.wake(self.counter.rested.since(self.now), CALLS_MARK);
                 }
                 return;
             }
-            self.counter.queue.pop_front();
+            self.counter.queue.pop_last();
             self.roll(next);
             if let Some(customer) = self.customers.get_mut(&next) {
                 customer.queued = None;
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::host::{Arrival, CountName, CustomerId, Entry, JobId, ServerId, Standing};
 use crate::time::Moment;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 pub(crate) struct Job {
     pub(crate) arrival: Arrival,
@@ -114,7 +114,8 @@
     pub(crate) bound: f64,
     /// Rests until then where less than one call at a time is enough.
     pub(crate) rested: Moment,
-    pub(crate) queue: VecDeque<CustomerId>,
+    /// Customers that wait for a call, by benefit, then time.
+    pub(crate) queue: BTreeSet<(u64, Moment, CustomerId)>,
 }
 
 #[derive(Default)]
