--- a/src/choice.rs
+++ b/src/choice.rs
@@ -239,8 +239,8 @@
 
     /// When a relay must go out at the latest to be answered by its target time.
     fn latest(&self, job: &Job) -> Moment {
-        // Answers take longer than usual as often as not: half as much again leaves most of them in time.
-        const SLACK: f64 = 2.5;
+        // Answers take longer than usual as often as not: three times as long leaves nearly all in time.
+        const SLACK: f64 = 3.0;
         let by = job.target.min(job.arrival.abandon - self.deployment.tick - self.deployment.tick);
         // At most half the target time: else answers slow for any cause would end all relays, and all news.
         let most = self.deployment.bands[job.arrival.band].target.times(0.5);
