--- a/src/choice.rs
+++ b/src/choice.rs
@@ -480,7 +480,7 @@
         let (plan, set_size) = (customer.plan, customer.set_size);
         let asked: f64 = ask.jobs.iter().map(|job| job.1).sum();
         let (mut position, mut used, mut vain, mut ready) = (total - asked, 0.0, Vec::new(), Vec::new());
-        let (rate, by_rate) =
+        let (rate, _) =
             (self.pace(&self.deployment.plans[plan]).0, self.deployment.plans[plan].by_rate());
         let mut short = false;
         for &(job, cost) in &ask.jobs {
@@ -489,7 +489,7 @@
             let turn = self.turn(customer, position);
             if turn > self.latest_turn(held) {
                 vain.push((job, turn));
-            } else if by_rate || turn <= now {
+            } else if turn <= now {
                 used += cost;
                 ready.push((job, turn));
             } else {
