--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,7 +5,7 @@
 use crate::chance::{hashed, Chance};
 use crate::host::{Arrival, CountName, CustomerId, Deployment, Entry, Fate, Group, Host, JobId};
 use crate::host::{Plan, RelayEnd, Repeat, ServerId, Standing};
-use crate::state::{Ask, Counter, Customer, Job, Pool, Server, Stage, Step};
+use crate::state::{Ask, Counter, Customer, Job, Level, Pool, Server, Stage, Step};
 use crate::time::{Moment, Span};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,13 +15,23 @@
 const POOL_KEPT: Span = Span::from_millis(3_000);
 /// Marks of timers: a job's is its id, which is below this; a customer's is its id above this.
 const CUSTOMER_MARK: u64 = 1 << 52;
-const POOL_MARK: u64 = u64::MAX;
-const CALLS_MARK: u64 = u64::MAX - 1;
-const BACKLOG_MARK: u64 = u64::MAX - 2;
+const CALLS_MARK: u64 = u64::MAX;
+const BACKLOG_MARK: u64 = u64::MAX - 1;
 /// Relays at a server, and calls, that all gateways begin with in all: what a small machine works on at once.
 const FEW: f64 = 12.0;
 /// Counts hold sums of rounded figures; less than this is no difference.
 const NOTHING: f64 = 0.01;
+/// A server or a counter of which more than this share ended badly of late is not to be had.
+const MOSTLY: f64 = 0.5;
+/// Accrual: a silence of this many usual gaps is unusual; about 1 in 400 if gaps were exponential.
+const UNUSUAL: f64 = 6.0;
+/// Spans the mean of what a server carries, in seconds: some windows, less than a cold start.
+const CARRIED_OVER: f64 = 3.0;
+
+/// Where less than one at a time is allowed, how long to rest after one that took so long.
+fn rest(took: Span, bound: f64) -> Span {
+    took.times((1.0 / bound - 1.0).max(0.0))
+}
 
 /// Decides for one gateway.
 pub struct Gateway<H> {
@@ -82,6 +92,15 @@
         self.rate * self.window().secs()
     }
 
+    /// Units a second and at once. Relays out make room as answers come, so a cap on them is a pace as well.
+    fn pace(&self, usual: f64) -> (f64, f64) {
+        if self.by_rate() {
+            (self.rate, self.burst)
+        } else {
+            (self.relays_out / usual.max(0.001), self.relays_out)
+        }
+    }
+
     /// A count that holds this much more also holds what the burst lacked at the window's start.
     fn mark(&self) -> f64 {
         // Far above what a window's jobs add up to, and little enough for seven digits to tell units apart.
@@ -90,20 +109,16 @@
     }
 }
 
-/// Spans the mean of what a server carries, in seconds: some windows, less than a cold start.
-const CARRIED_OVER: f64 = 3.0;
-
-fn decayed(level: (f64, Moment), now: Moment) -> f64 {
-    level.0 * (-now.since(level.1).secs() / CARRIED_OVER).exp()
-}
-
-/// A server or a counter of which more than this share ended badly of late is not to be had.
-const MOSTLY: f64 = 0.5;
-
-/// Accrual: a silence of this many usual gaps is unusual; about 1 in 400 if gaps were exponential.
-const UNUSUAL: f64 = 6.0;
-
 impl Server {
+    /// Slow or turned away, from any cause: it gets less, but is not cut twice for one backlog. Below one relay at
+    /// a time it rests between relays.
+    fn cut(&mut self, to: f64, now: Moment, apart: f64, least: f64) {
+        if now.since(self.cut).secs() > apart {
+            self.bound = (self.bound * to).max(least);
+            self.cut = now;
+        }
+    }
+
     fn silence_ends(&self, usual: f64) -> Moment {
         self.heard + Span::from_secs(self.gap.max(usual / 2.0) * UNUSUAL)
     }
@@ -119,9 +134,6 @@
         if deployment.roster_is_asked {
             host.follow_roster();
         }
-        if deployment.has_counter && deployment.plans.iter().any(Plan::soft) {
-            host.wake(POOL_WINDOW, POOL_MARK);
-        }
         // Until one is seen, a part of the tightest target stands in for an answer, some ticks for a call.
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
         let (chance, gateways) = (Chance::new(seed, deployment.own_index), deployment.gateways);
@@ -161,12 +173,12 @@
             let (bound, chance) = (FEW / gateways, &mut self.chance);
             // Rule 4: where a gateway's part of a cold server is below one job, all would send their first one at
             // once: each begins as far from it as chance has it.
-            let push = (self.units * chance.draw(), now);
+            let push = Level { amount: self.units * chance.draw(), at: now };
             let server = self.servers.entry(entry.server).or_insert_with(|| Server {
                 entry,
                 bound,
                 // Many gateways that start with one relay each would push a server over together.
-                rested: now + Span::from_secs(usual * (1.0 / bound - 1.0).max(0.0) * chance.draw()),
+                rested: now + rest(Span::from_secs(usual * chance.draw()), bound),
                 heard: now,
                 gap: usual,
                 push,
@@ -209,13 +221,13 @@
         let (Some(band), Some(plan)) = (bands.get(arrival.band), plans.get(arrival.plan)) else {
             return self.host.forfeit(id);
         };
-        let target = now + band.target;
-        let (limited, cost) = (plan.limited(), plan.cost(&arrival));
+        let (target, limited, cost) = (now + band.target, plan.limited(), plan.cost(&arrival));
+        // After a restart the own share of the ceiling may be spent already, so it fills from then on.
+        let spent = Level { amount: plan.ceiling.map_or(0.0, |it| it.burst + it.slack), at: self.started };
         let customer = self.customers.entry(arrival.customer).or_insert_with(|| Customer {
             plan: arrival.plan,
             set_size: f64::from(arrival.set_size.max(1)),
-            // After a restart the own share of the ceiling may be spent already, so it fills from then on.
-            ceiling: (0.0, self.started),
+            spent,
             ..Customer::default()
         });
         if limited {
@@ -266,20 +278,11 @@
         (index, Moment::from_micros(index.saturating_mul(length).saturating_sub(phase)))
     }
 
-    /// Units a second and at once. Relays out make room as answers come, so a cap on them is a pace as well.
-    fn pace(&self, plan: &Plan) -> (f64, f64) {
-        if plan.by_rate() {
-            (plan.rate, plan.burst)
-        } else {
-            (plan.relays_out / self.usual.max(0.001), plan.relays_out)
-        }
-    }
-
     /// When a customer's allowance reaches a total. The window's units come in evenly, as use before is beyond
     /// the quota. Half of the burst is there at first, or what the count itself tells was left of it.
     fn turn(&self, customer: &Customer, total: f64) -> Moment {
         let plan = &self.deployment.plans[customer.plan];
-        let (rate, burst) = self.pace(plan);
+        let (rate, burst) = plan.pace(self.usual);
         let (from, at_first) = match plan.by_rate() {
             true if total >= plan.mark() => (customer.began, plan.mark() + burst),
             true => (customer.began, burst / 2.0),
@@ -296,21 +299,13 @@
         let Some(customer) = self.customers.get_mut(&id).filter(|known| known.window != window) else {
             return;
         };
-        // Who awaits a turn past the old window's end is counted in the new one.
-        let mut told = customer.told + customer.ask.as_ref().map_or(0.0, |ask| ask.amount);
-        for job in &customer.waiting {
-            if let Some(job) = self.jobs.get_mut(job).filter(|job| matches!(job.stage, Stage::Counted(_))) {
-                job.stage = Stage::Held;
-                customer.used -= job.cost;
-                told -= job.cost;
-            }
-        }
         let follows = customer.window.wrapping_add(1) == window;
         let heard = if follows { customer.total } else { 0.0 };
         customer.unused = (plan.in_window() - heard).max(0.0);
         // What was judged alone is told to the next window's count if there was no call for it; relays out last
         // over a window's end.
         if plan.by_rate() {
+            let told = customer.told + customer.ask.as_ref().map_or(0.0, |ask| ask.amount);
             customer.used = if follows { (customer.used - told).max(0.0) } else { 0.0 };
         }
         (customer.told, customer.total) = (0.0, 0.0);
@@ -325,7 +320,7 @@
         let now = self.now;
         let Some(customer) = self.customers.get(&id).filter(|known| known.ask.is_none()) else { return };
         let plan = &self.deployment.plans[customer.plan];
-        let (most, keep) = (self.pace(plan).1, plan.window().times(3.0).min(Span::from_millis(60_000)));
+        let (most, keep) = (plan.pace(self.usual).1, plan.window().times(3.0).min(Span::from_millis(60_000)));
         let untold = customer.used - customer.told;
         let (mut asked, mut jobs, mut vain) = (0.0, Vec::new(), Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
@@ -354,17 +349,17 @@
         if may_call {
             customer.ask = Some(Ask { jobs, amount, window, step: Step::Count, sent: now });
             self.call(name, id, amount, keep);
-        } else if customer.queued.is_none() {
-            customer.queued = Some(now);
+            self.host.wake(self.call_patience(), CUSTOMER_MARK + id);
+        } else if !customer.queued {
+            customer.queued = true;
             self.counter.queue.insert((benefit, now, id));
             if self.counter.queue.len() == 1 {
                 self.host.wake(self.counter.rested.since(now), CALLS_MARK);
             }
         }
         if !may_call || self.counter.failed > MOSTLY {
-            return self.judge_alone(id);
+            self.judge_alone(id);
         }
-        self.host.wake(self.call_patience(), CUSTOMER_MARK + id);
     }
 
     fn may_call(&self) -> bool {
@@ -376,8 +371,7 @@
         let counter = &mut self.counter;
         counter.out += 1.0;
         // With many gateways one call at a time of each is too many: it rests between calls.
-        let rest = counter.usual * (1.0 / counter.bound - 1.0).max(0.0);
-        counter.rested = self.now.max(counter.rested) + Span::from_secs(rest);
+        counter.rested = self.now.max(counter.rested) + rest(Span::from_secs(counter.usual), counter.bound);
         self.host.add(name, amount, keep);
     }
 
@@ -417,7 +411,7 @@
             self.counter.queue.pop_last();
             self.roll(next);
             if let Some(customer) = self.customers.get_mut(&next) {
-                customer.queued = None;
+                customer.queued = false;
             }
             self.ask(next);
         }
@@ -441,22 +435,22 @@
             }
             (Step::Count, Some(total)) => {
                 customer.told += ask.amount;
-                let (half, before) = (plan.burst / 2.0, total - ask.amount);
-                if before <= NOTHING && plan.by_rate() {
-                    // First gateway into the window: half of the last one's shortfall is lent.
-                    const LENT: f64 = 0.5;
-                    self.pool.lent += LENT * customer.unused;
-                }
+                let (half, before, by_rate) = (plan.burst / 2.0, total - ask.amount, plan.by_rate());
                 let took = self.now.since(ask.sent).secs();
                 self.counter.usual += 0.05 * (took - self.counter.usual);
+                // The first gateway into the window lends of what the last one left.
+                let shortfall = if by_rate && before <= NOTHING { customer.unused } else { 0.0 };
                 // Just one call takes the count past what is granted unseen: it looks the last window up, and
                 // adds for all what the burst lacks at the start of this one.
-                if plan.by_rate() && total < mark && total > half && before <= half {
+                let crosses = by_rate && total < mark && total > half && before <= half;
+                if crosses {
                     ask.step = Step::LookUp(total);
                     customer.ask = Some(ask);
-                    return self.call(last, id, 0.0, POOL_WINDOW);
+                    self.call(last, id, 0.0, POOL_WINDOW);
+                } else {
+                    self.settle(id, ask, total);
                 }
-                self.settle(id, ask, total);
+                self.lend(shortfall);
             }
             (Step::LookUp(counted), total) => {
                 let lacked = match total.unwrap_or(0.0) {
@@ -479,50 +473,35 @@
         let Some(customer) = self.customers.get(&id) else { return };
         let (plan, set_size) = (customer.plan, customer.set_size);
         let asked: f64 = ask.jobs.iter().map(|job| job.1).sum();
-        let (mut position, mut used, mut vain, mut ready) = (total - asked, 0.0, Vec::new(), Vec::new());
-        let (rate, _) =
-            (self.pace(&self.deployment.plans[plan]).0, self.deployment.plans[plan].by_rate());
-        let mut short = false;
+        let (mut ready, mut late, mut vain) = (Vec::new(), false, Vec::new());
+        let (mut position, rate) = (total - asked, self.deployment.plans[plan].pace(self.usual).0);
         for &(job, cost) in &ask.jobs {
-            position += cost;
             let Some(held) = self.held(job) else { continue };
-            let turn = self.turn(customer, position);
-            if turn > self.latest_turn(held) {
+            let turn = self.turn(customer, position + cost);
+            if turn <= now {
+                position += cost;
+                ready.push((job, cost));
+            } else if turn > self.latest_turn(held) {
                 vain.push((job, turn));
-            } else if turn <= now {
-                used += cost;
-                ready.push((job, turn));
             } else {
-                // Under a cap on relays out there is room once one ends anywhere, which cannot be foretold.
-                position -= cost;
-                short = true;
+                late = true;
             }
         }
         // Each gateway of a set that asks in vain costs calls: it asks the more seldom the more often in vain,
         // down to its even part of what comes in.
-        short |= ready.is_empty() && !vain.is_empty();
         let even = asked.max(1.0) / rate;
         let (chance, longest) = (0.5 + self.chance.draw(), self.deployment.plans[plan].window().secs());
         let Some(customer) = self.customers.get_mut(&id) else { return };
         customer.total = total;
-        customer.used += used;
-        customer.ahead.0 += used;
-        if short {
+        if late || (ready.is_empty() && !vain.is_empty()) {
             customer.apart = (customer.apart * 2.0).clamp(even, even * set_size).min(longest);
             customer.shut = now + Span::from_secs(customer.apart * chance);
             self.host.wake(customer.shut.since(now), CUSTOMER_MARK + id);
         } else if !ready.is_empty() {
             customer.apart /= 2.0;
         }
+        self.grant(id, ready);
         self.turn_away(vain);
-        for (job, turn) in ready {
-            if turn <= now {
-                self.clear(job);
-            } else if let Some(held) = self.jobs.get_mut(&job) {
-                held.stage = Stage::Counted(turn);
-                self.host.wake(turn.since(now), job);
-            }
-        }
         self.ask(id);
     }
 
@@ -561,72 +540,70 @@
         let Some((_, units, jobs)) = self.pool.draw.take() else { return };
         let mut room = total.map_or(0.0, |total| units + total.min(0.0));
         for id in jobs {
-            match self.jobs.get_mut(&id).filter(|job| job.stage == Stage::Drawing) {
-                Some(job) if job.cost <= room => {
-                    room -= job.cost;
-                    self.release(id);
-                }
-                Some(_) => {
-                    // An empty pool is not asked again before the next one opens.
-                    let over = self.now.micros() / POOL_WINDOW.micros() + 1;
-                    self.pool.empty_until = Moment::from_micros(over * POOL_WINDOW.micros());
-                    self.give_up(id, None);
-                }
-                None => {}
+            let Some(job) = self.jobs.get(&id).filter(|job| job.stage == Stage::Drawing) else { continue };
+            if job.cost <= room {
+                room -= job.cost;
+                self.clear(id);
+            } else {
+                // An empty pool is not asked again before the next one opens.
+                let over = self.now.micros() / POOL_WINDOW.micros() + 1;
+                self.pool.empty_until = Moment::from_micros(over * POOL_WINDOW.micros());
+                self.give_up(id, None);
             }
         }
         self.draw();
     }
 
-    /// Adds to the next pool what customers left unused; lent room must not reach a pressed back end.
-    fn lend(&mut self) {
-        let lent = std::mem::take(&mut self.pool.lent);
-        if lent > 0.0 && self.now >= self.pressed_until && self.counter.failed <= MOSTLY {
+    /// Lends half of a customer's shortfall in the last window to the next pool. Some gateways add in each pool
+    /// window, each as seldom as it takes: else these calls alone would crowd a counter of many gateways.
+    fn lend(&mut self, shortfall: f64) {
+        const LENT: f64 = 0.5;
+        const LENDERS: f64 = 16.0;
+        // Lent room must not reach a pressed back end.
+        if self.now < self.pressed_until || !self.deployment.plans.iter().any(Plan::soft) {
+            return;
+        }
+        self.pool.lent += LENT * shortfall;
+        if self.now >= self.pool.lends_at && self.pool.lent > 0.0 {
             let next = hashed(&[self.now.micros() / POOL_WINDOW.micros() + 1, 1]);
-            self.host.add(next, lent, POOL_KEPT);
+            let apart = (f64::from(self.deployment.gateways) / LENDERS).max(1.0);
+            self.pool.lends_at = self.now + POOL_WINDOW.times(apart);
+            self.host.add(next, std::mem::take(&mut self.pool.lent), POOL_KEPT);
         }
-        // Some gateways lend in each window, and each as seldom as it takes: else the pool's adds alone would
-        // crowd a counter of many gateways.
-        const LENDERS: f64 = 16.0;
-        let apart = (f64::from(self.deployment.gateways) / LENDERS).max(1.0);
-        self.host.wake(POOL_WINDOW.times(apart), POOL_MARK);
     }
 
     /// Judges held jobs without a total, by this gateway's part of the pace. Where that is far below a job, one
     /// job goes as soon as those before are made up for: together the gateways keep to the pace.
     fn judge_alone(&mut self, id: CustomerId) {
         let Some(customer) = self.customers.get(&id) else { return };
-        let (rate, burst) = self.pace(&self.deployment.plans[customer.plan]);
-        let made_up = rate / customer.set_size * self.now.since(customer.ahead.1).secs();
-        let (mut ahead, mut used, mut jobs) =
-            ((customer.ahead.0 - made_up).max(0.0), customer.used, Vec::new());
+        let (rate, burst) = self.deployment.plans[customer.plan].pace(self.usual);
+        let (mut ahead, mut jobs) = (customer.ahead.drained(rate / customer.set_size, self.now), Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
             if ahead <= 0.0 || ahead + job.cost <= burst / customer.set_size {
                 ahead += job.cost;
-                used += job.cost;
-                jobs.push(job.arrival.job);
+                jobs.push((job.arrival.job, job.cost));
             }
         }
-        if let Some(customer) = self.customers.get_mut(&id) {
-            (customer.used, customer.ahead) = (used, (ahead, self.now));
-        }
-        jobs.into_iter().for_each(|job| self.clear(job));
+        self.grant(id, jobs);
+    }
+
+    /// Lets jobs go whose units have room; what they take is ahead of this gateway's part.
+    fn grant(&mut self, id: CustomerId, jobs: Vec<(JobId, f64)>) {
+        let Some(customer) = self.customers.get_mut(&id) else { return };
+        let rate = self.deployment.plans[customer.plan].pace(self.usual).0;
+        let (units, left) = (jobs.iter().map(|job| job.1).sum::<f64>(), rate / customer.set_size);
+        customer.used += units;
+        customer.ahead = Level { amount: customer.ahead.drained(left, self.now) + units, at: self.now };
+        jobs.into_iter().for_each(|job| self.clear(job.0));
     }
 
-    /// A counted job's turn has come.
     fn clear(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.stage = Stage::Cleared;
         if let Some(customer) = self.customers.get_mut(&job.arrival.customer) {
             customer.waiting.retain(|waiting| *waiting != id);
         }
-        self.release(id);
-    }
-
-    fn release(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.stage = Stage::Cleared;
-            self.dispatch(id);
-        }
+        self.dispatch(id);
     }
 
     /// Sends a cleared job on, if its customer's ceiling and some server have room for it.
@@ -644,10 +621,10 @@
         {
             // Rule 5: an equal share of the ceiling is safe whatever others do; a little less for rounding.
             let share = 0.999 / customer.set_size;
-            let filled =
-                customer.ceiling.0 + ceiling.rate * share * self.now.since(customer.ceiling.1).secs();
-            customer.ceiling = (filled.min((ceiling.burst + ceiling.slack) * share), self.now);
-            let short = arrival.units - customer.ceiling.0;
+            let spent = customer.spent.drained(ceiling.rate * share, self.now);
+            customer.spent =
+                Level { amount: spent.min((ceiling.burst + ceiling.slack) * share), at: self.now };
+            let short = arrival.units + customer.spent.amount - (ceiling.burst + ceiling.slack) * share;
             if short > 0.0 {
                 let wait = Span::from_secs(short / (ceiling.rate * share)) + tick;
                 if self.now + wait > latest {
@@ -665,7 +642,7 @@
             return self.host.wake(latest.since(self.now), id);
         };
         if let (true, Some(customer)) = (first, self.customers.get_mut(&arrival.customer)) {
-            customer.ceiling.0 -= arrival.units;
+            customer.spent.amount += arrival.units;
             self.spare_relays = (self.spare_relays + 0.15).min(20.0);
         }
         let (now, usual) = (self.now, self.usual);
@@ -680,7 +657,7 @@
         to.out += 1.0;
         self.out += 1.0;
         to.tried = now;
-        to.push = (pushed + arrival.units, now);
+        to.push = Level { amount: pushed + arrival.units, at: now };
         let check = to.silence_ends(usual).since(now) + tick;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.stage = Stage::Out(now);
@@ -764,12 +741,12 @@
         let (mut warm, mut carried) = (0.0, 0.0);
         for to in self.servers.values().filter(|to| to.ready()).filter(is_warm) {
             warm += to.entry.rating;
-            carried += decayed(to.carried, now);
+            carried += to.carried.decayed(CARRIED_OVER, now);
         }
         let warmth = cold.share + (1.0 - cold.share) * age.secs() / cold.warm_after.secs().max(0.001);
         let multiple = KEPT_BACK * cold.fall_multiple * warmth;
         let rate = multiple * carried / f64::max(warm, 0.001) * server.entry.rating;
-        Some((rate, (server.push.0 - rate * now.since(server.push.1).secs()).max(0.0)))
+        Some((rate, server.push.drained(rate, now)))
     }
 
     /// How a relay ended.
@@ -808,17 +785,17 @@
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = (server.out - 1.0).max(0.0);
         // A refusal comes at once; rested only by that, many gateways would ask again in a herd.
-        let took_of_use =
-            if end.fate == Fate::Satisfied { end.took } else { end.took.max(Span::from_secs(usual)) };
-        server.rested = now + took_of_use.times((1.0 / server.bound - 1.0).max(0.0));
-        self.rested = now + took_of_use.times((1.0 / self.bound - 1.0).max(0.0));
+        let busy = if end.fate == Fate::Satisfied { end.took } else { end.took.max(Span::from_secs(usual)) };
+        server.rested = now + rest(busy, server.bound);
+        self.rested = now + rest(busy, self.bound);
         self.out = (self.out - 1.0).max(0.0);
         match end.fate {
             Fate::Satisfied => {
                 server.gap += 0.1 * (now.since(server.heard).secs() - server.gap);
                 server.heard = now;
                 server.failing *= 0.8;
-                server.carried = (decayed(server.carried, now) + units / CARRIED_OVER, now);
+                let carried = server.carried.decayed(CARRIED_OVER, now) + units / CARRIED_OVER;
+                server.carried = Level { amount: carried, at: now };
                 self.usual += 0.02 * (took - self.usual);
                 // Slow answers, whatever slows them, cut what it gets: a server driven hard stays slow.
                 // Work goes by units where they differ, so a large job's answer is no slower for its size.
@@ -859,7 +836,8 @@
     /// What goes first when no server has room: the most benefit, and of that the newest, as the oldest would be
     /// answered late.
     fn place(&self, job: &Job) -> (u64, Moment, JobId) {
-        let benefit = self.deployment.bands[job.arrival.band].benefit * self.deployment.plans[job.arrival.plan].price;
+        let benefit =
+            self.deployment.bands[job.arrival.band].benefit * self.deployment.plans[job.arrival.plan].price;
         (benefit.to_bits(), job.target, job.arrival.job)
     }
 
@@ -897,12 +875,7 @@
         // Units counted and unsent, or the place of a relay that has ended, go back to the count.
         let plan = &self.deployment.plans[customer.plan];
         let by_cap = plan.limited() && !plan.by_rate();
-        let counted = match job.stage {
-            Stage::Counted(_) | Stage::Cleared => by_cap || job.relays == 0,
-            Stage::Out(_) => by_cap,
-            Stage::Held | Stage::Drawing => false,
-        };
-        if counted {
+        if matches!(job.stage, Stage::Cleared | Stage::Out(_)) && (by_cap || job.relays == 0) {
             customer.used = (customer.used - job.cost).max(0.0);
             if by_cap {
                 customer.shut = self.now;
@@ -928,9 +901,7 @@
     /// A timer has come due.
     pub fn woken(&mut self, now: Moment, mark: u64) {
         self.now = now;
-        if mark == POOL_MARK {
-            self.lend();
-        } else if mark == CALLS_MARK {
+        if mark == CALLS_MARK {
             self.serve_callers();
         } else if mark == BACKLOG_MARK {
             self.work_off();
@@ -940,15 +911,6 @@
             let (stage, latest) = (job.stage, self.latest(job));
             match stage {
                 Stage::Out(_) => self.check(mark),
-                Stage::Counted(turn) if now >= turn => {
-                    let customer = job.arrival.customer;
-                    self.roll(customer);
-                    if self.held(mark).is_some() {
-                        self.ask(customer);
-                    } else {
-                        self.clear(mark);
-                    }
-                }
                 _ if now >= latest => self.give_up(mark, None),
                 Stage::Cleared if !self.backlog.contains(&self.place(job)) => self.dispatch(mark),
                 _ => self.host.wake(latest.since(now), mark),
@@ -980,13 +942,11 @@
     /// A customer's held jobs are asked for again, and a call that takes unusually long is not waited for.
     fn reconsider(&mut self, id: CustomerId) {
         self.roll(id);
-        let patience = self.call_patience();
         let Some(customer) = self.customers.get(&id) else { return };
-        let since = customer.ask.as_ref().map(|ask| ask.sent).or(customer.queued);
-        if since.is_some_and(|since| self.now.since(since) >= patience) {
-            self.judge_alone(id);
-        } else if since.is_none() {
-            self.ask(id);
+        match &customer.ask {
+            None => self.ask(id),
+            Some(ask) if self.now.since(ask.sent) >= self.call_patience() => self.judge_alone(id),
+            Some(_) => {}
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,8 +22,6 @@
 pub(crate) enum Stage {
     /// Held until the quota has room.
     Held,
-    /// Its units are on the count; room for it comes then.
-    Counted(Moment),
     /// Draws on the pool.
     Drawing,
     /// The quota has room; waits for the ceiling or a server.
@@ -49,10 +47,10 @@
     /// Share of late relays that ended badly.
     pub(crate) failing: f64,
     pub(crate) tried: Moment,
-    /// Units a second it answered well, decaying, as of a moment.
-    pub(crate) carried: (f64, Moment),
-    /// Units sent while cold and not yet worked off, as of a moment.
-    pub(crate) push: (f64, Moment),
+    /// Units a second it answered well, decaying.
+    pub(crate) carried: Level,
+    /// Units sent while cold and not yet worked off.
+    pub(crate) push: Level,
 }
 
 #[derive(Default)]
@@ -73,15 +71,15 @@
     /// What the last window left unused, as far as known.
     pub(crate) unused: f64,
     pub(crate) ask: Option<Ask>,
-    /// Waits since then for its turn to call the counter.
-    pub(crate) queued: Option<Moment>,
+    /// Waits for its turn to call the counter.
+    pub(crate) queued: bool,
     /// Not asked for before; and how far asks in vain are apart, in seconds.
     pub(crate) shut: Moment,
     pub(crate) apart: f64,
-    /// Units ahead of this gateway's part of the pace, as of a moment.
-    pub(crate) ahead: (f64, Moment),
-    /// Room left by this gateway's own share of the ceiling, as of a moment.
-    pub(crate) ceiling: (f64, Moment),
+    /// Units ahead of this gateway's part of the pace.
+    pub(crate) ahead: Level,
+    /// Units spent of this gateway's own share of the ceiling.
+    pub(crate) spent: Level,
 }
 
 /// A call to the counter that is out, and the jobs whose units it carries.
@@ -120,24 +118,33 @@
 
 #[derive(Default)]
 pub(crate) struct Pool {
-    /// Units to lend.
+    /// Units to lend, and not before.
     pub(crate) lent: f64,
+    pub(crate) lends_at: Moment,
     pub(crate) empty_until: Moment,
     pub(crate) waiting: Vec<JobId>,
     pub(crate) draw: Option<(CountName, f64, Vec<JobId>)>,
 }
 
 impl Server {
-    /// Slow or turned away, from any cause: it gets less, but is not cut twice for one backlog. Below one
-    /// relay at a time it rests between relays.
-    pub(crate) fn cut(&mut self, to: f64, now: Moment, apart: f64, least: f64) {
-        if now.since(self.cut).secs() > apart {
-            self.bound = (self.bound * to).max(least);
-            self.cut = now;
-        }
-    }
-
     pub(crate) fn ready(&self) -> bool {
         self.entry.standing == Standing::Ready
     }
 }
+
+/// An amount as of a moment, that shrinks.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Level {
+    pub(crate) amount: f64,
+    pub(crate) at: Moment,
+}
+
+impl Level {
+    pub(crate) fn drained(self, rate: f64, now: Moment) -> f64 {
+        (self.amount - rate * now.since(self.at).secs()).max(0.0)
+    }
+
+    pub(crate) fn decayed(self, over: f64, now: Moment) -> f64 {
+        self.amount * (-now.since(self.at).secs() / over).exp()
+    }
+}
