--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,6 +13,8 @@
 const POOL_WINDOW: Span = Span::from_millis(1_000);
 /// A pool is filled a window ahead and may be drawn from to the end of its own.
 const POOL_KEPT: Span = Span::from_millis(3_000);
+/// Longer than two windows of any plan, for as long as a counter keeps names.
+const COUNTS_KEPT: Span = Span::from_millis(60_000);
 /// Marks of timers: a job's is its id, which is below this; a customer's is its id above this.
 const CUSTOMER_MARK: u64 = 1 << 52;
 const CALLS_MARK: u64 = u64::MAX;
@@ -222,14 +224,16 @@
             return self.host.forfeit(id);
         };
         let (target, limited, cost) = (now + band.target, plan.limited(), plan.cost(&arrival));
-        // After a restart the own share of the ceiling may be spent already, so it fills from then on.
-        let spent = Level { amount: plan.ceiling.map_or(0.0, |it| it.burst + it.slack), at: self.started };
-        let customer = self.customers.entry(arrival.customer).or_insert_with(|| Customer {
-            plan: arrival.plan,
-            set_size: f64::from(arrival.set_size.max(1)),
-            spent,
-            ..Customer::default()
+        let set_size = f64::from(arrival.set_size.max(1));
+        // Rule 5: an equal share of the ceiling is safe whatever others do; a little less for rounding. After a
+        // restart it may be spent already, so it fills from then on.
+        let ceiling = plan.ceiling.map(|it| {
+            let share = 0.999 / set_size;
+            (it.rate * share, (it.burst + it.slack) * share)
         });
+        let spent = Level { amount: ceiling.map_or(0.0, |it| it.1), at: self.started };
+        let fresh = || Customer { plan: arrival.plan, set_size, ceiling, spent, ..Customer::default() };
+        let customer = self.customers.entry(arrival.customer).or_insert_with(fresh);
         if limited {
             customer.waiting.push_back(id);
         }
@@ -320,7 +324,7 @@
         let now = self.now;
         let Some(customer) = self.customers.get(&id).filter(|known| known.ask.is_none()) else { return };
         let plan = &self.deployment.plans[customer.plan];
-        let (most, keep) = (plan.pace(self.usual).1, plan.window().times(3.0).min(Span::from_millis(60_000)));
+        let (most, window) = (plan.pace(self.usual).1, customer.window);
         let untold = customer.used - customer.told;
         let (mut asked, mut jobs, mut vain) = (0.0, Vec::new(), Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
@@ -333,7 +337,6 @@
                 jobs.push((job.arrival.job, job.cost));
             }
         }
-        let (name, window) = (hashed(&[id, customer.window, 0]), customer.window);
         self.turn_away(vain);
         // What was asked for and not used is taken back even when shut: else other gateways see no room.
         let amount = untold + asked;
@@ -348,7 +351,7 @@
         // calls carry more. The jobs are judged alone if that takes long.
         if may_call {
             customer.ask = Some(Ask { jobs, amount, window, step: Step::Count, sent: now });
-            self.call(name, id, amount, keep);
+            self.call(id, window, amount);
             self.host.wake(self.call_patience(), CUSTOMER_MARK + id);
         } else if !customer.queued {
             customer.queued = true;
@@ -366,13 +369,14 @@
         self.counter.out < self.counter.bound.max(1.0) && self.now >= self.counter.rested
     }
 
-    fn call(&mut self, name: CountName, id: CustomerId, amount: f64, keep: Span) {
+    fn call(&mut self, id: CustomerId, window: u64, amount: f64) {
+        let name = hashed(&[id, window, 0]);
         self.callers.insert(name, id);
         let counter = &mut self.counter;
         counter.out += 1.0;
         // With many gateways one call at a time of each is too many: it rests between calls.
         counter.rested = self.now.max(counter.rested) + rest(Span::from_secs(counter.usual), counter.bound);
-        self.host.add(name, amount, keep);
+        self.host.add(name, amount, COUNTS_KEPT);
     }
 
     /// A call that waits for longer is unusually slow, and an answer's time can be spared for it.
@@ -424,7 +428,7 @@
         if ask.window != customer.window {
             return self.ask(id);
         }
-        let (mark, last) = (plan.mark(), hashed(&[id, ask.window.wrapping_sub(1), 0]));
+        let (mark, window) = (plan.mark(), ask.window);
         match (ask.step, total) {
             (Step::Count, None) => {
                 // What may have been added counts as added: the count then says too little, never too much.
@@ -446,7 +450,7 @@
                 if crosses {
                     ask.step = Step::LookUp(total);
                     customer.ask = Some(ask);
-                    self.call(last, id, 0.0, POOL_WINDOW);
+                    self.call(id, window.wrapping_sub(1), 0.0);
                 } else {
                     self.settle(id, ask, total);
                 }
@@ -459,9 +463,8 @@
                 };
                 let lacked = mark + lacked.clamp(0.0, plan.burst.max(0.0));
                 ask.step = Step::Tell(counted + lacked);
-                let (name, keep) = (hashed(&[id, ask.window, 0]), plan.window().times(3.0));
                 customer.ask = Some(ask);
-                self.call(name, id, lacked, keep.min(Span::from_millis(60_000)));
+                self.call(id, window, lacked);
             }
             (Step::Tell(counted), _) => self.settle(id, ask, counted),
         }
@@ -505,36 +508,31 @@
         self.ask(id);
     }
 
-    /// Jobs whose turn would come too late: soft plans draw on the pool, the others go now.
+    /// Jobs whose turn would come too late: soft plans draw on the present pool by an add, the others go now.
     fn turn_away(&mut self, vain: Vec<(JobId, Moment)>) {
+        let open = self.pool.draw.is_none() && self.now >= self.pressed_until.max(self.pool.empty_until);
+        let (mut units, mut jobs) = (0.0, Vec::new());
         for (id, turn) in vain {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
-            let soft = self.deployment.plans[job.arrival.plan].soft();
-            if soft && self.now >= self.pressed_until.max(self.pool.empty_until) {
+            if open && self.deployment.plans[job.arrival.plan].soft() {
                 job.stage = Stage::Drawing;
-                self.pool.waiting.push(id);
+                units += job.cost;
+                jobs.push(id);
             } else {
                 self.give_up(id, Some(turn.since(self.now)));
             }
         }
-        self.draw();
-    }
-
-    /// Draws the units of soft customers' jobs past their allowance from the present pool.
-    fn draw(&mut self) {
-        if self.pool.draw.is_some() {
-            return;
-        }
-        let waiting = std::mem::take(&mut self.pool.waiting);
-        let jobs: Vec<JobId> = waiting.into_iter().filter(|job| self.jobs.contains_key(job)).collect();
-        let units: f64 = jobs.iter().filter_map(|job| self.jobs.get(job)).map(|job| job.cost).sum();
         if units > 0.0 {
-            let name = hashed(&[self.now.micros() / POOL_WINDOW.micros(), 1]);
+            let name = self.pool_name(0);
             self.pool.draw = Some((name, units, jobs));
             self.host.add(name, -units, POOL_KEPT);
         }
     }
 
+    fn pool_name(&self, ahead: u64) -> CountName {
+        hashed(&[self.now.micros() / POOL_WINDOW.micros() + ahead, 1])
+    }
+
     /// What a draw brought: below nothing the pool is empty, and what it lacks was not granted.
     fn drawn(&mut self, total: Option<f64>) {
         let Some((_, units, jobs)) = self.pool.draw.take() else { return };
@@ -551,7 +549,6 @@
                 self.give_up(id, None);
             }
         }
-        self.draw();
     }
 
     /// Lends half of a customer's shortfall in the last window to the next pool. Some gateways add in each pool
@@ -565,7 +562,7 @@
         }
         self.pool.lent += LENT * shortfall;
         if self.now >= self.pool.lends_at && self.pool.lent > 0.0 {
-            let next = hashed(&[self.now.micros() / POOL_WINDOW.micros() + 1, 1]);
+            let next = self.pool_name(1);
             let apart = (f64::from(self.deployment.gateways) / LENDERS).max(1.0);
             self.pool.lends_at = self.now + POOL_WINDOW.times(apart);
             self.host.add(next, std::mem::take(&mut self.pool.lent), POOL_KEPT);
@@ -616,17 +613,12 @@
         if patience <= tick {
             return self.give_up(id, None);
         }
-        if let (true, Some(ceiling), Some(customer)) =
-            (first, self.deployment.plans[arrival.plan].ceiling, self.customers.get_mut(&arrival.customer))
-        {
-            // Rule 5: an equal share of the ceiling is safe whatever others do; a little less for rounding.
-            let share = 0.999 / customer.set_size;
-            let spent = customer.spent.drained(ceiling.rate * share, self.now);
-            customer.spent =
-                Level { amount: spent.min((ceiling.burst + ceiling.slack) * share), at: self.now };
-            let short = arrival.units + customer.spent.amount - (ceiling.burst + ceiling.slack) * share;
+        let Some(customer) = self.customers.get_mut(&arrival.customer) else { return };
+        if let (true, Some((rate, most))) = (first, customer.ceiling) {
+            customer.spent = Level { amount: customer.spent.drained(rate, self.now), at: self.now };
+            let short = customer.spent.amount + arrival.units - most;
             if short > 0.0 {
-                let wait = Span::from_secs(short / (ceiling.rate * share)) + tick;
+                let wait = Span::from_secs(short / rate) + tick;
                 if self.now + wait > latest {
                     return self.give_up(id, Some(wait));
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,7 +78,8 @@
     pub(crate) apart: f64,
     /// Units ahead of this gateway's part of the pace.
     pub(crate) ahead: Level,
-    /// Units spent of this gateway's own share of the ceiling.
+    /// This gateway's own share of the ceiling, in units a second and at once, and what is spent of it.
+    pub(crate) ceiling: Option<(f64, f64)>,
     pub(crate) spent: Level,
 }
 
@@ -122,7 +123,6 @@
     pub(crate) lent: f64,
     pub(crate) lends_at: Moment,
     pub(crate) empty_until: Moment,
-    pub(crate) waiting: Vec<JobId>,
     pub(crate) draw: Option<(CountName, f64, Vec<JobId>)>,
 }
 
