--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,11 +3,11 @@
 //! `host.rs`, the records in `state.rs`; `docs/design.md` tells what follows the design and what departs.
 
 use crate::chance::{hashed, Chance};
-use crate::host::{Arrival, CountName, CustomerId, Deployment, Entry, Fate, Group, Host, JobId};
-use crate::host::{Plan, RelayEnd, Repeat, ServerId, Standing};
-use crate::state::{Ask, Counter, Customer, Job, Level, Pool, Server, Stage, Step};
+use crate::host::{Arrival, CountName, CustomerId, Deployment, Entry, Fate, Host, JobId};
+use crate::host::{Plan, RelayEnd, ServerId, Standing};
+use crate::state::{Ask, Counter, Customer, Fleet, Job, Level, Pool, Server, Stage, Step};
 use crate::time::{Moment, Span};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// The lent room of all customers is pooled by this span; the design's window of about a second.
 const POOL_WINDOW: Span = Span::from_millis(1_000);
@@ -43,44 +43,16 @@
     started: Moment,
     chance: Chance,
     servers: BTreeMap<ServerId, Server>,
-    /// How often the roster has changed, and the ratings of those ready.
-    roster: u64,
-    rating: f64,
+    fleet: Fleet,
     customers: BTreeMap<CustomerId, Customer>,
     jobs: BTreeMap<JobId, Job>,
-    /// Jobs with room in their quota that no server had room for, by benefit, then target time.
-    backlog: BTreeSet<(u64, Moment, JobId)>,
     /// Who awaits a total by a name.
     callers: BTreeMap<CountName, CustomerId>,
     counter: Counter,
     pool: Pool,
-    /// How long answers take of late, in seconds.
-    usual: f64,
-    /// How many units answered jobs have of late.
-    units: f64,
-    /// How long answers to usual jobs take of an unhurried server, in target times.
-    calm: f64,
-    /// The same of all servers.
-    slow: f64,
-    /// Relays out through this gateway, and how many there may be where its part of a server is below one.
-    out: f64,
-    bound: f64,
-    rested: Moment,
-    /// Further relays that may still be made; earned by first ones.
-    spare_relays: f64,
-    pressed_until: Moment,
 }
 
 impl Plan {
-    /// Use beyond the quota earns something and costs nothing.
-    fn soft(&self) -> bool {
-        self.by_rate() && self.over_share > 0.0 && self.over_cost <= 0.0
-    }
-
-    fn limited(&self) -> bool {
-        self.by_rate() || self.relays_out > 0.0
-    }
-
     /// Half of what fills the burst, so that an unused window leaves the whole burst; a second at least.
     /// A plan by relays out has no windows; its counts begin anew so that what a dead gateway held is let go.
     fn window(&self) -> Span {
@@ -140,30 +112,22 @@
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
         let (chance, gateways) = (Chance::new(seed, deployment.own_index), deployment.gateways);
         let usual = (deployment.tick.secs() * 4.0).max(0.005);
+        let spare = 5.0;
+        let fleet =
+            Fleet { usual: target / 6.0, units: 1.0, calm: 0.12, slow: 0.12, spare, ..Fleet::default() };
         Self {
             host,
             deployment,
             now,
             chance,
             servers: BTreeMap::new(),
-            roster: 0,
-            rating: 0.0,
+            fleet,
             customers: BTreeMap::new(),
             jobs: BTreeMap::new(),
-            backlog: BTreeSet::new(),
             callers: BTreeMap::new(),
             counter: Counter { usual, bound: FEW / f64::from(gateways), ..Counter::default() },
             pool: Pool::default(),
             started: now,
-            usual: target / 6.0,
-            units: 1.0,
-            calm: 0.12,
-            slow: 0.12,
-            out: 0.0,
-            bound: 0.0,
-            rested: now,
-            spare_relays: 5.0,
-            pressed_until: now,
         }
     }
 
@@ -171,11 +135,11 @@
     pub fn roster_changed(&mut self, now: Moment, entries: impl Iterator<Item = Entry>) {
         self.now = now;
         for mut entry in entries {
-            let (usual, gateways) = (self.usual, f64::from(self.deployment.gateways));
+            let (usual, gateways) = (self.fleet.usual, f64::from(self.deployment.gateways));
             let (bound, chance) = (FEW / gateways, &mut self.chance);
             // Rule 4: where a gateway's part of a cold server is below one job, all would send their first one at
             // once: each begins as far from it as chance has it.
-            let push = Level { amount: self.units * chance.draw(), at: now };
+            let push = Level { amount: self.fleet.units * chance.draw(), at: now };
             let server = self.servers.entry(entry.server).or_insert_with(|| Server {
                 entry,
                 bound,
@@ -197,10 +161,10 @@
             entry.rating = if entry.rating > 0.0 { entry.rating } else { 1.0 };
             server.entry = entry;
         }
-        self.roster += 1;
-        self.rating = self.servers.values().filter(|to| to.ready()).map(|to| to.entry.rating).sum();
-        if self.bound <= 0.0 {
-            self.bound = FEW / 2.0 * self.servers.len() as f64 / f64::from(self.deployment.gateways);
+        self.fleet.roster += 1;
+        self.fleet.rating = self.servers.values().filter(|to| to.ready()).map(|to| to.entry.rating).sum();
+        if self.fleet.bound <= 0.0 {
+            self.fleet.bound = FEW / 2.0 * self.servers.len() as f64 / f64::from(self.deployment.gateways);
         }
         self.work_off();
     }
@@ -260,7 +224,7 @@
         let by = job.target.min(job.arrival.abandon - self.deployment.tick - self.deployment.tick);
         // At most half the target time: else answers slow for any cause would end all relays, and all news.
         let most = self.deployment.bands[job.arrival.band].target.times(0.5);
-        by - Span::from_secs(self.usual * SLACK).min(most)
+        by - Span::from_secs(self.fleet.usual * SLACK).min(most)
     }
 
     /// A turn is not waited for longer than a quarter of the time that there is: were all held jobs of a customer far over
@@ -286,7 +250,7 @@
     /// the quota. Half of the burst is there at first, or what the count itself tells was left of it.
     fn turn(&self, customer: &Customer, total: f64) -> Moment {
         let plan = &self.deployment.plans[customer.plan];
-        let (rate, burst) = plan.pace(self.usual);
+        let (rate, burst) = plan.pace(self.fleet.usual);
         let (from, at_first) = match plan.by_rate() {
             true if total >= plan.mark() => (customer.began, plan.mark() + burst),
             true => (customer.began, burst / 2.0),
@@ -324,7 +288,7 @@
         let now = self.now;
         let Some(customer) = self.customers.get(&id).filter(|known| known.ask.is_none()) else { return };
         let plan = &self.deployment.plans[customer.plan];
-        let (most, window) = (plan.pace(self.usual).1, customer.window);
+        let (most, window) = (plan.pace(self.fleet.usual).1, customer.window);
         let untold = customer.used - customer.told;
         let (mut asked, mut jobs, mut vain) = (0.0, Vec::new(), Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
@@ -381,7 +345,7 @@
 
     /// A call that waits for longer is unusually slow, and an answer's time can be spared for it.
     fn call_patience(&self) -> Span {
-        Span::from_secs((self.counter.usual * UNUSUAL).max(self.usual)) + self.deployment.tick
+        Span::from_secs((self.counter.usual * UNUSUAL).max(self.fleet.usual)) + self.deployment.tick
     }
 
     /// A total came back, or word that none will.
@@ -477,7 +441,7 @@
         let (plan, set_size) = (customer.plan, customer.set_size);
         let asked: f64 = ask.jobs.iter().map(|job| job.1).sum();
         let (mut ready, mut late, mut vain) = (Vec::new(), false, Vec::new());
-        let (mut position, rate) = (total - asked, self.deployment.plans[plan].pace(self.usual).0);
+        let (mut position, rate) = (total - asked, self.deployment.plans[plan].pace(self.fleet.usual).0);
         for &(job, cost) in &ask.jobs {
             let Some(held) = self.held(job) else { continue };
             let turn = self.turn(customer, position + cost);
@@ -510,7 +474,8 @@
 
     /// Jobs whose turn would come too late: soft plans draw on the present pool by an add, the others go now.
     fn turn_away(&mut self, vain: Vec<(JobId, Moment)>) {
-        let open = self.pool.draw.is_none() && self.now >= self.pressed_until.max(self.pool.empty_until);
+        let open =
+            self.pool.draw.is_none() && self.now >= self.fleet.pressed_until.max(self.pool.empty_until);
         let (mut units, mut jobs) = (0.0, Vec::new());
         for (id, turn) in vain {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
@@ -557,7 +522,7 @@
         const LENT: f64 = 0.5;
         const LENDERS: f64 = 16.0;
         // Lent room must not reach a pressed back end.
-        if self.now < self.pressed_until || !self.deployment.plans.iter().any(Plan::soft) {
+        if self.now < self.fleet.pressed_until || !self.deployment.plans.iter().any(Plan::soft) {
             return;
         }
         self.pool.lent += LENT * shortfall;
@@ -573,7 +538,7 @@
     /// job goes as soon as those before are made up for: together the gateways keep to the pace.
     fn judge_alone(&mut self, id: CustomerId) {
         let Some(customer) = self.customers.get(&id) else { return };
-        let (rate, burst) = self.deployment.plans[customer.plan].pace(self.usual);
+        let (rate, burst) = self.deployment.plans[customer.plan].pace(self.fleet.usual);
         let (mut ahead, mut jobs) = (customer.ahead.drained(rate / customer.set_size, self.now), Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
             if ahead <= 0.0 || ahead + job.cost <= burst / customer.set_size {
@@ -587,7 +552,7 @@
     /// Lets jobs go whose units have room; what they take is ahead of this gateway's part.
     fn grant(&mut self, id: CustomerId, jobs: Vec<(JobId, f64)>) {
         let Some(customer) = self.customers.get_mut(&id) else { return };
-        let rate = self.deployment.plans[customer.plan].pace(self.usual).0;
+        let rate = self.deployment.plans[customer.plan].pace(self.fleet.usual).0;
         let (units, left) = (jobs.iter().map(|job| job.1).sum::<f64>(), rate / customer.set_size);
         customer.used += units;
         customer.ahead = Level { amount: customer.ahead.drained(left, self.now) + units, at: self.now };
@@ -626,18 +591,18 @@
             }
         }
         let Some(server) = self.choose(id) else {
-            self.pressed_until = self.now + POOL_WINDOW;
-            if self.backlog.is_empty() {
-                self.host.wake(Span::from_secs(self.usual / 2.0), BACKLOG_MARK);
+            self.fleet.pressed_until = self.now + POOL_WINDOW;
+            if self.fleet.backlog.is_empty() {
+                self.host.wake(Span::from_secs(self.fleet.usual / 2.0), BACKLOG_MARK);
             }
-            self.backlog.insert(place);
+            self.fleet.backlog.insert(place);
             return self.host.wake(latest.since(self.now), id);
         };
         if let (true, Some(customer)) = (first, self.customers.get_mut(&arrival.customer)) {
             customer.spent.amount += arrival.units;
-            self.spare_relays = (self.spare_relays + 0.15).min(20.0);
+            self.fleet.spare = (self.fleet.spare + 0.15).min(20.0);
         }
-        let (now, usual) = (self.now, self.usual);
+        let (now, usual) = (self.now, self.fleet.usual);
         let pushed = self.servers.get(&server).and_then(|to| self.cold_part(to)).map_or(0.0, |part| part.1);
         let Some(to) = self.servers.get_mut(&server) else { return };
         // A trial is not waited for longer than unusual, so that its job can still go elsewhere.
@@ -647,16 +612,18 @@
             to.heard = now;
         }
         to.out += 1.0;
-        self.out += 1.0;
+        self.fleet.out += 1.0;
         to.tried = now;
         to.push = Level { amount: pushed + arrival.units, at: now };
-        let check = to.silence_ends(usual).since(now) + tick;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.stage = Stage::Out(now);
         job.server = server;
         job.relays += 1;
         self.host.relay(id, server, patience);
-        self.host.wake(check, id);
+        let hangs = self.jobs.get(&id).map_or(Moment::default(), |job| self.hangs(job, now));
+        if hangs < arrival.abandon {
+            self.host.wake(hangs.since(now) + tick, id);
+        }
     }
 
     /// The first server in the customer's fixed ranking that does not have enough. Rankings differ by gateway:
@@ -665,14 +632,14 @@
         // Where this gateway's part of a server is below one relay, its relays to all are bounded together: each
         // alone answers too seldom to learn by, and all might get one at once from every gateway.
         let many = f64::from(self.deployment.gateways) > FEW;
-        if many && (self.out >= self.bound.max(1.0) || self.now < self.rested) {
+        if many && (self.fleet.out >= self.fleet.bound.max(1.0) || self.now < self.fleet.rested) {
             return None;
         }
         let by = self.jobs.get(&id)?.arrival.customer;
         let customer = self.customers.get_mut(&by)?;
-        if customer.ranked != self.roster {
+        if customer.ranked != self.fleet.roster {
             let own = u64::from(self.deployment.own_index);
-            customer.ranked = self.roster;
+            customer.ranked = self.fleet.roster;
             customer.ranking = self.servers.keys().copied().collect();
             customer.ranking.sort_by_cached_key(|server| hashed(&[by, own, u64::from(*server)]));
         }
@@ -686,15 +653,18 @@
         /// Some usual answers apart; jobs that may not run again are risked a quarter as often.
         const TRIAL: Span = Span::from_millis(500);
         let Some(server) = self.servers.get(&id).filter(|server| server.ready()) else { return false };
-        if job.relays > 0 && (job.server == id || !self.may_repeat(job, &server.entry)) {
+        let repeat = self.deployment.bands[job.arrival.band].repeat;
+        let origin = job.may_have_run.and_then(|(sent, id)| Some((sent, self.servers.get(&id)?)));
+        let barred = origin
+            .is_some_and(|(sent, from)| !repeat.may_go(&from.entry, &server.entry, self.now.since(sent)));
+        if barred || (job.relays > 0 && job.server == id) {
             return false;
         }
         let (own, now) = (server.entry.rating, self.now);
-        let even = (UNEVEN * (self.out + 1.0) * own / self.rating.max(own)).ceil();
-        let enough = if server.unwell(now, self.usual) {
+        let even = (UNEVEN * (self.fleet.out + 1.0) * own / self.fleet.rating.max(own)).ceil();
+        let enough = if server.unwell(now, self.fleet.usual) {
             // One relay at a time shows if it is well again, the more seldom the more failed.
-            let free = self.deployment.bands[job.arrival.band].repeat.is_free();
-            let rest = if free { TRIAL } else { TRIAL.times(4.0) };
+            let rest = if repeat.is_free() { TRIAL } else { TRIAL.times(4.0) };
             server.out > 0.0 || now.since(server.tried) < rest.times(1.0 / (1.0 - server.failing).max(0.05))
         } else {
             server.out >= even.min(server.bound.max(1.0)) || now < server.rested
@@ -706,19 +676,6 @@
         !enough && cold
     }
 
-    fn may_repeat(&self, job: &Job, to: &Entry) -> bool {
-        let origin = job.may_have_run.and_then(|(since, id)| Some((since, self.servers.get(&id)?.entry)));
-        match (self.deployment.bands[job.arrival.band].repeat, origin) {
-            (_, None) | (Repeat::Pure, _) => true,
-            (Repeat::Effectful, _) => false,
-            (Repeat::Receipted(group, window), Some((since, from))) => {
-                let zone = group == Group::Zone && to.zone == from.zone;
-                let same = zone || group == Group::All || (group == Group::Cell && to.cell == from.cell);
-                same && self.now.since(since) < window
-            }
-        }
-    }
-
     /// Rule 4: a cold server gets a safe part of what warm ones are seen to carry, in units a second; and how much
     /// of it is still ahead. Half is kept back for slower machines and uneven work; half a span's part may go at
     /// once.
@@ -756,11 +713,11 @@
                 job.may_have_run = Some((sent, end.server));
             }
             let left = job.relays < self.deployment.most_relays
-                && (self.spare_relays >= 1.0 || end.fate == Fate::ConnectFailed);
+                && (self.fleet.spare >= 1.0 || end.fate == Fate::ConnectFailed);
             if end.settled || end.fate == Fate::Satisfied {
                 self.forget(end.job);
             } else if left && self.jobs.get(&end.job).is_some_and(|job| now < self.latest(job)) {
-                self.spare_relays = (self.spare_relays - 1.0).max(0.0);
+                self.fleet.spare = (self.fleet.spare - 1.0).max(0.0);
                 self.dispatch(end.job);
             } else {
                 self.give_up(end.job, None);
@@ -770,7 +727,7 @@
     }
 
     fn learn(&mut self, end: &RelayEnd, units: f64, target: f64) {
-        let (now, took, usual) = (self.now, end.took.secs(), self.usual);
+        let (now, took, usual) = (self.now, end.took.secs(), self.fleet.usual);
         // About as many relays as a small machine has cores keep it at work, however slow its answers.
         const LEAST: f64 = 3.0;
         let least = (LEAST / f64::from(self.deployment.gateways)).min(1.0);
@@ -779,8 +736,8 @@
         // A refusal comes at once; rested only by that, many gateways would ask again in a herd.
         let busy = if end.fate == Fate::Satisfied { end.took } else { end.took.max(Span::from_secs(usual)) };
         server.rested = now + rest(busy, server.bound);
-        self.rested = now + rest(busy, self.bound);
-        self.out = (self.out - 1.0).max(0.0);
+        self.fleet.rested = now + rest(busy, self.fleet.bound);
+        self.fleet.out = (self.fleet.out - 1.0).max(0.0);
         match end.fate {
             Fate::Satisfied => {
                 server.gap += 0.1 * (now.since(server.heard).secs() - server.gap);
@@ -788,41 +745,41 @@
                 server.failing *= 0.8;
                 let carried = server.carried.decayed(CARRIED_OVER, now) + units / CARRIED_OVER;
                 server.carried = Level { amount: carried, at: now };
-                self.usual += 0.02 * (took - self.usual);
+                self.fleet.usual += 0.02 * (took - self.fleet.usual);
                 // Slow answers, whatever slows them, cut what it gets: a server driven hard stays slow.
                 // Work goes by units where they differ, so a large job's answer is no slower for its size.
-                self.units += 0.02 * (units - self.units);
-                let slow = took / target * self.units / units.max(NOTHING);
+                self.fleet.units += 0.02 * (units - self.fleet.units);
+                let slow = took / target * self.fleet.units / units.max(NOTHING);
                 // Slow is told by the pace of servers that get the least already, kept within a safe range.
                 if server.bound <= least {
-                    self.calm = (self.calm + 0.002 * (slow - self.calm)).clamp(0.12, 0.18);
+                    self.fleet.calm = (self.fleet.calm + 0.002 * (slow - self.fleet.calm)).clamp(0.12, 0.18);
                 }
-                if slow > 1.25 * self.calm {
+                if slow > 1.25 * self.fleet.calm {
                     server.cut(0.8, now, 0.2 * target, least);
-                } else if slow < 0.75 * self.calm && server.out + 2.0 > server.bound {
+                } else if slow < 0.75 * self.fleet.calm && server.out + 2.0 > server.bound {
                     server.bound += (1.0 / server.bound).min(server.bound / 4.0);
                 }
                 // One answer says little of all servers, the last ten do.
-                self.slow += 0.1 * (slow - self.slow);
-                if self.slow > 2.0 * self.calm {
-                    self.bound *= 0.97;
-                } else if self.slow < 1.5 * self.calm && self.out + 2.0 > self.bound {
-                    self.bound *= 1.03;
+                self.fleet.slow += 0.1 * (slow - self.fleet.slow);
+                if self.fleet.slow > 2.0 * self.fleet.calm {
+                    self.fleet.bound *= 0.97;
+                } else if self.fleet.slow < 1.5 * self.fleet.calm && self.fleet.out + 2.0 > self.fleet.bound {
+                    self.fleet.bound *= 1.03;
                 }
             }
             Fate::Full => {
                 // A server that turns all away at once, from any cause, would look idle and draw all jobs.
                 server.failing += 0.1 * (1.0 - server.failing);
-                server.cut(0.7, now, self.usual, least);
-                self.bound *= 0.97;
+                server.cut(0.7, now, self.fleet.usual, least);
+                self.fleet.bound *= 0.97;
             }
             Fate::Error | Fate::Reset | Fate::ConnectFailed | Fate::TimedOut => {
                 server.failing += 0.2 * (1.0 - server.failing);
-                self.slow += 0.1 * (took / target - self.slow).max(0.0);
+                self.fleet.slow += 0.1 * (took / target - self.fleet.slow).max(0.0);
             }
             Fate::Withdrawn | Fate::Moot => {}
         }
-        self.bound = self.bound.max(least * self.servers.len() as f64);
+        self.fleet.bound = self.fleet.bound.max(least * self.servers.len() as f64);
     }
 
     /// What goes first when no server has room: the most benefit, and of that the newest, as the oldest would be
@@ -835,9 +792,9 @@
 
     /// Sends on what waits for a server, as far as there is room.
     fn work_off(&mut self) {
-        while let Some(place) = self.backlog.pop_last() {
+        while let Some(place) = self.fleet.backlog.pop_last() {
             self.dispatch(place.2);
-            if self.backlog.contains(&place) {
+            if self.fleet.backlog.contains(&place) {
                 return;
             }
         }
@@ -863,7 +820,7 @@
         let place = self.place(&job);
         let Some(customer) = self.customers.get_mut(&job.arrival.customer) else { return };
         customer.waiting.retain(|waiting| *waiting != id);
-        self.backlog.remove(&place);
+        self.fleet.backlog.remove(&place);
         // Units counted and unsent, or the place of a relay that has ended, go back to the count.
         let plan = &self.deployment.plans[customer.plan];
         let by_cap = plan.limited() && !plan.by_rate();
@@ -902,33 +859,22 @@
         } else if let Some(job) = self.jobs.get(&mark) {
             let (stage, latest) = (job.stage, self.latest(job));
             match stage {
-                Stage::Out(_) => self.check(mark),
+                Stage::Out(sent) if now > self.hangs(job, sent) => self.host.withdraw(mark, job.relays - 1),
+                Stage::Out(_) => {}
                 _ if now >= latest => self.give_up(mark, None),
-                Stage::Cleared if !self.backlog.contains(&self.place(job)) => self.dispatch(mark),
+                Stage::Cleared if !self.fleet.backlog.contains(&self.place(job)) => self.dispatch(mark),
                 _ => self.host.wake(latest.since(now), mark),
             }
         }
     }
 
-    /// Takes a job back from a server gone silent while another could still answer in time, or one that hangs
-    /// for unusually long past its target time where a late answer earns nothing.
-    fn check(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let (Stage::Out(sent), Some(server)) = (job.stage, self.servers.get(&job.server)) else { return };
+    /// When a relay has been out for unusually long past its target time. Where a late answer earns nothing it is
+    /// then taken back, as it keeps a place that others could use, whatever it hangs on.
+    fn hangs(&self, job: &Job, sent: Moment) -> Moment {
         let band = &self.deployment.bands[job.arrival.band];
-        if !band.repeat.is_free() || !self.deployment.may_withdraw {
-            return;
-        }
-        let left = job.relays < self.deployment.most_relays && self.spare_relays >= 1.0;
-        let silent = server.silence_ends(self.usual);
-        let late = if band.late_share > 0.0 { job.arrival.abandon } else { job.target };
-        let hung = late.max(sent + Span::from_secs(self.usual * UNUSUAL));
-        let next = if left && self.now < self.latest(job) { silent.min(hung) } else { hung };
-        if self.now > next {
-            self.host.withdraw(id, job.relays - 1);
-        } else {
-            self.host.wake(next.since(self.now) + self.deployment.tick, id);
-        }
+        let kept = band.late_share > 0.0 || !band.repeat.is_free() || !self.deployment.may_withdraw;
+        let until = if kept { job.arrival.abandon } else { job.target };
+        until.max(sent + Span::from_secs(self.fleet.usual * UNUSUAL))
     }
 
     /// A customer's held jobs are asked for again, and a call that takes unusually long is not waited for.
--- a/src/host.rs
+++ b/src/host.rs
@@ -76,6 +76,22 @@
     pub fn is_free(self) -> bool {
         matches!(self, Self::Pure | Self::Receipted(Group::All, _))
     }
+
+    /// May run again at `to`, that long after it was sent to `from`, where it may have run.
+    pub fn may_go(self, from: &Entry, to: &Entry, after: Span) -> bool {
+        match self {
+            Self::Pure => true,
+            Self::Effectful => false,
+            Self::Receipted(group, window) => {
+                let same = match group {
+                    Group::All => true,
+                    Group::Zone => to.zone == from.zone,
+                    Group::Cell => to.cell == from.cell,
+                };
+                same && after < window
+            }
+        }
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -104,6 +120,15 @@
         self.rate > 0.0
     }
 
+    pub fn limited(&self) -> bool {
+        self.by_rate() || self.relays_out > 0.0
+    }
+
+    /// Use beyond the quota earns something and costs nothing.
+    pub fn soft(&self) -> bool {
+        self.by_rate() && self.over_share > 0.0 && self.over_cost <= 0.0
+    }
+
     /// What a job takes of its plan's quota: its units, or one relay.
     pub fn cost(&self, job: &Arrival) -> f64 {
         if self.by_rate() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -53,6 +53,30 @@
     pub(crate) push: Level,
 }
 
+/// What is known of all servers together.
+#[derive(Default)]
+pub(crate) struct Fleet {
+    /// How often the roster has changed, and the ratings of those ready.
+    pub(crate) roster: u64,
+    pub(crate) rating: f64,
+    /// Jobs with room in their quota that no server had room for, by benefit, then target time.
+    pub(crate) backlog: BTreeSet<(u64, Moment, JobId)>,
+    /// Some job found no server shortly before.
+    pub(crate) pressed_until: Moment,
+    /// How long answers take of late, in seconds, and how many units their jobs have.
+    pub(crate) usual: f64,
+    pub(crate) units: f64,
+    /// How long answers to usual jobs take of unhurried servers, and of all, in target times.
+    pub(crate) calm: f64,
+    pub(crate) slow: f64,
+    /// Relays out through this gateway, and how many there may be where its part of a server is below one.
+    pub(crate) out: f64,
+    pub(crate) bound: f64,
+    pub(crate) rested: Moment,
+    /// Further relays that may still be made; earned by first ones.
+    pub(crate) spare: f64,
+}
+
 #[derive(Default)]
 pub(crate) struct Customer {
     pub(crate) plan: usize,
