--- a/src/choice.rs
+++ b/src/choice.rs
@@ -135,8 +135,8 @@
     pub fn roster_changed(&mut self, now: Moment, entries: impl Iterator<Item = Entry>) {
         self.now = now;
         for mut entry in entries {
-            let (usual, gateways) = (self.fleet.usual, f64::from(self.deployment.gateways));
-            let (bound, chance) = (FEW / gateways, &mut self.chance);
+            let (usual, chance) = (self.fleet.usual, &mut self.chance);
+            let bound = FEW / f64::from(self.deployment.gateways);
             // Rule 4: where a gateway's part of a cold server is below one job, all would send their first one at
             // once: each begins as far from it as chance has it.
             let push = Level { amount: self.fleet.units * chance.draw(), at: now };
@@ -320,9 +320,7 @@
         } else if !customer.queued {
             customer.queued = true;
             self.counter.queue.insert((benefit, now, id));
-            if self.counter.queue.len() == 1 {
-                self.host.wake(self.counter.rested.since(now), CALLS_MARK);
-            }
+            self.host.wake(self.counter.rested.since(now), CALLS_MARK);
         }
         if !may_call || self.counter.failed > MOSTLY {
             self.judge_alone(id);
@@ -438,10 +436,11 @@
     fn settle(&mut self, id: CustomerId, ask: Ask, total: f64) {
         let now = self.now;
         let Some(customer) = self.customers.get(&id) else { return };
-        let (plan, set_size) = (customer.plan, customer.set_size);
+        let plan = &self.deployment.plans[customer.plan];
         let asked: f64 = ask.jobs.iter().map(|job| job.1).sum();
+        let (rate, longest) = (plan.pace(self.fleet.usual).0, plan.window().secs());
         let (mut ready, mut late, mut vain) = (Vec::new(), false, Vec::new());
-        let (mut position, rate) = (total - asked, self.deployment.plans[plan].pace(self.fleet.usual).0);
+        let mut position = total - asked;
         for &(job, cost) in &ask.jobs {
             let Some(held) = self.held(job) else { continue };
             let turn = self.turn(customer, position + cost);
@@ -457,11 +456,11 @@
         // Each gateway of a set that asks in vain costs calls: it asks the more seldom the more often in vain,
         // down to its even part of what comes in.
         let even = asked.max(1.0) / rate;
-        let (chance, longest) = (0.5 + self.chance.draw(), self.deployment.plans[plan].window().secs());
+        let chance = 0.5 + self.chance.draw();
         let Some(customer) = self.customers.get_mut(&id) else { return };
         customer.total = total;
         if late || (ready.is_empty() && !vain.is_empty()) {
-            customer.apart = (customer.apart * 2.0).clamp(even, even * set_size).min(longest);
+            customer.apart = (customer.apart * 2.0).clamp(even, even * customer.set_size).min(longest);
             customer.shut = now + Span::from_secs(customer.apart * chance);
             self.host.wake(customer.shut.since(now), CUSTOMER_MARK + id);
         } else if !ready.is_empty() {
@@ -701,10 +700,9 @@
     /// How a relay ended.
     pub fn relay_ended(&mut self, now: Moment, end: RelayEnd) {
         self.now = now;
-        let job = self.jobs.get(&end.job).map(|job| (job.arrival.units, job.arrival.band));
-        let (units, target) =
-            job.map_or((1.0, 1.0), |job| (job.0, self.deployment.bands[job.1].target.secs()));
-        self.learn(&end, units, target);
+        let known = self.jobs.get(&end.job).map(|job| job.arrival);
+        let target = known.map_or(1.0, |job| self.deployment.bands[job.band].target.secs());
+        self.learn(&end, known.map_or(1.0, |job| job.units), target);
         if let Some(job) = self.jobs.get_mut(&end.job) {
             let Stage::Out(sent) = job.stage else { return self.work_off() };
             job.stage = Stage::Cleared;
@@ -727,17 +725,14 @@
     }
 
     fn learn(&mut self, end: &RelayEnd, units: f64, target: f64) {
-        let (now, took, usual) = (self.now, end.took.secs(), self.fleet.usual);
         // About as many relays as a small machine has cores keep it at work, however slow its answers.
         const LEAST: f64 = 3.0;
         let least = (LEAST / f64::from(self.deployment.gateways)).min(1.0);
+        let (now, took, fleet) = (self.now, end.took.secs(), &mut self.fleet);
+        let (usual, few) = (Span::from_secs(fleet.usual), least * self.servers.len() as f64);
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = (server.out - 1.0).max(0.0);
-        // A refusal comes at once; rested only by that, many gateways would ask again in a herd.
-        let busy = if end.fate == Fate::Satisfied { end.took } else { end.took.max(Span::from_secs(usual)) };
-        server.rested = now + rest(busy, server.bound);
-        self.fleet.rested = now + rest(busy, self.fleet.bound);
-        self.fleet.out = (self.fleet.out - 1.0).max(0.0);
+        fleet.out = (fleet.out - 1.0).max(0.0);
         match end.fate {
             Fate::Satisfied => {
                 server.gap += 0.1 * (now.since(server.heard).secs() - server.gap);
@@ -745,48 +740,51 @@
                 server.failing *= 0.8;
                 let carried = server.carried.decayed(CARRIED_OVER, now) + units / CARRIED_OVER;
                 server.carried = Level { amount: carried, at: now };
-                self.fleet.usual += 0.02 * (took - self.fleet.usual);
                 // Slow answers, whatever slows them, cut what it gets: a server driven hard stays slow.
                 // Work goes by units where they differ, so a large job's answer is no slower for its size.
-                self.fleet.units += 0.02 * (units - self.fleet.units);
-                let slow = took / target * self.fleet.units / units.max(NOTHING);
+                fleet.usual += 0.02 * (took - fleet.usual);
+                fleet.units += 0.02 * (units - fleet.units);
+                let slow = took / target * fleet.units / units.max(NOTHING);
                 // Slow is told by the pace of servers that get the least already, kept within a safe range.
                 if server.bound <= least {
-                    self.fleet.calm = (self.fleet.calm + 0.002 * (slow - self.fleet.calm)).clamp(0.12, 0.18);
+                    fleet.calm = (fleet.calm + 0.002 * (slow - fleet.calm)).clamp(0.12, 0.18);
                 }
-                if slow > 1.25 * self.fleet.calm {
+                if slow > 1.25 * fleet.calm {
                     server.cut(0.8, now, 0.2 * target, least);
-                } else if slow < 0.75 * self.fleet.calm && server.out + 2.0 > server.bound {
+                } else if slow < 0.75 * fleet.calm && server.out + 2.0 > server.bound {
                     server.bound += (1.0 / server.bound).min(server.bound / 4.0);
                 }
                 // One answer says little of all servers, the last ten do.
-                self.fleet.slow += 0.1 * (slow - self.fleet.slow);
-                if self.fleet.slow > 2.0 * self.fleet.calm {
-                    self.fleet.bound *= 0.97;
-                } else if self.fleet.slow < 1.5 * self.fleet.calm && self.fleet.out + 2.0 > self.fleet.bound {
-                    self.fleet.bound *= 1.03;
+                fleet.slow += 0.1 * (slow - fleet.slow);
+                if fleet.slow > 2.0 * fleet.calm {
+                    fleet.bound *= 0.97;
+                } else if fleet.slow < 1.5 * fleet.calm && fleet.out + 2.0 > fleet.bound {
+                    fleet.bound *= 1.03;
                 }
             }
-            Fate::Full => {
-                // A server that turns all away at once, from any cause, would look idle and draw all jobs.
-                server.failing += 0.1 * (1.0 - server.failing);
-                server.cut(0.7, now, self.fleet.usual, least);
-                self.fleet.bound *= 0.97;
-            }
-            Fate::Error | Fate::Reset | Fate::ConnectFailed | Fate::TimedOut => {
+            Fate::Withdrawn | Fate::Moot => {}
+            Fate::Full | Fate::Error | Fate::Reset | Fate::ConnectFailed | Fate::TimedOut => {
+                // Of any kind: a server that fails or turns all away at once would look idle and draw all jobs.
                 server.failing += 0.2 * (1.0 - server.failing);
-                self.fleet.slow += 0.1 * (took / target - self.fleet.slow).max(0.0);
+                if end.fate == Fate::Full {
+                    server.cut(0.7, now, fleet.usual, least);
+                    fleet.bound *= 0.97;
+                }
+                fleet.slow += 0.1 * (took / target - fleet.slow).max(0.0);
             }
-            Fate::Withdrawn | Fate::Moot => {}
         }
-        self.fleet.bound = self.fleet.bound.max(least * self.servers.len() as f64);
+        fleet.bound = fleet.bound.max(few);
+        // A refusal comes at once; rested only by that, many gateways would ask again in a herd.
+        let busy = if end.fate == Fate::Satisfied { end.took } else { end.took.max(usual) };
+        (server.rested, fleet.rested) = (now + rest(busy, server.bound), now + rest(busy, fleet.bound));
     }
 
     /// What goes first when no server has room: the most benefit, and of that the newest, as the oldest would be
     /// answered late.
     fn place(&self, job: &Job) -> (u64, Moment, JobId) {
-        let benefit =
-            self.deployment.bands[job.arrival.band].benefit * self.deployment.plans[job.arrival.plan].price;
+        let (band, plan) =
+            (&self.deployment.bands[job.arrival.band], &self.deployment.plans[job.arrival.plan]);
+        let benefit = band.benefit * plan.price;
         (benefit.to_bits(), job.target, job.arrival.job)
     }
 
