--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,7 +23,7 @@
 const FEW: f64 = 12.0;
 /// Counts hold sums of rounded figures; less than this is no difference.
 const NOTHING: f64 = 0.01;
-/// A server or a counter of which more than this share ended badly of late is not to be had.
+/// A server of which more than this share of relays ended badly of late is not to be had.
 const MOSTLY: f64 = 0.5;
 /// Accrual: a silence of this many usual gaps is unusual; about 1 in 400 if gaps were exponential.
 const UNUSUAL: f64 = 6.0;
@@ -143,8 +143,6 @@
             let server = self.servers.entry(entry.server).or_insert_with(|| Server {
                 entry,
                 bound,
-                // Many gateways that start with one relay each would push a server over together.
-                rested: now + rest(Span::from_secs(usual * chance.draw()), bound),
                 heard: now,
                 gap: usual,
                 push,
@@ -227,12 +225,6 @@
         by - Span::from_secs(self.fleet.usual * SLACK).min(most)
     }
 
-    /// A turn is not waited for longer than a quarter of the time that there is: were all held jobs of a customer far over
-    /// quota sent at the last moment, each slow answer would be late.
-    fn latest_turn(&self, job: &Job) -> Moment {
-        self.now + self.latest(job).since(self.now).times(0.25)
-    }
-
     fn held(&self, id: JobId) -> Option<&Job> {
         self.jobs.get(&id).filter(|job| job.stage == Stage::Held)
     }
@@ -294,7 +286,7 @@
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
             let total = customer.total + untold + asked + job.cost;
             let turn = self.turn(customer, total).max(customer.shut);
-            if turn > self.latest_turn(job) {
+            if turn > self.latest(job) {
                 vain.push((job.arrival.job, turn));
             } else if now >= customer.shut && (asked <= 0.0 || asked + job.cost <= most) {
                 asked += job.cost;
@@ -316,15 +308,14 @@
         if may_call {
             customer.ask = Some(Ask { jobs, amount, window, step: Step::Count, sent: now });
             self.call(id, window, amount);
-            self.host.wake(self.call_patience(), CUSTOMER_MARK + id);
-        } else if !customer.queued {
+            return;
+        }
+        if !customer.queued {
             customer.queued = true;
             self.counter.queue.insert((benefit, now, id));
             self.host.wake(self.counter.rested.since(now), CALLS_MARK);
         }
-        if !may_call || self.counter.failed > MOSTLY {
-            self.judge_alone(id);
-        }
+        self.judge_alone(id);
     }
 
     fn may_call(&self) -> bool {
@@ -341,11 +332,6 @@
         self.host.add(name, amount, COUNTS_KEPT);
     }
 
-    /// A call that waits for longer is unusually slow, and an answer's time can be spared for it.
-    fn call_patience(&self) -> Span {
-        Span::from_secs((self.counter.usual * UNUSUAL).max(self.fleet.usual)) + self.deployment.tick
-    }
-
     /// A total came back, or word that none will.
     pub fn counted(&mut self, now: Moment, name: CountName, total: Option<f64>, fate: Fate) {
         self.now = now;
@@ -354,7 +340,6 @@
         }
         let Some(id) = self.callers.remove(&name) else { return };
         self.counter.out -= 1.0;
-        self.counter.failed += 0.3 * (f64::from(u8::from(total.is_none())) - self.counter.failed);
         // Steps small enough that one call in some twenty fails where the counter is the narrowest place.
         self.counter.bound = match total {
             Some(_) => self.counter.bound + (0.1 / self.counter.bound).min(self.counter.bound * 0.02),
@@ -447,7 +432,7 @@
             if turn <= now {
                 position += cost;
                 ready.push((job, cost));
-            } else if turn > self.latest_turn(held) {
+            } else if turn > self.latest(held) {
                 vain.push((job, turn));
             } else {
                 late = true;
@@ -473,8 +458,7 @@
 
     /// Jobs whose turn would come too late: soft plans draw on the present pool by an add, the others go now.
     fn turn_away(&mut self, vain: Vec<(JobId, Moment)>) {
-        let open =
-            self.pool.draw.is_none() && self.now >= self.fleet.pressed_until.max(self.pool.empty_until);
+        let open = self.pool.draw.is_none() && self.now >= self.fleet.pressed_until;
         let (mut units, mut jobs) = (0.0, Vec::new());
         for (id, turn) in vain {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
@@ -507,9 +491,6 @@
                 room -= job.cost;
                 self.clear(id);
             } else {
-                // An empty pool is not asked again before the next one opens.
-                let over = self.now.micros() / POOL_WINDOW.micros() + 1;
-                self.pool.empty_until = Moment::from_micros(over * POOL_WINDOW.micros());
                 self.give_up(id, None);
             }
         }
@@ -853,7 +834,8 @@
         } else if mark == BACKLOG_MARK {
             self.work_off();
         } else if mark >= CUSTOMER_MARK {
-            self.reconsider(mark - CUSTOMER_MARK);
+            self.roll(mark - CUSTOMER_MARK);
+            self.ask(mark - CUSTOMER_MARK);
         } else if let Some(job) = self.jobs.get(&mark) {
             let (stage, latest) = (job.stage, self.latest(job));
             match stage {
@@ -874,15 +856,4 @@
         let until = if kept { job.arrival.abandon } else { job.target };
         until.max(sent + Span::from_secs(self.fleet.usual * UNUSUAL))
     }
-
-    /// A customer's held jobs are asked for again, and a call that takes unusually long is not waited for.
-    fn reconsider(&mut self, id: CustomerId) {
-        self.roll(id);
-        let Some(customer) = self.customers.get(&id) else { return };
-        match &customer.ask {
-            None => self.ask(id),
-            Some(ask) if self.now.since(ask.sent) >= self.call_patience() => self.judge_alone(id),
-            Some(_) => {}
-        }
-    }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -128,8 +128,6 @@
 
 #[derive(Default)]
 pub(crate) struct Counter {
-    /// Share of late calls that failed.
-    pub(crate) failed: f64,
     /// How long calls take of late, in seconds.
     pub(crate) usual: f64,
     pub(crate) out: f64,
@@ -146,7 +144,6 @@
     /// Units to lend, and not before.
     pub(crate) lent: f64,
     pub(crate) lends_at: Moment,
-    pub(crate) empty_until: Moment,
     pub(crate) draw: Option<(CountName, f64, Vec<JobId>)>,
 }
 
