--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -117,8 +117,7 @@
                     },
                 );
             }
-            1050 => gateway.answer_began(now, record.u64(4), record.u32(17)),
-            1070 => gateway.job_abandoned(now, record.u64(4)),
+            1050 | 1070 => gateway.job_left(now, record.u64(4)),
             1020 => gateway.woken(now, record.u64(4)),
             1060 => {
                 let fate = fate(record.u16(12)).ok_or("unknown outcome")?;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -112,9 +112,9 @@
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
         let (chance, gateways) = (Chance::new(seed, deployment.own_index), deployment.gateways);
         let usual = (deployment.tick.secs() * 4.0).max(0.005);
-        let spare = 5.0;
+        let (usual_answer, spare) = (target / 6.0, 5.0);
         let fleet =
-            Fleet { usual: target / 6.0, units: 1.0, calm: 0.12, slow: 0.12, spare, ..Fleet::default() };
+            Fleet { usual: usual_answer, units: 1.0, calm: 0.12, slow: 0.12, spare, ..Fleet::default() };
         Self {
             host,
             deployment,
@@ -160,7 +160,6 @@
             server.entry = entry;
         }
         self.fleet.roster += 1;
-        self.fleet.rating = self.servers.values().filter(|to| to.ready()).map(|to| to.entry.rating).sum();
         if self.fleet.bound <= 0.0 {
             self.fleet.bound = FEW / 2.0 * self.servers.len() as f64 / f64::from(self.deployment.gateways);
         }
@@ -229,36 +228,29 @@
         self.jobs.get(&id).filter(|job| job.stage == Stage::Held)
     }
 
-    /// A customer's present window and its start; all gateways come to the same from the same clock.
-    fn window_of(&self, id: CustomerId, plan: usize) -> (u64, Moment) {
-        let length = self.deployment.plans[plan].window().micros();
-        // Windows of different customers begin at different times, so that held jobs don't come in herds.
-        let phase = hashed(&[id]) % length;
-        let index = self.now.micros().saturating_add(phase) / length;
-        (index, Moment::from_micros(index.saturating_mul(length).saturating_sub(phase)))
-    }
-
     /// When a customer's allowance reaches a total. The window's units come in evenly, as use before is beyond
     /// the quota. Half of the burst is there at first, or what the count itself tells was left of it.
     fn turn(&self, customer: &Customer, total: f64) -> Moment {
         let plan = &self.deployment.plans[customer.plan];
         let (rate, burst) = plan.pace(self.fleet.usual);
-        let (from, at_first) = match plan.by_rate() {
-            true if total >= plan.mark() => (customer.began, plan.mark() + burst),
-            true => (customer.began, burst / 2.0),
-            false => (self.now, burst),
-        };
-        from + Span::from_secs((total - at_first) / rate)
+        if !plan.by_rate() {
+            return self.now + Span::from_secs((total - burst) / rate);
+        }
+        let at_first = if total >= plan.mark() { plan.mark() + burst } else { burst / 2.0 };
+        customer.began + Span::from_secs((total - at_first) / rate)
     }
 
-    /// Brings a customer's records into the present window.
+    /// Brings a customer's records into the present window; all gateways come to the same from the same clock.
     fn roll(&mut self, id: CustomerId) {
-        let Some(plan) = self.customers.get(&id).map(|customer| customer.plan) else { return };
-        let (window, began) = self.window_of(id, plan);
-        let plan = &self.deployment.plans[plan];
-        let Some(customer) = self.customers.get_mut(&id).filter(|known| known.window != window) else {
+        let Some(customer) = self.customers.get_mut(&id) else { return };
+        let plan = &self.deployment.plans[customer.plan];
+        let length = plan.window().micros();
+        // Windows of different customers begin at different times, so that held jobs don't come in herds.
+        let phase = hashed(&[id]) % length;
+        let window = self.now.micros().saturating_add(phase) / length;
+        if customer.window == window {
             return;
-        };
+        }
         let follows = customer.window.wrapping_add(1) == window;
         let heard = if follows { customer.total } else { 0.0 };
         customer.unused = (plan.in_window() - heard).max(0.0);
@@ -269,7 +261,8 @@
             customer.used = if follows { (customer.used - told).max(0.0) } else { 0.0 };
         }
         (customer.told, customer.total) = (0.0, 0.0);
-        (customer.window, customer.began) = (window, began);
+        customer.window = window;
+        customer.began = Moment::from_micros(window.saturating_mul(length).saturating_sub(phase));
     }
 
     /// Carries the units of a customer's held jobs to its count, one call at a time.
@@ -301,18 +294,16 @@
         }
         let may_call = self.may_call();
         let benefit = jobs.iter().filter_map(|job| self.jobs.get(&job.0)).map(|job| self.place(job).0).max();
-        let benefit = benefit.unwrap_or(0);
         let Some(customer) = self.customers.get_mut(&id) else { return };
         // A counter slow or full, from any cause, must not drown in calls: past a bound they wait, and later
         // calls carry more. The jobs are judged alone if that takes long.
         if may_call {
             customer.ask = Some(Ask { jobs, amount, window, step: Step::Count, sent: now });
-            self.call(id, window, amount);
-            return;
+            return self.call(id, window, amount);
         }
         if !customer.queued {
             customer.queued = true;
-            self.counter.queue.insert((benefit, now, id));
+            self.counter.queue.insert((benefit.unwrap_or(0), now, id));
             self.host.wake(self.counter.rested.since(now), CALLS_MARK);
         }
         self.judge_alone(id);
@@ -393,8 +384,7 @@
                 let shortfall = if by_rate && before <= NOTHING { customer.unused } else { 0.0 };
                 // Just one call takes the count past what is granted unseen: it looks the last window up, and
                 // adds for all what the burst lacks at the start of this one.
-                let crosses = by_rate && total < mark && total > half && before <= half;
-                if crosses {
+                if by_rate && total < mark && total > half && before <= half {
                     ask.step = Step::LookUp(total);
                     customer.ask = Some(ask);
                     self.call(id, window.wrapping_sub(1), 0.0);
@@ -404,10 +394,9 @@
                 self.lend(shortfall);
             }
             (Step::LookUp(counted), total) => {
-                let lacked = match total.unwrap_or(0.0) {
-                    total if total >= mark => total - mark - plan.in_window(),
-                    total => total - plan.burst / 2.0,
-                };
+                let last = total.unwrap_or(0.0);
+                let lacked =
+                    if last >= mark { last - mark - plan.in_window() } else { last - plan.burst / 2.0 };
                 let lacked = mark + lacked.clamp(0.0, plan.burst.max(0.0));
                 ask.step = Step::Tell(counted + lacked);
                 customer.ask = Some(ask);
@@ -582,12 +571,9 @@
             customer.spent.amount += arrival.units;
             self.fleet.spare = (self.fleet.spare + 0.15).min(20.0);
         }
-        let (now, usual) = (self.now, self.fleet.usual);
+        let now = self.now;
         let pushed = self.servers.get(&server).and_then(|to| self.cold_part(to)).map_or(0.0, |part| part.1);
         let Some(to) = self.servers.get_mut(&server) else { return };
-        // A trial is not waited for longer than unusual, so that its job can still go elsewhere.
-        let trial = Span::from_secs(usual * UNUSUAL);
-        let patience = if to.unwell(now, usual) { patience.min(trial) } else { patience };
         if to.out <= 0.0 {
             to.heard = now;
         }
@@ -628,8 +614,6 @@
     }
 
     fn has_room(&self, id: ServerId, job: &Job) -> bool {
-        /// How far above the even part a server's relays may go before the next in rank is taken.
-        const UNEVEN: f64 = 1.25;
         /// Some usual answers apart; jobs that may not run again are risked a quarter as often.
         const TRIAL: Span = Span::from_millis(500);
         let Some(server) = self.servers.get(&id).filter(|server| server.ready()) else { return false };
@@ -640,14 +624,13 @@
         if barred || (job.relays > 0 && job.server == id) {
             return false;
         }
-        let (own, now) = (server.entry.rating, self.now);
-        let even = (UNEVEN * (self.fleet.out + 1.0) * own / self.fleet.rating.max(own)).ceil();
+        let now = self.now;
         let enough = if server.unwell(now, self.fleet.usual) {
             // One relay at a time shows if it is well again, the more seldom the more failed.
             let rest = if repeat.is_free() { TRIAL } else { TRIAL.times(4.0) };
             server.out > 0.0 || now.since(server.tried) < rest.times(1.0 / (1.0 - server.failing).max(0.05))
         } else {
-            server.out >= even.min(server.bound.max(1.0)) || now < server.rested
+            server.out >= server.bound.max(1.0) || now < server.rested
         };
         let cold = self.cold_part(server).is_none_or(|(rate, left)| {
             let at_once = rate * self.deployment.cold.fall_span.secs() / 2.0;
@@ -779,17 +762,8 @@
         }
     }
 
-    /// A streamed answer has begun; the job is the client's now.
-    pub fn answer_began(&mut self, now: Moment, job: JobId, server: ServerId) {
-        self.now = now;
-        if let Some(server) = self.servers.get_mut(&server) {
-            server.heard = now;
-        }
-        self.forget(job);
-    }
-
-    /// The client has gone; nothing is owed.
-    pub fn job_abandoned(&mut self, now: Moment, job: JobId) {
+    /// Nothing is owed: the client has gone, or a streamed answer has begun and the job is the client's now.
+    pub fn job_left(&mut self, now: Moment, job: JobId) {
         self.now = now;
         self.forget(job);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,9 +56,8 @@
 /// What is known of all servers together.
 #[derive(Default)]
 pub(crate) struct Fleet {
-    /// How often the roster has changed, and the ratings of those ready.
+    /// How often the roster has changed.
     pub(crate) roster: u64,
-    pub(crate) rating: f64,
     /// Jobs with room in their quota that no server had room for, by benefit, then target time.
     pub(crate) backlog: BTreeSet<(u64, Moment, JobId)>,
     /// Some job found no server shortly before.
--- a/tests/found.rs
+++ b/tests/found.rs
@@ -72,7 +72,7 @@
         let (mut gateway, notes) = gateway(deployment, 4);
         for job in 0..400 {
             let (now, set_size) = (10 + job * 50, 8);
-            gateway.job_abandoned(at(now), job.saturating_sub(1));
+            gateway.job_left(at(now), job.saturating_sub(1));
             gateway.job_arrived(at(now), Arrival { set_size, ..arrival(job, 0, 0, 1.0, at(now + 500)) });
             for act in notes.take() {
                 if let Act::Relay(job, server, _) = act {
