--- a/src/choice.rs
+++ b/src/choice.rs
@@ -84,8 +84,7 @@
 }
 
 impl Server {
-    /// Slow or turned away, from any cause: it gets less, but is not cut twice for one backlog. Below one relay at
-    /// a time it rests between relays.
+    /// Slow or turned away, from any cause: it gets less, but is not cut twice for one backlog.
     fn cut(&mut self, to: f64, now: Moment, apart: f64, least: f64) {
         if now.since(self.cut).secs() > apart {
             self.bound = (self.bound * to).max(least);
@@ -93,13 +92,10 @@
         }
     }
 
-    fn silence_ends(&self, usual: f64) -> Moment {
-        self.heard + Span::from_secs(self.gap.max(usual / 2.0) * UNUSUAL)
-    }
-
     /// Silent for unusually long or failing often, from any cause: crash, cut, bad build, hang.
     fn unwell(&self, now: Moment, usual: f64) -> bool {
-        self.failing > MOSTLY || (self.out > 0.0 && now > self.silence_ends(usual))
+        let silence = Span::from_secs(self.gap.max(usual / 2.0) * UNUSUAL);
+        self.failing > MOSTLY || (self.out > 0.0 && now > self.heard + silence)
     }
 }
 
@@ -112,9 +108,8 @@
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
         let (chance, gateways) = (Chance::new(seed, deployment.own_index), deployment.gateways);
         let usual = (deployment.tick.secs() * 4.0).max(0.005);
-        let (usual_answer, spare) = (target / 6.0, 5.0);
         let fleet =
-            Fleet { usual: usual_answer, units: 1.0, calm: 0.12, slow: 0.12, spare, ..Fleet::default() };
+            Fleet { usual: target / 6.0, units: 1.0, calm: 0.12, slow: 0.12, spare: 5.0, ..Fleet::default() };
         Self {
             host,
             deployment,
@@ -295,8 +290,8 @@
         let may_call = self.may_call();
         let benefit = jobs.iter().filter_map(|job| self.jobs.get(&job.0)).map(|job| self.place(job).0).max();
         let Some(customer) = self.customers.get_mut(&id) else { return };
-        // A counter slow or full, from any cause, must not drown in calls: past a bound they wait, and later
-        // calls carry more. The jobs are judged alone if that takes long.
+        // A counter slow, full or silent, from any cause, must not drown in calls: past a bound they wait, and the
+        // jobs are judged alone meanwhile.
         if may_call {
             customer.ask = Some(Ask { jobs, amount, window, step: Step::Count, sent: now });
             return self.call(id, window, amount);
@@ -427,8 +422,7 @@
                 late = true;
             }
         }
-        // Each gateway of a set that asks in vain costs calls: it asks the more seldom the more often in vain,
-        // down to its even part of what comes in.
+        // Asks in vain cost calls: the more often in vain, the more seldom, down to the even part of what comes in.
         let even = asked.max(1.0) / rate;
         let chance = 0.5 + self.chance.draw();
         let Some(customer) = self.customers.get_mut(&id) else { return };
@@ -639,9 +633,8 @@
         !enough && cold
     }
 
-    /// Rule 4: a cold server gets a safe part of what warm ones are seen to carry, in units a second; and how much
-    /// of it is still ahead. Half is kept back for slower machines and uneven work; half a span's part may go at
-    /// once.
+    /// Rule 4: a cold server's safe part of what warm ones are seen to carry, in units a second, and how much of it
+    /// is still ahead. Half is kept back for slower machines and uneven work.
     fn cold_part(&self, server: &Server) -> Option<(f64, f64)> {
         const KEPT_BACK: f64 = 0.5;
         let (now, cold) = (self.now, self.deployment.cold);
@@ -743,8 +736,7 @@
         (server.rested, fleet.rested) = (now + rest(busy, server.bound), now + rest(busy, fleet.bound));
     }
 
-    /// What goes first when no server has room: the most benefit, and of that the newest, as the oldest would be
-    /// answered late.
+    /// What goes first under pressure: the most benefit, and of that the newest, as the oldest would be late.
     fn place(&self, job: &Job) -> (u64, Moment, JobId) {
         let (band, plan) =
             (&self.deployment.bands[job.arrival.band], &self.deployment.plans[job.arrival.plan]);
@@ -822,8 +814,8 @@
         }
     }
 
-    /// When a relay has been out for unusually long past its target time. Where a late answer earns nothing it is
-    /// then taken back, as it keeps a place that others could use, whatever it hangs on.
+    /// When a relay, out unusually long and past its target time, is taken back where a late answer earns nothing:
+    /// it keeps a place that others could use, whatever it hangs on.
     fn hangs(&self, job: &Job, sent: Moment) -> Moment {
         let band = &self.deployment.bands[job.arrival.band];
         let kept = band.late_share > 0.0 || !band.repeat.is_free() || !self.deployment.may_withdraw;
