--- a/src/choice.rs
+++ b/src/choice.rs
@@ -555,10 +555,10 @@
         }
         let Some(server) = self.choose(id) else {
             self.fleet.pressed_until = self.now + POOL_WINDOW;
-            if self.fleet.backlog.is_empty() {
-                self.host.wake(Span::from_secs(self.fleet.usual / 2.0), BACKLOG_MARK);
-            }
             self.fleet.backlog.insert(place);
+            if !std::mem::replace(&mut self.fleet.stirs, true) {
+                self.host.wake(Span::from_secs(self.fleet.usual / 4.0), BACKLOG_MARK);
+            }
             return self.host.wake(latest.since(self.now), id);
         };
         if let (true, Some(customer)) = (first, self.customers.get_mut(&arrival.customer)) {
@@ -798,6 +798,7 @@
         if mark == CALLS_MARK {
             self.serve_callers();
         } else if mark == BACKLOG_MARK {
+            self.fleet.stirs = false;
             self.work_off();
         } else if mark >= CUSTOMER_MARK {
             self.roll(mark - CUSTOMER_MARK);
--- a/src/state.rs
+++ b/src/state.rs
@@ -60,6 +60,8 @@
     pub(crate) roster: u64,
     /// Jobs with room in their quota that no server had room for, by benefit, then target time.
     pub(crate) backlog: BTreeSet<(u64, Moment, JobId)>,
+    /// A timer is set to try it again.
+    pub(crate) stirs: bool,
     /// Some job found no server shortly before.
     pub(crate) pressed_until: Moment,
     /// How long answers take of late, in seconds, and how many units their jobs have.
