--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,7 +13,7 @@
 const POOL_WINDOW: Span = Span::from_millis(1_000);
 /// A pool is filled a window ahead and may be drawn from to the end of its own.
 const POOL_KEPT: Span = Span::from_millis(3_000);
-/// Longer than two windows of any plan, for as long as a counter keeps names.
+/// As long as a counter keeps names; three windows of any plan at least.
 const COUNTS_KEPT: Span = Span::from_millis(60_000);
 /// Marks of timers: a job's is its id, which is below this; a customer's is its id above this.
 const CUSTOMER_MARK: u64 = 1 << 52;
@@ -57,9 +57,8 @@
     /// A plan by relays out has no windows; its counts begin anew so that what a dead gateway held is let go.
     fn window(&self) -> Span {
         const ANEW: f64 = 10.0;
-        const LONGEST: Span = Span::from_millis(20_000);
         let length = if self.by_rate() { self.burst / self.rate / 2.0 } else { ANEW };
-        Span::from_secs(length).clamp(POOL_WINDOW, LONGEST)
+        Span::from_secs(length).clamp(POOL_WINDOW, COUNTS_KEPT.times(1.0 / 3.0))
     }
 
     fn in_window(&self) -> f64 {
@@ -148,8 +147,7 @@
                 continue;
             }
             if entry.started != server.entry.started {
-                server.failing = 0.0;
-                server.push = push;
+                (server.failing, server.push) = (0.0, push);
             }
             entry.rating = if entry.rating > 0.0 { entry.rating } else { 1.0 };
             server.entry = entry;
@@ -183,16 +181,12 @@
         let set_size = f64::from(arrival.set_size.max(1));
         // Rule 5: an equal share of the ceiling is safe whatever others do; a little less for rounding. After a
         // restart it may be spent already, so it fills from then on.
-        let ceiling = plan.ceiling.map(|it| {
-            let share = 0.999 / set_size;
-            (it.rate * share, (it.burst + it.slack) * share)
-        });
+        let share = 0.999 / set_size;
+        let ceiling = plan.ceiling.map(|it| (it.rate * share, (it.burst + it.slack) * share));
         let spent = Level { amount: ceiling.map_or(0.0, |it| it.1), at: self.started };
         let fresh = || Customer { plan: arrival.plan, set_size, ceiling, spent, ..Customer::default() };
         let customer = self.customers.entry(arrival.customer).or_insert_with(fresh);
-        if limited {
-            customer.waiting.push_back(id);
-        }
+        customer.waiting.extend(limited.then_some(id));
         let stage = if limited { Stage::Held } else { Stage::Cleared };
         let job = Job { arrival, cost, stage, target, relays: 0, server: 0, may_have_run: None };
         let latest = self.latest(&job);
@@ -373,8 +367,7 @@
             (Step::Count, Some(total)) => {
                 customer.told += ask.amount;
                 let (half, before, by_rate) = (plan.burst / 2.0, total - ask.amount, plan.by_rate());
-                let took = self.now.since(ask.sent).secs();
-                self.counter.usual += 0.05 * (took - self.counter.usual);
+                self.counter.usual += 0.05 * (self.now.since(ask.sent).secs() - self.counter.usual);
                 // The first gateway into the window lends of what the last one left.
                 let shortfall = if by_rate && before <= NOTHING { customer.unused } else { 0.0 };
                 // Just one call takes the count past what is granted unseen: it looks the last window up, and
@@ -482,13 +475,12 @@
     /// Lends half of a customer's shortfall in the last window to the next pool. Some gateways add in each pool
     /// window, each as seldom as it takes: else these calls alone would crowd a counter of many gateways.
     fn lend(&mut self, shortfall: f64) {
-        const LENT: f64 = 0.5;
         const LENDERS: f64 = 16.0;
         // Lent room must not reach a pressed back end.
         if self.now < self.fleet.pressed_until || !self.deployment.plans.iter().any(Plan::soft) {
             return;
         }
-        self.pool.lent += LENT * shortfall;
+        self.pool.lent += shortfall / 2.0;
         if self.now >= self.pool.lends_at && self.pool.lent > 0.0 {
             let next = self.pool_name(1);
             let apart = (f64::from(self.deployment.gateways) / LENDERS).max(1.0);
@@ -515,10 +507,10 @@
     /// Lets jobs go whose units have room; what they take is ahead of this gateway's part.
     fn grant(&mut self, id: CustomerId, jobs: Vec<(JobId, f64)>) {
         let Some(customer) = self.customers.get_mut(&id) else { return };
-        let rate = self.deployment.plans[customer.plan].pace(self.fleet.usual).0;
-        let (units, left) = (jobs.iter().map(|job| job.1).sum::<f64>(), rate / customer.set_size);
+        let part = self.deployment.plans[customer.plan].pace(self.fleet.usual).0 / customer.set_size;
+        let units: f64 = jobs.iter().map(|job| job.1).sum();
         customer.used += units;
-        customer.ahead = Level { amount: customer.ahead.drained(left, self.now) + units, at: self.now };
+        customer.ahead = Level { amount: customer.ahead.drained(part, self.now) + units, at: self.now };
         jobs.into_iter().for_each(|job| self.clear(job.0));
     }
 
@@ -580,7 +572,7 @@
         job.server = server;
         job.relays += 1;
         self.host.relay(id, server, patience);
-        let hangs = self.jobs.get(&id).map_or(Moment::default(), |job| self.hangs(job, now));
+        let hangs = self.jobs.get(&id).map_or(now, |job| self.hangs(job, now));
         if hangs < arrival.abandon {
             self.host.wake(hangs.since(now) + tick, id);
         }
@@ -589,8 +581,8 @@
     /// The first server in the customer's fixed ranking that does not have enough. Rankings differ by gateway:
     /// else a heavy customer would lead the jobs of a hundred gateways to one server, and none would see it.
     fn choose(&mut self, id: JobId) -> Option<ServerId> {
-        // Where this gateway's part of a server is below one relay, its relays to all are bounded together: each
-        // alone answers too seldom to learn by, and all might get one at once from every gateway.
+        // Where a gateway's part of a server is below one relay, all its relays are bounded together: a server alone
+        // answers too seldom to learn by, and might get one at once from every gateway.
         let many = f64::from(self.deployment.gateways) > FEW;
         if many && (self.fleet.out >= self.fleet.bound.max(1.0) || self.now < self.fleet.rested) {
             return None;
@@ -626,11 +618,11 @@
         } else {
             server.out >= server.bound.max(1.0) || now < server.rested
         };
-        let cold = self.cold_part(server).is_none_or(|(rate, left)| {
-            let at_once = rate * self.deployment.cold.fall_span.secs() / 2.0;
-            rate > 0.0 && (left <= 0.0 || left + job.arrival.units <= at_once)
-        });
-        !enough && cold
+        !enough
+            && self.cold_part(server).is_none_or(|(rate, left)| {
+                let at_once = rate * self.deployment.cold.fall_span.secs() / 2.0;
+                rate > 0.0 && (left <= 0.0 || left + job.arrival.units <= at_once)
+            })
     }
 
     /// Rule 4: a cold server's safe part of what warm ones are seen to carry, in units a second, and how much of it
@@ -642,11 +634,12 @@
         if age > cold.warm_after {
             return None;
         }
-        let is_warm = |to: &&Server| to.entry.started.is_none_or(|at| now.since(at) > cold.warm_after);
         let (mut warm, mut carried) = (0.0, 0.0);
-        for to in self.servers.values().filter(|to| to.ready()).filter(is_warm) {
-            warm += to.entry.rating;
-            carried += to.carried.decayed(CARRIED_OVER, now);
+        for to in self.servers.values().filter(|to| to.ready()) {
+            if to.entry.started.is_none_or(|started| now.since(started) > cold.warm_after) {
+                warm += to.entry.rating;
+                carried += to.carried.decayed(CARRIED_OVER, now);
+            }
         }
         let warmth = cold.share + (1.0 - cold.share) * age.secs() / cold.warm_after.secs().max(0.001);
         let multiple = KEPT_BACK * cold.fall_multiple * warmth;
@@ -771,19 +764,18 @@
         let by_cap = plan.limited() && !plan.by_rate();
         if matches!(job.stage, Stage::Cleared | Stage::Out(_)) && (by_cap || job.relays == 0) {
             customer.used = (customer.used - job.cost).max(0.0);
-            if by_cap {
-                customer.shut = self.now;
-                self.roll(job.arrival.customer);
-                self.ask(job.arrival.customer);
-            }
+        }
+        if by_cap {
+            customer.shut = self.now;
+            self.roll(job.arrival.customer);
+            self.ask(job.arrival.customer);
         }
     }
 
     /// The final answer to a job with no relay out: a dismissal where a retry is harmless, else a forfeit.
     fn give_up(&mut self, id: JobId, room_after: Option<Span>) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let harmless = job.may_have_run.is_none() || self.deployment.bands[job.arrival.band].repeat.is_free();
-        if harmless {
+        if job.may_have_run.is_none() || self.deployment.bands[job.arrival.band].repeat.is_free() {
             let hold_off = self.deployment.longest_hold_off.and_then(|most| Some(room_after?.min(most)));
             self.host.dismiss(id, hold_off);
         } else {
@@ -819,7 +811,7 @@
     /// it keeps a place that others could use, whatever it hangs on.
     fn hangs(&self, job: &Job, sent: Moment) -> Moment {
         let band = &self.deployment.bands[job.arrival.band];
-        let kept = band.late_share > 0.0 || !band.repeat.is_free() || !self.deployment.may_withdraw;
+        let kept = band.late_share > 0.0 || !self.deployment.may_withdraw;
         let until = if kept { job.arrival.abandon } else { job.target };
         until.max(sent + Span::from_secs(self.fleet.usual * UNUSUAL))
     }
