--- a/src/choice.rs
+++ b/src/choice.rs
@@ -437,7 +437,8 @@
         let open = self.pool.draw.is_none() && self.now >= self.fleet.pressed_until;
         let (mut units, mut jobs) = (0.0, Vec::new());
         for (id, turn) in vain {
-            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            // A place that another's end made free may have gone to it meanwhile.
+            let Some(job) = self.jobs.get_mut(&id).filter(|job| job.ungranted()) else { continue };
             if open && self.deployment.plans[job.arrival.plan].soft() {
                 job.stage = Stage::Drawing;
                 units += job.cost;
@@ -515,7 +516,7 @@
     }
 
     fn clear(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.ungranted()) else { return };
         job.stage = Stage::Cleared;
         if let Some(customer) = self.customers.get_mut(&job.arrival.customer) {
             customer.waiting.retain(|waiting| *waiting != id);
@@ -762,9 +763,10 @@
         // Units counted and unsent, or the place of a relay that has ended, go back to the count.
         let plan = &self.deployment.plans[customer.plan];
         let by_cap = plan.limited() && !plan.by_rate();
-        if matches!(job.stage, Stage::Cleared | Stage::Out(_)) && (by_cap || job.relays == 0) {
-            customer.used = (customer.used - job.cost).max(0.0);
+        if job.ungranted() || (job.relays > 0 && !by_cap) {
+            return;
         }
+        customer.used = (customer.used - job.cost).max(0.0);
         if by_cap {
             customer.shut = self.now;
             self.roll(job.arrival.customer);
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,6 +18,13 @@
     pub(crate) may_have_run: Option<(Moment, ServerId)>,
 }
 
+impl Job {
+    /// Nothing was granted to it yet.
+    pub(crate) fn ungranted(&self) -> bool {
+        matches!(self.stage, Stage::Held | Stage::Drawing)
+    }
+}
+
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum Stage {
     /// Held until the quota has room.
