--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,8 +23,6 @@
 const FEW: f64 = 12.0;
 /// Counts hold sums of rounded figures; less than this is no difference.
 const NOTHING: f64 = 0.01;
-/// A server of which more than this share of relays ended badly of late is not to be had.
-const MOSTLY: f64 = 0.5;
 /// Accrual: a silence of this many usual gaps is unusual; about 1 in 400 if gaps were exponential.
 const UNUSUAL: f64 = 6.0;
 /// Spans the mean of what a server carries, in seconds: some windows, less than a cold start.
@@ -91,10 +89,10 @@
         }
     }
 
-    /// Silent for unusually long or failing often, from any cause: crash, cut, bad build, hang.
+    /// Silent for unusually long or failing more often than not, from any cause: crash, cut, bad build, hang.
     fn unwell(&self, now: Moment, usual: f64) -> bool {
         let silence = Span::from_secs(self.gap.max(usual / 2.0) * UNUSUAL);
-        self.failing > MOSTLY || (self.out > 0.0 && now > self.heard + silence)
+        self.failing > 0.5 || (self.out > 0.0 && now > self.heard + silence)
     }
 }
 
@@ -105,21 +103,20 @@
         }
         // Until one is seen, a part of the tightest target stands in for an answer, some ticks for a call.
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
-        let (chance, gateways) = (Chance::new(seed, deployment.own_index), deployment.gateways);
         let usual = (deployment.tick.secs() * 4.0).max(0.005);
         let fleet =
             Fleet { usual: target / 6.0, units: 1.0, calm: 0.12, slow: 0.12, spare: 5.0, ..Fleet::default() };
         Self {
             host,
-            deployment,
             now,
-            chance,
+            chance: Chance::new(seed, deployment.own_index),
+            counter: Counter { usual, bound: FEW / f64::from(deployment.gateways), ..Counter::default() },
+            deployment,
             servers: BTreeMap::new(),
             fleet,
             customers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             callers: BTreeMap::new(),
-            counter: Counter { usual, bound: FEW / f64::from(gateways), ..Counter::default() },
             pool: Pool::default(),
             started: now,
         }
@@ -129,11 +126,9 @@
     pub fn roster_changed(&mut self, now: Moment, entries: impl Iterator<Item = Entry>) {
         self.now = now;
         for mut entry in entries {
-            let (usual, chance) = (self.fleet.usual, &mut self.chance);
-            let bound = FEW / f64::from(self.deployment.gateways);
-            // Rule 4: where a gateway's part of a cold server is below one job, all would send their first one at
-            // once: each begins as far from it as chance has it.
-            let push = Level { amount: self.fleet.units * chance.draw(), at: now };
+            let (usual, bound) = (self.fleet.usual, FEW / f64::from(self.deployment.gateways));
+            // Rule 4: all gateways would send a cold server their first job at once: chance sets them apart.
+            let push = Level { amount: self.fleet.units * self.chance.draw(), at: now };
             let server = self.servers.entry(entry.server).or_insert_with(|| Server {
                 entry,
                 bound,
@@ -179,8 +174,8 @@
         };
         let (target, limited, cost) = (now + band.target, plan.limited(), plan.cost(&arrival));
         let set_size = f64::from(arrival.set_size.max(1));
-        // Rule 5: an equal share of the ceiling is safe whatever others do; a little less for rounding. After a
-        // restart it may be spent already, so it fills from then on.
+        // Rule 5: an equal share of the ceiling is safe whatever others do; a little less for rounding. After
+        // a restart it may be spent already, so it fills from then on.
         let share = 0.999 / set_size;
         let ceiling = plan.ceiling.map(|it| (it.rate * share, (it.burst + it.slack) * share));
         let spent = Level { amount: ceiling.map_or(0.0, |it| it.1), at: self.started };
@@ -217,8 +212,8 @@
         self.jobs.get(&id).filter(|job| job.stage == Stage::Held)
     }
 
-    /// When a customer's allowance reaches a total. The window's units come in evenly, as use before is beyond
-    /// the quota. Half of the burst is there at first, or what the count itself tells was left of it.
+    /// When a customer's allowance reaches a total. The window's units come in evenly, as use before that is
+    /// beyond the quota. Half of the burst is there at first, or what the count itself tells was left of it.
     fn turn(&self, customer: &Customer, total: f64) -> Moment {
         let plan = &self.deployment.plans[customer.plan];
         let (rate, burst) = plan.pace(self.fleet.usual);
@@ -229,7 +224,7 @@
         customer.began + Span::from_secs((total - at_first) / rate)
     }
 
-    /// Brings a customer's records into the present window; all gateways come to the same from the same clock.
+    /// Brings a customer's records into the present window; all gateways come to the same by the clock.
     fn roll(&mut self, id: CustomerId) {
         let Some(customer) = self.customers.get_mut(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
@@ -243,8 +238,7 @@
         let follows = customer.window.wrapping_add(1) == window;
         let heard = if follows { customer.total } else { 0.0 };
         customer.unused = (plan.in_window() - heard).max(0.0);
-        // What was judged alone is told to the next window's count if there was no call for it; relays out last
-        // over a window's end.
+        // What was judged alone and not told goes to the next window's count; relays out outlast windows.
         if plan.by_rate() {
             let told = customer.told + customer.ask.as_ref().map_or(0.0, |ask| ask.amount);
             customer.used = if follows { (customer.used - told).max(0.0) } else { 0.0 };
@@ -257,9 +251,12 @@
     /// Carries the units of a customer's held jobs to its count, one call at a time.
     fn ask(&mut self, id: CustomerId) {
         if !self.deployment.has_counter {
-            return self.judge_alone(id);
+            self.judge_alone(id);
+            if self.customers.get(&id).is_some_and(|customer| !customer.waiting.is_empty()) {
+                self.host.wake(Span::from_secs(self.fleet.usual), CUSTOMER_MARK + id);
+            }
+            return;
         }
-        let now = self.now;
         let Some(customer) = self.customers.get(&id).filter(|known| known.ask.is_none()) else { return };
         let plan = &self.deployment.plans[customer.plan];
         let (most, window) = (plan.pace(self.fleet.usual).1, customer.window);
@@ -270,7 +267,7 @@
             let turn = self.turn(customer, total).max(customer.shut);
             if turn > self.latest(job) {
                 vain.push((job.arrival.job, turn));
-            } else if now >= customer.shut && (asked <= 0.0 || asked + job.cost <= most) {
+            } else if self.now >= customer.shut && (asked <= 0.0 || asked + job.cost <= most) {
                 asked += job.cost;
                 jobs.push((job.arrival.job, job.cost));
             }
@@ -284,16 +281,15 @@
         let may_call = self.may_call();
         let benefit = jobs.iter().filter_map(|job| self.jobs.get(&job.0)).map(|job| self.place(job).0).max();
         let Some(customer) = self.customers.get_mut(&id) else { return };
-        // A counter slow, full or silent, from any cause, must not drown in calls: past a bound they wait, and the
-        // jobs are judged alone meanwhile.
+        // A counter slow, full or silent, from any cause, must not drown in calls: past a bound they wait, and
+        // the jobs are judged alone meanwhile.
         if may_call {
-            customer.ask = Some(Ask { jobs, amount, window, step: Step::Count, sent: now });
+            customer.ask = Some(Ask { jobs, amount, window, step: Step::Count, sent: self.now });
             return self.call(id, window, amount);
         }
-        if !customer.queued {
-            customer.queued = true;
-            self.counter.queue.insert((benefit.unwrap_or(0), now, id));
-            self.host.wake(self.counter.rested.since(now), CALLS_MARK);
+        if !std::mem::replace(&mut customer.queued, true) {
+            self.counter.queue.insert((benefit.unwrap_or(0), self.now, id));
+            self.host.wake(self.counter.rested.since(self.now), CALLS_MARK);
         }
         self.judge_alone(id);
     }
@@ -332,20 +328,17 @@
 
     /// Lets customers that wait for a call have it, as far as calls may be made.
     fn serve_callers(&mut self) {
-        while let Some(&(.., next)) = self.counter.queue.last() {
-            if !self.may_call() {
-                if self.counter.out < self.counter.bound.max(1.0) {
-                    self.host.wake(self.counter.rested.since(self.now), CALLS_MARK);
-                }
-                return;
-            }
-            self.counter.queue.pop_last();
+        while self.may_call() {
+            let Some((.., next)) = self.counter.queue.pop_last() else { return };
             self.roll(next);
             if let Some(customer) = self.customers.get_mut(&next) {
                 customer.queued = false;
             }
             self.ask(next);
         }
+        if !self.counter.queue.is_empty() && self.counter.out < self.counter.bound.max(1.0) {
+            self.host.wake(self.counter.rested.since(self.now), CALLS_MARK);
+        }
     }
 
     fn answered(&mut self, id: CustomerId, total: Option<f64>, fate: Fate) {
@@ -355,7 +348,7 @@
         if ask.window != customer.window {
             return self.ask(id);
         }
-        let (mark, window) = (plan.mark(), ask.window);
+        let (mark, half, window) = (plan.mark(), plan.burst / 2.0, ask.window);
         match (ask.step, total) {
             (Step::Count, None) => {
                 // What may have been added counts as added: the count then says too little, never too much.
@@ -366,7 +359,7 @@
             }
             (Step::Count, Some(total)) => {
                 customer.told += ask.amount;
-                let (half, before, by_rate) = (plan.burst / 2.0, total - ask.amount, plan.by_rate());
+                let (before, by_rate) = (total - ask.amount, plan.by_rate());
                 self.counter.usual += 0.05 * (self.now.since(ask.sent).secs() - self.counter.usual);
                 // The first gateway into the window lends of what the last one left.
                 let shortfall = if by_rate && before <= NOTHING { customer.unused } else { 0.0 };
@@ -383,8 +376,7 @@
             }
             (Step::LookUp(counted), total) => {
                 let last = total.unwrap_or(0.0);
-                let lacked =
-                    if last >= mark { last - mark - plan.in_window() } else { last - plan.burst / 2.0 };
+                let lacked = if last >= mark { last - mark - plan.in_window() } else { last - half };
                 let lacked = mark + lacked.clamp(0.0, plan.burst.max(0.0));
                 ask.step = Step::Tell(counted + lacked);
                 customer.ask = Some(ask);
@@ -396,7 +388,6 @@
 
     /// Tells the jobs that asked when their turn comes, in their order; those too late for it are let go.
     fn settle(&mut self, id: CustomerId, ask: Ask, total: f64) {
-        let now = self.now;
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
         let asked: f64 = ask.jobs.iter().map(|job| job.1).sum();
@@ -406,7 +397,7 @@
         for &(job, cost) in &ask.jobs {
             let Some(held) = self.held(job) else { continue };
             let turn = self.turn(customer, position + cost);
-            if turn <= now {
+            if turn <= self.now {
                 position += cost;
                 ready.push((job, cost));
             } else if turn > self.latest(held) {
@@ -415,15 +406,14 @@
                 late = true;
             }
         }
-        // Asks in vain cost calls: the more often in vain, the more seldom, down to the even part of what comes in.
+        // Asks in vain cost calls: they come the more seldom, down to the even part of what comes in.
         let even = asked.max(1.0) / rate;
-        let chance = 0.5 + self.chance.draw();
         let Some(customer) = self.customers.get_mut(&id) else { return };
         customer.total = total;
         if late || (ready.is_empty() && !vain.is_empty()) {
             customer.apart = (customer.apart * 2.0).clamp(even, even * customer.set_size).min(longest);
-            customer.shut = now + Span::from_secs(customer.apart * chance);
-            self.host.wake(customer.shut.since(now), CUSTOMER_MARK + id);
+            customer.shut = self.now + Span::from_secs(customer.apart * (0.5 + self.chance.draw()));
+            self.host.wake(customer.shut.since(self.now), CUSTOMER_MARK + id);
         } else if !ready.is_empty() {
             customer.apart /= 2.0;
         }
@@ -458,7 +448,7 @@
         hashed(&[self.now.micros() / POOL_WINDOW.micros() + ahead, 1])
     }
 
-    /// What a draw brought: below nothing the pool is empty, and what it lacks was not granted.
+    /// What a draw brought: below nothing the pool is empty.
     fn drawn(&mut self, total: Option<f64>) {
         let Some((_, units, jobs)) = self.pool.draw.take() else { return };
         let mut room = total.map_or(0.0, |total| units + total.min(0.0));
@@ -473,8 +463,8 @@
         }
     }
 
-    /// Lends half of a customer's shortfall in the last window to the next pool. Some gateways add in each pool
-    /// window, each as seldom as it takes: else these calls alone would crowd a counter of many gateways.
+    /// Lends half of a customer's shortfall in the last window to the next pool. Some gateways add in each
+    /// pool window, each as seldom as it takes: else these calls alone would crowd a counter of many gateways.
     fn lend(&mut self, shortfall: f64) {
         const LENDERS: f64 = 16.0;
         // Lent room must not reach a pressed back end.
@@ -490,8 +480,8 @@
         }
     }
 
-    /// Judges held jobs without a total, by this gateway's part of the pace. Where that is far below a job, one
-    /// job goes as soon as those before are made up for: together the gateways keep to the pace.
+    /// Judges held jobs without a total, by this gateway's part of the pace. Where that is far below a job,
+    /// one job goes as soon as those before are made up for: together the gateways keep to the pace.
     fn judge_alone(&mut self, id: CustomerId) {
         let Some(customer) = self.customers.get(&id) else { return };
         let (rate, burst) = self.deployment.plans[customer.plan].pace(self.fleet.usual);
@@ -558,32 +548,29 @@
             customer.spent.amount += arrival.units;
             self.fleet.spare = (self.fleet.spare + 0.15).min(20.0);
         }
-        let now = self.now;
         let pushed = self.servers.get(&server).and_then(|to| self.cold_part(to)).map_or(0.0, |part| part.1);
         let Some(to) = self.servers.get_mut(&server) else { return };
         if to.out <= 0.0 {
-            to.heard = now;
+            to.heard = self.now;
         }
-        to.out += 1.0;
+        (to.out, to.tried) = (to.out + 1.0, self.now);
         self.fleet.out += 1.0;
-        to.tried = now;
-        to.push = Level { amount: pushed + arrival.units, at: now };
+        to.push = Level { amount: pushed + arrival.units, at: self.now };
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.stage = Stage::Out(now);
-        job.server = server;
+        (job.stage, job.server) = (Stage::Out(self.now), server);
         job.relays += 1;
         self.host.relay(id, server, patience);
-        let hangs = self.jobs.get(&id).map_or(now, |job| self.hangs(job, now));
+        let hangs = self.jobs.get(&id).map_or(self.now, |job| self.hangs(job, self.now));
         if hangs < arrival.abandon {
-            self.host.wake(hangs.since(now) + tick, id);
+            self.host.wake(hangs.since(self.now) + tick, id);
         }
     }
 
     /// The first server in the customer's fixed ranking that does not have enough. Rankings differ by gateway:
-    /// else a heavy customer would lead the jobs of a hundred gateways to one server, and none would see it.
+    /// else a heavy customer would lead a hundred gateways to one server, and none would see it.
     fn choose(&mut self, id: JobId) -> Option<ServerId> {
-        // Where a gateway's part of a server is below one relay, all its relays are bounded together: a server alone
-        // answers too seldom to learn by, and might get one at once from every gateway.
+        // Where a gateway's part of a server is below one relay, the server answers it too seldom to learn by,
+        // and might get one at once from every gateway: all relays are bounded together.
         let many = f64::from(self.deployment.gateways) > FEW;
         if many && (self.fleet.out >= self.fleet.bound.max(1.0) || self.now < self.fleet.rested) {
             return None;
@@ -611,13 +598,13 @@
         if barred || (job.relays > 0 && job.server == id) {
             return false;
         }
-        let now = self.now;
-        let enough = if server.unwell(now, self.fleet.usual) {
+        let enough = if server.unwell(self.now, self.fleet.usual) {
             // One relay at a time shows if it is well again, the more seldom the more failed.
             let rest = if repeat.is_free() { TRIAL } else { TRIAL.times(4.0) };
-            server.out > 0.0 || now.since(server.tried) < rest.times(1.0 / (1.0 - server.failing).max(0.05))
+            let rest = rest.times(1.0 / (1.0 - server.failing).max(0.05));
+            server.out > 0.0 || self.now.since(server.tried) < rest
         } else {
-            server.out >= server.bound.max(1.0) || now < server.rested
+            server.out >= server.bound.max(1.0) || self.now < server.rested
         };
         !enough
             && self.cold_part(server).is_none_or(|(rate, left)| {
@@ -626,8 +613,8 @@
             })
     }
 
-    /// Rule 4: a cold server's safe part of what warm ones are seen to carry, in units a second, and how much of it
-    /// is still ahead. Half is kept back for slower machines and uneven work.
+    /// Rule 4: a cold server's safe part of what warm ones are seen to carry, in units a second, and how much
+    /// of it is still ahead. Half is kept back for slower machines and uneven work.
     fn cold_part(&self, server: &Server) -> Option<(f64, f64)> {
         const KEPT_BACK: f64 = 0.5;
         let (now, cold) = (self.now, self.deployment.cold);
@@ -715,7 +702,7 @@
             }
             Fate::Withdrawn | Fate::Moot => {}
             Fate::Full | Fate::Error | Fate::Reset | Fate::ConnectFailed | Fate::TimedOut => {
-                // Of any kind: a server that fails or turns all away at once would look idle and draw all jobs.
+                // A server that fails or turns all away at once would look idle and draw all jobs.
                 server.failing += 0.2 * (1.0 - server.failing);
                 if end.fate == Fate::Full {
                     server.cut(0.7, now, fleet.usual, least);
@@ -809,11 +796,10 @@
         }
     }
 
-    /// When a relay, out unusually long and past its target time, is taken back where a late answer earns nothing:
-    /// it keeps a place that others could use, whatever it hangs on.
+    /// When a relay, out unusually long and past its target time, is taken back where a late answer earns
+    /// nothing: it keeps a place that others could use, whatever it hangs on.
     fn hangs(&self, job: &Job, sent: Moment) -> Moment {
-        let band = &self.deployment.bands[job.arrival.band];
-        let kept = band.late_share > 0.0 || !self.deployment.may_withdraw;
+        let kept = self.deployment.bands[job.arrival.band].late_share > 0.0 || !self.deployment.may_withdraw;
         let until = if kept { job.arrival.abandon } else { job.target };
         until.max(sent + Span::from_secs(self.fleet.usual * UNUSUAL))
     }
