--- a/src/choice.rs
+++ b/src/choice.rs
@@ -122,7 +122,6 @@
         }
     }
 
-    /// Changed lines of the roster.
     pub fn roster_changed(&mut self, now: Moment, entries: impl Iterator<Item = Entry>) {
         self.now = now;
         for mut entry in entries {
@@ -281,7 +280,7 @@
         let may_call = self.may_call();
         let benefit = jobs.iter().filter_map(|job| self.jobs.get(&job.0)).map(|job| self.place(job).0).max();
         let Some(customer) = self.customers.get_mut(&id) else { return };
-        // A counter slow, full or silent, from any cause, must not drown in calls: past a bound they wait, and
+        // A counter slow, full or silent, from any cause, must not drown in calls: past a bound they wait and
         // the jobs are judged alone meanwhile.
         if may_call {
             customer.ask = Some(Ask { jobs, amount, window, step: Step::Count, sent: self.now });
@@ -375,8 +374,9 @@
                 self.lend(shortfall);
             }
             (Step::LookUp(counted), total) => {
+                // Of a window that none was told of, what it used stands for those before it.
                 let last = total.unwrap_or(0.0);
-                let lacked = if last >= mark { last - mark - plan.in_window() } else { last - half };
+                let lacked = if last >= mark { last - mark - plan.in_window() } else { last };
                 let lacked = mark + lacked.clamp(0.0, plan.burst.max(0.0));
                 ask.step = Step::Tell(counted + lacked);
                 customer.ask = Some(ask);
@@ -464,7 +464,7 @@
     }
 
     /// Lends half of a customer's shortfall in the last window to the next pool. Some gateways add in each
-    /// pool window, each as seldom as it takes: else these calls alone would crowd a counter of many gateways.
+    /// pool window, each as seldom as it takes: else these calls alone would crowd a counter of many.
     fn lend(&mut self, shortfall: f64) {
         const LENDERS: f64 = 16.0;
         // Lent room must not reach a pressed back end.
@@ -566,10 +566,10 @@
         }
     }
 
-    /// The first server in the customer's fixed ranking that does not have enough. Rankings differ by gateway:
+    /// The first server in the customer's fixed ranking that has not enough. Rankings differ by gateway:
     /// else a heavy customer would lead a hundred gateways to one server, and none would see it.
     fn choose(&mut self, id: JobId) -> Option<ServerId> {
-        // Where a gateway's part of a server is below one relay, the server answers it too seldom to learn by,
+        // Where a gateway's part of a server is below one relay, the server answers too seldom to learn by,
         // and might get one at once from every gateway: all relays are bounded together.
         let many = f64::from(self.deployment.gateways) > FEW;
         if many && (self.fleet.out >= self.fleet.bound.max(1.0) || self.now < self.fleet.rested) {
--- a/tests/found.rs
+++ b/tests/found.rs
@@ -62,8 +62,8 @@
     assert!((1..=6).contains(&calls), "{calls}");
 }
 
-/// Judged alone, every gateway of a set rounded its part of a job up, again and again, and together they passed the
-/// quota. Now one job of each goes at first, and then no more than the pace for all.
+/// Judged alone, every gateway of a set rounded its part of a job up, again and again, and together they
+/// passed the quota. Now one job of each goes at first, and then no more than the pace for all.
 #[test]
 fn gateways_judging_alone_keep_the_pace_together() {
     let mut sent = 0;
@@ -164,7 +164,7 @@
     assert!(sent <= plan.burst + plan.rate * 10.0 + 8.0, "{sent}");
 }
 
-/// Where idle servers take a fifth of the target time, every answer counted as slow and each server got the least.
+/// Where idle servers take a fifth of the target time, every answer counted as slow and all got the least.
 #[test]
 fn servers_of_a_slow_kind_are_not_cut_for_their_pace() {
     let mut deployment = Deployment { gateways: 12, ..deployment() };
