--- a/src/choice.rs
+++ b/src/choice.rs
@@ -104,13 +104,15 @@
         // Until one is seen, a part of the tightest target stands in for an answer, some ticks for a call.
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
         let usual = (deployment.tick.secs() * 4.0).max(0.005);
-        let fleet =
-            Fleet { usual: target / 6.0, units: 1.0, calm: 0.12, slow: 0.12, spare: 5.0, ..Fleet::default() };
+        let bound = FEW / f64::from(deployment.gateways);
+        let mut fleet = Fleet { bound: bound / 2.0, ..Fleet::default() };
+        (fleet.usual, fleet.units, fleet.spare) = (target / 6.0, 1.0, 5.0);
+        (fleet.calm, fleet.slow) = (0.12, 0.12);
         Self {
             host,
             now,
             chance: Chance::new(seed, deployment.own_index),
-            counter: Counter { usual, bound: FEW / f64::from(deployment.gateways), ..Counter::default() },
+            counter: Counter { usual, bound, ..Counter::default() },
             deployment,
             servers: BTreeMap::new(),
             fleet,
@@ -147,9 +149,8 @@
             server.entry = entry;
         }
         self.fleet.roster += 1;
-        if self.fleet.bound <= 0.0 {
-            self.fleet.bound = FEW / 2.0 * self.servers.len() as f64 / f64::from(self.deployment.gateways);
-        }
+        // A fleet that shrinks, for any cause, must not get what the whole one could bear.
+        self.fleet.ready = self.servers.values().filter(|server| server.ready()).count() as f64;
         self.work_off();
     }
 
@@ -351,9 +352,7 @@
         match (ask.step, total) {
             (Step::Count, None) => {
                 // What may have been added counts as added: the count then says too little, never too much.
-                if fate == Fate::TimedOut {
-                    customer.told += ask.amount;
-                }
+                customer.told += if fate == Fate::TimedOut { ask.amount } else { 0.0 };
                 self.ask(id);
             }
             (Step::Count, Some(total)) => {
@@ -391,9 +390,8 @@
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
         let asked: f64 = ask.jobs.iter().map(|job| job.1).sum();
-        let (rate, longest) = (plan.pace(self.fleet.usual).0, plan.window().secs());
-        let (mut ready, mut late, mut vain) = (Vec::new(), false, Vec::new());
-        let mut position = total - asked;
+        let longest = plan.window().secs();
+        let (mut ready, mut vain, mut late, mut position) = (Vec::new(), Vec::new(), false, total - asked);
         for &(job, cost) in &ask.jobs {
             let Some(held) = self.held(job) else { continue };
             let turn = self.turn(customer, position + cost);
@@ -407,7 +405,7 @@
             }
         }
         // Asks in vain cost calls: they come the more seldom, down to the even part of what comes in.
-        let even = asked.max(1.0) / rate;
+        let even = asked.max(1.0) / plan.pace(self.fleet.usual).0;
         let Some(customer) = self.customers.get_mut(&id) else { return };
         customer.total = total;
         if late || (ready.is_empty() && !vain.is_empty()) {
@@ -473,21 +471,21 @@
         }
         self.pool.lent += shortfall / 2.0;
         if self.now >= self.pool.lends_at && self.pool.lent > 0.0 {
-            let next = self.pool_name(1);
             let apart = (f64::from(self.deployment.gateways) / LENDERS).max(1.0);
             self.pool.lends_at = self.now + POOL_WINDOW.times(apart);
-            self.host.add(next, std::mem::take(&mut self.pool.lent), POOL_KEPT);
+            self.host.add(self.pool_name(1), std::mem::take(&mut self.pool.lent), POOL_KEPT);
         }
     }
 
     /// Judges held jobs without a total, by this gateway's part of the pace. Where that is far below a job,
-    /// one job goes as soon as those before are made up for: together the gateways keep to the pace.
+    /// one job goes as soon as those before are made up for, unless servers lack room even for what is counted.
     fn judge_alone(&mut self, id: CustomerId) {
         let Some(customer) = self.customers.get(&id) else { return };
         let (rate, burst) = self.deployment.plans[customer.plan].pace(self.fleet.usual);
+        let pressed = self.now < self.fleet.pressed_until;
         let (mut ahead, mut jobs) = (customer.ahead.drained(rate / customer.set_size, self.now), Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
-            if ahead <= 0.0 || ahead + job.cost <= burst / customer.set_size {
+            if (ahead <= 0.0 && !pressed) || ahead + job.cost <= burst / customer.set_size {
                 ahead += job.cost;
                 jobs.push((job.arrival.job, job.cost));
             }
@@ -569,10 +567,12 @@
     /// The first server in the customer's fixed ranking that has not enough. Rankings differ by gateway:
     /// else a heavy customer would lead a hundred gateways to one server, and none would see it.
     fn choose(&mut self, id: JobId) -> Option<ServerId> {
-        // Where a gateway's part of a server is below one relay, the server answers too seldom to learn by,
-        // and might get one at once from every gateway: all relays are bounded together.
+        // Many gateways hear little of each server, and each might send it one: all relays are bounded together.
         let many = f64::from(self.deployment.gateways) > FEW;
-        if many && (self.fleet.out >= self.fleet.bound.max(1.0) || self.now < self.fleet.rested) {
+        if many
+            && (self.fleet.out >= (self.fleet.bound * self.fleet.ready).max(1.0)
+                || self.now < self.fleet.rested)
+        {
             return None;
         }
         let by = self.jobs.get(&id)?.arrival.customer;
@@ -600,8 +600,8 @@
         }
         let enough = if server.unwell(self.now, self.fleet.usual) {
             // One relay at a time shows if it is well again, the more seldom the more failed.
-            let rest = if repeat.is_free() { TRIAL } else { TRIAL.times(4.0) };
-            let rest = rest.times(1.0 / (1.0 - server.failing).max(0.05));
+            let seldom = if repeat.is_free() { 1.0 } else { 4.0 };
+            let rest = TRIAL.times(seldom / (1.0 - server.failing).max(0.05));
             server.out > 0.0 || self.now.since(server.tried) < rest
         } else {
             server.out >= server.bound.max(1.0) || self.now < server.rested
@@ -635,7 +635,6 @@
         Some((rate, server.push.drained(rate, now)))
     }
 
-    /// How a relay ended.
     pub fn relay_ended(&mut self, now: Moment, end: RelayEnd) {
         self.now = now;
         let known = self.jobs.get(&end.job).map(|job| job.arrival);
@@ -667,7 +666,6 @@
         const LEAST: f64 = 3.0;
         let least = (LEAST / f64::from(self.deployment.gateways)).min(1.0);
         let (now, took, fleet) = (self.now, end.took.secs(), &mut self.fleet);
-        let (usual, few) = (Span::from_secs(fleet.usual), least * self.servers.len() as f64);
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         server.out = (server.out - 1.0).max(0.0);
         fleet.out = (fleet.out - 1.0).max(0.0);
@@ -696,7 +694,7 @@
                 fleet.slow += 0.1 * (slow - fleet.slow);
                 if fleet.slow > 2.0 * fleet.calm {
                     fleet.bound *= 0.97;
-                } else if fleet.slow < 1.5 * fleet.calm && fleet.out + 2.0 > fleet.bound {
+                } else if fleet.slow < 1.5 * fleet.calm && fleet.out + 2.0 > fleet.bound * fleet.ready {
                     fleet.bound *= 1.03;
                 }
             }
@@ -711,10 +709,12 @@
                 fleet.slow += 0.1 * (took / target - fleet.slow).max(0.0);
             }
         }
-        fleet.bound = fleet.bound.max(few);
+        fleet.bound = fleet.bound.max(least);
         // A refusal comes at once; rested only by that, many gateways would ask again in a herd.
-        let busy = if end.fate == Fate::Satisfied { end.took } else { end.took.max(usual) };
-        (server.rested, fleet.rested) = (now + rest(busy, server.bound), now + rest(busy, fleet.bound));
+        let busy =
+            if end.fate == Fate::Satisfied { end.took } else { end.took.max(Span::from_secs(fleet.usual)) };
+        (server.rested, fleet.rested) =
+            (now + rest(busy, server.bound), now + rest(busy, fleet.bound * fleet.ready.max(1.0)));
     }
 
     /// What goes first under pressure: the most benefit, and of that the newest, as the oldest would be late.
--- a/src/state.rs
+++ b/src/state.rs
@@ -77,8 +77,10 @@
     /// How long answers to usual jobs take of unhurried servers, and of all, in target times.
     pub(crate) calm: f64,
     pub(crate) slow: f64,
-    /// Relays out through this gateway, and how many there may be where its part of a server is below one.
+    /// Relays out through this gateway, how many there may be for each ready server where its part of one is
+    /// below one relay, and how many servers are ready.
     pub(crate) out: f64,
+    pub(crate) ready: f64,
     pub(crate) bound: f64,
     pub(crate) rested: Moment,
     /// Further relays that may still be made; earned by first ones.
