--- a/src/choice.rs
+++ b/src/choice.rs
@@ -358,7 +358,9 @@
             (Step::Count, Some(total)) => {
                 customer.told += ask.amount;
                 let (before, by_rate) = (total - ask.amount, plan.by_rate());
-                self.counter.usual += 0.05 * (self.now.since(ask.sent).secs() - self.counter.usual);
+                // A pause of this gateway looks like a slow call: four times as long as usual tells enough.
+                let took = self.now.since(ask.sent).secs().min(self.counter.usual * 4.0);
+                self.counter.usual += 0.05 * (took - self.counter.usual);
                 // The first gateway into the window lends of what the last one left.
                 let shortfall = if by_rate && before <= NOTHING { customer.unused } else { 0.0 };
                 // Just one call takes the count past what is granted unseen: it looks the last window up, and
@@ -390,7 +392,6 @@
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
         let asked: f64 = ask.jobs.iter().map(|job| job.1).sum();
-        let longest = plan.window().secs();
         let (mut ready, mut vain, mut late, mut position) = (Vec::new(), Vec::new(), false, total - asked);
         for &(job, cost) in &ask.jobs {
             let Some(held) = self.held(job) else { continue };
@@ -409,7 +410,8 @@
         let Some(customer) = self.customers.get_mut(&id) else { return };
         customer.total = total;
         if late || (ready.is_empty() && !vain.is_empty()) {
-            customer.apart = (customer.apart * 2.0).clamp(even, even * customer.set_size).min(longest);
+            customer.apart =
+                (customer.apart * 2.0).clamp(even, even * customer.set_size).min(plan.window().secs());
             customer.shut = self.now + Span::from_secs(customer.apart * (0.5 + self.chance.draw()));
             self.host.wake(customer.shut.since(self.now), CUSTOMER_MARK + id);
         } else if !ready.is_empty() {
@@ -446,7 +448,6 @@
         hashed(&[self.now.micros() / POOL_WINDOW.micros() + ahead, 1])
     }
 
-    /// What a draw brought: below nothing the pool is empty.
     fn drawn(&mut self, total: Option<f64>) {
         let Some((_, units, jobs)) = self.pool.draw.take() else { return };
         let mut room = total.map_or(0.0, |total| units + total.min(0.0));
@@ -461,17 +462,16 @@
         }
     }
 
-    /// Lends half of a customer's shortfall in the last window to the next pool. Some gateways add in each
+    /// Lends half of a customer's shortfall in the last window to the next pool. Sixteen gateways add in a
     /// pool window, each as seldom as it takes: else these calls alone would crowd a counter of many.
     fn lend(&mut self, shortfall: f64) {
-        const LENDERS: f64 = 16.0;
         // Lent room must not reach a pressed back end.
         if self.now < self.fleet.pressed_until || !self.deployment.plans.iter().any(Plan::soft) {
             return;
         }
         self.pool.lent += shortfall / 2.0;
         if self.now >= self.pool.lends_at && self.pool.lent > 0.0 {
-            let apart = (f64::from(self.deployment.gateways) / LENDERS).max(1.0);
+            let apart = (f64::from(self.deployment.gateways) / 16.0).max(1.0);
             self.pool.lends_at = self.now + POOL_WINDOW.times(apart);
             self.host.add(self.pool_name(1), std::mem::take(&mut self.pool.lent), POOL_KEPT);
         }
@@ -678,7 +678,7 @@
                 server.carried = Level { amount: carried, at: now };
                 // Slow answers, whatever slows them, cut what it gets: a server driven hard stays slow.
                 // Work goes by units where they differ, so a large job's answer is no slower for its size.
-                fleet.usual += 0.02 * (took - fleet.usual);
+                fleet.usual += 0.02 * (took.min(fleet.usual * 4.0) - fleet.usual);
                 fleet.units += 0.02 * (units - fleet.units);
                 let slow = took / target * fleet.units / units.max(NOTHING);
                 // Slow is told by the pace of servers that get the least already, kept within a safe range.
--- a/tests/found.rs
+++ b/tests/found.rs
@@ -210,3 +210,93 @@
     }
     assert!(sent > CEILING.burst / 2.0 && sent <= CEILING.burst + CEILING.slack, "{sent}");
 }
+
+/// Each of a hundred gateways asked a counter that turns calls away again at once, a hundred times a job.
+#[test]
+fn calls_rest_where_many_gateways_share_a_counter() {
+    let (mut gateway, notes) = gateway(Deployment { gateways: 100, ..deployment() }, 4);
+    let mut calls = 0;
+    for job in 0..40 {
+        // Two jobs of each customer: one goes alone, the other waits for a total.
+        let arrival = Arrival { customer: job / 2, set_size: 100, ..arrival(job, 0, 0, 2.0, at(2_000)) };
+        gateway.job_arrived(at(10), arrival);
+    }
+    for now in (10..400).step_by(2) {
+        for act in notes.take() {
+            if let Act::Add(name, _) = act {
+                calls += 1;
+                gateway.counted(at(now), name, None, Fate::Full);
+            }
+        }
+        gateway.woken(at(now), u64::MAX);
+    }
+    assert!((2..=12).contains(&calls), "{calls}");
+}
+
+/// Sixty gateways each sent a server that had just started their first job at once, and it fell over.
+#[test]
+fn many_gateways_do_not_send_a_cold_server_their_first_jobs_at_once() {
+    let mut sent = 0;
+    for own_index in 0..60 {
+        let mut deployment = Deployment { gateways: 60, own_index, ..deployment() };
+        deployment.plans[0] = Plan::default();
+        let (mut gateway, notes) = gateway(deployment, 2);
+        for job in 0..40 {
+            let now = job * 500;
+            if job == 38 {
+                gateway.roster_changed(at(now), [entry(0, Standing::Ready, Some(at(now)))].into_iter());
+            }
+            gateway.job_arrived(at(now), Arrival { customer: job, ..arrival(job, 0, 0, 1.0, at(now + 490)) });
+            for act in notes.take() {
+                if let Act::Relay(id, server, _) = act {
+                    sent += usize::from(job >= 38 && server == 0);
+                    gateway.relay_ended(at(now + 20), end(id, server, Fate::Satisfied, 20));
+                }
+            }
+        }
+    }
+    // Sixty seconds' worth of two jobs a second were there to send; a cold server takes a third of one warm.
+    assert!((1..=30).contains(&sent), "{sent}");
+}
+
+/// Tries of impatient clients were sent though they would be given up before an answer.
+#[test]
+fn a_job_without_time_for_an_answer_is_dismissed_at_once() {
+    let (mut gateway, notes) = gateway(deployment(), 4);
+    gateway.job_arrived(at(10), arrival(1, 0, 0, 1.0, at(100)));
+    assert_eq!(notes.take(), vec![Act::Dismiss(1)]);
+}
+
+/// A gateway that took no part in the last window had half of the burst again, however much had been used.
+#[test]
+fn what_the_last_window_left_is_told_on_the_count() {
+    let (mut first, notes) = gateway(deployment(), 4);
+    first.job_arrived(at(10), arrival(1, 0, 0, 6.5, at(2_000)));
+    let (name, amount) = count_of(&notes.take()).expect("an ask");
+    first.counted(at(12), name, Some(amount), Fate::Satisfied);
+    let (last, _) = count_of(&notes.take()).expect("a look at the last window");
+    first.counted(at(14), last, Some(12.0), Fate::Satisfied);
+    let (told, lacked) = count_of(&notes.take()).expect("word of what the burst lacks");
+    assert!(told == name && last != name && lacked > 1_000.0);
+    let (mut second, notes) = gateway(deployment(), 4);
+    second.job_arrived(at(20), arrival(2, 0, 0, 1.0, at(420)));
+    assert!(count_of(&notes.take()).is_some());
+    second.counted(at(22), name, Some(amount + lacked + 1.0), Fate::Satisfied);
+    assert_eq!(relayed(&notes.take()), None);
+}
+
+/// A fleet cut down to a few servers got as many relays as the whole one.
+#[test]
+fn a_fleet_that_shrinks_gets_less() {
+    let mut deployment = Deployment { gateways: 20, ..deployment() };
+    deployment.plans[0] = Plan::default();
+    let (mut gateway, notes) = gateway(deployment, 20);
+    let mut out = [0, 0];
+    for (round, ready) in [(0, 20), (1, 2)] {
+        gateway.roster_listed(at(10), (0..ready).map(|id| entry(id, Standing::Ready, None)));
+        (0..50).for_each(|job| gateway.job_arrived(at(10), arrival(100 * round + job, 0, 0, 1.0, at(2_000))));
+        let relays = notes.take().into_iter().filter(|act| matches!(act, Act::Relay(..))).count();
+        out[round as usize] = relays;
+    }
+    assert!(out[0] == 6 && out[1] == 0, "{out:?}");
+}
