--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,4 +1,4 @@
-//! Plays fennelgauge's decisions on the bench's wire: frames in on standard input, replies on standard output.
+//! Plays fennelgauge's decisions on the bench's wire: frames in on standard input, replies on the output.
 
 mod frame;
 mod launch;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -478,7 +478,7 @@
     }
 
     /// Judges held jobs without a total, by this gateway's part of the pace. Where that is far below a job,
-    /// one job goes as soon as those before are made up for, unless servers lack room even for what is counted.
+    /// one job goes as soon as those before are made up for, unless servers lack room for what is counted.
     fn judge_alone(&mut self, id: CustomerId) {
         let Some(customer) = self.customers.get(&id) else { return };
         let (rate, burst) = self.deployment.plans[customer.plan].pace(self.fleet.usual);
@@ -567,7 +567,7 @@
     /// The first server in the customer's fixed ranking that has not enough. Rankings differ by gateway:
     /// else a heavy customer would lead a hundred gateways to one server, and none would see it.
     fn choose(&mut self, id: JobId) -> Option<ServerId> {
-        // Many gateways hear little of each server, and each might send it one: all relays are bounded together.
+        // Many gateways hear little of each server and each might send it one: all relays are bounded.
         let many = f64::from(self.deployment.gateways) > FEW;
         if many
             && (self.fleet.out >= (self.fleet.bound * self.fleet.ready).max(1.0)
--- a/src/host.rs
+++ b/src/host.rs
@@ -154,7 +154,7 @@
     pub band: usize,
     pub plan: usize,
     pub units: f64,
-    /// The gateways that the customer's jobs come in through: the first one's index, and how many follow it round.
+    /// The gateways that the customer's jobs come in through: the first one's index, and how many there are.
     pub set_first: u32,
     pub set_size: u32,
     pub abandon: Moment,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,5 +1,5 @@
-//! A slow, plain model of the five rules beside two gateways, or thirty, on generated days with a counter that
-//! lies.
+//! A slow, plain model of the five rules beside two gateways, or thirty, on generated days with a counter
+//! that lies.
 
 mod common;
 
