--- a/crates/gateway/src/lifecycle/configuration.rs
+++ b/crates/gateway/src/lifecycle/configuration.rs
@@ -2,6 +2,7 @@
 
 use crate::wire::discovery::Listing;
 use fennelgauge_launch::Launch;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -30,6 +31,13 @@
     pub memory_mb: usize,
 }
 
+/// The addresses that may change while the gateway runs. The rest of the file is for a start.
+#[derive(Deserialize)]
+pub struct Addresses {
+    pub discovery: SocketAddr,
+    pub counter: Option<SocketAddr>,
+}
+
 /// Untold, what a process is commonly allowed, and enough memory for that.
 impl Default for Limits {
     fn default() -> Self {
@@ -42,7 +50,7 @@
     u64::from_str_radix(&text, 16).map_err(serde::de::Error::custom)
 }
 
-pub fn read(path: &Path) -> Result<Start, String> {
+pub fn read<T: DeserializeOwned>(path: &Path) -> Result<T, String> {
     let text = std::fs::read(path).map_err(|error| format!("{}: {error}", path.display()))?;
     serde_json::from_slice(&text).map_err(|error| format!("{}: {error}", path.display()))
 }
--- a/crates/gateway/src/lifecycle/run.rs
+++ b/crates/gateway/src/lifecycle/run.rs
@@ -1,7 +1,7 @@
 //! Start and loop.
 
 use crate::lifecycle::clock::Clock;
-use crate::lifecycle::configuration::Start;
+use crate::lifecycle::configuration::{self, Addresses, Start};
 use crate::lifecycle::drain::{self, Stop};
 use crate::memory::jobs::Jobs;
 use crate::memory::machines::Machines;
@@ -21,8 +21,9 @@
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::TcpListener;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
-use tracing::info;
+use tracing::{info, warn};
 
 /// Descriptors for what is no client's and no server's: the loop, signals, listener, counter, discovery, log.
 const KEPT_BACK: usize = 16 + client::RESERVE;
@@ -32,11 +33,20 @@
 /// After a stall all that has come is taken in before timers are judged; a flood ends this after so many looks.
 const LOOKS: usize = 8;
 
-pub fn run(start: Start) -> Result<(), Box<dyn std::error::Error>> {
+/// Runs a gateway; `path` is where its configuration may be read anew.
+pub fn run(start: Start, path: PathBuf) -> Result<(), Box<dyn std::error::Error>> {
     let mut events: EventLoop<'static, Limiter> = EventLoop::try_new()?;
     let handle = events.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT])?;
-    handle.insert_source(signals, |_, _, limiter| limiter.host.stop()).map_err(|error| error.error)?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])?;
+    let signalled = move |signal: calloop::signals::Event, _: &mut (), limiter: &mut Limiter| {
+        if signal.signal() == Signal::SIGHUP {
+            limiter.host.reload(&path);
+            settle(limiter);
+        } else {
+            limiter.host.stop();
+        }
+    };
+    handle.insert_source(signals, signalled).map_err(|error| error.error)?;
     let listener = TcpListener::bind(start.listen)?;
     let listen = listener.local_addr()?;
     listener.set_nonblocking(true)?;
@@ -136,6 +146,18 @@
 }
 
 impl Sockets {
+    /// Goes over to the addresses that the file has now. One that cannot be read changes nothing.
+    fn reload(&mut self, path: &Path) {
+        match configuration::read::<Addresses>(path) {
+            Ok(Addresses { discovery, counter }) => {
+                info!(%discovery, counter = ?counter, "configuration read anew");
+                self.move_discovery(discovery);
+                self.move_counter(counter);
+            }
+            Err(error) => warn!(error, "configuration kept"),
+        }
+    }
+
     /// The first timer whose cause has not ended otherwise: most have, and each would wake the loop for nothing.
     fn next_due(&mut self) -> Option<(Moment, Due)> {
         let Self { timers, jobs, links, counter, .. } = self;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -14,9 +14,9 @@
         tracing::error!("BALANCER_CONFIG does not name a configuration");
         return ExitCode::FAILURE;
     };
-    let outcome = lifecycle::configuration::read(&PathBuf::from(path))
-        .map_err(Into::into)
-        .and_then(lifecycle::run::run);
+    let path = PathBuf::from(path);
+    let start = lifecycle::configuration::read(&path).map_err(Into::into);
+    let outcome = start.and_then(|start| lifecycle::run::run(start, path));
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/gateway/src/wire/counter.rs
+++ b/crates/gateway/src/wire/counter.rs
@@ -20,11 +20,19 @@
     address: Option<SocketAddr>,
     /// A call is given up after this.
     within: Span,
-    channel: Option<Channel>,
-    up: bool,
-    /// Which connection this is; events of former ones are not for it.
+    /// The connection that calls are written to is the last; those before it, to a former address, stay until
+    /// their calls are answered.
+    lines: Vec<Line>,
+}
+
+/// One connection.
+struct Line {
+    channel: Channel,
     key: u64,
-    /// Calls on this connection, in the order of their answers.
+    up: bool,
+    /// The counter has another address since.
+    former: bool,
+    /// Calls in the order of their answers.
     calls: VecDeque<Call>,
     /// Bytes handed to this connection.
     handed: u64,
@@ -42,14 +50,19 @@
 
 impl Counter {
     pub fn new(address: Option<SocketAddr>, within: Span) -> Self {
-        let calls = VecDeque::new();
-        Self { address, within, channel: None, up: false, key: 0, calls, handed: 0 }
+        Self { address, within, lines: Vec::new() }
     }
 
     /// That call is out and was not given up. Numbers rise from call to call.
     pub fn awaits(&self, number: u64) -> bool {
-        let found = self.calls.binary_search_by_key(&number, |call| call.number);
-        found.is_ok_and(|index| !self.calls[index].over)
+        self.lines.iter().any(|line| {
+            let found = line.calls.binary_search_by_key(&number, |call| call.number);
+            found.is_ok_and(|index| !line.calls[index].over)
+        })
+    }
+
+    fn present(&mut self) -> Option<&mut Line> {
+        self.lines.last_mut().filter(|line| !line.former)
     }
 }
 
@@ -67,35 +80,47 @@
             Some((Some(total), Fate::Satisfied))
         }
         _ if line == "busy" => Some((None, Fate::Full)),
-        _ if line == "error" || line.starts_with("error ") => Some((None, Fate::Error)),
+        _ if line == "error" => Some((None, Fate::Error)),
         _ => None,
     }
 }
 
+/// The first bytes of a line may still become an answer. What cannot would else keep all calls behind it
+/// waiting for an end that never comes.
+fn may_become_one(part: &[u8]) -> bool {
+    /// Above the longest total that is written out in full.
+    const MOST_LINE: usize = 400;
+    if part.len() > MOST_LINE {
+        return false;
+    }
+    let (known, rest) = part.split_at(part.len().min(3));
+    match known {
+        b"ok " => rest.iter().all(|byte| b"+-.0123456789eE \r".contains(byte)),
+        _ => [&b"ok "[..], b"busy\r", b"error\r"].iter().any(|answer| answer.starts_with(part)),
+    }
+}
+
 fn moved(limiter: &mut Limiter, key: u64) {
     limiter.host.moves += 1;
-    if limiter.host.counter.key == key {
-        limiter.host.counter_moved();
-    }
+    limiter.host.counter_moved(key);
     settle(limiter);
 }
 
 impl Sockets {
     pub fn call(&mut self, name: CountName, amount: f64, keep: Span) {
         let now = self.clock.now();
-        if self.counter.channel.is_none() {
+        if self.counter.present().is_none() {
             self.open_counter();
         }
         let number = self.number();
-        let counter = &mut self.counter;
-        let Some(channel) = &mut counter.channel else {
+        let Some(line) = self.counter.present() else {
             return self.count(name, None, Fate::ConnectFailed);
         };
-        let before = channel.output.len();
-        bump(&mut channel.output, name, amount, keep);
-        counter.handed += (channel.output.len() - before) as u64;
-        counter.calls.push_back(Call { name, number, end: counter.handed, sent: now, over: false });
-        self.timers.set(now + counter.within, Due::Counted(number));
+        let before = line.channel.output.len();
+        bump(&mut line.channel.output, name, amount, keep);
+        line.handed += (line.channel.output.len() - before) as u64;
+        line.calls.push_back(Call { name, number, end: line.handed, sent: now, over: false });
+        self.timers.set(now + self.counter.within, Due::Counted(number));
     }
 
     fn open_counter(&mut self) {
@@ -103,77 +128,94 @@
         let key = self.number();
         match Channel::connect(&self.handle, address, move |limiter| moved(limiter, key)) {
             Ok(channel) => {
-                let counter = &mut self.counter;
-                (counter.channel, counter.up, counter.key, counter.handed) = (Some(channel), false, key, 0);
+                let calls = VecDeque::new();
+                self.counter.lines.push(Line { channel, key, up: false, former: false, calls, handed: 0 });
             }
             Err(error) => info!(side = "counter", key, reason = "refused", %error),
         }
     }
 
+    /// Further calls go to that address; those that are out may still be answered where they are.
+    pub fn move_counter(&mut self, address: Option<SocketAddr>) {
+        if address != self.counter.address {
+            self.counter.address = address;
+            self.counter.lines.iter_mut().for_each(|line| line.former = true);
+            self.leave_former_counters();
+        }
+    }
+
+    fn leave_former_counters(&mut self) {
+        let left = |line: &&Line| line.former && line.calls.iter().all(|call| call.over);
+        let left: Vec<u64> = self.counter.lines.iter().filter(left).map(|line| line.key).collect();
+        left.into_iter().for_each(|key| self.close_counter(key, "moved"));
+    }
+
     /// Calls made at one time are written together. True if something has ended by it.
     pub fn flush_calls(&mut self) -> bool {
-        let counter = &mut self.counter;
-        let Some(channel) = counter.channel.as_mut().filter(|it| counter.up && it.unwritten() > 0) else {
+        let Some(line) = self.counter.present().filter(|it| it.up && it.channel.unwritten() > 0) else {
             return false;
         };
-        if channel.flush().is_err() {
-            self.close_counter("broken");
+        if line.channel.flush().is_err() {
+            let key = line.key;
+            self.close_counter(key, "broken");
         }
         !self.counted.is_empty()
     }
 
-    fn counter_moved(&mut self) {
-        let counter = &mut self.counter;
-        let Some(channel) = &mut counter.channel else { return };
-        if !counter.up {
-            match channel.is_up() {
-                Ok(up) => counter.up = up,
-                Err(_) => return self.close_counter("refused"),
-            }
-            if !counter.up {
-                return;
+    fn counter_moved(&mut self, key: u64) {
+        if let Err(reason) = self.read_counter(key) {
+            self.close_counter(key, reason);
+        }
+        self.leave_former_counters();
+    }
+
+    /// Takes in what has come; or tells why the connection is of no further use.
+    fn read_counter(&mut self, key: u64) -> Result<(), &'static str> {
+        let Some(line) = self.counter.lines.iter_mut().find(|line| line.key == key) else { return Ok(()) };
+        if !line.up {
+            line.up = line.channel.is_up().map_err(|_| "refused")?;
+            if !line.up {
+                return Ok(());
             }
         }
-        let broken = channel.flush().is_err();
+        let broken = line.channel.flush().is_err();
         loop {
-            let Some(channel) = &mut self.counter.channel else { return };
-            let filled = channel.fill(MOST);
-            let mut lines = 0;
-            while let Some(length) = channel.input[lines..].iter().position(|byte| *byte == b'\n') {
-                let line = answer(&channel.input[lines..lines + length]);
-                lines += length + 1;
-                // An answer that fits no call would shift all that follow.
-                let (Some((total, fate)), Some(call)) = (line, self.counter.calls.pop_front()) else {
-                    return self.close_counter("garbled");
+            let filled = line.channel.fill(MOST);
+            let mut used = 0;
+            while let Some(length) = line.channel.input[used..].iter().position(|byte| *byte == b'\n') {
+                let told = answer(&line.channel.input[used..used + length]);
+                used += length + 1;
+                // An answer that fits no call would shift all that follow, and a spoilt one is the call's own:
+                // it was added, and the module must hear that no total comes.
+                let (Some((total, fate)), Some(call)) = (told, line.calls.front()) else {
+                    return Err("garbled");
                 };
                 if !call.over {
                     self.counted.push_back((call.name, total, fate));
                 }
+                line.calls.pop_front();
             }
-            channel.used(lines);
-            let (stuffed, endless) = (channel.stuffed, channel.input.len() >= MOST);
-            if endless {
-                return self.close_counter("garbled");
-            } else if broken || filled != Filled::Open {
-                return self.close_counter(if filled == Filled::Ended {
-                    "closed by counter"
-                } else {
-                    "broken"
-                });
-            } else if !stuffed {
-                return;
+            line.channel.used(used);
+            if !may_become_one(&line.channel.input) {
+                return Err("garbled");
+            } else if filled == Filled::Ended {
+                return Err("closed by counter");
+            } else if broken || filled == Filled::Broken {
+                return Err("broken");
+            } else if !line.channel.stuffed {
+                return Ok(());
             }
         }
     }
 
     /// Ends all calls of the connection: those whose last byte was written may have been added.
-    fn close_counter(&mut self, reason: &str) {
-        let counter = &mut self.counter;
-        let Some(channel) = counter.channel.take() else { return };
-        info!(side = "counter", key = counter.key, reason, calls = counter.calls.len());
-        let written = counter.handed - channel.unwritten() as u64;
-        channel.close(&self.handle);
-        for call in std::mem::take(&mut counter.calls).into_iter().filter(|call| !call.over) {
+    fn close_counter(&mut self, key: u64, reason: &str) {
+        let Some(index) = self.counter.lines.iter().position(|line| line.key == key) else { return };
+        let line = self.counter.lines.remove(index);
+        info!(side = "counter", key, reason, calls = line.calls.len());
+        let written = line.handed - line.channel.unwritten() as u64;
+        line.channel.close(&self.handle);
+        for call in line.calls.into_iter().filter(|call| !call.over) {
             let fate = if call.end <= written { Fate::TimedOut } else { Fate::ConnectFailed };
             self.counted.push_back((call.name, None, fate));
         }
@@ -181,20 +223,23 @@
 
     /// A call was waited for long enough; its answer, when it comes, is read over.
     pub fn call_over(&mut self, number: u64) {
-        if !self.counter.up {
-            return self.close_counter("never came up");
+        let has = |line: &&mut Line| line.calls.iter().any(|call| call.number == number);
+        let Some(line) = self.counter.lines.iter_mut().find(has) else { return };
+        if !line.up {
+            let key = line.key;
+            return self.close_counter(key, "never came up");
         }
-        let call = self.counter.calls.iter_mut().find(|call| call.number == number);
-        if let Some(call) = call {
+        if let Some(call) = line.calls.iter_mut().find(|call| call.number == number) {
             call.over = true;
             let name = call.name;
             self.count(name, None, Fate::TimedOut);
         }
+        self.leave_former_counters();
     }
 
     pub fn sweep_counter(&mut self, now: Moment) {
-        if self.counter.calls.front().is_some_and(|call| now.since(call.sent) > SILENT) {
-            self.close_counter("silent");
-        }
+        let silent = |line: &&Line| line.calls.front().is_some_and(|call| now.since(call.sent) > SILENT);
+        let silent: Vec<u64> = self.counter.lines.iter().filter(silent).map(|line| line.key).collect();
+        silent.into_iter().for_each(|key| self.close_counter(key, "silent"));
     }
 }
--- a/crates/gateway/src/wire/discovery.rs
+++ b/crates/gateway/src/wire/discovery.rs
@@ -129,16 +129,27 @@
 
     pub fn watch(&mut self) {
         self.discovery.waits = false;
-        if self.discovery.channel.is_none() {
-            let (agent, key) = (self.discovery.agent, self.number());
-            match Channel::connect(&self.handle, agent, move |limiter| moved(limiter, key)) {
-                Ok(channel) => (self.discovery.channel, self.discovery.key) = (Some(channel), key),
-                Err(error) => info!(side = "discovery", key, reason = "refused", %error),
-            }
+        if self.discovery.channel.is_some() {
+            return;
+        }
+        let (agent, key) = (self.discovery.agent, self.number());
+        match Channel::connect(&self.handle, agent, move |limiter| moved(limiter, key)) {
+            Ok(channel) => (self.discovery.channel, self.discovery.key) = (Some(channel), key),
+            Err(error) => info!(side = "discovery", key, reason = "refused", %error),
         }
         self.ask();
     }
 
+    /// Asks the agent at that address from now on, and at once for the whole list: versions and changes told
+    /// elsewhere say nothing of what it has.
+    pub fn move_discovery(&mut self, agent: SocketAddr) {
+        if agent != self.discovery.agent {
+            (self.discovery.agent, self.discovery.seq) = (agent, None);
+            self.close_discovery("moved");
+            self.watch();
+        }
+    }
+
     fn ask(&mut self) {
         let discovery = &mut self.discovery;
         discovery.asked = self.clock.now();
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -383,6 +383,61 @@
     assert_eq!(client.read().1, b"again");
 }
 
+#[test]
+fn spoilt_answers_of_the_counter_end_their_calls_and_their_connection() {
+    // With no number, with no end, and with no line to come.
+    for noise in ["HTTP/1.1 500 Oops\r\n", "ok many\r\n", "ok 1\u{1}", "\u{0}\u{7}"] {
+        let stage = Stage::start(1, 200);
+        serve(&stage.servers[0], "ok".to_string());
+        let mut client = stage.client();
+        client.write(job("c0", "look", "team", PATIENT, ""));
+        let mut counter = End::new(stage.counter.accept().unwrap().0);
+        counter.0.read_line(&mut String::new()).unwrap();
+        counter.write(noise);
+        counter.ends();
+        count(&stage.counter);
+        assert_eq!(client.status(), "200");
+    }
+}
+
+#[test]
+fn addresses_move_when_the_file_is_read_anew_and_nothing_is_lost() {
+    let stage = Stage::start(1, 200);
+    serve(&stage.servers[0], "ok".to_string());
+    let mut agent = End::new(stage.agent.accept().unwrap().0);
+    agent.read();
+    let mut client = stage.client();
+    client.write(job("d0", "look", "team", PATIENT, ""));
+    let mut counter = End::new(stage.counter.accept().unwrap().0);
+    counter.0.read_line(&mut String::new()).unwrap();
+    // A file that cannot be read changes nothing.
+    let text = std::fs::read_to_string(&stage.configuration).unwrap();
+    std::fs::write(&stage.configuration, &text[..text.len() / 2]).unwrap();
+    stage.signal("-HUP");
+    let (next_agent, next_counter) = (listener(), listener());
+    let moved = [(&stage.agent, &next_agent), (&stage.counter, &next_counter)];
+    let text = moved.iter().fold(text, |text, (from, to)| {
+        text.replace(&from.local_addr().unwrap().to_string(), &to.local_addr().unwrap().to_string())
+    });
+    let next = stage.configuration.with_extension("next");
+    std::fs::write(&next, text).unwrap();
+    std::fs::rename(next, &stage.configuration).unwrap();
+    stage.signal("-HUP");
+    agent.ends();
+    let mut agent = End::new(next_agent.accept().unwrap().0);
+    assert!(agent.read().0.starts_with("get /api/targets http/1.1\r\n"));
+    // The call that was out is answered where it was made; the connection ends with it.
+    counter.write("ok 2\r\n");
+    assert_eq!(client.status(), "200");
+    counter.ends();
+    client.write(job("d1", "look", "team", PATIENT, ""));
+    let mut counter = End::new(next_counter.accept().unwrap().0);
+    counter.0.read_line(&mut String::new()).unwrap();
+    counter.write("ok 2\r\n");
+    assert_eq!(client.status(), "200");
+    assert!(stage.log().contains("configuration read anew"));
+}
+
 #[test]
 fn jobs_go_on_while_the_counter_says_nothing() {
     let stage = Stage::start(1, 200);
