--- a/crates/gateway/src/lifecycle/run.rs
+++ b/crates/gateway/src/lifecycle/run.rs
@@ -16,7 +16,7 @@
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction};
 use fennelgauge::choice::Gateway;
-use fennelgauge::host::{Fate, Repeat, JOB_IDS};
+use fennelgauge::host::{Fate, JOB_IDS};
 use fennelgauge::time::{Moment, Span};
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
@@ -27,9 +27,13 @@
 
 /// Descriptors for what is no client's and no server's: the loop, signals, listener, counter, discovery, log.
 const KEPT_BACK: usize = 16 + client::RESERVE;
-/// What a connection may keep in memory: a message of the largest size on its way in and one on its way out.
-const MOST_KB: usize = 2 * http::MOST_MESSAGE / 1024;
-const SWEEP: Span = Span::from_millis(1_000);
+/// What a connection may keep in memory: a job holds two, and at most two copies of a message of the largest size.
+const MOST_KB: usize = http::MOST_MESSAGE / 1024;
+/// A part of the shortest time that anything swept may stand.
+const SWEEP: Span = Span::from_millis(250);
+/// Connections that wait to be accepted: hundreds may come at once, and one that is not taken is tried again by
+/// its client's machine only after a second.
+const BACKLOG: i32 = 1_024;
 /// After a stall all that has come is taken in before timers are judged; a flood ends this after so many looks.
 const LOOKS: usize = 8;
 
@@ -50,6 +54,7 @@
     let listener = TcpListener::bind(start.listen)?;
     let listen = listener.local_addr()?;
     listener.set_nonblocking(true)?;
+    rustix::net::listen(&listener, BACKLOG)?;
     let source = Generic::new(listener, Interest::READ, Mode::Level);
     let listener = handle
         .insert_source(source, |_, listener, limiter| {
@@ -62,7 +67,13 @@
     let now = clock.now();
     let launch = start.settings;
     let bands = launch.deployment.bands.iter();
-    let receipted = bands.map(|band| matches!(band.repeat, Repeat::Receipted(..))).collect();
+    let names = Names {
+        repeats: bands.map(|band| band.repeat).collect(),
+        bands: launch.bands,
+        plans: launch.plans,
+        most_units: launch.most_units,
+        gateways: launch.deployment.gateways,
+    };
     let by_memory = start.limits.memory_mb * 1024 / MOST_KB;
     let most = start.limits.sockets.saturating_sub(KEPT_BACK).min(by_memory).max(2);
     let sockets = Sockets {
@@ -71,7 +82,7 @@
         timers: Timers::default(),
         tick: launch.deployment.tick,
         jobs: Jobs::default(),
-        names: Names { receipted, bands: launch.bands, plans: launch.plans },
+        names,
         clients: HashMap::new(),
         links: HashMap::new(),
         machines: Machines::default(),
--- a/crates/gateway/src/wire/client.rs
+++ b/crates/gateway/src/wire/client.rs
@@ -1,7 +1,7 @@
 //! Connections of clients.
 
 use super::http;
-use super::request::{self, Request};
+use super::request::{self, Request, Taken};
 use crate::memory::channel::{Channel, Filled};
 use crate::memory::timers::Due;
 use crate::sockets::{settle, Limiter, Sockets};
@@ -15,12 +15,22 @@
 const AT_ONCE: usize = 16;
 /// Bytes of a next request that are taken in while a job is out.
 const PIPELINED: usize = 4 * 1024;
-/// How long a request may take to come in once begun, and an answer to be taken; far above any sound client's.
-const SLOW: Span = Span::from_millis(10_000);
+/// How long a request may take to come in, from the connection's start or once begun; far above any sound
+/// client's. One that says nothing is owed a close within 3 s of its connecting; the sweep takes its part of that.
+const SLOW: Span = Span::from_millis(2_000);
+/// How long an answer may take to be taken.
+const SLOW_READER: Span = Span::from_millis(10_000);
 /// How long an ended connection may take to be closed by the other side.
 const LINGER: Span = Span::from_millis(1_000);
-/// A client's machine that vanished says nothing; a connection unused for so long is taken for its.
-const UNUSED: Span = Span::from_millis(120_000);
+/// What is sent on an ended connection is read over this often, so that its answer is not lost by a reset; a
+/// client that sends without end must not cost the others more than that.
+const READ_OVER: usize = 8;
+/// A served connection that stands unused is closed: some clients never come back, and a machine that vanished
+/// says nothing. A client that does come back by then saves a connection.
+const UNUSED: Span = Span::from_millis(10_000);
+/// A client that connects writes at once. Where room is short, one that has written no whole request for so
+/// long, or has not taken its end, makes room first.
+const QUIET: Span = Span::from_millis(250);
 
 /// Connections beyond the room for jobs, each open only until its job is dismissed.
 pub const RESERVE: usize = 8;
@@ -31,6 +41,7 @@
     /// The connection goes on after the present answer.
     pub keep: bool,
     stage: Stage,
+    since: Moment,
     /// When the stage has lasted too long.
     until: Moment,
     /// Why this side ends the connection.
@@ -94,19 +105,23 @@
         self.clients.len() + self.links.len() < self.most + RESERVE
     }
 
-    /// What a new client is taken in for. The one unused the longest makes room, if it was served before: closed
-    /// between requests; one that never was may just be writing its first.
-    fn room_for_client(&mut self) -> Room {
+    /// What a new client is taken in for. Where room is short, one that never sent a whole request makes room, or
+    /// one that stands ended, or else the one unused the longest: closed between requests.
+    fn room_for_client(&mut self, now: Moment) -> Room {
         if self.clients.len() < self.most_clients && self.make_room() {
             return Room::ForJobs;
         }
-        let unused = |client: &Client| client.stage == Stage::Idle && client.served;
-        let idle = self.clients.iter().filter(|(_, client)| unused(client));
-        let Some(oldest) = idle.min_by_key(|(_, client)| client.until).map(|(key, _)| *key) else {
-            return Room::ToDismiss;
+        let rank = |client: &Client| match client.stage {
+            Stage::Idle if client.served => Some(1),
+            Stage::Idle | Stage::Receiving | Stage::Ended => (now.since(client.since) > QUIET).then_some(0),
+            Stage::Working | Stage::Answering => None,
         };
+        let ranked = self.clients.iter().filter_map(|(key, it)| Some(((rank(it)?, it.since), *key)));
+        let Some((_, oldest)) = ranked.min() else { return Room::ToDismiss };
+        let received = |host: &Self| host.clients.get(&oldest).map_or(0, |it| it.channel.input.len());
+        let before = received(self);
         self.receive(oldest);
-        if self.clients.get(&oldest).is_some_and(|client| !client.channel.input.is_empty()) {
+        if received(self) > before {
             self.resumed.push_back(oldest);
             return Room::ToDismiss;
         }
@@ -115,7 +130,8 @@
     }
 
     pub fn accept(&mut self, stream: TcpStream) {
-        let (now, room) = (self.clock.now(), self.room_for_client());
+        let now = self.clock.now();
+        let room = self.room_for_client(now);
         let key = self.number();
         let opened = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
         let channel =
@@ -127,7 +143,8 @@
                     job: None,
                     keep: true,
                     stage: Stage::Idle,
-                    until: now + UNUSED,
+                    since: now,
+                    until: now + SLOW,
                     reason: "answered",
                     continued: false,
                     served: false,
@@ -150,13 +167,16 @@
         let filled = client.channel.fill(if busy { PIPELINED } else { http::MOST_MESSAGE });
         if client.stage == Stage::Ended {
             client.channel.used(usize::MAX);
-            // What is sent after the end is read over; no further event would tell of what was left.
-            while client.channel.stuffed && client.channel.fill(http::MOST_MESSAGE) == Filled::Open {
+            for _ in 0..READ_OVER {
+                if !client.channel.stuffed || client.channel.fill(http::MOST_MESSAGE) != Filled::Open {
+                    break;
+                }
                 client.channel.used(usize::MAX);
             }
         }
         let ended = client.stage == Stage::Ended;
         match filled {
+            Filled::Open if ended && client.channel.stuffed => self.close_client(key, "sends on"),
             Filled::Open => {}
             Filled::Ended if ended => {
                 let reason = client.reason;
@@ -178,7 +198,12 @@
         let Some(client) = client.filter(|it| waits(it) && !it.channel.input.is_empty()) else {
             return Next::Nothing;
         };
+        let open = |id: &str| self.jobs.ids.contains(id);
         match request::take(&client.channel.input, now, &self.names) {
+            // Passed on, a job under the id of another would be taken for a copy of it.
+            Ok(Some(Taken { request: Request::Job(job), .. })) if open(&job.onward.id) => {
+                self.refuse(key, 409)
+            }
             Ok(Some(taken)) => {
                 client.channel.used(taken.used);
                 (client.keep, client.continued) = (taken.keep, false);
@@ -205,7 +230,9 @@
             }
             Ok(None) => {
                 if client.stage == Stage::Idle {
-                    (client.stage, client.until) = (Stage::Receiving, now + SLOW);
+                    // A first request has its time from the connection's start.
+                    let until = if client.served { now + SLOW } else { client.until };
+                    (client.stage, client.since, client.until) = (Stage::Receiving, now, until);
                 }
                 if !client.continued && request::waits_for_word(&client.channel.input) {
                     client.continued = true;
@@ -227,7 +254,7 @@
 
     /// Gives a job its final answer.
     pub fn finish(&mut self, id: JobId, write: impl FnOnce(&mut Vec<u8>, bool)) {
-        let Some(job) = self.jobs.open.remove(&id) else { return };
+        let Some(job) = self.jobs.end(id) else { return };
         let Some(client) = self.clients.get_mut(&job.client) else { return };
         client.job = None;
         client.keep &= !self.stop.begun();
@@ -249,7 +276,7 @@
         match client.channel.flush() {
             Ok(true) if client.keep => {
                 client.served = true;
-                (client.stage, client.until) = (Stage::Idle, now + UNUSED);
+                (client.stage, client.since, client.until) = (Stage::Idle, now, now + UNUSED);
                 if client.channel.stuffed || !client.channel.input.is_empty() {
                     self.resumed.push_back(key);
                 }
@@ -257,13 +284,13 @@
             Ok(true) => {
                 // A close with bytes unread would reset the connection and lose the answer.
                 client.channel.end();
-                (client.stage, client.until) = (Stage::Ended, now + LINGER);
+                (client.stage, client.since, client.until) = (Stage::Ended, now, now + LINGER);
                 if client.channel.stuffed {
                     self.receive(key);
                 }
             }
             Ok(false) if client.stage != Stage::Answering => {
-                (client.stage, client.until) = (Stage::Answering, now + SLOW);
+                (client.stage, client.until) = (Stage::Answering, now + SLOW_READER);
             }
             Ok(false) => {}
             Err(_) => self.close_client(key, "broken"),
@@ -273,7 +300,7 @@
     pub fn close_client(&mut self, key: u64, reason: &str) {
         let Some(client) = self.clients.remove(&key) else { return };
         if let Some(id) = client.job {
-            self.jobs.open.remove(&id);
+            self.jobs.end(id);
             self.left.push_back(id);
         }
         info!(side = "client", key, reason, stage = ?client.stage);
--- a/crates/gateway/src/wire/request.rs
+++ b/crates/gateway/src/wire/request.rs
@@ -1,7 +1,7 @@
 //! Requests of clients, read into jobs, and the answers to them.
 
 use super::http::{self, Length, Wrong};
-use fennelgauge::host::{Arrival, CustomerId};
+use fennelgauge::host::{Arrival, CustomerId, Repeat};
 use fennelgauge::time::{Moment, Span};
 use std::time::Duration;
 
@@ -23,6 +23,8 @@
 /// What servers get of a job; the time left is added when it is sent.
 #[derive(Debug)]
 pub struct Onward {
+    /// As its client gave it.
+    pub id: String,
     pub head: Vec<u8>,
     pub body: Vec<u8>,
 }
@@ -37,8 +39,11 @@
 pub struct Names {
     pub bands: Vec<String>,
     pub plans: Vec<String>,
-    /// The bands whose jobs carry a mark by which servers know a repeat.
-    pub receipted: Vec<bool>,
+    /// Of the bands: whether a repeat is harmless, and whether servers know it by a mark.
+    pub repeats: Vec<Repeat>,
+    /// The most units that a job takes.
+    pub most_units: f64,
+    pub gateways: u32,
 }
 
 /// The request at the start of `input`; none until its last byte has come.
@@ -62,14 +67,20 @@
     } else if path == "/-/ready" {
         Request::Ready
     } else {
-        let arrival = arrival(head.headers, now, names).ok_or(Wrong(400))?;
+        let (id, arrival) = arrival(head.headers, now, names).ok_or(Wrong(400))?;
+        // Servers close on what they cannot read: it must not cost a connection to one, nor speak against it.
+        let readable = path.starts_with('/') && path.bytes().all(|byte| byte.is_ascii_graphic());
+        let pure = matches!(names.repeats[arrival.band], Repeat::Pure);
+        if !readable || pure != (method == "GET") || (pure && !body.is_empty()) {
+            return Err(Wrong(400));
+        }
         let mut onward = Vec::with_capacity(start + 32);
         http::put(&mut onward, format_args!("{method} {path} HTTP/1.1\r\n"));
         http::pass_on(&mut onward, head.headers, &["x-time-left-ms"]);
         if framing.length.is_some() {
             http::put(&mut onward, format_args!("Content-Length: {}\r\n", body.len()));
         }
-        Request::Job(Job { arrival, onward: Onward { head: onward, body: body.into_owned() } })
+        Request::Job(Job { arrival, onward: Onward { id, head: onward, body: body.into_owned() } })
     };
     Ok(Some(Taken { request, keep: framing.keep, used: start + used }))
 }
@@ -85,12 +96,14 @@
     whole && head.headers.iter().any(expects)
 }
 
-fn arrival(headers: &[httparse::Header], now: Moment, names: &Names) -> Option<Arrival> {
+/// The id that its client gave to a job, and the job; none where a part is missing, told twice or out of range.
+fn arrival(headers: &[httparse::Header], now: Moment, names: &Names) -> Option<(String, Arrival)> {
     let header = |name: &str| {
-        let found = headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
-        found.and_then(|header| http::text(header.value)).filter(|value| !value.is_empty())
+        let mut found = headers.iter().filter(|header| header.name.eq_ignore_ascii_case(name));
+        let value = found.next().and_then(|header| http::text(header.value));
+        value.filter(|value| !value.is_empty() && found.next().is_none())
     };
-    header("x-correlation-id")?;
+    let id = header("x-correlation-id")?;
     let (band, plan) = (header("x-service-class")?, header("x-tier")?);
     let left = header("x-time-left-ms")?.parse().ok()?;
     let (mut units, mut set_size, mut set_first) = (None, None, None);
@@ -105,28 +118,28 @@
     }
     let band = names.bands.iter().position(|name| name == band)?;
     // Rule 2: without its mark a repeat would be taken for another job.
-    if names.receipted.get(band) == Some(&true) {
+    if matches!(names.repeats.get(band)?, Repeat::Receipted(..)) {
         header("idempotency-key")?;
     }
-    Some(Arrival {
+    let arrival = Arrival {
         job: 0,
         customer: customer(header("cookie")?)?,
         band,
         plan: names.plans.iter().position(|name| name == plan)?,
-        units: units.filter(|units| (0.0..=MOST_UNITS).contains(units))?,
-        set_first: set_first?,
-        set_size: Some(set_size?).filter(|size| *size > 0)?,
+        units: units.filter(|units| *units > 0.0 && *units <= names.most_units)?,
+        set_first: set_first.filter(|first| *first < names.gateways)?,
+        set_size: set_size.filter(|size| (1..=names.gateways).contains(size))?,
         abandon: now + Span::from_millis(left),
-    })
+    };
+    Some((id.to_string(), arrival))
 }
 
-/// Amounts that the counter takes; a job of more is none.
-const MOST_UNITS: f64 = 1e9;
-
 fn customer(cookie: &str) -> Option<CustomerId> {
     /// Ids of customers are below this.
     const MOST: CustomerId = 1 << 33;
     let digits = cookie.split(';').find_map(|part| part.trim().strip_prefix("account="))?;
+    let digits =
+        Some(digits).filter(|it| it.len() == 16 && it.bytes().all(|byte| byte.is_ascii_hexdigit()))?;
     CustomerId::from_str_radix(digits, 16).ok().filter(|id| *id < MOST)
 }
 
@@ -149,6 +162,7 @@
         400 => "Bad Request",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
@@ -181,13 +195,21 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use fennelgauge::host::Group;
     use proptest::prelude::*;
     use proptest::test_runner::{Config, RngSeed, TestRunner};
     use std::cell::Cell;
 
     fn names() -> Names {
         let names = |names: &[&str]| names.iter().map(ToString::to_string).collect();
-        Names { bands: names(&["look", "post"]), plans: names(&["team"]), receipted: vec![false, true] }
+        let repeats = vec![Repeat::Pure, Repeat::Receipted(Group::All, Span::from_millis(1_000))];
+        Names {
+            bands: names(&["look", "post"]),
+            plans: names(&["team"]),
+            repeats,
+            most_units: 6.0,
+            gateways: 3,
+        }
     }
 
     fn runner() -> TestRunner {
--- a/crates/gateway/src/wire/server.rs
+++ b/crates/gateway/src/wire/server.rs
@@ -31,10 +31,17 @@
     /// A connection to a server that carries nothing: one that stands idle, or a new one.
     pub fn link_to(&mut self, server: ServerId, now: Moment) -> Option<u64> {
         while let Some(key) = self.machines.by_id.get_mut(&server)?.idle.pop() {
-            match self.links.get(&key) {
-                Some(link) if now.since(link.idle) < self.idle => return Some(key),
-                Some(_) => self.close_link(key, None, "idle"),
-                None => {}
+            let Some(link) = self.links.get_mut(&key) else { continue };
+            if now.since(link.idle) >= self.idle {
+                self.close_link(key, None, "idle");
+                continue;
+            }
+            // Servers close idle connections when they like, and may have sent more than was theirs: it would be
+            // taken for the end, or even the answer, of the next job. No event may have told of it yet.
+            let filled = link.channel.fill(http::MOST_MESSAGE);
+            match (filled == Filled::Open, link.channel.input.is_empty()) {
+                (true, true) => return Some(key),
+                (open, _) => self.close_link(key, None, if open { "unasked" } else { "closed by server" }),
             }
         }
         let address = self.machines.by_id.get(&server)?.address?;
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -54,7 +54,7 @@
                   "repeat_window":60000000}}],
             "tariffs":[{{"name":"open","price":1.0}},
                 {{"name":"team","price":1.0,"refill":1000.0,"store_size":1000.0}}],
-            "extra":{{"has_counter":true,"counter_timeout":200000}},
+            "extra":{{"has_counter":true,"counter_timeout":200000,"max_units":6}},
             "caps":{{"attempts_cap":2,"may_cancel":true,"conn_idle":60000000,"connect_timeout":5000000,
                 "retry_after":true,"max_retry_after":2000000}}}}}}"#,
             agent.local_addr().unwrap(),
@@ -258,6 +258,16 @@
         (sound.replace("Host: app.svc", &format!("X: {}", "y".repeat(17 * 1024))), "431"),
         (sound.replace("units=2", "units=nan"), "400"),
         (sound.replace("units=2", "units=-1"), "400"),
+        (sound.replace("units=2", "units=0"), "400"),
+        (sound.replace("units=2", "units=7"), "400"),
+        (sound.replace("spread=1", "spread=2"), "400"),
+        (sound.replace("first=0", "first=1"), "400"),
+        (sound.replace("account=0", "account="), "400"),
+        (sound.replace("X-Tier: open", "X-Tier: open\r\nX-Tier: team"), "400"),
+        (sound.replace("X-Time-Left-Ms: ", "X-Time-Left-Ms: about "), "400"),
+        (sound.replace("POST /api", "POST api"), "400"),
+        (sound.replace("X-Service-Class: post", "X-Service-Class: look"), "400"),
+        (sound.replace("Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked"), "400"),
         (sound.replace("account=0", "account=f"), "400"),
         (sound.replace("X-Tier: open", "X-Tier: none"), "400"),
         (sound.replace("Idempotency-Key", "Idempotency"), "400"),
@@ -272,6 +282,66 @@
     assert_eq!(log.matches("reason=\"Content Too Large\"").count(), 1, "{log}");
 }
 
+#[test]
+fn clients_that_say_nothing_or_half_or_too_much_are_closed() {
+    let stage = Stage::start(1, 200);
+    let (mut silent, mut half, mut endless) = (stage.client(), stage.client(), stage.client());
+    half.write("POST /api HTTP/1.1\r\nX-Tier: ");
+    // Far more than the connection's buffers hold: it cannot all be written unless it is all read.
+    endless.write(job("90", "post", "open", PATIENT, "x").replace("Length: 1\r\n", "Length: 600000000\r\n"));
+    let mut other = endless.0.get_ref().try_clone().unwrap();
+    assert!((0..4_000).any(|_| other.write_all(&[b'x'; 64 * 1024]).is_err()));
+    assert_eq!(half.status(), "408");
+    half.ends();
+    silent.ends();
+}
+
+#[test]
+fn silent_clients_make_room_for_one_that_speaks() {
+    // Room for sixteen connections, nine of them of clients.
+    let stage = Stage::start(1, 40);
+    serve(&stage.servers[0], "ok".to_string());
+    let silent: Vec<End> = (0..9).map(|_| stage.client()).collect();
+    std::thread::sleep(Duration::from_millis(400));
+    let mut client = stage.client();
+    client.write(job("91", "look", "open", PATIENT, ""));
+    assert_eq!(client.status(), "200");
+    drop(silent);
+}
+
+#[test]
+fn the_id_of_an_open_job_is_not_passed_on_twice() {
+    let stage = Stage::start(1, 200);
+    let (mut client, mut copy) = (stage.client(), stage.client());
+    client.write(job("92", "look", "open", PATIENT, ""));
+    let mut server = stage.server(0);
+    server.read();
+    copy.write(job("92", "look", "open", PATIENT, ""));
+    assert_eq!(copy.status(), "409");
+    server.answer("200 OK", "once");
+    assert_eq!(client.read().1, b"once");
+}
+
+#[test]
+fn what_comes_behind_an_answer_is_not_the_next_jobs() {
+    let stage = Stage::start(1, 200);
+    let mut client = stage.client();
+    client.write(job("93", "book", "open", PATIENT, "x"));
+    let mut server = stage.server(0);
+    server.read();
+    server.answer("200 OK", "mine");
+    assert_eq!(client.read().1, b"mine");
+    // The next job is heard of first, though the copy has come as well.
+    stage.signal("-STOP");
+    client.write(job("94", "book", "open", PATIENT, "y"));
+    server.answer("200 OK", "mine");
+    stage.signal("-CONT");
+    let mut server = stage.server(0);
+    server.read();
+    server.answer("200 OK", "next");
+    assert_eq!(client.read().1, b"next");
+}
+
 #[test]
 fn an_effectful_job_is_sent_once_and_a_pure_one_again() {
     let stage = Stage::start(2, 200);
--- a/crates/launch/src/lib.rs
+++ b/crates/launch/src/lib.rs
@@ -51,6 +51,7 @@
 struct Extra {
     has_counter: bool,
     counter_timeout: u64,
+    max_units: f64,
 }
 
 #[derive(Deserialize)]
@@ -107,7 +108,7 @@
 
 impl Default for Extra {
     fn default() -> Self {
-        Self { has_counter: false, counter_timeout: 100_000 }
+        Self { has_counter: false, counter_timeout: 100_000, max_units: 0.0 }
     }
 }
 
@@ -128,6 +129,8 @@
     /// Servers close a connection that stood idle for so long.
     pub idle: Span,
     pub connect_within: Span,
+    /// The most units that a job takes; where untold, the most that the counter can add.
+    pub most_units: f64,
     /// A call to the counter that is not answered by then is given up.
     pub count_within: Span,
 }
@@ -142,6 +145,7 @@
             idle: Span::from_micros(params.caps.conn_idle),
             connect_within: Span::from_micros(params.caps.connect_timeout),
             count_within: Span::from_micros(params.extra.counter_timeout),
+            most_units: if params.extra.max_units > 0.0 { params.extra.max_units } else { 1e9 },
         }
     }
 }
