Forget servers long gone, in the gateway and in the module

Now a minute after it went, if nothing is out to it; until then it is known again. Rule 2: a job keeps the entry of the server that may have run it, so forgetting frees nothing.

--- a/crates/gateway/src/lifecycle/run.rs
+++ b/crates/gateway/src/lifecycle/run.rs
@@ -146,6 +146,7 @@
             Due::Sweep => {
                 limiter.host.sweep_clients(now);
                 limiter.host.sweep_links(now);
+                limiter.host.machines.forget(now);
                 limiter.host.sweep_counter(now);
                 limiter.host.sweep_discovery(now);
                 limiter.host.timers.set(now + SWEEP, Due::Sweep);
--- a/crates/gateway/src/memory/machines.rs
+++ b/crates/gateway/src/memory/machines.rs
@@ -3,7 +3,7 @@
 use crate::memory::channel::Channel;
 use crate::wire::discovery::{Health, Line, Listing};
 use fennelgauge::host::{Entry, JobId, ServerId};
-use fennelgauge::time::Moment;
+use fennelgauge::time::{Moment, Span};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -35,10 +35,16 @@
     pub sent: Moment,
 }
 
+/// A server that is gone is remembered for so long: lists may contradict one another for a while, and one that
+/// comes back must be known again.
+const REMEMBERED: Span = Span::from_millis(60_000);
+
 #[derive(Default)]
 pub struct Machine {
     pub address: Option<SocketAddr>,
     born_ms: u64,
+    /// Since when it is gone.
+    gone: Option<Moment>,
     /// Idle connections, the latest used last.
     pub idle: Vec<u64>,
 }
@@ -46,18 +52,28 @@
 #[derive(Default)]
 pub struct Machines {
     ids: HashMap<String, ServerId>,
+    numbered: ServerId,
     pub by_id: HashMap<ServerId, Machine>,
 }
 
 impl Machines {
     /// Brings addresses up to a listing; returns the module's entries, and the connections that are of no
     /// more use as their server is going, has moved or has started again.
-    pub fn learn(&mut self, listing: Listing, zones: &[String]) -> (Vec<Entry>, Vec<u64>) {
+    pub fn learn(&mut self, now: Moment, listing: Listing, zones: &[String]) -> (Vec<Entry>, Vec<u64>) {
         let (mut entries, mut useless) = (Vec::with_capacity(listing.hosts.len()), Vec::new());
+        if listing.whole {
+            // What the list lacks is gone; what it has is set below.
+            self.by_id.values_mut().for_each(|machine| machine.gone = machine.gone.or(Some(now)));
+        }
         for line in listing.hosts {
-            let fresh = self.ids.len() as ServerId;
-            let server = *self.ids.entry(line.host.clone()).or_insert(fresh);
+            let numbered = &mut self.numbered;
+            let server = *self.ids.entry(line.host.clone()).or_insert_with(|| {
+                *numbered = numbered.wrapping_add(1);
+                *numbered
+            });
             let machine = self.by_id.entry(server).or_default();
+            let gone = matches!(line.health, Health::Terminated);
+            machine.gone = gone.then(|| machine.gone.unwrap_or(now));
             let address = line.dial.parse().ok();
             let stays = matches!(line.health, Health::InService);
             if !stays || address != machine.address || line.born_ms != machine.born_ms {
@@ -66,8 +82,20 @@
             (machine.address, machine.born_ms) = (address, line.born_ms);
             entries.push(entry(server, &line, zones));
         }
+        if listing.whole {
+            let gone = self.by_id.values_mut().filter(|machine| machine.gone.is_some());
+            gone.for_each(|machine| useless.append(&mut machine.idle));
+        }
         (entries, useless)
     }
+
+    /// Forgets servers long gone: in a fleet that is replaced without end they would fill the memory.
+    pub fn forget(&mut self, now: Moment) {
+        let old = |machine: &Machine| machine.gone.is_some_and(|gone| now.since(gone) > REMEMBERED);
+        self.by_id.retain(|_, machine| !old(machine));
+        let by_id = &self.by_id;
+        self.ids.retain(|_, id| by_id.contains_key(id));
+    }
 }
 
 fn entry(server: ServerId, line: &Line, zones: &[String]) -> Entry {
@@ -81,3 +109,30 @@
         started: (line.born_ms > 0).then(|| Moment::from_micros(line.born_ms.saturating_mul(1_000))),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn listing(hosts: &str, whole: bool) -> Listing {
+        serde_json::from_str(&format!(r#"{{"seq":1,"whole":{whole},"hosts":[{hosts}]}}"#)).unwrap()
+    }
+
+    #[test]
+    fn servers_replaced_without_end_are_forgotten_and_known_again_meanwhile() {
+        let mut machines = Machines::default();
+        let at = |secs: u64| Moment::from_micros(secs * 1_000_000);
+        let first = machines.learn(at(0), listing(r#"{"host":"s-0","health":"in_service"}"#, true), &[]);
+        for number in 1..500 {
+            let hosts = format!(r#"{{"host":"s-{number}","health":"in_service"}}"#);
+            machines.learn(at(number), listing(&hosts, true), &[]);
+            machines.forget(at(number));
+            assert!(machines.by_id.len() <= 64 && machines.ids.len() <= 64, "{}", machines.by_id.len());
+            if number == 30 {
+                let again =
+                    machines.learn(at(30), listing(r#"{"host":"s-0","health":"in_service"}"#, true), &[]);
+                assert_eq!(again.0[0].server, first.0[0].server);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/wire/discovery.rs
+++ b/crates/gateway/src/wire/discovery.rs
@@ -110,7 +110,7 @@
 pub fn learn(limiter: &mut Limiter, listing: Listing) {
     let (now, whole) = (limiter.host.clock.now(), listing.whole);
     let host = &mut limiter.host;
-    let (entries, useless) = host.machines.learn(listing, &host.zones);
+    let (entries, useless) = host.machines.learn(now, listing, &host.zones);
     useless.into_iter().for_each(|key| host.close_link(key, None, "roster"));
     if whole {
         limiter.roster_listed(now, entries.into_iter());
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -28,6 +28,22 @@
     TcpListener::bind("127.0.0.1:0").unwrap()
 }
 
+/// The next connection, if one comes.
+fn accept(listener: &TcpListener) -> End {
+    listener.set_nonblocking(true).unwrap();
+    let accepted = (0..2_000).find_map(|_| {
+        let accepted = listener.accept().ok();
+        if accepted.is_none() {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        accepted
+    });
+    listener.set_nonblocking(false).unwrap();
+    let stream = accepted.expect("no connection came").0;
+    stream.set_nonblocking(false).unwrap();
+    End::new(stream)
+}
+
 fn host(number: usize, dial: SocketAddr, health: &str) -> String {
     format!(
         r#"{{"host":"s-{number}","dial":"{dial}","site":"east","class":"m","block":{number},"health":"{health}","share":1.0,"born_ms":0}}"#
@@ -89,7 +105,7 @@
     }
 
     fn server(&self, number: usize) -> End {
-        End::new(self.servers[number].accept().unwrap().0)
+        accept(&self.servers[number])
     }
 
     fn signal(&self, name: &str) {
@@ -433,7 +449,7 @@
     let stage = Stage::start(1, 200);
     let mut client = stage.client();
     client.write(job("0b", "look", "team", PATIENT, ""));
-    let mut counter = End::new(stage.counter.accept().unwrap().0);
+    let mut counter = accept(&stage.counter);
     let mut line = String::new();
     counter.0.read_line(&mut line).unwrap();
     let words: Vec<&str> = line.split_whitespace().collect();
@@ -461,7 +477,7 @@
         serve(&stage.servers[0], "ok".to_string());
         let mut client = stage.client();
         client.write(job("c0", "look", "team", PATIENT, ""));
-        let mut counter = End::new(stage.counter.accept().unwrap().0);
+        let mut counter = accept(&stage.counter);
         counter.0.read_line(&mut String::new()).unwrap();
         counter.write(noise);
         counter.ends();
@@ -474,11 +490,11 @@
 fn addresses_move_when_the_file_is_read_anew_and_nothing_is_lost() {
     let stage = Stage::start(1, 200);
     serve(&stage.servers[0], "ok".to_string());
-    let mut agent = End::new(stage.agent.accept().unwrap().0);
+    let mut agent = accept(&stage.agent);
     agent.read();
     let mut client = stage.client();
     client.write(job("d0", "look", "team", PATIENT, ""));
-    let mut counter = End::new(stage.counter.accept().unwrap().0);
+    let mut counter = accept(&stage.counter);
     counter.0.read_line(&mut String::new()).unwrap();
     // A file that cannot be read changes nothing.
     let text = std::fs::read_to_string(&stage.configuration).unwrap();
@@ -494,14 +510,14 @@
     std::fs::rename(next, &stage.configuration).unwrap();
     stage.signal("-HUP");
     agent.ends();
-    let mut agent = End::new(next_agent.accept().unwrap().0);
+    let mut agent = accept(&next_agent);
     assert!(agent.read().0.starts_with("get /api/targets http/1.1\r\n"));
     // The call that was out is answered where it was made; the connection ends with it.
     counter.write("ok 2\r\n");
     assert_eq!(client.status(), "200");
     counter.ends();
     client.write(job("d1", "look", "team", PATIENT, ""));
-    let mut counter = End::new(next_counter.accept().unwrap().0);
+    let mut counter = accept(&next_counter);
     counter.0.read_line(&mut String::new()).unwrap();
     counter.write("ok 2\r\n");
     assert_eq!(client.status(), "200");
@@ -513,7 +529,7 @@
     let stage = Stage::start(1, 200);
     let mut client = stage.client();
     client.write(job("0d", "look", "team", PATIENT, ""));
-    let mut counter = End::new(stage.counter.accept().unwrap().0);
+    let mut counter = accept(&stage.counter);
     counter.0.read_line(&mut String::new()).unwrap();
     let mut server = stage.server(0);
     server.read();
@@ -524,7 +540,7 @@
 #[test]
 fn the_watch_goes_on_from_the_known_list_and_is_renewed_at_once() {
     let stage = Stage::start(2, 200);
-    let mut agent = End::new(stage.agent.accept().unwrap().0);
+    let mut agent = accept(&stage.agent);
     assert!(agent.read().0.starts_with("get /api/targets?from=41&hold_ms="));
     // One server goes: only the other gets jobs.
     let dial = stage.servers[0].local_addr().unwrap();
@@ -541,7 +557,7 @@
     }
     // What cannot be read, and a broken watch, are followed by the whole list.
     agent.answer("200 OK", "{");
-    let mut agent = End::new(stage.agent.accept().unwrap().0);
+    let mut agent = accept(&stage.agent);
     assert!(agent.read().0.starts_with("get /api/targets http/1.1\r\n"));
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -148,6 +148,8 @@
             entry.rating = if entry.rating > 0.0 { entry.rating } else { 1.0 };
             server.entry = entry;
         }
+        // Servers replaced without end, from any cause, would fill the memory and every ranking.
+        self.servers.retain(|_, server| !server.is_past(now, COUNTS_KEPT));
         self.fleet.roster += 1;
         // A fleet that shrinks, for any cause, must not get what the whole one could bear.
         self.fleet.ready = self.servers.values().filter(|server| server.ready()).count() as f64;
@@ -194,7 +196,6 @@
         }
         self.host.wake(latest.since(now), id);
         if limited {
-            self.roll(arrival.customer);
             self.ask(arrival.customer);
         } else {
             self.dispatch(id);
@@ -253,6 +254,7 @@
 
     /// Carries the units of a customer's held jobs to its count, one call at a time.
     fn ask(&mut self, id: CustomerId) {
+        self.roll(id);
         if !self.deployment.has_counter {
             self.judge_alone(id);
             if self.customers.get(&id).is_some_and(|customer| !customer.waiting.is_empty()) {
@@ -337,7 +339,6 @@
     fn serve_callers(&mut self) {
         while self.may_call() {
             let Some((.., next)) = self.counter.queue.pop_last() else { return };
-            self.roll(next);
             self.customers.entry(next).and_modify(|customer| customer.queued = false);
             self.ask(next);
         }
@@ -586,12 +587,10 @@
 
     /// Rule 2: whether a job may be sent to a server, which never gets it twice in a row.
     fn may_go(&self, job: &Job, server: &Server) -> bool {
-        let repeat = self.deployment.bands[job.arrival.band].repeat;
-        let origin = job.may_have_run.and_then(|(sent, id)| Some((sent, self.servers.get(&id)?)));
+        let (repeat, origin) = (self.deployment.bands[job.arrival.band].repeat, job.may_have_run);
         server.ready()
             && (job.relays == 0 || job.server != server.entry.server)
-            && origin
-                .is_none_or(|(sent, from)| repeat.may_go(&from.entry, &server.entry, self.now.since(sent)))
+            && origin.is_none_or(|(sent, from)| repeat.may_go(&from, &server.entry, self.now.since(sent)))
     }
 
     fn has_room(&self, id: ServerId, job: &Job) -> bool {
@@ -643,7 +642,8 @@
             let Stage::Out(sent) = job.stage else { return self.work_off() };
             job.stage = Stage::Cleared;
             let unrun = matches!(end.fate, Fate::Full | Fate::ConnectFailed | Fate::Moot);
-            job.may_have_run = job.may_have_run.or((!unrun).then_some((sent, end.server)));
+            let at = self.servers.get(&end.server).map(|server| server.entry).unwrap_or_default();
+            job.may_have_run = job.may_have_run.or((!unrun).then_some((sent, at)));
             // A job that no server may have any more would be held for nothing until its time runs short.
             let again = |job: &Job| {
                 job.relays < self.deployment.most_relays
@@ -757,7 +757,6 @@
         customer.used = (customer.used - job.cost).max(0.0);
         if by_cap {
             customer.shut = self.now;
-            self.roll(job.arrival.customer);
             self.ask(job.arrival.customer);
         }
     }
@@ -783,7 +782,6 @@
             self.fleet.stirs = false;
             self.work_off();
         } else if mark >= CUSTOMER_MARK {
-            self.roll(mark - CUSTOMER_MARK);
             self.ask(mark - CUSTOMER_MARK);
         } else if let Some(job) = self.jobs.get(&mark) {
             let (stage, latest) = (job.stage, self.latest(job));
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,7 +15,7 @@
     /// The latest relay's server.
     pub(crate) server: ServerId,
     /// When the first relay that may have run was sent, and where.
-    pub(crate) may_have_run: Option<(Moment, ServerId)>,
+    pub(crate) may_have_run: Option<(Moment, Entry)>,
 }
 
 impl Job {
@@ -179,6 +179,11 @@
 }
 
 impl Server {
+    /// Gone, with nothing out and nothing sent for `kept`.
+    pub(crate) fn is_past(&self, now: Moment, kept: Span) -> bool {
+        self.entry.standing == Standing::Gone && self.out <= 0.0 && now >= self.tried + kept
+    }
+
     pub(crate) fn ready(&self) -> bool {
         self.entry.standing == Standing::Ready
     }
