--- a/crates/gateway/src/lifecycle/run.rs
+++ b/crates/gateway/src/lifecycle/run.rs
@@ -27,8 +27,6 @@
 
 /// Descriptors for what is no client's and no server's: the loop, signals, listener, counter, discovery, log.
 const KEPT_BACK: usize = 16 + client::RESERVE;
-/// What a connection may keep in memory: a job holds two, and at most two copies of a message of the largest size.
-const MOST_KB: usize = http::MOST_MESSAGE / 1024;
 /// A part of the shortest time that anything swept may stand.
 const SWEEP: Span = Span::from_millis(250);
 /// Connections that wait to be accepted: hundreds may come at once, and one that is not taken is tried again by
@@ -74,7 +72,8 @@
         most_units: launch.most_units,
         gateways: launch.deployment.gateways,
     };
-    let by_memory = start.limits.memory_mb * 1024 / MOST_KB;
+    let memory = start.limits.memory_mb.saturating_mul(1024 * 1024);
+    let by_memory = memory / http::MOST_MESSAGE;
     let most = start.limits.sockets.saturating_sub(KEPT_BACK).min(by_memory).max(2);
     let sockets = Sockets {
         handle,
@@ -96,6 +95,8 @@
         // A job needs a connection on either side, but for the time that it is held only its client's.
         most_clients: (most * 3 / 5).max(1),
         most,
+        most_answer: memory / 16,
+        most_answers: memory / 4,
         numbered: 0,
         moves: 0,
         ended: VecDeque::new(),
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -39,6 +39,9 @@
     /// Connections that may be held, of clients and of all.
     pub most_clients: usize,
     pub most: usize,
+    /// Bytes of answers that may wait in memory, of one and of all.
+    pub most_answer: usize,
+    pub most_answers: usize,
     /// Connections and relays are numbered, so that nothing late is taken for something new.
     pub numbered: u64,
     /// How often anything came in.
@@ -89,11 +92,12 @@
         };
         let number = record.relays;
         record.relays = number.saturating_add(1);
-        let Some(key) = self.link_to(server, now) else {
-            let end = RelayEnd { job, server, fate: Fate::ConnectFailed, took: Span::ZERO, settled: false };
-            return self.ended.push_back(end);
-        };
-        self.send(key, job, number, now, patience);
+        match self.link_to(server, now) {
+            Ok(key) => self.send(key, job, number, now, patience),
+            Err(fate) => {
+                self.ended.push_back(RelayEnd { job, server, fate, took: Span::ZERO, settled: false })
+            }
+        }
     }
 
     fn withdraw(&mut self, job: JobId, relay: u8) {
--- a/crates/gateway/src/wire/counter.rs
+++ b/crates/gateway/src/wire/counter.rs
@@ -15,13 +15,17 @@
 /// A machine that vanished keeps its connections open and silent: one that owes an answer for so long is left.
 /// A crowded counter answers later than that only calls that were given up long before.
 const SILENT: Span = Span::from_millis(2_000);
+/// A connection that owes an answer and was not heard of for so many times of what a call is waited for takes no
+/// further calls: it may be silent for good while the counter is well. Answers still come on it.
+const UNHEARD: f64 = 2.0;
+/// So many connections at once; where all of these say nothing, a further one would not help.
+const MOST_LINES: usize = 4;
 
 pub struct Counter {
     address: Option<SocketAddr>,
     /// A call is given up after this.
     within: Span,
-    /// The connection that calls are written to is the last; those before it, to a former address, stay until
-    /// their calls are answered.
+    /// The connection that calls are written to is the last; those before it stay until their calls are answered.
     lines: Vec<Line>,
 }
 
@@ -30,8 +34,9 @@
     channel: Channel,
     key: u64,
     up: bool,
-    /// The counter has another address since.
+    /// Takes no further calls: the counter has another address since, or nothing was heard on it.
     former: bool,
+    heard: Moment,
     /// Calls in the order of their answers.
     calls: VecDeque<Call>,
     /// Bytes handed to this connection.
@@ -125,11 +130,12 @@
 
     fn open_counter(&mut self) {
         let Some(address) = self.counter.address else { return };
-        let key = self.number();
+        let (key, heard) = (self.number(), self.clock.now());
         match Channel::connect(&self.handle, address, move |limiter| moved(limiter, key)) {
             Ok(channel) => {
                 let calls = VecDeque::new();
-                self.counter.lines.push(Line { channel, key, up: false, former: false, calls, handed: 0 });
+                let line = Line { channel, key, up: false, former: false, heard, calls, handed: 0 };
+                self.counter.lines.push(line);
             }
             Err(error) => info!(side = "counter", key, reason = "refused", %error),
         }
@@ -171,6 +177,7 @@
 
     /// Takes in what has come; or tells why the connection is of no further use.
     fn read_counter(&mut self, key: u64) -> Result<(), &'static str> {
+        let now = self.clock.now();
         let Some(line) = self.counter.lines.iter_mut().find(|line| line.key == key) else { return Ok(()) };
         if !line.up {
             line.up = line.channel.is_up().map_err(|_| "refused")?;
@@ -194,6 +201,7 @@
                     self.counted.push_back((call.name, total, fate));
                 }
                 line.calls.pop_front();
+                line.heard = now;
             }
             line.channel.used(used);
             if !may_become_one(&line.channel.input) {
@@ -223,6 +231,8 @@
 
     /// A call was waited for long enough; its answer, when it comes, is read over.
     pub fn call_over(&mut self, number: u64) {
+        let (now, few) = (self.clock.now(), self.counter.lines.len() < MOST_LINES);
+        let unheard = self.counter.within.times(UNHEARD);
         let has = |line: &&mut Line| line.calls.iter().any(|call| call.number == number);
         let Some(line) = self.counter.lines.iter_mut().find(has) else { return };
         if !line.up {
@@ -232,6 +242,8 @@
         if let Some(call) = line.calls.iter_mut().find(|call| call.number == number) {
             call.over = true;
             let name = call.name;
+            let owes_since = line.calls.front().map_or(now, |call| call.sent.max(line.heard));
+            line.former |= few && now.since(owes_since) >= unheard;
             self.count(name, None, Fate::TimedOut);
         }
         self.leave_former_counters();
--- a/crates/gateway/src/wire/discovery.rs
+++ b/crates/gateway/src/wire/discovery.rs
@@ -167,7 +167,7 @@
         let channel = discovery.channel.as_mut()?;
         let flushed = channel.flush();
         let filled = channel.fill(http::MOST_MESSAGE);
-        let answer = http::answer(&channel.input, filled == Filled::Ended);
+        let answer = http::answer(&channel.input, filled == Filled::Ended, http::MOST_BODY);
         let (used, keep, listing) = match &answer {
             Ok(Some(answer)) => (answer.used, answer.keep, listing(answer)),
             Ok(None) if flushed.is_ok() && filled == Filled::Open => return None,
--- a/crates/gateway/src/wire/http.rs
+++ b/crates/gateway/src/wire/http.rs
@@ -4,7 +4,7 @@
 use std::borrow::Cow;
 use std::io::Write;
 
-/// A body holds this much at most.
+/// A body of a request holds this much at most; those of answers are bounded by memory alone.
 pub const MOST_BODY: usize = 64 * 1024;
 /// A head holds this much at most; twice what common servers allow a line.
 pub const MOST_HEAD: usize = 16 * 1024;
@@ -12,7 +12,12 @@
 /// Chunks may be as small as a byte, each with its own framing; this much of it at most.
 const MOST_FRAMING: usize = 16 * 1024;
 /// A whole message fits in this much.
-pub const MOST_MESSAGE: usize = MOST_HEAD + MOST_BODY + MOST_FRAMING;
+pub const MOST_MESSAGE: usize = with_body(MOST_BODY);
+
+/// A whole message with a body of that size fits in so much.
+pub const fn with_body(bytes: usize) -> usize {
+    MOST_HEAD + bytes + MOST_FRAMING
+}
 
 /// Why a message cannot be read, as the status that tells its sender.
 #[derive(Debug, PartialEq, Eq)]
@@ -34,7 +39,7 @@
     pub keep: bool,
 }
 
-pub fn framing(headers: &[Header], version: Option<u8>) -> Result<Framing, Wrong> {
+pub fn framing(headers: &[Header], version: Option<u8>, most: usize) -> Result<Framing, Wrong> {
     let (mut length, mut keep) = (None, version == Some(1));
     for header in headers {
         if header.name.eq_ignore_ascii_case("content-length") {
@@ -63,7 +68,7 @@
         }
     }
     match length {
-        Some(Length::Exactly(bytes)) if bytes > MOST_BODY => Err(Wrong(413)),
+        Some(Length::Exactly(bytes)) if bytes > most => Err(Wrong(413)),
         _ => Ok(Framing { length, keep }),
     }
 }
@@ -75,17 +80,17 @@
 /// A body and how much of the input it takes.
 pub type Body<'a> = (Cow<'a, [u8]>, usize);
 
-/// The body that follows a head; none until all of it has come.
-pub fn body(rest: &[u8], length: Length, ended: bool) -> Result<Option<Body<'_>>, Wrong> {
+/// The body of `most` bytes at most that follows a head; none until all of it has come.
+pub fn body(rest: &[u8], length: Length, ended: bool, most: usize) -> Result<Option<Body<'_>>, Wrong> {
     match length {
         Length::Exactly(bytes) => Ok(rest.get(..bytes).map(|body| (Cow::from(body), bytes))),
-        Length::ToEnd if rest.len() > MOST_BODY => Err(Wrong(413)),
+        Length::ToEnd if rest.len() > most => Err(Wrong(413)),
         Length::ToEnd => Ok(ended.then(|| (Cow::from(rest), rest.len()))),
-        Length::Chunked => chunks(rest),
+        Length::Chunked => chunks(rest, most),
     }
 }
 
-fn chunks(rest: &[u8]) -> Result<Option<Body<'_>>, Wrong> {
+fn chunks(rest: &[u8], most: usize) -> Result<Option<Body<'_>>, Wrong> {
     let (mut body, mut at) = (Vec::new(), 0);
     loop {
         let (line, size) = match httparse::parse_chunk_size(&rest[at..]) {
@@ -103,7 +108,7 @@
                 Err(_) => Err(Wrong(400)),
             };
         }
-        if size > MOST_BODY - body.len() {
+        if size > most - body.len() {
             return Err(Wrong(413));
         }
         let Some(data) = rest.get(at..at + size + 2) else { break };
@@ -113,7 +118,7 @@
         body.extend_from_slice(&data[..size]);
         at += size + 2;
     }
-    if rest.len() > MOST_BODY + MOST_FRAMING {
+    if rest.len() > most + MOST_FRAMING {
         return Err(Wrong(413));
     }
     Ok(None)
@@ -160,8 +165,8 @@
     pub used: usize,
 }
 
-/// The answer at the start of `input`; none until all of it has come.
-pub fn answer(input: &[u8], ended: bool) -> Result<Option<Answer<'_>>, Wrong> {
+/// The answer at the start of `input`, with a body of `most` bytes at most; none until all of it has come.
+pub fn answer(input: &[u8], ended: bool, most: usize) -> Result<Option<Answer<'_>>, Wrong> {
     let mut start = 0;
     loop {
         let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
@@ -178,10 +183,10 @@
             start = used;
             continue;
         }
-        let framing = framing(head.headers, version)?;
+        let framing = framing(head.headers, version, most)?;
         let bare = status == 204 || status == 304;
         let length = if bare { Length::Exactly(0) } else { framing.length.unwrap_or(Length::ToEnd) };
-        let Some((body, length_used)) = body(&input[used..], length, ended)? else { return Ok(None) };
+        let Some((body, length_used)) = body(&input[used..], length, ended, most)? else { return Ok(None) };
         let keep = framing.keep && length != Length::ToEnd;
         let headers = head.headers.to_vec();
         return Ok(Some(Answer { status, headers, body, keep, used: used + length_used }));
--- a/crates/gateway/src/wire/request.rs
+++ b/crates/gateway/src/wire/request.rs
@@ -58,9 +58,11 @@
         Err(httparse::Error::TooManyHeaders) => return Err(Wrong(431)),
         Err(_) => return Err(Wrong(400)),
     };
-    let framing = http::framing(head.headers, head.version)?;
+    let framing = http::framing(head.headers, head.version, http::MOST_BODY)?;
     let length = framing.length.unwrap_or(Length::Exactly(0));
-    let Some((body, used)) = http::body(&input[start..], length, false)? else { return Ok(None) };
+    let Some((body, used)) = http::body(&input[start..], length, false, http::MOST_BODY)? else {
+        return Ok(None);
+    };
     let (method, path) = (head.method.unwrap_or(""), head.path.unwrap_or(""));
     let request = if !matches!(method, "GET" | "POST") {
         return Err(Wrong(405));
@@ -105,7 +107,7 @@
     };
     let id = header("x-correlation-id")?;
     let (band, plan) = (header("x-service-class")?, header("x-tier")?);
-    let left = header("x-time-left-ms")?.parse().ok()?;
+    let left = header("x-time-left-ms")?.parse::<u64>().ok()?.min(LONGEST);
     let (mut units, mut set_size, mut set_first) = (None, None, None);
     for term in header("x-call-terms")?.split(',') {
         let (name, value) = term.split_once('=')?;
@@ -134,6 +136,10 @@
     Some((id.to_string(), arrival))
 }
 
+/// A client that would wait for ever is not waited for: a relay that hangs would never end. Far above any sound
+/// client's patience, in milliseconds.
+const LONGEST: u64 = 60_000;
+
 fn customer(cookie: &str) -> Option<CustomerId> {
     /// Ids of customers are below this.
     const MOST: CustomerId = 1 << 33;
--- a/crates/gateway/src/wire/server.rs
+++ b/crates/gateway/src/wire/server.rs
@@ -29,8 +29,8 @@
 
 impl Sockets {
     /// A connection to a server that carries nothing: one that stands idle, or a new one.
-    pub fn link_to(&mut self, server: ServerId, now: Moment) -> Option<u64> {
-        while let Some(key) = self.machines.by_id.get_mut(&server)?.idle.pop() {
+    pub fn link_to(&mut self, server: ServerId, now: Moment) -> Result<u64, Fate> {
+        while let Some(key) = self.machines.by_id.get_mut(&server).and_then(|machine| machine.idle.pop()) {
             let Some(link) = self.links.get_mut(&key) else { continue };
             if now.since(link.idle) >= self.idle {
                 self.close_link(key, None, "idle");
@@ -40,13 +40,15 @@
             // taken for the end, or even the answer, of the next job. No event may have told of it yet.
             let filled = link.channel.fill(http::MOST_MESSAGE);
             match (filled == Filled::Open, link.channel.input.is_empty()) {
-                (true, true) => return Some(key),
+                (true, true) => return Ok(key),
                 (open, _) => self.close_link(key, None, if open { "unasked" } else { "closed by server" }),
             }
         }
-        let address = self.machines.by_id.get(&server)?.address?;
+        let address = self.machines.by_id.get(&server).and_then(|machine| machine.address);
+        let address = address.ok_or(Fate::ConnectFailed)?;
         if !self.make_room() {
-            return None;
+            // Nothing speaks against the server.
+            return Err(Fate::Moot);
         }
         let key = self.number();
         let channel = Channel::connect(&self.handle, address, move |limiter| moved(limiter, key));
@@ -54,11 +56,11 @@
             Ok(channel) => {
                 self.links.insert(key, Link { channel, server, up: false, out: None, idle: now });
                 self.timers.set(now + self.connect_within, Due::Connected(key));
-                Some(key)
+                Ok(key)
             }
             Err(error) => {
                 info!(side = "server", key, server, reason = "refused", %error);
-                None
+                Err(Fate::ConnectFailed)
             }
         }
     }
@@ -100,7 +102,8 @@
         }
         let flushed = link.channel.flush();
         // An answer may have come although the rest of the request could not be written.
-        let filled = link.channel.fill(http::MOST_MESSAGE);
+        let most = self.most_answer;
+        let filled = link.channel.fill(http::with_body(most));
         let (whole, open) = (matches!(flushed, Ok(true)), filled == Filled::Open);
         let Some(relay) = &link.out else {
             if !open || !link.channel.input.is_empty() {
@@ -108,7 +111,7 @@
             }
             return;
         };
-        match http::answer(&link.channel.input, filled == Filled::Ended) {
+        match http::answer(&link.channel.input, filled == Filled::Ended, most) {
             Ok(Some(answer)) => {
                 let (job, fate) = (relay.job, fate(&answer));
                 let keep = answer.keep && whole && open && answer.used == link.channel.input.len();
@@ -120,7 +123,7 @@
                         request::satisfied(&mut client.channel.output, &answer, keep);
                     }
                 }
-                link.channel.input.clear();
+                link.channel.used(usize::MAX);
                 if fate == Fate::Satisfied {
                     self.finish(job, |_, _| {});
                 }
@@ -132,11 +135,23 @@
                 }
             }
             Ok(None) if flushed.is_err() || !open => self.close_link(key, None, "broken"),
+            Ok(None) if link.channel.input.len() > http::MOST_MESSAGE => {
+                if self.answers() > self.most_answers {
+                    self.close_link(key, Some(Fate::Error), "no memory");
+                }
+            }
             Ok(None) => {}
             Err(_) => self.close_link(key, Some(Fate::Error), "malformed answer"),
         }
     }
 
+    /// Bytes of answers in memory, on their way in and out.
+    fn answers(&self) -> usize {
+        let coming = self.links.values().map(|link| link.channel.input.len());
+        let going = self.clients.values().map(|client| client.channel.unwritten());
+        coming.chain(going).sum()
+    }
+
     fn rest_link(&mut self, key: u64) {
         let now = self.clock.now();
         let Some(link) = self.links.get_mut(&key) else { return };
@@ -159,13 +174,18 @@
         self.ended.push_back(RelayEnd { job: relay.job, server: link.server, fate, took, settled });
     }
 
-    /// Closes a connection to a server. A relay on it ends as told, or else by whether its last byte was written.
+    /// Closes a connection to a server. A relay on it ends as told, if its last byte was written.
     pub fn close_link(&mut self, key: u64, fate: Option<Fate>, reason: &str) {
         let Some(link) = self.links.get(&key) else { return };
+        // A server begins a job with its last byte: without that, waiting in vain tells no more than a refusal.
         let unsent = !link.up || link.channel.unwritten() > 0;
-        let by_bytes = if unsent { Fate::ConnectFailed } else { Fate::Reset };
+        let fate = match fate {
+            Some(Fate::Withdrawn) => Fate::Withdrawn,
+            _ if unsent => Fate::ConnectFailed,
+            told => told.unwrap_or(Fate::Reset),
+        };
         info!(side = "server", key, server = link.server, reason);
-        self.relay_over(key, fate.unwrap_or(by_bytes));
+        self.relay_over(key, fate);
         if let Some(link) = self.links.remove(&key) {
             if let Some(machine) = self.machines.by_id.get_mut(&link.server) {
                 machine.idle.retain(|idle| *idle != key);
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -231,6 +231,12 @@
         server.write([*byte]);
     }
     assert_eq!(client.read().1, b"abcde");
+    // An answer far larger than any request may be.
+    let huge = "z".repeat(3 * 1024 * 1024);
+    client.write(job("00ac", "book", "open", PATIENT, "huge"));
+    server.read();
+    server.answer("200 OK", &huge);
+    assert_eq!(client.read().1, huge.as_bytes());
     // The largest bodies, both ways, on the same two connections.
     let large = "x".repeat(64 * 1024);
     client.write(job("00ab", "book", "open", PATIENT, &large));
@@ -436,8 +442,14 @@
     server.read();
     server.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
     assert_eq!(client.status(), "502");
-    // So may an answer that is none.
+    // So may an answer beyond all memory, and one that is none.
+    client.write(job("0f", "book", "open", PATIENT, "x"));
+    server.read();
+    server.write("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxx");
+    assert_eq!(client.status(), "502");
+    server.ends();
     client.write(job("0a", "book", "open", PATIENT, "x"));
+    let mut server = stage.server(0);
     server.read();
     server.write("SMTP ready\r\n\r\n");
     assert_eq!(client.status(), "502");
@@ -486,6 +498,24 @@
     }
 }
 
+#[test]
+fn calls_leave_a_connection_to_the_counter_that_fell_silent() {
+    let stage = Stage::start(1, 200);
+    serve(&stage.servers[0], "ok".to_string());
+    // The connection stays open and says nothing; the calls of a few jobs come on another.
+    let mut client = stage.client();
+    for number in 0..3 {
+        client.write(job(&format!("e{number}"), "look", "team", PATIENT, ""));
+        assert_eq!(client.status(), "200");
+    }
+    let mut silent = accept(&stage.counter);
+    let mut line = String::new();
+    silent.0.read_line(&mut line).unwrap();
+    line.clear();
+    accept(&stage.counter).0.read_line(&mut line).unwrap();
+    assert!(line.starts_with("bump "), "{line}");
+}
+
 #[test]
 fn addresses_move_when_the_file_is_read_anew_and_nothing_is_lost() {
     let stage = Stage::start(1, 200);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -105,9 +105,8 @@
         let target = deployment.bands.iter().map(|band| band.target.secs()).fold(10.0, f64::min);
         let usual = (deployment.tick.secs() * 4.0).max(0.005);
         let bound = FEW / f64::from(deployment.gateways);
-        let mut fleet = Fleet { bound: bound / 2.0, ..Fleet::default() };
-        (fleet.usual, fleet.units, fleet.spare, fleet.calm, fleet.slow) =
-            (target / 6.0, 1.0, 5.0, 0.12, 0.12);
+        let mut fleet = Fleet { bound: bound / 2.0, spare: 5.0, ..Fleet::default() };
+        (fleet.usual, fleet.units, fleet.calm, fleet.slow) = (target / 6.0, 1.0, 0.12, 0.12);
         Self {
             host,
             now,
@@ -169,13 +168,12 @@
 
     pub fn job_arrived(&mut self, now: Moment, arrival: Arrival) {
         self.now = now;
-        let id = arrival.job;
+        let (id, set_size) = (arrival.job, f64::from(arrival.set_size.max(1)));
         let (bands, plans) = (&self.deployment.bands, &self.deployment.plans);
         let (Some(band), Some(plan)) = (bands.get(arrival.band), plans.get(arrival.plan)) else {
             return self.host.forfeit(id);
         };
         let (target, limited, cost) = (now + band.target, plan.limited(), plan.cost(&arrival));
-        let set_size = f64::from(arrival.set_size.max(1));
         // Rule 5: an equal share of the ceiling is safe whatever others do; a little less for rounding. After
         // a restart it may be spent already, so it fills from then on.
         let share = 0.999 / set_size;
@@ -359,6 +357,8 @@
             (Step::Count, None) => {
                 // What may have been added counts as added: the count then says too little, never too much.
                 customer.told += if fate == Fate::TimedOut { ask.amount } else { 0.0 };
+                // Asked for again at once, jobs would stall a time-out each, and calls crowd what is slow.
+                self.judge_alone(id);
                 self.ask(id);
             }
             (Step::Count, Some(total)) => {
@@ -577,8 +577,7 @@
         let customer = self.customers.get_mut(&by)?;
         if customer.ranked != self.fleet.roster {
             let own = u64::from(self.deployment.own_index);
-            customer.ranked = self.fleet.roster;
-            customer.ranking = self.servers.keys().copied().collect();
+            (customer.ranked, customer.ranking) = (self.fleet.roster, self.servers.keys().copied().collect());
             customer.ranking.sort_by_cached_key(|server| hashed(&[by, own, u64::from(*server)]));
         }
         let (job, ranking) = (self.jobs.get(&id)?, &self.customers.get(&by)?.ranking);
--- a/tests/found.rs
+++ b/tests/found.rs
@@ -376,3 +376,13 @@
     }
     assert!(units > 100.0 && units <= 1.5 * 210.0 + 6.5, "{units}");
 }
+
+/// A call lost, for any cause, was made again for the same job, which stalled a time-out each time.
+#[test]
+fn a_job_whose_call_is_lost_goes_by_the_gateways_own_part() {
+    let (mut gateway, notes) = gateway(deployment(), 2);
+    gateway.job_arrived(at(10), arrival(1, 0, 0, 1.0, at(2_000)));
+    let (name, _) = count_of(&notes.take()).expect("an ask");
+    gateway.counted(at(40), name, None, Fate::TimedOut);
+    assert!(relayed(&notes.take()).is_some());
+}
