--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -101,7 +101,8 @@
                 match record.u8(4) {
                     0 => gateway.roster_changed(now, entries),
                     1 | 2 => gateway.roster_listed(now, entries),
-                    _ => gateway.roster_failed(),
+                    // It could not be had; the old one stands.
+                    _ => gateway.host.follow_roster(),
                 }
             }
             1100 => gateway.job_arrived(now, arrival(record)?),
--- a/crates/gateway/src/wire/discovery.rs
+++ b/crates/gateway/src/wire/discovery.rs
@@ -13,8 +13,11 @@
 
 /// A lost watch begins anew after this; well within the time in which changes count as told.
 const PAUSE: Span = Span::from_millis(100);
-/// How long discovery may hold a watch: short enough that a lost one is noticed in a minute.
-const HOLD: Duration = Duration::from_secs(20);
+/// How long discovery may hold a watch, and how late it may then be. A connection that fell silent looks like a
+/// list without changes: it is noticed well within the time in which changes count as told, a few seconds. The
+/// agent is on this machine, and asking it costs nothing.
+const HOLD: Duration = Duration::from_secs(1);
+const LATE: Span = Span::from_millis(500);
 
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
@@ -199,7 +202,7 @@
 
     /// Leaves an agent that says nothing long after it had to answer.
     pub fn sweep_discovery(&mut self, now: Moment) {
-        let most = Span::from_micros(HOLD.as_micros() as u64).times(1.5);
+        let most = Span::from_micros(HOLD.as_micros() as u64) + LATE;
         if self.discovery.channel.is_some() && now.since(self.discovery.asked) > most {
             self.close_discovery("silent");
         }
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -591,6 +591,16 @@
     assert!(agent.read().0.starts_with("get /api/targets http/1.1\r\n"));
 }
 
+#[test]
+fn a_watch_that_falls_silent_is_begun_anew() {
+    let stage = Stage::start(1, 200);
+    let mut silent = accept(&stage.agent);
+    assert!(silent.read().0.starts_with("get /api/targets?from=41&hold_ms="));
+    let mut agent = accept(&stage.agent);
+    assert!(agent.read().0.starts_with("get /api/targets?from=41&hold_ms="));
+    silent.ends();
+}
+
 #[test]
 fn a_stop_answers_what_was_taken_and_takes_what_still_comes() {
     let mut stage = Stage::start(1, 200);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,7 +33,6 @@
     took.times((1.0 / bound - 1.0).max(0.0))
 }
 
-/// Decides for one gateway.
 pub struct Gateway<H> {
     pub host: H,
     deployment: Deployment,
@@ -125,6 +124,9 @@
 
     pub fn roster_changed(&mut self, now: Moment, entries: impl Iterator<Item = Entry>) {
         self.now = now;
+        // Where all are replaced at once, none would be warm and the cold ones would get nothing: what the last
+        // warm ones carried stays known.
+        self.fleet.carried = self.carried().unwrap_or(self.fleet.carried);
         for mut entry in entries {
             let (usual, bound) = (self.fleet.usual, FEW / f64::from(self.deployment.gateways));
             // Rule 4: all gateways would send a cold server their first job at once: chance sets them apart.
@@ -157,15 +159,11 @@
 
     /// The whole roster; a server that it lacks is gone.
     pub fn roster_listed(&mut self, now: Moment, entries: impl Iterator<Item = Entry>) {
+        self.fleet.carried = self.carried().unwrap_or(self.fleet.carried);
         self.servers.values_mut().for_each(|server| server.entry.standing = Standing::Gone);
         self.roster_changed(now, entries);
     }
 
-    /// The roster could not be had; the old one stands.
-    pub fn roster_failed(&mut self) {
-        self.host.follow_roster();
-    }
-
     pub fn job_arrived(&mut self, now: Moment, arrival: Arrival) {
         self.now = now;
         let (id, set_size) = (arrival.job, f64::from(arrival.set_size.max(1)));
@@ -619,17 +617,22 @@
         const KEPT_BACK: f64 = 0.5;
         let (now, cold) = (self.now, self.deployment.cold);
         let age = Some(now.since(server.entry.started?)).filter(|age| *age <= cold.warm_after)?;
+        let warmth = cold.share + (1.0 - cold.share) * age.secs() / cold.warm_after.secs().max(0.001);
+        let multiple = KEPT_BACK * cold.fall_multiple * warmth;
+        let rate = multiple * self.carried().unwrap_or(self.fleet.carried) * server.entry.rating;
+        Some((rate, server.push.drained(rate, now)))
+    }
+
+    /// What warm servers carry, in units a second by rating, if any is warm.
+    fn carried(&self) -> Option<f64> {
+        let (now, after) = (self.now, self.deployment.cold.warm_after);
+        let long_up = |to: &&Server| to.entry.started.is_none_or(|started| now.since(started) > after);
         let (mut warm, mut carried) = (0.0, 0.0);
-        let long_up =
-            |to: &&Server| to.entry.started.is_none_or(|started| now.since(started) > cold.warm_after);
         for to in self.servers.values().filter(|to| to.ready()).filter(long_up) {
             warm += to.entry.rating;
             carried += to.carried.decayed(CARRIED_OVER, now);
         }
-        let warmth = cold.share + (1.0 - cold.share) * age.secs() / cold.warm_after.secs().max(0.001);
-        let multiple = KEPT_BACK * cold.fall_multiple * warmth;
-        let rate = multiple * carried / f64::max(warm, 0.001) * server.entry.rating;
-        Some((rate, server.push.drained(rate, now)))
+        (warm > 0.0).then(|| carried / warm)
     }
 
     pub fn relay_ended(&mut self, now: Moment, end: RelayEnd) {
--- a/src/host.rs
+++ b/src/host.rs
@@ -25,7 +25,7 @@
     fn wake(&mut self, after: Span, mark: u64);
     /// Adds to a count of the counter; a new name starts at 0 and is kept for `keep`.
     fn add(&mut self, name: CountName, amount: f64, keep: Span);
-    /// Asks to be told of changes to the roster.
+    /// Asks to be told of changes to the roster, from now on and however often that fails.
     fn follow_roster(&mut self);
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,6 +83,8 @@
     pub(crate) ready: f64,
     pub(crate) bound: f64,
     pub(crate) rested: Moment,
+    /// Units a second by rating that warm servers carried when some were last there.
+    pub(crate) carried: f64,
     /// Further relays that may still be made; earned by first ones.
     pub(crate) spare: f64,
 }
--- a/tests/found.rs
+++ b/tests/found.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use fennelgauge::choice::Gateway;
 use fennelgauge::host::*;
 use fennelgauge::time::Span;
 use std::collections::BTreeMap;
@@ -386,3 +387,30 @@
     gateway.counted(at(40), name, None, Fate::TimedOut);
     assert!(relayed(&notes.take()).is_some());
 }
+
+/// A release replaced all servers within the time that one is cold: none was warm, and none got a job.
+#[test]
+fn cold_servers_are_used_when_none_is_warm() {
+    let mut deployment = deployment();
+    deployment.plans[0] = Plan::default();
+    let (mut gateway, notes) = gateway(deployment, 2);
+    let relays = |gateway: &mut Gateway<Notes>, jobs: std::ops::Range<u64>, from: u64| -> usize {
+        let sent = jobs.filter(|job| {
+            let now = from + job * 20;
+            let customer = 100 + job;
+            gateway.job_arrived(at(now), Arrival { customer, ..arrival(*job, 0, 0, 1.0, at(now + 2_000)) });
+            let server = relayed(&notes.take());
+            if let Some(server) = server {
+                gateway.relay_ended(at(now + 10), end(*job, server, Fate::Satisfied, 10));
+            }
+            server.is_some()
+        });
+        sent.count()
+    };
+    assert_eq!(relays(&mut gateway, 0..200, 0), 200);
+    let fresh = (2..4).map(|id| entry(id, Standing::Ready, Some(at(4_000))));
+    gateway.roster_listed(at(4_000), fresh);
+    // As much as their part of what warm ones carried; nothing before.
+    let sent = relays(&mut gateway, 200..400, 2_000);
+    assert!((20..150).contains(&sent), "{sent}");
+}
