--- a/src/choice.rs
+++ b/src/choice.rs
@@ -124,7 +124,7 @@
 
     pub fn roster_changed(&mut self, now: Moment, entries: impl Iterator<Item = Entry>) {
         self.now = now;
-        // Where all are replaced at once, none would be warm and the cold ones would get nothing: what the last
+        // Where all are replaced at once none is warm, and the cold ones would get nothing: what the last
         // warm ones carried stays known.
         self.fleet.carried = self.carried().unwrap_or(self.fleet.carried);
         for mut entry in entries {
