--- a/src/choice.rs
+++ b/src/choice.rs
@@ -252,7 +252,7 @@
     fn ask(&mut self, id: CustomerId) {
         self.roll(id);
         if !self.deployment.has_counter {
-            self.judge_alone(id);
+            self.judge_alone(id, false);
             if self.customers.get(&id).is_some_and(|customer| !customer.waiting.is_empty()) {
                 self.host.wake(Span::from_secs(self.fleet.usual), CUSTOMER_MARK + id);
             }
@@ -291,7 +291,7 @@
             self.counter.queue.insert((benefit.unwrap_or(0), self.now, id));
             self.host.wake(self.counter.rested.since(self.now), CALLS_MARK);
         }
-        self.judge_alone(id);
+        self.judge_alone(id, true);
     }
 
     fn may_call(&self) -> bool {
@@ -356,7 +356,7 @@
                 // What may have been added counts as added: the count then says too little, never too much.
                 customer.told += if fate == Fate::TimedOut { ask.amount } else { 0.0 };
                 // Asked for again at once, jobs would stall a time-out each, and calls crowd what is slow.
-                self.judge_alone(id);
+                self.judge_alone(id, false);
                 self.ask(id);
             }
             (Step::Count, Some(total)) => {
@@ -484,15 +484,20 @@
     /// Judges held jobs without a total, by this gateway's part of the pace. Where that is far below a job,
     /// one job goes as soon as those before are made up for, unless servers lack room for what is counted.
     /// Where a counter counts them later, a soft plan's jobs all go: their use beyond the quota costs
-    /// nothing, and their ceiling is held by this gateway's share as they are sent.
-    fn judge_alone(&mut self, id: CustomerId) {
+    /// nothing, and their ceiling is held by this gateway's share as they are sent. While the customer's
+    /// call waits its turn (`rationed`), a job larger than the part goes alone only where its use beyond the
+    /// quota costs less than it earns within: its odds of room are even at best, and of those that wait most
+    /// are of customers past their quota.
+    fn judge_alone(&mut self, id: CustomerId, rationed: bool) {
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
         let ((rate, burst), free) = (plan.pace(self.fleet.usual), plan.soft() && self.deployment.has_counter);
+        let costly = rationed && plan.over_cost >= plan.price;
         let pressed = self.now < self.fleet.pressed_until;
         let (mut ahead, mut jobs) = (customer.ahead.drained(rate / customer.set_size, self.now), Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
-            if free || (ahead <= 0.0 && !pressed) || ahead + job.cost <= burst / customer.set_size {
+            let (part, by_part) = (burst / customer.set_size, ahead <= 0.0 && !pressed);
+            if free || ahead + job.cost <= part || (by_part && !(costly && job.cost > part)) {
                 ahead += job.cost;
                 jobs.push((job.arrival.job, job.cost));
             }
--- a/tests/mass.rs
+++ b/tests/mass.rs
@@ -11,13 +11,22 @@
     acts.iter().filter_map(relay).collect()
 }
 
-/// A soft plan whose ceiling is four times its quota, and a hard plan beside it, at 300 gateways.
+/// At 300 gateways: a hard plan whose use beyond the quota costs less than it earns within, one where it
+/// costs more, and a soft plan whose ceiling is four times its quota.
 fn many() -> Deployment {
     let mut deployment = Deployment { gateways: 300, ..deployment() };
     let ceiling = Ceiling { rate: 40.0, burst: 40.0, slack: 4.0 };
-    deployment.plans[2] =
-        Plan { rate: 10.0, burst: 10.0, over_share: 0.2, ceiling: Some(ceiling), ..Plan::default() };
-    deployment.plans[0] = Plan { rate: 10.0, burst: 10.0, over_cost: 1.0, ..Plan::default() };
+    let hard = Plan { rate: 10.0, burst: 10.0, price: 1.2, over_cost: 0.5, ..Plan::default() };
+    deployment.plans[0] = hard.clone();
+    deployment.plans[1] = Plan { price: 0.72, over_cost: 1.2, ..hard };
+    deployment.plans[2] = Plan {
+        rate: 10.0,
+        burst: 10.0,
+        price: 1.6,
+        over_share: 0.2,
+        ceiling: Some(ceiling),
+        ..Plan::default()
+    };
     deployment
 }
 
@@ -88,3 +97,41 @@
     // Gateways differ in their order, so that their first choices are not all one server.
     assert_ne!(first, second);
 }
+
+/// While calls wait their turn at 300 gateways, the jobs of a plan whose use beyond the quota costs more
+/// than it earns within went alone at even odds, the gateway's part of a set of 150 being far below a job:
+/// on calm+mass most were of customers past their quota, and use beyond quotas cost 0.097 of G. Such a job
+/// now waits for its call, and goes when the total has room.
+#[test]
+fn a_costly_plan_waits_for_its_call_while_calls_are_rationed() {
+    let (mut gateway, notes) = gateway(many(), 400);
+    let job =
+        |id, customer, plan| Arrival { customer, set_size: 150, ..arrival(id, 0, plan, 1.0, at(3_000)) };
+    let added = |acts: Vec<Act>| {
+        acts.into_iter().find_map(|act| if let Act::Add(name, _) = act { Some(name) } else { None })
+    };
+    gateway.job_arrived(at(2_010), job(1, 1, 0));
+    let first = added(notes.take()).expect("a call");
+    gateway.job_arrived(at(2_011), job(20, 3, 1));
+    let acts = notes.take();
+    assert!(relays(&acts).is_empty() && !acts.contains(&Act::Dismiss(20)), "{acts:?}");
+    gateway.counted(at(2_012), first, Some(1.0), Fate::Satisfied);
+    notes.take();
+    // Its turn comes once the counter has rested; the total it brings back has room.
+    let mut now = 2_012;
+    let name = loop {
+        gateway.woken(at(now), u64::MAX);
+        let added =
+            notes
+                .take()
+                .into_iter()
+                .find_map(|act| if let Act::Add(name, _) = act { Some(name) } else { None });
+        if let Some(name) = added {
+            break name;
+        }
+        now += 10;
+        assert!(now < 2_500, "no call in time");
+    };
+    gateway.counted(at(now + 2), name, Some(1.0), Fate::Satisfied);
+    assert_eq!(relays(&notes.take()).len(), 1);
+}
