--- /dev/null
+++ b/benches/decision.rs
@@ -0,0 +1,148 @@
+//! The work of one job's decisions at a gateway, by the size of the fleet that it is part of.
+//!
+//! Each round is one job of a customer not seen for a while: it arrives, its call to the counter comes back
+//! with room where one was made, it is relayed, and its server answers. A gateway of 3, 30 or 300 knows 200
+//! servers and 10,000 customers. The figure per round must not grow with the number of gateways: at 300 each
+//! one's parts are small, calls rest and jobs are judged alone more often, but no list of the fleet is walked.
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion, Throughput};
+use fennelgauge::choice::Gateway;
+use fennelgauge::host::*;
+use fennelgauge::time::{Moment, Span};
+use std::hint::black_box;
+
+const SERVERS: u32 = 200;
+const CUSTOMERS: u64 = 10_000;
+
+/// Keeps the last relay and call, to answer them; all else is dropped.
+#[derive(Default)]
+struct Last {
+    relay: Option<(JobId, ServerId)>,
+    call: Option<CountName>,
+}
+
+impl Host for Last {
+    fn relay(&mut self, job: JobId, server: ServerId, _: Span) {
+        self.relay = Some((job, server));
+    }
+    fn withdraw(&mut self, _: JobId, _: u8) {}
+    fn dismiss(&mut self, _: JobId, _: Option<Span>) {}
+    fn forfeit(&mut self, _: JobId) {}
+    fn wake(&mut self, _: Span, _: u64) {}
+    fn add(&mut self, name: CountName, _: f64, _: Span) {
+        self.call = Some(name);
+    }
+    fn follow_roster(&mut self) {}
+}
+
+/// Three plans as on the mass days: a small hard rate, a cap on relays out, a soft one with a ceiling.
+fn deployment(gateways: u32) -> Deployment {
+    let band = |target| Band {
+        target: Span::from_millis(target),
+        benefit: 1.0,
+        late_share: 0.2,
+        repeat: Repeat::Pure,
+    };
+    let ceiling = Ceiling { rate: 65.0, burst: 136.0, slack: 14.0 };
+    Deployment {
+        gateways,
+        tick: Span::from_millis(1),
+        bands: vec![band(1_100), band(735)],
+        plans: vec![
+            Plan { rate: 1.6, burst: 8.0, price: 0.72, over_cost: 1.2, ..Plan::default() },
+            Plan { relays_out: 2.0, price: 1.2, over_cost: 0.5, ..Plan::default() },
+            Plan {
+                rate: 30.0,
+                burst: 65.0,
+                price: 1.6,
+                over_share: 0.2,
+                ceiling: Some(ceiling),
+                ..Plan::default()
+            },
+        ],
+        has_counter: true,
+        may_withdraw: true,
+        most_relays: 5,
+        cold: Cold {
+            share: 0.21,
+            warm_after: Span::from_millis(16_000),
+            fall_multiple: 2.0,
+            fall_span: Span::from_millis(1_000),
+        },
+        ..Deployment::default()
+    }
+}
+
+struct Play {
+    gateway: Gateway<Last>,
+    now: Moment,
+    job: JobId,
+}
+
+impl Play {
+    fn new(gateways: u32) -> Self {
+        let now = Moment::from_micros(1_800_000_000_000_000);
+        let mut gateway = Gateway::start(now, Last::default(), deployment(gateways), 7);
+        let entry = |server| Entry {
+            server,
+            standing: Standing::Ready,
+            rating: 1.0,
+            zone: (server % 3) as u16,
+            cell: (server % 40) as u16,
+            started: None,
+        };
+        gateway.roster_listed(now, (0..SERVERS).map(entry));
+        let mut play = Self { gateway, now, job: 0 };
+        // Every customer is known once before the rounds are timed.
+        for _ in 0..CUSTOMERS {
+            play.round();
+        }
+        play
+    }
+
+    /// One job of the next customer, to its end; half a millisecond apart.
+    fn round(&mut self) {
+        self.now = self.now + Span::from_micros(500);
+        self.job += 1;
+        let (job, customer) = (self.job, self.job % CUSTOMERS);
+        let arrival = Arrival {
+            job,
+            customer,
+            band: (job % 2) as usize,
+            plan: (customer % 3) as usize,
+            units: 1.0 + (job % 4) as f64,
+            set_first: 0,
+            set_size: 150,
+            abandon: self.now + Span::from_millis(2_000),
+        };
+        self.gateway.job_arrived(self.now, arrival);
+        if let Some(name) = self.gateway.host.call.take() {
+            self.gateway.counted(self.now + Span::from_millis(2), name, Some(1.0), Fate::Satisfied);
+        }
+        if let Some((job, server)) = self.gateway.host.relay.take() {
+            let took = Span::from_millis(70);
+            let end = RelayEnd { job, server, fate: Fate::Satisfied, took, settled: true };
+            self.gateway.relay_ended(self.now + took, end);
+        }
+        // What is left of the job ends here, as a client that goes away would end it.
+        self.gateway.job_left(self.now, job);
+    }
+}
+
+fn rounds(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("one job, 200 servers, 10,000 customers");
+    group.throughput(Throughput::Elements(1));
+    for gateways in [3, 30, 300] {
+        let mut play = Play::new(gateways);
+        group.bench_with_input(BenchmarkId::new("gateways", gateways), &gateways, |bench, _| {
+            bench.iter(|| {
+                play.round();
+                black_box(&play.gateway);
+            })
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, rounds);
+criterion_main!(benches);
