Add the failure laboratory: many gateways, stand-ins, links, faults and a judge

crates/lab plays one scenario file in two ways: `run` starts processes of the program on loopback, `sim` has the module of every gateway on a simulated clock. Links in user space delay, jitter, cut (either way, silently: new connections never come up), reset, slow or leave connections half open; processes are killed, stopped, continued and restarted by signal, and ended by id also after a failure or an interrupt. The report counts answers, latencies, load by server, herds and the quota as one that saw all would keep it.

--- /dev/null
+++ b/crates/gateway/tests/lab.rs
@@ -0,0 +1,195 @@
+//! Several processes of the program with faults between them, played by the laboratory and held to its judge.
+//! Verdicts rest on counts and order alone: a slow machine makes answers late, and lateness is granted freely.
+
+use fennelgauge_lab::judge::Rule;
+use fennelgauge_lab::record::{Answer, Event, Life, Trace};
+use fennelgauge_lab::report::report;
+use fennelgauge_lab::run::{play, Run};
+use fennelgauge_lab::scenario::Scenario;
+use fennelgauge_lab::timeline::moment;
+
+/// Six gateways, six servers in two zones, three bands; long work, so that jobs are out whenever a fault comes.
+const FLEET: &str = "
+name = 'fleet'
+seed = 11
+length_s = 8.0
+[deployment]
+gateways = 6
+servers = 6
+zones = ['east', 'west']
+most_relays = 3
+cold = { share = 0.5, warm_after_s = 4.0, fall_multiple = 4.0, fall_span_s = 1.0 }
+[judge]
+answer_slack_ms = 4000.0
+drain_slack_ms = 2000.0
+[load]
+jobs_per_s = 30.0
+retries = 2
+[servers]
+cell = 2
+[discovery]
+delay_ms = [50.0, 200.0]
+[counter]
+timeout_ms = 100.0
+[[band]]
+name = 'look'
+share = 2.0
+target_ms = 3000.0
+abandon_ms = 6000.0
+repeat = 'pure'
+work_ms = 150.0
+[[band]]
+name = 'post'
+target_ms = 3000.0
+abandon_ms = 6000.0
+repeat = 'receipted'
+group = 'cell'
+window_ms = 3000.0
+work_ms = 150.0
+[[band]]
+name = 'book'
+target_ms = 3000.0
+abandon_ms = 6000.0
+repeat = 'effectful'
+work_ms = 150.0
+[[plan]]
+name = 'open'
+customers = 50
+[[plan]]
+name = 'soft'
+customers = 5
+rate = 20.0
+burst = 40.0
+over_share = 0.2
+ceiling = { rate = 40.0, burst = 60.0, slack = 6.0 }
+";
+
+fn played(faults: &str) -> Trace {
+    let scenario = Scenario::parse("fleet.toml", &format!("{FLEET}{faults}")).unwrap();
+    let run = Run { gateway: Some(env!("CARGO_BIN_EXE_fennelgauge-gateway").into()), folder: None };
+    let trace = play(&scenario, &run, &mut |_| ()).unwrap();
+    let report = report(&trace);
+    assert!(report.verdict.kept(), "{}", report.text());
+    assert!(report.verdict.looked[&Rule::OneAnswer] > 100, "{}", report.text());
+    trace
+}
+
+fn answers(trace: &Trace, how: Answer) -> usize {
+    let is = |event: &Event| matches!(event, Event::Answered { how: of, .. } if *of == how);
+    trace.records.iter().filter(|record| is(&record.event)).count()
+}
+
+/// Relays of a gateway within a span, in seconds: the servers' places that they went to.
+fn relays(trace: &Trace, of: u32, from: f64, until: f64) -> Vec<u32> {
+    let (from, until) = (moment(from).micros(), moment(until).micros());
+    let relay = |event: &Event| match event {
+        Event::Relay { server, gateway, .. } if *gateway == of => Some(*server - 1),
+        _ => None,
+    };
+    let within = trace.records.iter().filter(|record| (from..until).contains(&record.at));
+    within.filter_map(|record| relay(&record.event)).collect()
+}
+
+fn life(trace: &Trace, of: u32, wanted: Life) -> Vec<f64> {
+    let is = |event: &Event| matches!(event, Event::Gateway { gateway, life } if *gateway == of && *life == wanted);
+    let secs = |at: u64| (at as f64 - moment(0.0).micros() as f64) / 1e6;
+    trace.records.iter().filter(|record| is(&record.event)).map(|record| secs(record.at)).collect()
+}
+
+#[test]
+fn gateways_killed_stopped_and_restarted_in_the_middle_of_jobs() {
+    let trace = played(
+        "[[fault]]\nat_s = 2.0\nwhat = 'kill'\non = 'gateway 1'\nfor_s = 1.5\n\
+         [[fault]]\nat_s = 2.5\nwhat = 'stop'\non = 'gateway 2'\nfor_s = 2.0\n\
+         [[fault]]\nat_s = 3.0\nwhat = 'restart'\non = 'gateway 3'\n",
+    );
+    // The killed one lost what it held, came back, and works again.
+    let (down, ready) = (life(&trace, 1, Life::Down), life(&trace, 1, Life::Ready));
+    assert_eq!((down.len(), ready.len()), (1, 2), "{down:?} {ready:?}");
+    assert!(!relays(&trace, 1, ready[1], 60.0).is_empty());
+    // The stopped one sent nothing while it stood; what came meanwhile was answered afterwards.
+    let (stopped, continued) = (life(&trace, 2, Life::Stopped)[0], life(&trace, 2, Life::Continued)[0]);
+    assert!(relays(&trace, 2, stopped + 0.5, continued).is_empty());
+    assert!(!relays(&trace, 2, continued, 60.0).is_empty());
+    // The restarted one answered all that it had taken, then began anew.
+    let ready = life(&trace, 3, Life::Ready);
+    assert_eq!((life(&trace, 3, Life::Terminating).len(), ready.len()), (1, 2));
+    assert!(!relays(&trace, 3, ready[1], 60.0).is_empty());
+    assert!(answers(&trace, Answer::Satisfied) > 100);
+}
+
+#[test]
+fn a_link_cut_without_a_word_and_one_reset_under_requests() {
+    let trace = played(
+        "[[fault]]\nat_s = 2.0\nwhat = 'link'\nfrom = 'gateway 0'\nto = 'servers in east'\ncut = 'both'\nfor_s = 3.0\n\
+         [[fault]]\nat_s = 2.0\nwhat = 'link'\nfrom = 'gateway 1'\nto = 'servers in west'\ncut = 'back'\nfor_s = 2.0\n\
+         [[fault]]\nat_s = 2.0\nwhat = 'link'\nfrom = 'gateways'\nto = 'servers'\nreset = 0.1\nfor_s = 3.0\n",
+    );
+    // Nothing of the cut gateway comes to the east, and its jobs go on in the west.
+    let during = relays(&trace, 0, 2.1, 5.0);
+    assert!(!during.is_empty() && during.iter().all(|place| place % 2 == 1), "{during:?}");
+    assert!(relays(&trace, 0, 5.0, 60.0).iter().any(|place| place % 2 == 0), "it did not go back");
+    // Where only the way back is cut, relays still come, and their answers do not.
+    assert!(relays(&trace, 1, 2.1, 4.0).iter().any(|place| place % 2 == 1));
+    assert!(answers(&trace, Answer::Broken) == 0 && answers(&trace, Answer::Satisfied) > 100);
+}
+
+#[test]
+fn servers_that_die_drain_fail_and_are_replaced() {
+    let trace = played(
+        "[[fault]]\nat_s = 1.5\nwhat = 'crash'\non = 'server 0'\nfor_s = 2.0\n\
+         [[fault]]\nat_s = 2.0\nwhat = 'drain'\non = 'server 1'\nfor_s = 2.0\n\
+         [[fault]]\nat_s = 2.0\nwhat = 'fail'\non = 'server 2'\nsize = 0.8\nfor_s = 2.0\n\
+         [[fault]]\nat_s = 3.0\nwhat = 'replace'\non = 'server 3'\n\
+         [[fault]]\nat_s = 3.0\nwhat = 'vanish'\non = 'server 4'\nfor_s = 2.0\n",
+    );
+    let verdict = report(&trace).verdict;
+    for rule in [Rule::Drains, Rule::Cold, Rule::NoDoubleEffect, Rule::Ceilings] {
+        assert!(verdict.looked.get(&rule).is_some_and(|looked| *looked > 0), "{rule:?}");
+    }
+    // The one that came in another's place gets its part.
+    let new = |event: &Event| matches!(event, Event::Relay { server: 7, .. });
+    assert!(trace.records.iter().any(|record| new(&record.event)));
+    assert!(answers(&trace, Answer::Satisfied) > 100);
+}
+
+#[test]
+fn a_counter_silent_split_and_replaced() {
+    let trace = played(
+        "[[fault]]\nat_s = 1.5\nwhat = 'counter-silent'\nfor_s = 1.0\n\
+         [[fault]]\nat_s = 3.0\nwhat = 'counter-split'\non = 'gateways in west'\nfor_s = 2.0\n\
+         [[fault]]\nat_s = 5.5\nwhat = 'counter-replace'\n\
+         [[fault]]\nat_s = 6.0\nwhat = 'link'\nfrom = 'gateways'\nto = 'counter'\ncut = 'forth'\nfor_s = 1.0\n",
+    );
+    let verdict = report(&trace).verdict;
+    assert!(verdict.looked[&Rule::Ceilings] > 50);
+    let called = trace.records.iter().filter(|it| matches!(it.event, Event::Called { .. })).count();
+    assert!(called > 50 && answers(&trace, Answer::Satisfied) > 100, "{called}");
+}
+
+/// Processes of this test's own that are alive.
+fn children() -> Vec<String> {
+    let tasks = std::fs::read_dir("/proc/self/task").unwrap().flatten();
+    let all = tasks.filter_map(|task| std::fs::read_to_string(task.path().join("children")).ok());
+    all.flat_map(|text| text.split_whitespace().map(str::to_string).collect::<Vec<_>>()).collect()
+}
+
+#[test]
+fn a_play_that_cannot_go_on_ends_all_that_it_started() {
+    // The others' plays run beside this one, each with children of its own: only new ones count.
+    let before = children();
+    let text = FLEET.replace("gateways = 6", "gateways = 2");
+    let scenario = Scenario::parse("fleet.toml", &text).unwrap();
+    let folder = std::env::temp_dir().join(format!("lab-fails-{}", std::process::id()));
+    let run = Run { gateway: Some("/bin/true".into()), folder: Some(folder.clone()) };
+    let failure = play(&Scenario { length_s: 0.5, ..scenario.clone() }, &run, &mut |_| ()).unwrap_err();
+    assert!(failure.to_string().contains("ended before it was ready"), "{failure}");
+    let nowhere = Run { gateway: Some("/no/such/program".into()), folder: Some(folder.clone()) };
+    let failure = play(&scenario, &nowhere, &mut |_| ()).unwrap_err();
+    assert!(failure.to_string().contains("no such program"), "{failure}");
+    let _ = std::fs::remove_dir_all(&folder);
+    let names = children().into_iter().filter(|id| !before.contains(id)).filter(|id| {
+        std::fs::read_to_string(format!("/proc/{id}/comm")).is_ok_and(|name| name.trim() == "true")
+    });
+    assert_eq!(names.count(), 0);
+}
--- /dev/null
+++ b/crates/lab/src/sim/node.rs
@@ -0,0 +1,211 @@
+//! One gateway of a simulated play: the decision module, and what its adapter keeps for it.
+
+use super::Word;
+use crate::chance::{of, Use};
+use crate::record::Answer;
+use crate::scenario::Scenario;
+use crate::target::Layout;
+use crate::told;
+use fennelgauge::choice::Gateway;
+use fennelgauge::host::{Arrival, CountName, Deployment, Entry, Fate, Host, JobId, RelayEnd, ServerId};
+use fennelgauge::time::{Moment, Span};
+use rand::RngExt;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
+
+/// What a gateway asks of its host.
+#[derive(Clone, Debug)]
+pub enum Deed {
+    Relay(JobId, ServerId, Span),
+    Withdraw(JobId, u8),
+    Answer(JobId, Answer, Option<Span>),
+    Wake(Moment, u64),
+    Add(CountName, f64, Span),
+}
+
+#[derive(Clone, Default)]
+pub struct Desk {
+    deeds: Rc<RefCell<VecDeque<Deed>>>,
+    now: Rc<Cell<Moment>>,
+    tick: Span,
+}
+
+impl Desk {
+    fn put(&self, deed: Deed) {
+        self.deeds.borrow_mut().push_back(deed);
+    }
+}
+
+impl Host for Desk {
+    fn relay(&mut self, job: JobId, server: ServerId, patience: Span) {
+        self.put(Deed::Relay(job, server, patience));
+    }
+    fn withdraw(&mut self, job: JobId, relay: u8) {
+        self.put(Deed::Withdraw(job, relay));
+    }
+    fn dismiss(&mut self, job: JobId, hold_off: Option<Span>) {
+        self.put(Deed::Answer(job, Answer::Dismissed, hold_off));
+    }
+    fn forfeit(&mut self, job: JobId) {
+        self.put(Deed::Answer(job, Answer::Forfeited, None));
+    }
+    fn wake(&mut self, after: Span, mark: u64) {
+        // As the gateway on sockets does: never at once, and all of one tick together.
+        let tick = self.tick.micros().max(1);
+        let at = (self.now.get() + after).micros() / tick * tick;
+        self.put(Deed::Wake(Moment::from_micros(at.saturating_add(tick)), mark));
+    }
+    fn add(&mut self, name: CountName, amount: f64, keep: Span) {
+        // The wire carries four digits after the point.
+        self.put(Deed::Add(name, (amount * 1e4).round() / 1e4, keep));
+    }
+    fn follow_roster(&mut self) {}
+}
+
+pub struct Node {
+    gateway: Option<Gateway<Desk>>,
+    desk: Desk,
+    deployment: Deployment,
+    number: u32,
+    /// How often it was started.
+    pub life: u32,
+    pub stopped: bool,
+    /// What came while it was stopped.
+    pub inbox: Vec<Word>,
+    /// Told to stop: ends then at the earliest, and starts again so long after.
+    pub ends: Option<(Moment, Span)>,
+    /// Jobs without a final answer.
+    pub open: BTreeSet<JobId>,
+    /// Its relays by job and number.
+    pub relays: BTreeMap<(JobId, u8), u64>,
+    made: BTreeMap<JobId, u8>,
+    /// Idle connections: since when they are, and were made.
+    idle: BTreeMap<ServerId, Vec<(Moment, Moment)>>,
+    /// The version of the list that it was told.
+    pub version: usize,
+}
+
+impl Node {
+    pub fn new(scenario: &Scenario, layout: &Layout, number: u32) -> Self {
+        let launch = serde_json::from_value(told::settings(scenario, layout, number));
+        // Settings that are made here are read there; without any, a gateway would stand alone.
+        let deployment =
+            launch.map(|launch: fennelgauge_launch::Launch| launch.deployment).unwrap_or_default();
+        let desk = Desk { tick: deployment.tick, ..Desk::default() };
+        Self {
+            gateway: None,
+            desk,
+            deployment,
+            number,
+            life: 0,
+            stopped: false,
+            inbox: Vec::new(),
+            ends: None,
+            open: BTreeSet::new(),
+            relays: BTreeMap::new(),
+            made: BTreeMap::new(),
+            idle: BTreeMap::new(),
+            version: 0,
+        }
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.gateway.is_some()
+    }
+
+    pub fn is(&self, life: u32) -> bool {
+        self.is_up() && self.life == life
+    }
+
+    pub fn start(&mut self, now: Moment, seed: u64, version: usize, entries: &[Entry]) {
+        self.life += 1;
+        self.desk.now.set(now);
+        let seed = of(seed, Use::Gateways, u64::from(self.number) << 20 | u64::from(self.life)).random();
+        let mut gateway = Gateway::start(now, self.desk.clone(), self.deployment.clone(), seed);
+        gateway.roster_listed(now, entries.iter().copied());
+        (self.gateway, self.version) = (Some(gateway), version);
+    }
+
+    /// All that it held is lost.
+    pub fn end(&mut self) {
+        self.gateway = None;
+        self.desk.deeds.borrow_mut().clear();
+        self.inbox.clear();
+        self.open.clear();
+        self.relays.clear();
+        self.made.clear();
+        self.idle.clear();
+        (self.stopped, self.ends) = (false, None);
+    }
+
+    /// A job has its final answer, or its client has left; false if it was over before.
+    pub fn close(&mut self, job: JobId) -> bool {
+        let made = self.made.remove(&job).unwrap_or_default();
+        (0..made).for_each(|nth| {
+            self.relays.remove(&(job, nth));
+        });
+        self.open.remove(&job)
+    }
+
+    pub fn deed(&mut self) -> Option<Deed> {
+        self.desk.deeds.borrow_mut().pop_front()
+    }
+
+    fn with(&mut self, now: Moment, tell: impl FnOnce(&mut Gateway<Desk>)) {
+        self.desk.now.set(now);
+        if let Some(gateway) = &mut self.gateway {
+            tell(gateway);
+        }
+    }
+
+    pub fn arrived(&mut self, now: Moment, arrival: Arrival) {
+        self.with(now, |gateway| gateway.job_arrived(now, arrival));
+    }
+
+    pub fn woken(&mut self, now: Moment, mark: u64) {
+        self.with(now, |gateway| gateway.woken(now, mark));
+    }
+
+    pub fn left(&mut self, now: Moment, job: JobId) {
+        self.with(now, |gateway| gateway.job_left(now, job));
+    }
+
+    pub fn counted(&mut self, now: Moment, name: CountName, total: Option<f64>, fate: Fate) {
+        self.with(now, |gateway| gateway.counted(now, name, total, fate));
+    }
+
+    pub fn told(&mut self, now: Moment, entries: &[Entry]) {
+        self.with(now, |gateway| gateway.roster_changed(now, entries.iter().copied()));
+    }
+
+    pub fn relay_ended(&mut self, now: Moment, end: RelayEnd) {
+        self.with(now, |gateway| gateway.relay_ended(now, end));
+    }
+
+    pub fn relayed(&mut self, job: JobId, relay: u64) {
+        let made = self.made.entry(job).or_default();
+        self.relays.insert((job, *made), relay);
+        *made = made.saturating_add(1);
+    }
+
+    /// The idle connection used last, as the others grow old; returns when it was made.
+    pub fn idle_link(&mut self, server: ServerId, now: Moment, idle: Span) -> Option<Moment> {
+        let links = self.idle.get_mut(&server)?;
+        let (since, made) = links.pop()?;
+        if now.since(since) < idle {
+            return Some(made);
+        }
+        links.clear();
+        None
+    }
+
+    pub fn rest_link(&mut self, server: ServerId, made: Moment, now: Moment) {
+        self.idle.entry(server).or_default().push((now, made));
+    }
+
+    /// The server's connections are gone.
+    pub fn forget(&mut self, server: ServerId) {
+        self.idle.remove(&server);
+    }
+}
