--- a/crates/gateway/src/lifecycle/configuration.rs
+++ b/crates/gateway/src/lifecycle/configuration.rs
@@ -21,6 +21,12 @@
     #[serde(default)]
     pub known: Listing,
     pub settings: Launch,
+    /// Where datagrams of other gateways arrive, and where they take them in, by their numbers. Read only where they
+    /// are wanted: what is wrong with them then must not keep a gateway from its start that speaks with none.
+    #[serde(default)]
+    pub peer_listen: Option<serde_json::Value>,
+    #[serde(default)]
+    pub peers: Option<serde_json::Value>,
 }
 
 #[derive(Deserialize)]
--- a/crates/gateway/src/lifecycle/drain.rs
+++ b/crates/gateway/src/lifecycle/drain.rs
@@ -56,6 +56,10 @@
 
     pub fn close(&mut self) {
         self.stop.closed = true;
+        let now = self.clock.now();
+        if let Some(peers) = &mut self.peers {
+            peers.leave(now);
+        }
         if let Some(token) = self.stop.listener.take() {
             self.handle.remove(token);
         }
--- a/crates/gateway/src/lifecycle/run.rs
+++ b/crates/gateway/src/lifecycle/run.rs
@@ -6,6 +6,7 @@
 use crate::memory::jobs::Jobs;
 use crate::memory::machines::Machines;
 use crate::memory::timers::{Due, Timers};
+use crate::peers::{Peers, Wanted};
 use crate::sockets::{settle, Limiter, Sockets};
 use crate::wire::client;
 use crate::wire::counter::Counter;
@@ -18,6 +19,7 @@
 use fennelgauge::choice::Gateway;
 use fennelgauge::host::{Fate, JOB_IDS};
 use fennelgauge::time::{Moment, Span};
+use fennelgauge_launch::operator::Operator;
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::TcpListener;
@@ -36,18 +38,23 @@
 const LOOKS: usize = 8;
 
 /// Runs a gateway; `path` is where its configuration may be read anew.
-pub fn run(start: Start, path: PathBuf) -> Result<(), Box<dyn std::error::Error>> {
+pub fn run(start: Start, path: PathBuf, operator: Operator) -> Result<(), Box<dyn std::error::Error>> {
     let mut events: EventLoop<'static, Limiter> = EventLoop::try_new()?;
     let handle = events.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])?;
-    let signalled = move |signal: calloop::signals::Event, _: &mut (), limiter: &mut Limiter| {
-        if signal.signal() == Signal::SIGHUP {
-            limiter.host.reload(&path);
-            settle(limiter);
-        } else {
-            limiter.host.stop();
-        }
-    };
+    let mut wanted = vec![Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP];
+    if operator.membership.on {
+        wanted.push(Signal::SIGUSR1);
+    }
+    let signals = Signals::new(&wanted)?;
+    let signalled =
+        move |signal: calloop::signals::Event, _: &mut (), limiter: &mut Limiter| match signal.signal() {
+            Signal::SIGHUP => {
+                limiter.host.reload(&path);
+                settle(limiter);
+            }
+            Signal::SIGUSR1 => limiter.host.tell_view(),
+            _ => limiter.host.stop(),
+        };
     handle.insert_source(signals, signalled).map_err(|error| error.error)?;
     let listener = TcpListener::bind(start.listen)?;
     let listen = listener.local_addr()?;
@@ -64,6 +71,32 @@
     let clock = Clock::start();
     let now = clock.now();
     let launch = start.settings;
+    let peers = Peers::open(
+        now,
+        &Wanted {
+            membership: operator.membership,
+            listen: start.peer_listen.as_ref(),
+            peers: start.peers.as_ref(),
+            own: launch.deployment.own_index,
+            gateways: launch.deployment.gateways,
+            zone: launch.zone,
+            mail_per_s: launch.mail_per_s,
+            seed: start.seed,
+        },
+    );
+    if let Some(peers) = &peers {
+        let source = Generic::new(peers.socket(), Interest::READ, Mode::Level);
+        let came = |_: calloop::Readiness, _: &mut _, limiter: &mut Limiter| {
+            limiter.host.moves += 1;
+            let now = limiter.host.clock.now();
+            if let Some(peers) = &mut limiter.host.peers {
+                peers.read(now);
+            }
+            settle(limiter);
+            Ok(PostAction::Continue)
+        };
+        handle.insert_source(source, came).map_err(|error| error.error)?;
+    }
     let bands = launch.deployment.bands.iter();
     let names = Names {
         repeats: bands.map(|band| band.repeat).collect(),
@@ -91,6 +124,7 @@
         connect_within: launch.connect_within,
         counter: Counter::new(start.counter, launch.count_within),
         discovery: Discovery::new(start.discovery, &start.known),
+        peers,
         stop: Stop::new(listener),
         // A job needs a connection on either side, but for the time that it is held only its client's.
         most_clients: (most * 3 / 5).max(1),
@@ -120,13 +154,13 @@
 /// Waits for what comes next, takes it in, then sees to what is due.
 fn turn(events: &mut EventLoop<'static, Limiter>, limiter: &mut Limiter) -> calloop::Result<()> {
     let now = limiter.host.clock.now();
-    let wait = limiter.host.next_due().map(|(at, _)| Duration::from_micros(at.since(now).micros()));
+    let wait = limiter.host.next_wake(now).map(|at| Duration::from_micros(at.since(now).micros()));
     let mut before = limiter.host.moves;
     events.dispatch(wait, limiter)?;
     // A late loop has input to take in before anything is held to be late.
     for _ in 0..LOOKS {
         let now = limiter.host.clock.now();
-        if limiter.host.moves == before || limiter.host.next_due().is_none_or(|(at, _)| at > now) {
+        if limiter.host.moves == before || limiter.host.next_wake(now).is_none_or(|at| at > now) {
             break;
         }
         before = limiter.host.moves;
@@ -134,6 +168,10 @@
     }
     limiter.host.open_door();
     let now = limiter.host.clock.now();
+    if let Some(peers) = limiter.host.peers.as_mut().filter(|peers| peers.next(now) <= now) {
+        peers.due(now);
+        settle(limiter);
+    }
     while let Some((_, due)) = limiter.host.next_due().filter(|(at, _)| *at <= now) {
         limiter.host.timers.pop();
         match due {
@@ -171,6 +209,20 @@
         }
     }
 
+    /// When something is due: a timer, or a word to the other gateways.
+    fn next_wake(&mut self, now: Moment) -> Option<Moment> {
+        let timer = self.next_due().map(|(at, _)| at);
+        let peers = self.peers.as_ref().map(|peers| peers.next(now));
+        timer.into_iter().chain(peers).min()
+    }
+
+    fn tell_view(&mut self) {
+        let now = self.clock.now();
+        if let Some(peers) = &mut self.peers {
+            peers.tell_view(now);
+        }
+    }
+
     /// The first timer whose cause has not ended otherwise: most have, and each would wake the loop for nothing.
     fn next_due(&mut self) -> Option<(Moment, Due)> {
         let Self { timers, jobs, links, counter, .. } = self;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -2,21 +2,35 @@
 
 mod lifecycle;
 mod memory;
+mod peers;
 mod sockets;
 mod wire;
 
+use clap::Parser;
+use fennelgauge_launch::operator::Operator;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// The configuration is named by BALANCER_CONFIG.
+#[derive(Parser)]
+#[command(name = "fennelgauge-gateway", version)]
+struct Line {
+    /// What the operator switches on; without it, nothing beyond the settings.
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
+    let line = Line::parse();
     tracing_subscriber::fmt().with_max_level(tracing::Level::INFO).with_ansi(false).with_target(false).init();
     let Some(path) = std::env::var_os("BALANCER_CONFIG") else {
         tracing::error!("BALANCER_CONFIG does not name a configuration");
         return ExitCode::FAILURE;
     };
     let path = PathBuf::from(path);
+    let operator = line.operator.map_or(Ok(Operator::default()), |file| Operator::read(&file));
     let start = lifecycle::configuration::read(&path).map_err(Into::into);
-    let outcome = start.and_then(|start| lifecycle::run::run(start, path));
+    let outcome = start.and_then(|start| lifecycle::run::run(start, path, operator?));
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- /dev/null
+++ b/crates/gateway/src/peers/mod.rs
@@ -0,0 +1,201 @@
+//! The other gateways: datagrams by the protocol page, to and from the addresses that the configuration names. What is
+//! made of them is decided in `crates/membership`; here are the socket, the addresses and the log.
+
+mod log;
+
+use fennelgauge::host::Wanted as Units;
+use fennelgauge::time::Moment;
+use fennelgauge_launch::operator::Membership;
+use fennelgauge_membership::circle::{Circle, Terms};
+use fennelgauge_membership::frame::MOST;
+use fennelgauge_membership::tally::Outcome;
+use fennelgauge_membership::view::State;
+use fennelgauge_membership::Number;
+use log::Log;
+use serde_json::Value;
+use std::collections::{HashMap, VecDeque};
+use std::io::ErrorKind;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use tracing::{info, warn};
+
+/// Datagrams read at one event; a flood must not keep the loop from its clients.
+const AT_ONCE: usize = 64;
+
+/// What the operator wants, and what the configuration tells.
+pub struct Wanted<'a> {
+    pub membership: Membership,
+    pub listen: Option<&'a Value>,
+    pub peers: Option<&'a Value>,
+    pub own: u32,
+    pub gateways: u32,
+    pub zone: Option<u8>,
+    pub mail_per_s: f64,
+    pub seed: u64,
+}
+
+pub struct Peers {
+    socket: Rc<UdpSocket>,
+    addresses: Vec<Option<SocketAddr>>,
+    numbers: HashMap<SocketAddr, Number>,
+    circle: Circle,
+    shares: bool,
+    counted: VecDeque<(u64, Outcome)>,
+    log: Log,
+}
+
+impl Wanted<'_> {
+    /// Where everybody listens, by number; or why this gateway stays silent.
+    fn addresses(&self) -> Result<(SocketAddr, Vec<Option<SocketAddr>>), String> {
+        if self.mail_per_s <= 0.0 {
+            return Err("the deployment's settings allow no messages between gateways".into());
+        }
+        let listen = self.listen.ok_or("the configuration has no peer_listen")?;
+        let text = listen.as_str().ok_or_else(|| format!("peer_listen: {listen} is no text"))?;
+        let listen = text.parse().map_err(|_| format!("peer_listen: `{text}` is no address"))?;
+        let peers = self.peers.ok_or("the configuration has no peers")?;
+        let peers = peers.as_array().ok_or_else(|| format!("peers: {peers} is no list"))?;
+        if peers.len() != self.gateways as usize {
+            warn!(
+                side = "member",
+                listed = peers.len(),
+                gateways = self.gateways,
+                "the list of peers is out of date"
+            );
+        }
+        if self.gateways > u32::from(Number::MAX) || self.own >= self.gateways {
+            return Err(format!("this is gateway {} of {}", self.own, self.gateways));
+        }
+        let address = |number: u32| {
+            let listed = peers.get(number as usize)?;
+            let address = listed.as_str().and_then(|text| text.parse::<SocketAddr>().ok());
+            if address.is_none() {
+                warn!(side = "member", number, %listed, "no address; not spoken to");
+            }
+            address.filter(|_| number != self.own)
+        };
+        Ok((listen, (0..self.gateways).map(address).collect()))
+    }
+}
+
+impl Peers {
+    /// None where the operator does not want it, or where it cannot be: then no socket is opened and nothing is sent.
+    pub fn open(now: Moment, wanted: &Wanted) -> Option<Self> {
+        if !wanted.membership.on {
+            return None;
+        }
+        let (listen, addresses) = match wanted.addresses() {
+            Ok(told) => told,
+            Err(reason) => {
+                warn!(side = "member", reason, "membership stays off");
+                return None;
+            }
+        };
+        let socket = UdpSocket::bind(listen).and_then(|socket| socket.set_nonblocking(true).map(|()| socket));
+        let socket = match socket {
+            Ok(socket) => Rc::new(socket),
+            Err(error) => {
+                warn!(side = "member", %listen, %error, "membership stays off");
+                return None;
+            }
+        };
+        let terms = Terms {
+            own: wanted.own as Number,
+            of: wanted.gateways as Number,
+            zone: wanted.zone,
+            mail_per_s: wanted.mail_per_s,
+            counts: wanted.membership.counts,
+            seed: wanted.seed,
+        };
+        let numbered = addresses.iter().enumerate();
+        let numbers = numbered.filter_map(|(number, at)| Some(((*at)?, number as Number))).collect();
+        info!(side = "member", %listen, counts = terms.counts, shares = wanted.membership.shares, "membership on");
+        Some(Self {
+            socket,
+            addresses,
+            numbers,
+            circle: Circle::start(now, terms),
+            shares: wanted.membership.shares,
+            counted: VecDeque::new(),
+            log: Log::new(now),
+        })
+    }
+
+    pub fn socket(&self) -> Rc<UdpSocket> {
+        Rc::clone(&self.socket)
+    }
+
+    /// Takes in what has come.
+    pub fn read(&mut self, now: Moment) {
+        // One byte more shows one that is too long.
+        let mut buffer = [0; MOST + 1];
+        for _ in 0..AT_ONCE {
+            match self.socket.recv_from(&mut buffer) {
+                Ok((length, from)) => {
+                    let from = self.numbers.get(&from).copied();
+                    // What is refused is counted there, and logged with the rest.
+                    let _ = self.circle.take(now, from, &buffer[..length]);
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                // Nothing more; or word of a peer that is not there, which probes tell as well.
+                Err(_) => break,
+            }
+        }
+    }
+
+    pub fn due(&mut self, now: Moment) {
+        self.circle.due(now);
+        self.log.look(now, &mut self.circle);
+    }
+
+    pub fn next(&self, now: Moment) -> Moment {
+        self.circle.next(now)
+    }
+
+    /// Sends what is to be sent; what the machine does not take is as if lost on the way.
+    pub fn send(&mut self, now: Moment) {
+        for (to, bytes) in self.circle.sends(now) {
+            if let Some(Some(address)) = self.addresses.get(usize::from(to)) {
+                let _ = self.socket.send_to(&bytes, address);
+            }
+        }
+    }
+
+    pub fn may_count(&mut self, now: Moment) -> bool {
+        self.circle.may_count(now)
+    }
+
+    pub fn add(&mut self, now: Moment, name: u64, amount: f64, wanted: Units) {
+        self.circle.add(now, name, amount, wanted);
+    }
+
+    /// The next total that came, or word that one will not.
+    pub fn counted(&mut self) -> Option<(u64, Outcome)> {
+        if self.counted.is_empty() {
+            self.counted.extend(self.circle.results());
+        }
+        self.counted.pop_front()
+    }
+
+    pub fn sharers(&mut self, now: Moment, first: u32, set_size: f64) -> f64 {
+        match self.shares {
+            true => self.circle.parts(now, first, set_size),
+            false => set_size,
+        }
+    }
+
+    pub fn leave(&mut self, now: Moment) {
+        self.circle.leave(now);
+        self.send(now);
+    }
+
+    /// Logs all that is known of the others.
+    pub fn tell_view(&mut self, now: Moment) {
+        log::tell(now, &mut self.circle);
+    }
+}
+
+/// Members in a state, for the log.
+fn count(circle: &Circle, state: State) -> usize {
+    circle.view().count(state)
+}
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -5,13 +5,14 @@
 use crate::memory::jobs::Jobs;
 use crate::memory::machines::{Link, Machines};
 use crate::memory::timers::{Due, Timers};
+use crate::peers::Peers;
 use crate::wire::client::{self, Client};
 use crate::wire::counter::Counter;
 use crate::wire::discovery::Discovery;
 use crate::wire::request::{self, Names};
 use calloop::LoopHandle;
 use fennelgauge::choice::Gateway;
-use fennelgauge::host::{CountName, Fate, Host, JobId, RelayEnd, ServerId};
+use fennelgauge::host::{CountName, Fate, Host, JobId, RelayEnd, ServerId, Wanted};
 use fennelgauge::time::{Moment, Span};
 use std::collections::{HashMap, VecDeque};
 
@@ -35,6 +36,8 @@
     pub connect_within: Span,
     pub counter: Counter,
     pub discovery: Discovery,
+    /// The other gateways, where the operator and the settings let them be spoken to.
+    pub peers: Option<Peers>,
     pub stop: Stop,
     /// Connections that may be held, of clients and of all.
     pub most_clients: usize,
@@ -77,7 +80,12 @@
             limiter.job_left(now, job);
         } else if let Some(key) = limiter.host.resumed.pop_front() {
             client::serve(limiter, key);
+        } else if let Some((name, total)) = limiter.host.peers.as_mut().and_then(Peers::counted) {
+            limiter.counted_among(now, name, total);
         } else if !limiter.host.flush_calls() {
+            if let Some(peers) = &mut limiter.host.peers {
+                peers.send(now);
+            }
             return;
         }
     }
@@ -127,6 +135,23 @@
         self.call(name, amount, keep);
     }
 
+    fn counts_among(&mut self) -> bool {
+        let now = self.clock.now();
+        self.peers.as_mut().is_some_and(|peers| peers.may_count(now))
+    }
+
+    fn add_among(&mut self, name: CountName, amount: f64, wanted: Wanted) {
+        let now = self.clock.now();
+        if let Some(peers) = &mut self.peers {
+            peers.add(now, name, amount, wanted);
+        }
+    }
+
+    fn sharers(&mut self, first: u32, set_size: f64) -> f64 {
+        let now = self.clock.now();
+        self.peers.as_mut().map_or(set_size, |peers| peers.sharers(now, first, set_size))
+    }
+
     fn follow_roster(&mut self) {
         self.watch_soon();
     }
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::thread::JoinHandle;
@@ -695,3 +695,51 @@
     stage.signal("-CONT");
     assert_eq!(client.read().1, b"in time");
 }
+
+/// Without the operator's file a gateway opens no door for datagrams and sends none; nor with it where the settings
+/// refuse messages between gateways. The line that operators start it by names no such file.
+#[test]
+fn no_word_to_other_gateways_unless_operator_and_settings_want_it() {
+    let run = include_str!("../../../deploy/balancer.toml");
+    let line = run.lines().find(|line| line.starts_with("run = ")).unwrap();
+    assert!(!line.contains("--operator"), "{line}");
+    let operator = std::env::temp_dir().join(format!("operator-{}.toml", std::process::id()));
+    std::fs::write(&operator, "[membership]\non = true\ncounts = true\n").unwrap();
+    // Whether the file is named, and whether the settings allow messages; all three must be there.
+    for (named, allowed) in [(false, true), (true, false), (true, true)] {
+        let (own, other) = (UdpSocket::bind("127.0.0.1:0").unwrap(), UdpSocket::bind("127.0.0.1:0").unwrap());
+        let (listen, peer) = (own.local_addr().unwrap(), other.local_addr().unwrap());
+        if named && allowed {
+            // Its door, which the other two must leave alone.
+            drop(own);
+        }
+        let agent = listener();
+        let text = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"1","peer_listen":"{listen}",
+            "peers":["{listen}","{peer}"],"settings":{{"balancers":2,"self_index":0,"tick":1000,
+            "extra":{{"mail_per_s":40.0}},"caps":{{"peers":{allowed}}}}}}}"#,
+            agent.local_addr().unwrap()
+        );
+        let configuration =
+            std::env::temp_dir().join(format!("members-{}-{}", std::process::id(), peer.port()));
+        std::fs::write(&configuration, text).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_fennelgauge-gateway"));
+        command.env("BALANCER_CONFIG", &configuration).stdout(Stdio::piped());
+        if named {
+            command.arg("--operator").arg(&operator);
+        }
+        let mut child = command.spawn().unwrap();
+        other.set_read_timeout(Some(Duration::from_secs(if named && allowed { 15 } else { 1 }))).unwrap();
+        let came = other.recv(&mut [0; 512]).is_ok();
+        let pid = child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        let mut log = String::new();
+        child.stdout.take().unwrap().read_to_string(&mut log).unwrap();
+        assert!(child.wait().unwrap().success());
+        std::fs::remove_file(&configuration).unwrap();
+        assert_eq!(came, named && allowed, "{log}");
+        assert_eq!(log.contains("membership on"), named && allowed, "{log}");
+        assert_eq!(log.contains("allow no messages"), named && !allowed, "{log}");
+    }
+    std::fs::remove_file(&operator).unwrap();
+}
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -2,7 +2,7 @@
 //! nothing of the gateways' own reasons.
 
 use crate::links::Links;
-use crate::record::{Answer, Event, Life, Listed, RelayOver, Trace};
+use crate::record::{Answer, Event, Held, Life, Listed, RelayOver, Trace};
 use crate::scenario::{Group, Repeat, Scenario};
 use crate::target::Party;
 use crate::timeline::{Timeline, START};
@@ -26,10 +26,13 @@
     Accounted,
     /// No gateway ends that nobody ended.
     Crash,
+    /// No gateway holds another to have failed that was there and reachable all along; after the load all that run
+    /// come to one view.
+    Members,
 }
 
 impl Rule {
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::OneAnswer,
         Self::NoDoubleEffect,
         Self::Drains,
@@ -37,6 +40,7 @@
         Self::Ceilings,
         Self::Accounted,
         Self::Crash,
+        Self::Members,
     ];
 }
 
@@ -127,6 +131,8 @@
     /// Work that came to a server: when, from whom, how much.
     work: BTreeMap<u32, Vec<(u64, u32, f64)>>,
     changes: Vec<Moment>,
+    /// Gateways held to have failed: when, by whom, and who.
+    accused: Vec<(u64, u32, u32)>,
 }
 
 impl<'a> History<'a> {
@@ -143,6 +149,7 @@
             away: BTreeMap::new(),
             work: BTreeMap::new(),
             changes,
+            accused: Vec::new(),
         };
         for record in &trace.records {
             history.take(record.at, &record.event, verdict);
@@ -225,7 +232,22 @@
                 }
             }
             Event::Ended { server } => self.ended.entry(server).or_default().push(at),
-            Event::Called { .. } | Event::Fault { .. } => {}
+            Event::Member { gateway, member, state } => {
+                verdict.look(Rule::Members);
+                if state == Held::Failed {
+                    self.accused.push((at, gateway, member));
+                }
+            }
+            Event::OneView { gateways, reached, after_ms, ref differs } => {
+                verdict.look(Rule::Members);
+                if !reached {
+                    let what = format!(
+                        "{gateways} gateways hold no one view {after_ms} ms after the load: {differs}"
+                    );
+                    verdict.breach(Rule::Members, at, what);
+                }
+            }
+            Event::Called { .. } | Event::Fault { .. } | Event::Cost { .. } => {}
         }
     }
 
@@ -235,6 +257,21 @@
         away.iter().any(|spell| spell.0 <= until && spell.1 >= from)
     }
 
+    /// No gateway may be held to have failed that was there and reachable for so long before.
+    fn members(&self, verdict: &mut Verdict) {
+        const ALL_ALONG_US: u64 = 25_000_000;
+        for (at, by, who) in self.accused.iter().copied() {
+            let from = at.saturating_sub(ALL_ALONG_US);
+            let moments = (Moment::from_micros(from), Moment::from_micros(at));
+            let cut = self.links.cuts_gateway(who, moments.0, moments.1)
+                || self.links.cuts_gateway(by, moments.0, moments.1);
+            if !self.was_away(who, from, at) && !cut {
+                let what = format!("gateway {by} holds gateway {who} to have failed, which was there");
+                verdict.breach(Rule::Members, at, what);
+            }
+        }
+    }
+
     /// Something on the link was cut or silent at some time of that span.
     fn was_cut(&self, a: Party, b: Party, from: u64, until: u64) -> bool {
         let (from, until) = (Moment::from_micros(from), Moment::from_micros(until));
@@ -271,6 +308,7 @@
             .for_each(|start| cold(&history, *server, start, &mut verdict));
     }
     ceilings(&history, &mut verdict);
+    history.members(&mut verdict);
     verdict.breaches.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     verdict
 }
--- a/crates/lab/src/links.rs
+++ b/crates/lab/src/links.rs
@@ -19,6 +19,7 @@
     pub delay: Span,
     pub jitter: Span,
     pub loss: f64,
+    pub twice: f64,
     pub reset: f64,
     pub half_open: bool,
     pub bytes_per_s: Option<f64>,
@@ -61,6 +62,8 @@
     pub jitter: Span,
     /// Of datagrams.
     pub loss: f64,
+    /// Of datagrams, that come twice.
+    pub twice: f64,
     /// Of requests, whose connection is reset under them.
     pub reset: f64,
     pub bytes_per_s: Option<f64>,
@@ -91,6 +94,7 @@
             delay: Span::from_secs(delay / 1e3),
             jitter: Span::from_secs(self.network.jitter_ms / 1e3),
             loss: 0.0,
+            twice: 0.0,
             reset: 0.0,
             bytes_per_s: None,
         };
@@ -99,6 +103,7 @@
             way.delay = way.delay + spell.delay;
             way.jitter = way.jitter.max(spell.jitter);
             way.loss = way.loss.max(spell.loss);
+            way.twice = way.twice.max(spell.twice);
             way.reset = way.reset.max(spell.reset);
             way.bytes_per_s = way.bytes_per_s.or(spell.bytes_per_s);
         }
@@ -150,6 +155,47 @@
         way.delay + way.jitter.times(of(self.seed, Use::Links, number).random::<f64>())
     }
 
+    /// A datagram from `a` to `b`, sent now and numbered: when it comes, once or twice, or not at all; `extra` is what
+    /// datagrams take and lose beside.
+    pub fn datagram(
+        &self,
+        a: Party,
+        b: Party,
+        now: Moment,
+        number: u64,
+        extra: &crate::scenario::Membership,
+    ) -> Vec<Moment> {
+        let way = self.way(a, b, now);
+        let mut chance = of(self.seed, Use::Links, number | 1 << 62);
+        let mut arrives = || {
+            let lost = chance.random::<f64>() < way.loss.max(extra.loss);
+            let [least, most] = extra.delay_ms;
+            let takes = Span::from_secs((least + (most - least) * chance.random::<f64>()) / 1e3);
+            let takes = way.delay + way.jitter.times(chance.random()) + takes;
+            // A cut that begins on the way takes it too.
+            (!lost && way.open && self.way(a, b, now + takes).open).then_some(now + takes)
+        };
+        let mut comes: Vec<Moment> = arrives().into_iter().collect();
+        if of(self.seed, Use::Links, number | 1 << 61).random::<f64>() < way.twice {
+            comes.extend(arrives());
+        }
+        comes
+    }
+
+    /// Whether a way between that gateway and another was cut at some time of that span.
+    pub fn cuts_gateway(&self, number: u32, from: Moment, until: Moment) -> bool {
+        let own = Party::Gateway(number);
+        let to_others = |spell: &Spell| {
+            let others = |side: &BTreeSet<Party>| {
+                side.iter().any(|party| *party != own && matches!(party, Party::Gateway(_)))
+            };
+            (spell.from.contains(&own) && others(&spell.to))
+                || (spell.to.contains(&own) && others(&spell.from))
+        };
+        let within = |spell: &&Spell| spell.cut.is_some() && spell.at < until && from < spell.until;
+        self.spells.iter().filter(within).any(to_others)
+    }
+
     /// Moments at which any link changes, in order.
     pub fn changes(&self) -> Vec<Moment> {
         let ends: BTreeSet<Moment> = self.spells.iter().flat_map(|spell| [spell.at, spell.until]).collect();
@@ -164,9 +210,13 @@
         let class = |number: u32| {
             let party = Party::Gateway(number);
             let zone = self.layout.zone(party).unwrap_or_default();
+            // What lies between gateways alone is no matter of the ways to servers.
+            let others =
+                |spell: &&Spell| spell.from.union(&spell.to).any(|party| !matches!(party, Party::Gateway(_)));
             let marks: Vec<(bool, bool)> = self
                 .spells
                 .iter()
+                .filter(others)
                 .map(|spell| (spell.from.contains(&party), spell.to.contains(&party)))
                 .collect();
             let next = known.len();
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -66,7 +66,9 @@
             for _ in 0..sold.customers {
                 // Ids are below 2^33; an odd factor spreads them.
                 let id = (customers.len() as u64 + 1).wrapping_mul(0x9e37_79b1) % (1 << 33);
-                customers.push(Customer { id, plan, first: chance.random_range(0..gateways), set });
+                let drawn = chance.random_range(0..gateways);
+                let first = if scenario.load.even { customers.len() as u32 % gateways } else { drawn };
+                customers.push(Customer { id, plan, first, set });
             }
         }
         let popular: Vec<Option<Zipf<f64>>> = scenario
@@ -80,14 +82,19 @@
         let Ok(gaps) = Exp::new(scenario.load.jobs_per_s * most) else { return load };
         let shares: Vec<f64> = scenario.plan.iter().map(|plan| plan.share).collect();
         let bands: Vec<f64> = scenario.band.iter().map(|band| band.share).collect();
+        let mut turns = vec![0; scenario.plan.len()];
         let mut at_s = 0.0;
         loop {
-            at_s += gaps.sample(&mut chance);
+            let gap = gaps.sample(&mut chance);
+            at_s += if scenario.load.even { 1.0 / (scenario.load.jobs_per_s * most) } else { gap };
             if at_s >= scenario.length_s {
                 return load;
             }
             let (at, plan) = (moment(at_s), weighted(&mut chance, &shares));
-            let rank = popular[plan].as_ref().map_or(0.0, |zipf| zipf.sample(&mut chance) - 1.0);
+            let drawn = popular[plan].as_ref().map_or(0.0, |zipf| zipf.sample(&mut chance) - 1.0);
+            turns[plan] += 1;
+            let turn = (turns[plan] - 1) % scenario.plan[plan].customers.max(1);
+            let rank = if scenario.load.even { turn } else { drawn as u32 };
             let band = weighted(&mut chance, &bands);
             let thinned = chance.random::<f64>() * most;
             let more = bursts.iter().filter(|burst| {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,8 +1,10 @@
 //! The command line of the failure laboratory.
 
 use clap::{Parser, Subcommand, ValueEnum};
+use fennelgauge_lab::compare::compare;
 use fennelgauge_lab::record::Trace;
 use fennelgauge_lab::report::{report, Report};
+use fennelgauge_lab::run::needs::needs;
 use fennelgauge_lab::run::Run;
 use fennelgauge_lab::scenario::Scenario;
 use indicatif::{ProgressBar, ProgressStyle};
@@ -56,8 +58,14 @@
     },
     /// Reads a scenario and tells what it needs, without playing it.
     Check { scenario: PathBuf },
-    /// Makes the report of a trace again.
-    Report { trace: PathBuf },
+    /// Makes the report of a trace again, with its plots where a folder is named.
+    Report {
+        trace: PathBuf,
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// Puts two reports beside each other, with their differences.
+    Compare { first: PathBuf, second: PathBuf },
 }
 
 fn main() -> ExitCode {
@@ -90,7 +98,7 @@
                 bar.set_position((part * 1e3) as u64);
             });
             bar.finish_and_clear();
-            tell(&trace, out.as_deref())
+            tell(&trace, out.as_deref(), true)
         }
         Command::Run { scenario, seed, out, gateway, folder } => {
             let mut scenario = Scenario::read(&scenario)?;
@@ -101,17 +109,34 @@
                 bar.set_position((part * 1e3) as u64);
             });
             bar.finish_and_clear();
-            tell(&trace?, out.as_deref())
+            tell(&trace?, out.as_deref(), true)
         }
         Command::Check { scenario } => {
             let scenario = Scenario::read(&scenario)?;
-            println!("{}: {} faults, sound", scenario.name, scenario.fault.len());
+            let needs = needs(&scenario);
+            println!("{}: sound, {} faults", scenario.name, scenario.fault.len());
+            println!(
+                "a real play takes {} processes, about {} descriptors ({} listening) and {} MB",
+                needs.processes, needs.descriptors, needs.listeners, needs.memory_mb
+            );
+            match needs.check() {
+                Ok(()) => println!("this machine holds it"),
+                Err(reason) => println!("this machine does not hold it: {reason}"),
+            }
             Ok(true)
         }
-        Command::Report { trace } => {
-            let from = BufReader::new(File::open(&trace)?);
-            let trace = Trace::read(from).map_err(|error| format!("{}: {error}", trace.display()))?;
-            tell(&trace, None)
+        Command::Report { trace, out } => {
+            let trace =
+                Trace::read(open(&trace)?).map_err(|error| format!("{}: {error}", trace.display()))?;
+            tell(&trace, out.as_deref(), false)
+        }
+        Command::Compare { first, second } => {
+            let read = |path: &Path| -> Result<Report, Failed> {
+                let read = serde_json::from_reader(open(path)?);
+                Ok(read.map_err(|error| format!("{}: {error}", path.display()))?)
+            };
+            print!("{}", compare(&read(&first)?, &read(&second)?));
+            Ok(true)
         }
     }
 }
@@ -122,15 +147,23 @@
     Ok(bar)
 }
 
-fn tell(trace: &Trace, out: Option<&Path>) -> Result<bool, Failed> {
+fn open(path: &Path) -> Result<BufReader<File>, Failed> {
+    let file = File::open(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    Ok(BufReader::new(file))
+}
+
+fn tell(trace: &Trace, out: Option<&Path>, whole: bool) -> Result<bool, Failed> {
     let report: Report = report(trace);
     print!("{}", report.text());
     if let Some(out) = out {
         std::fs::create_dir_all(out)?;
-        trace.write(BufWriter::new(File::create(out.join("trace.jsonl"))?))?;
+        if whole {
+            trace.write(BufWriter::new(File::create(out.join("trace.jsonl"))?))?;
+        }
         let mut file = BufWriter::new(File::create(out.join("report.json"))?);
         serde_json::to_writer_pretty(&mut file, &report)?;
         file.write_all(b"\n")?;
+        fennelgauge_lab::plot::draw(&report, out)?;
         info!(out = %out.display(), "written");
     }
     Ok(report.verdict.kept())
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -42,6 +42,30 @@
     Crashed,
 }
 
+/// What one gateway holds of another.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Held {
+    NeverHeard,
+    Present,
+    Suspected,
+    Failed,
+    Left,
+}
+
+impl From<fennelgauge_membership::view::State> for Held {
+    fn from(state: fennelgauge_membership::view::State) -> Self {
+        use fennelgauge_membership::view::State;
+        match state {
+            State::NeverHeard => Self::NeverHeard,
+            State::Present => Self::Present,
+            State::Suspected => Self::Suspected,
+            State::Failed => Self::Failed,
+            State::Left => Self::Left,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
 #[serde(rename_all = "kebab-case")]
 pub enum Listed {
@@ -128,6 +152,29 @@
         gateway: u32,
         life: Life,
     },
+    /// A gateway holds another to be in that state, in the words of its log.
+    Member {
+        gateway: u32,
+        member: u32,
+        state: Held,
+    },
+    /// All that a gateway has sent to others, and the time of the processor that its present life took.
+    Cost {
+        gateway: u32,
+        datagrams: u64,
+        bytes: u64,
+        /// Of the datagrams, those that tell counts.
+        counts: u64,
+        cpu_ms: u64,
+    },
+    /// After the load, whether all gateways that ran came to hold one view, and how long that took.
+    OneView {
+        gateways: u32,
+        reached: bool,
+        after_ms: u64,
+        /// What stood against it at last.
+        differs: String,
+    },
     /// A call reached the counter.
     Called {
         gateway: u32,
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -1,8 +1,9 @@
 //! What a play comes to, in figures: answers and latencies, load by server, herds, the quota as one that saw all
 //! would have kept it. Made from the records alone.
 
-use crate::judge::{judge, Verdict};
-use crate::record::{Answer, Event, Life, Played, Trace};
+use crate::judge::{judge, Rule, Verdict};
+use crate::record::{Answer, Event, Held, Life, Played, Trace};
+use crate::scenario::Scenario;
 use crate::timeline::START;
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
@@ -33,9 +34,31 @@
     pub herds: Herds,
     pub by_server: Vec<ServerLoad>,
     pub series: Series,
+    /// Where the scenario switches membership on.
+    #[serde(default)]
+    pub members: Option<Members>,
     pub verdict: Verdict,
 }
 
+/// What gateways hold of one another, and what it costs.
+#[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
+pub struct Members {
+    /// Seconds from a gateway's end until another one held it to have failed, over all pairs that the logs tell.
+    pub found: u64,
+    pub found_p50_s: f64,
+    pub found_p99_s: f64,
+    /// Gateways held to have failed while they were there.
+    pub false_failures: usize,
+    /// Each gateway's datagrams and bytes a second to others: the mean, and the most of one.
+    pub datagrams_per_s: f64,
+    pub most_datagrams_per_s: f64,
+    pub bytes_per_s: f64,
+    /// Processor time of a gateway, in milliseconds a second; 0 where simulated.
+    pub cpu_ms_per_s: f64,
+    /// After the load, until all that ran held one view; none: they did not, or were not waited for.
+    pub one_view_s: Option<f64>,
+}
+
 /// Tries of a plan and band, by how they ended.
 #[derive(Clone, Debug, Default, Deserialize, Serialize, PartialEq)]
 pub struct Answers {
@@ -165,6 +188,11 @@
     /// When each gateway last sent a server something.
     last: BTreeMap<(u32, u32), u64>,
     turned: BTreeMap<u32, Vec<(u64, u32)>>,
+    /// When each gateway ended last, and how long others took to hold it failed.
+    ended: BTreeMap<u32, u64>,
+    found: Vec<u64>,
+    costs: Vec<(u64, u64, u64)>,
+    one_view: Option<f64>,
 }
 
 fn secs(at: u64) -> f64 {
@@ -291,10 +319,22 @@
                 }
             }
             Event::Called { .. } => sums.calls += 1,
+            Event::Gateway { gateway, life: Life::Down | Life::Crashed } => {
+                sums.ended.insert(gateway, at);
+            }
+            Event::Gateway { gateway, life: Life::Ready } => {
+                sums.ended.remove(&gateway);
+            }
+            Event::Member { member, state: Held::Failed, .. } => {
+                sums.found.extend(sums.ended.get(&member).map(|ended| at.saturating_sub(*ended)));
+            }
+            Event::Cost { datagrams, bytes, cpu_ms, .. } => sums.costs.push((datagrams, bytes, cpu_ms)),
+            Event::OneView { reached: true, after_ms, .. } => sums.one_view = Some(after_ms as f64 / 1e3),
             _ => {}
         }
         stores.take(at, &record.event);
     }
+    let verdict = judge(trace);
     let tries: u64 = answers.iter().flatten().map(|row| row.tries).sum();
     let firsts: u64 = answers.iter().flatten().map(|row| row.firsts).sum();
     let latency = scenario.band.iter().zip(&latencies).filter_map(|(band, latency)| {
@@ -329,9 +369,35 @@
         },
         spread: spread(scenario.length_s, &series, &sums.up),
         herds: herds(&sums.turned),
+        members: scenario.membership.as_ref().map(|_| members(scenario, &mut sums, &verdict)),
         by_server: by_server.into_values().collect(),
         series,
-        verdict: judge(trace),
+        verdict,
+    }
+}
+
+fn members(scenario: &Scenario, sums: &mut Sums, verdict: &Verdict) -> Members {
+    sums.found.sort_unstable();
+    let found = &sums.found;
+    let at = |part: usize| {
+        found.get(found.len().saturating_sub(1) * part / 100).map_or(0.0, |it| *it as f64 / 1e6)
+    };
+    // The costs are of the whole play: a little before the load and after it as well.
+    let length_s = scenario.length_s + sums.one_view.unwrap_or(0.0);
+    let many = sums.costs.len().max(1) as f64;
+    let sum =
+        |of: fn(&(u64, u64, u64)) -> u64| sums.costs.iter().map(of).sum::<u64>() as f64 / length_s / many;
+    let most = sums.costs.iter().map(|cost| cost.0).max().unwrap_or(0) as f64 / length_s;
+    Members {
+        found: found.len() as u64,
+        found_p50_s: at(50),
+        found_p99_s: at(99),
+        false_failures: verdict.broken(Rule::Members),
+        datagrams_per_s: sum(|cost| cost.0),
+        most_datagrams_per_s: most,
+        bytes_per_s: sum(|cost| cost.1),
+        cpu_ms_per_s: sum(|cost| cost.2),
+        one_view_s: sums.one_view,
     }
 }
 
@@ -451,7 +517,7 @@
                     self.add(plan, units, within);
                 } else if figures.relays_out > 0.0 {
                     let out = self.out.entry(customer).or_default();
-                    let within = *out < figures.relays_out;
+                    let within = *out + 1.0 <= figures.relays_out;
                     *out += 1.0;
                     if !sent {
                         self.add(plan, units, within);
@@ -473,7 +539,7 @@
                     (level >= units, level >= units.max(figures.burst / 2.0))
                 } else if figures.relays_out > 0.0 {
                     let out = self.out.get(&customer).copied().unwrap_or_default();
-                    (out < figures.relays_out, out < figures.relays_out / 2.0)
+                    (out + 1.0 <= figures.relays_out, out + 1.0 <= figures.relays_out / 2.0)
                 } else {
                     (true, true)
                 };
@@ -574,6 +640,22 @@
             "  herds: at most {} gateways to server {} at {:.1} s; 99th percentile {}",
             herds.most, herds.server, herds.at_s, herds.p99
         );
+        if let Some(members) = &self.members {
+            let one = members.one_view_s.map_or("-".to_string(), |secs| format!("{secs:.1} s"));
+            let _ = writeln!(
+                out,
+                "  members: {} found failed, p50 {:.1} s, p99 {:.1} s; {} falsely; one view after {one}; a gateway and \
+                 second: {:.1} datagrams (most {:.1}), {:.0} bytes, {:.1} ms of a processor",
+                members.found,
+                members.found_p50_s,
+                members.found_p99_s,
+                members.false_failures,
+                members.datagrams_per_s,
+                members.most_datagrams_per_s,
+                members.bytes_per_s,
+                members.cpu_ms_per_s
+            );
+        }
         let looked = self.verdict.looked.iter().map(|(rule, many)| format!("{rule:?} {many}"));
         let _ = writeln!(out, "  looked at: {}", looked.collect::<Vec<_>>().join(", "));
         let _ = writeln!(out, "  rules {}", if self.verdict.kept() { "kept" } else { "BROKEN" });
--- a/crates/lab/src/run/mod.rs
+++ b/crates/lab/src/run/mod.rs
@@ -6,11 +6,12 @@
 mod counter;
 mod door;
 mod http;
+mod members;
 pub mod needs;
 pub mod net;
 mod process;
 mod server;
-mod stage;
+pub mod stage;
 
 use crate::record::{Event, Played, Trace};
 use crate::scenario::Scenario;
@@ -83,11 +84,15 @@
         addresses
     );
     let stage = Stage::new(world, net);
-    let processes = Processes::new(Program { path, folder, classes });
+    let operator = members::operator(scenario, &folder)?;
+    let processes = Processes::new(Program { path, folder, classes, operator });
     let local = tokio::task::LocalSet::new();
     let played = local.block_on(&runtime, async {
         let played = tokio::select! {
-            played = acts(&stage, &processes, progress) => played,
+            played = acts(&stage, &processes, progress) => match played {
+                Ok(()) => members::settle(&stage, &processes).await,
+                Err(failure) => Err(failure),
+            },
             interrupted = interrupt() => Err(interrupted),
         };
         processes.end().await;
@@ -136,6 +141,7 @@
         tokio::task::spawn_local(agent::door(stage.clone(), gateway, classes[gateway as usize]));
     }
     tokio::task::spawn_local(server::work(stage.clone()));
+    members::open(stage).await?;
     // The doors are open once each task has had its turn.
     tokio::time::sleep(Duration::from_millis(50)).await;
     for gateway in 0..gateways {
--- a/crates/lab/src/run/net.rs
+++ b/crates/lab/src/run/net.rs
@@ -43,11 +43,24 @@
         self.at(GATEWAYS, number, GATEWAY)
     }
 
-    /// Where a gateway takes datagrams in, and where its peers send them.
+    /// Where a gateway takes datagrams in.
     pub fn peer(&self, number: u32) -> SocketAddr {
         self.at(GATEWAYS, number, PEER)
     }
 
+    /// Where the others send them to it, and where its own come from.
+    pub fn relay(&self, number: u32) -> SocketAddr {
+        self.at(STANDINS, number, PEER)
+    }
+
+    /// Who sends from that address.
+    pub fn sender(&self, at: SocketAddr) -> Option<u32> {
+        let SocketAddr::V4(at) = at else { return None };
+        let [_, net, third, fourth] = at.ip().octets();
+        let number = u32::from(third).checked_sub(GATEWAYS)? * 250 + u32::from(fourth).checked_sub(1)?;
+        (net == self.net && at.port() == PEER).then_some(number)
+    }
+
     pub fn counter(&self, gateway: u32) -> SocketAddr {
         self.at(STANDINS, gateway, COUNTER)
     }
--- a/crates/lab/src/run/process.rs
+++ b/crates/lab/src/run/process.rs
@@ -26,6 +26,8 @@
     pub path: PathBuf,
     pub folder: PathBuf,
     pub classes: Vec<usize>,
+    /// The operator's file, where the scenario switches something on.
+    pub operator: Option<PathBuf>,
 }
 
 #[derive(Default)]
@@ -34,6 +36,8 @@
     life: Cell<u32>,
     /// An end that somebody wanted: it is no crash; and how long after it another start follows.
     ends: Cell<bool>,
+    /// Its end is on record already.
+    down: Cell<bool>,
     again: Cell<Option<Span>>,
     stopped: Cell<bool>,
 }
@@ -67,16 +71,21 @@
         let life = gateway.life.get() + 1;
         gateway.life.set(life);
         gateway.ends.set(false);
+        gateway.down.set(false);
         let folder = &self.program.folder;
         let configuration = folder.join(format!("gateway-{number}.json"));
         let text = self.configuration(stage, number, life);
         std::fs::write(&configuration, text.to_string())
             .map_err(|error| Failure::file(&configuration, error))?;
-        let log = folder.join(format!("gateway-{number}.log"));
+        let log = self.log(number);
         let file = File::options().create(true).append(true).open(&log);
         let file = file.map_err(|error| Failure::file(&log, error))?;
         let errors = file.try_clone().map_err(|error| Failure::file(&log, error))?;
-        let child = Command::new(&self.program.path)
+        let mut command = Command::new(&self.program.path);
+        if let Some(operator) = &self.program.operator {
+            command.arg("--operator").arg(operator);
+        }
+        let child = command
             .env("BALANCER_CONFIG", &configuration)
             .env("BALANCER_NAME", format!("n{number}"))
             .stdin(Stdio::null())
@@ -106,7 +115,7 @@
         let seed = of(world.scenario.seed, Use::Gateways, u64::from(number) << 20 | u64::from(life));
         let seed: u64 = { seed }.random();
         let peers: Vec<String> =
-            (0..world.scenario.deployment.gateways).map(|it| stage.net.peer(it).to_string()).collect();
+            (0..world.scenario.deployment.gateways).map(|it| stage.net.relay(it).to_string()).collect();
         json!({
             "name": format!("n{number}"),
             "listen": stage.net.gateway(number).to_string(),
@@ -115,6 +124,7 @@
             "seed": format!("{seed:016x}"),
             "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": OF_A_GATEWAY},
             "peers": peers,
+            "peer_listen": stage.net.peer(number).to_string(),
             "known": agent::listing(stage, version, true, &entries, class),
             "settings": told::settings(&world.scenario, &world.timeline.layout, number),
         })
@@ -133,7 +143,7 @@
                 return;
             }
             if tokio::time::Instant::now() > until {
-                let log = self.program.folder.join(format!("gateway-{number}.log"));
+                let log = self.log(number);
                 let reason = format!("gateway {number} is not ready after {READY:?}; see {}", log.display());
                 self.failed.borrow_mut().get_or_insert(Failure(reason));
                 return;
@@ -162,7 +172,9 @@
             }
         }
         let life = if wanted { Life::Down } else { Life::Crashed };
-        stage.put(Event::Gateway { gateway: number, life });
+        if !gateway.down.replace(true) {
+            stage.put(Event::Gateway { gateway: number, life });
+        }
         if let Some(after) = gateway.again.take() {
             tokio::time::sleep(Duration::from_micros(after.micros())).await;
             if let Err(failure) = self.start(&stage, number) {
@@ -187,6 +199,10 @@
             OnGateway::Kill => {
                 gateway.ends.set(true);
                 stage.world.borrow_mut().front.died(number, now);
+                // On record before anybody can see a connection of it end.
+                if gateway.pid.get().is_some() && !gateway.down.replace(true) {
+                    stage.put(Event::Gateway { gateway: number, life: Life::Down });
+                }
                 self.signal(number, Signal::KILL);
             }
             OnGateway::Start => {
@@ -217,6 +233,33 @@
         }
     }
 
+    /// The processes that run and are not stopped, by number.
+    pub fn running(&self) -> Vec<u32> {
+        let runs =
+            |gateway: &Gateway| gateway.pid.get().is_some() && !gateway.stopped.get() && !gateway.ends.get();
+        let all = self.gateways.iter().enumerate();
+        all.filter(|(_, gateway)| runs(gateway)).map(|(number, _)| number as u32).collect()
+    }
+
+    /// Has every running gateway log what it holds of the others.
+    pub fn ask_views(&self) {
+        self.running().into_iter().for_each(|number| self.signal(number, Signal::USR1));
+    }
+
+    pub fn log(&self, number: u32) -> PathBuf {
+        self.program.folder.join(format!("gateway-{number}.log"))
+    }
+
+    /// Processor time of a gateway's present process, in milliseconds.
+    pub fn cpu_ms(&self, number: u32) -> Option<u64> {
+        let pid = self.gateways[number as usize].pid.get()?;
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", pid.as_raw_nonzero())).ok()?;
+        // After the name in brackets; the times are the 14th and 15th fields, in hundredths of a second.
+        let fields: Vec<&str> = text.rsplit_once(") ")?.1.split(' ').collect();
+        let ticks = |at: usize| fields.get(at).and_then(|it| it.parse::<u64>().ok());
+        Some((ticks(11)? + ticks(12)?) * 10)
+    }
+
     /// Ends all processes: each is told to stop, and killed if it does not.
     pub async fn end(&self) {
         self.over.set(true);
--- a/crates/lab/src/run/stage.rs
+++ b/crates/lab/src/run/stage.rs
@@ -43,6 +43,16 @@
         }
     }
 
+    /// The moment of the play at a Unix time in microseconds.
+    pub fn moment(&self, unix_us: u64) -> Moment {
+        let begun = self.unix_us.get();
+        if unix_us >= begun {
+            START + Span::from_micros(unix_us - begun)
+        } else {
+            START - Span::from_micros(begun - unix_us)
+        }
+    }
+
     /// The load has not begun.
     pub fn is_before(&self) -> bool {
         self.start.get().is_none()
@@ -80,6 +90,22 @@
     u64::try_from(unix.as_micros()).unwrap_or(u64::MAX)
 }
 
+/// Datagrams, their bytes, and how many of them tell counts.
+#[derive(Clone, Copy, Default)]
+pub struct Mail {
+    pub datagrams: u64,
+    pub bytes: u64,
+    pub counts: u64,
+}
+
+impl Mail {
+    pub fn add(&mut self, bytes: &[u8]) {
+        self.datagrams += 1;
+        self.bytes += bytes.len() as u64;
+        self.counts += u64::from(fennelgauge_membership::frame::tells_counts(bytes));
+    }
+}
+
 pub struct Stage {
     pub world: RefCell<World>,
     pub clock: Clock,
@@ -96,6 +122,8 @@
     pub news: watch::Sender<u64>,
     /// By server: its life; a connection of an earlier one is reset, one of a silent one says nothing.
     pub lives: RefCell<BTreeMap<ServerId, watch::Sender<ServerLife>>>,
+    /// What each gateway has sent to others.
+    pub mail: RefCell<BTreeMap<u32, Mail>>,
     numbered: Cell<u64>,
 }
 
@@ -124,6 +152,7 @@
             work: Notify::new(),
             news: watch::Sender::new(0),
             lives: RefCell::new(lives),
+            mail: RefCell::new(BTreeMap::new()),
             numbered: Cell::new(0),
         })
     }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -49,6 +49,8 @@
     pub network: Network,
     #[serde(default)]
     pub judge: Judge,
+    /// Gateways that know each other; off where left out.
+    pub membership: Option<Membership>,
     #[serde(default)]
     pub fault: Vec<Fault>,
 }
@@ -61,6 +63,20 @@
     pub drain_slack_ms: f64,
 }
 
+/// What the operator's file switches on, and what datagrams between gateways meet.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Membership {
+    pub counts: bool,
+    pub shares: bool,
+    pub mail_per_s: f64,
+    /// One way, drawn for each between these, beside the network's own delay.
+    pub delay_ms: [f64; 2],
+    pub loss: f64,
+    /// After the load the play goes on for so long at most, until all that run hold one view.
+    pub settle_s: f64,
+}
+
 #[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Deployment {
@@ -180,6 +196,10 @@
 #[serde(deny_unknown_fields)]
 pub struct Load {
     pub jobs_per_s: f64,
+    /// Jobs come evenly apart, and from each plan's customers in turn, in place of by chance; customers' sets then
+    /// begin at the gateways in turn.
+    #[serde(default)]
+    pub even: bool,
     /// Units are drawn evenly from 1 to this.
     #[serde(default = "one_unit")]
     pub most_units: u32,
@@ -345,6 +365,8 @@
     pub jitter_ms: Option<f64>,
     /// Datagrams lost.
     pub loss: Option<f64>,
+    /// Datagrams that come twice.
+    pub twice: Option<f64>,
     /// Requests whose connection is reset under them.
     pub reset: Option<f64>,
     /// Connections open at its start stay open and silent for good.
@@ -397,6 +419,20 @@
     }
 }
 
+/// Ways and losses as the deployments that allow messages draw them.
+impl Default for Membership {
+    fn default() -> Self {
+        Self {
+            counts: false,
+            shares: false,
+            mail_per_s: 40.0,
+            delay_ms: [2.3, 19.0],
+            loss: 0.04,
+            settle_s: 60.0,
+        }
+    }
+}
+
 impl Default for Servers {
     fn default() -> Self {
         Self {
@@ -611,6 +647,12 @@
             checks.within("counter.line", f64::from(counter.line), 1.0, 1e6);
             checks.within("counter.timeout_ms", counter.timeout_ms, 1.0, MOST_MS);
         }
+        if let Some(membership) = &self.membership {
+            checks.within("membership.mail_per_s", membership.mail_per_s, 0.1, 1e6);
+            checks.range("membership.delay_ms", membership.delay_ms, 0.0, 1_000.0);
+            checks.within("membership.loss", membership.loss, 0.0, 1.0);
+            checks.within("membership.settle_s", membership.settle_s, 0.0, 600.0);
+        }
         checks.range("discovery.delay_ms", self.discovery.delay_ms, 0.0, MOST_MS);
         checks.range("front.notice_ms", self.front.notice_ms, 0.0, MOST_MS);
         checks.within("network.delay_ms", self.network.delay_ms, 0.0, 1_000.0);
@@ -718,6 +760,7 @@
             ("delay_ms", fault.delay_ms, MOST_MS),
             ("jitter_ms", fault.jitter_ms, MOST_MS),
             ("loss", fault.loss, 1.0),
+            ("twice", fault.twice, 1.0),
             ("reset", fault.reset, 1.0),
             ("bytes_per_s", fault.bytes_per_s, 1e9),
         ];
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -7,6 +7,7 @@
 use crate::chance::{of, Use};
 use crate::load::{again, looks};
 use crate::record::{Answer, Event, Life, Played, RelayOver, Trace};
+use crate::run::stage::Mail;
 use crate::scenario::Scenario;
 use crate::stand::counter::Told;
 use crate::stand::server::{RelayNumber, Taken};
@@ -30,6 +31,10 @@
     Counted(u64, Option<f64>, Fate),
     Listed,
     Left(JobId),
+    /// A datagram of another gateway.
+    Mail(u32, Vec<u8>),
+    /// Its circle is to be seen to.
+    Circle,
 }
 
 enum Happening {
@@ -113,6 +118,8 @@
     calls: BTreeMap<u64, Call>,
     /// When each server is next looked at.
     serves: BTreeMap<ServerId, Moment>,
+    /// What each gateway has sent to others.
+    mail: BTreeMap<u32, Mail>,
     numbered: u64,
     now: Moment,
 }
@@ -129,6 +136,9 @@
         }
         sim.happens(what);
     }
+    for (gateway, Mail { datagrams, bytes, counts }) in std::mem::take(&mut sim.mail) {
+        sim.put(Event::Cost { gateway, datagrams, bytes, counts, cpu_ms: 0 });
+    }
     sim.world.trace
 }
 
@@ -144,6 +154,7 @@
             relays: BTreeMap::new(),
             calls: BTreeMap::new(),
             serves: BTreeMap::new(),
+            mail: BTreeMap::new(),
             numbered: 0,
             now: START,
         };
@@ -394,6 +405,8 @@
             }
             Word::Ended(relay, fate) => self.ended(relay, fate),
             Word::Listed => self.listed(gateway),
+            Word::Mail(from, bytes) => self.nodes[gateway as usize].mail(self.now, from, &bytes),
+            Word::Circle => {}
         }
         self.deeds(gateway);
     }
@@ -460,9 +473,43 @@
                 }
             }
         }
+        if self.circle(gateway) {
+            return self.deeds(gateway);
+        }
         self.settle(gateway, self.nodes[gateway as usize].life);
     }
 
+    /// Sees to a gateway's place among the others; true where it wants something done because of that.
+    fn circle(&mut self, gateway: u32) -> bool {
+        let Some(terms) = self.world.scenario.membership.clone() else { return false };
+        let now = self.now;
+        let node = &mut self.nodes[gateway as usize];
+        if node.stopped {
+            return false;
+        }
+        let (life, Some(round)) = (node.life, node.circle(now)) else { return false };
+        // Each look asks for the next one, but one that is set already is enough.
+        if node.looks <= now || round.next < node.looks {
+            node.looks = round.next.max(now + Span::from_micros(1));
+            self.queue.put(node.looks, Happening::Word(gateway, life, Word::Circle));
+        }
+        for change in round.changes {
+            let (member, state) = (u32::from(change.number), change.to.into());
+            self.put(Event::Member { gateway, member, state });
+        }
+        for (to, bytes) in round.sends {
+            let number = self.number();
+            self.mail.entry(gateway).or_default().add(&bytes);
+            let (from, at) = (Party::Gateway(gateway), Party::Gateway(to));
+            let comes = self.world.timeline.links.datagram(from, at, now, number, &terms);
+            for at in comes {
+                let life = self.nodes[to as usize].life;
+                self.queue.put(at, Happening::Word(to, life, Word::Mail(gateway, bytes.clone())));
+            }
+        }
+        self.nodes[gateway as usize].has_deeds()
+    }
+
     fn count_within(&self) -> Span {
         Span::from_secs(self.world.scenario.counter.as_ref().map_or(100.0, |it| it.timeout_ms) / 1e3)
     }
--- a/crates/lab/src/sim/node.rs
+++ b/crates/lab/src/sim/node.rs
@@ -7,8 +7,12 @@
 use crate::target::Layout;
 use crate::told;
 use fennelgauge::choice::Gateway;
-use fennelgauge::host::{Arrival, CountName, Deployment, Entry, Fate, Host, JobId, RelayEnd, ServerId};
+use fennelgauge::host::{
+    Arrival, CountName, Deployment, Entry, Fate, Host, JobId, RelayEnd, ServerId, Wanted,
+};
 use fennelgauge::time::{Moment, Span};
+use fennelgauge_membership::circle::{Circle, Terms};
+use fennelgauge_membership::view::Change;
 use rand::RngExt;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -29,6 +33,9 @@
     deeds: Rc<RefCell<VecDeque<Deed>>>,
     now: Rc<Cell<Moment>>,
     tick: Span,
+    /// The other gateways, where the scenario switches membership on; and whether shares follow from the view.
+    circle: Rc<RefCell<Option<Circle>>>,
+    shares: bool,
 }
 
 impl Desk {
@@ -60,14 +67,38 @@
         // The wire carries four digits after the point.
         self.put(Deed::Add(name, (amount * 1e4).round() / 1e4, keep));
     }
+    fn counts_among(&mut self) -> bool {
+        self.circle.borrow_mut().as_mut().is_some_and(|circle| circle.may_count(self.now.get()))
+    }
+    fn add_among(&mut self, name: CountName, amount: f64, wanted: Wanted) {
+        if let Some(circle) = self.circle.borrow_mut().as_mut() {
+            circle.add(self.now.get(), name, amount, wanted);
+        }
+    }
+    fn sharers(&mut self, first: u32, set_size: f64) -> f64 {
+        let mut circle = self.circle.borrow_mut();
+        let circle = circle.as_mut().filter(|_| self.shares);
+        circle.map_or(set_size, |circle| circle.parts(self.now.get(), first, set_size))
+    }
     fn follow_roster(&mut self) {}
 }
 
+/// What comes of seeing to a gateway's circle.
+pub struct Round {
+    pub sends: Vec<(u32, Vec<u8>)>,
+    pub changes: Vec<Change>,
+    pub next: Moment,
+}
+
 pub struct Node {
     gateway: Option<Gateway<Desk>>,
     desk: Desk,
     deployment: Deployment,
     number: u32,
+    membership: Option<crate::scenario::Membership>,
+    zone: Option<u8>,
+    /// When its circle is next seen to.
+    pub looks: Moment,
     /// How often it was started.
     pub life: u32,
     pub stopped: bool,
@@ -92,12 +123,17 @@
         // Settings that are made here are read there; without any, a gateway would stand alone.
         let deployment =
             launch.map(|launch: fennelgauge_launch::Launch| launch.deployment).unwrap_or_default();
-        let desk = Desk { tick: deployment.tick, ..Desk::default() };
+        let shares = scenario.membership.as_ref().is_some_and(|it| it.shares);
+        let desk = Desk { tick: deployment.tick, shares, ..Desk::default() };
+        let zone = layout.gateways.get(number as usize).and_then(|zone| u8::try_from(*zone).ok());
         Self {
             gateway: None,
             desk,
             deployment,
             number,
+            membership: scenario.membership.clone(),
+            zone,
+            looks: Moment::default(),
             life: 0,
             stopped: false,
             inbox: Vec::new(),
@@ -122,6 +158,14 @@
         self.life += 1;
         self.desk.now.set(now);
         let seed = of(seed, Use::Gateways, u64::from(self.number) << 20 | u64::from(self.life)).random();
+        let circle = self.membership.as_ref().map(|membership| {
+            let (own, of) = (self.number as u16, self.deployment.gateways as u16);
+            let Self { zone, .. } = *self;
+            let (mail_per_s, counts) = (membership.mail_per_s, membership.counts);
+            Circle::start(now, Terms { own, of, zone, mail_per_s, counts, seed })
+        });
+        *self.desk.circle.borrow_mut() = circle;
+        self.looks = now;
         let mut gateway = Gateway::start(now, self.desk.clone(), self.deployment.clone(), seed);
         gateway.roster_listed(now, entries.iter().copied());
         (self.gateway, self.version) = (Some(gateway), version);
@@ -130,6 +174,7 @@
     /// All that it held is lost.
     pub fn end(&mut self) {
         self.gateway = None;
+        *self.desk.circle.borrow_mut() = None;
         self.desk.deeds.borrow_mut().clear();
         self.inbox.clear();
         self.open.clear();
@@ -148,6 +193,10 @@
         self.open.remove(&job)
     }
 
+    pub fn has_deeds(&self) -> bool {
+        !self.desk.deeds.borrow().is_empty()
+    }
+
     pub fn deed(&mut self) -> Option<Deed> {
         self.desk.deeds.borrow_mut().pop_front()
     }
@@ -183,6 +232,38 @@
         self.with(now, |gateway| gateway.relay_ended(now, end));
     }
 
+    /// A datagram has come.
+    pub fn mail(&mut self, now: Moment, from: u32, bytes: &[u8]) {
+        if let Some(circle) = self.desk.circle.borrow_mut().as_mut() {
+            // What is refused is counted there.
+            let _ = circle.take(now, Some(from as u16), bytes);
+        }
+    }
+
+    /// Sees to the circle: what is due, what it tells the gateway, what it sends, and when it wants to be seen to next.
+    pub fn circle(&mut self, now: Moment) -> Option<Round> {
+        self.desk.now.set(now);
+        let due = |circle: &mut Circle| {
+            if circle.next(now) <= now {
+                circle.due(now);
+            }
+        };
+        self.desk.circle.borrow_mut().as_mut().map(due)?;
+        loop {
+            let results = self.desk.circle.borrow_mut().as_mut().map(Circle::results)?;
+            if results.is_empty() {
+                break;
+            }
+            for (name, outcome) in results {
+                self.with(now, |gateway| gateway.counted_among(now, name, outcome));
+            }
+        }
+        let mut circle = self.desk.circle.borrow_mut();
+        let circle = circle.as_mut()?;
+        let sends = circle.sends(now).into_iter().map(|(to, bytes)| (u32::from(to), bytes)).collect();
+        Some(Round { sends, changes: circle.changes(), next: circle.next(now) })
+    }
+
     pub fn relayed(&mut self, job: JobId, relay: u64) {
         let made = self.made.entry(job).or_default();
         self.relays.insert((job, *made), relay);
--- a/crates/lab/src/timeline.rs
+++ b/crates/lab/src/timeline.rs
@@ -135,6 +135,7 @@
         delay: Span::from_secs(fault.delay_ms.unwrap_or(0.0) / 1e3),
         jitter: Span::from_secs(fault.jitter_ms.unwrap_or(0.0) / 1e3),
         loss: fault.loss.unwrap_or(0.0),
+        twice: fault.twice.unwrap_or(0.0),
         reset: fault.reset.unwrap_or(0.0),
         half_open: fault.half_open,
         bytes_per_s: fault.bytes_per_s,
--- a/crates/lab/src/told.rs
+++ b/crates/lab/src/told.rs
@@ -51,8 +51,10 @@
             "has_counter": scenario.counter.is_some(),
             "counter_timeout": scenario.counter.as_ref().map_or(100_000, |it| micros(it.timeout_ms)),
             "max_units": scenario.load.most_units,
+            "mail_per_s": scenario.membership.as_ref().map_or(0.0, |it| it.mail_per_s),
         },
         "caps": {
+            "peers": scenario.membership.is_some(),
             "attempts_cap": deployment.most_relays, "may_cancel": deployment.may_withdraw,
             "conn_idle": micros(scenario.servers.idle_s * 1e3), "connect_timeout": CONNECT_WITHIN_US,
             "retry_after": deployment.hold_off_s > 0.0, "max_retry_after": micros(deployment.hold_off_s * 1e3),
--- a/crates/launch/src/lib.rs
+++ b/crates/launch/src/lib.rs
@@ -1,4 +1,6 @@
-//! The settings that a gateway is started with, read into the module's own terms.
+//! The settings that a gateway is started with, read into the module's own terms, and the operator's file.
+
+pub mod operator;
 
 use fennelgauge::host::{Band, Ceiling, Cold, Deployment, Group, Plan, Repeat};
 use fennelgauge::time::Span;
@@ -12,6 +14,7 @@
     tick: u64,
     discovery: String,
     zones: Vec<String>,
+    my_zone: Loose,
     services: Vec<Service>,
     tariffs: Vec<Tariff>,
     extra: Extra,
@@ -46,10 +49,28 @@
     cap_slack: f64,
 }
 
+/// A figure where there is one: what it is for may be absent, and must not keep a gateway from its start.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Loose {
+    Figure(f64),
+    Other(serde::de::IgnoredAny),
+}
+
+impl Loose {
+    fn figure(&self) -> Option<f64> {
+        match self {
+            Self::Figure(figure) => Some(*figure),
+            Self::Other(_) => None,
+        }
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(default)]
 struct Extra {
     has_counter: bool,
+    mail_per_s: f64,
     counter_timeout: u64,
     max_units: f64,
 }
@@ -63,6 +84,7 @@
     max_retry_after: u64,
     conn_idle: u64,
     connect_timeout: u64,
+    peers: bool,
 }
 
 #[derive(Deserialize)]
@@ -83,6 +105,7 @@
             tick: 1_000,
             discovery: String::new(),
             zones: Vec::new(),
+            my_zone: Loose::Other(serde::de::IgnoredAny),
             services: Vec::new(),
             tariffs: Vec::new(),
             extra: Extra::default(),
@@ -102,13 +125,14 @@
             max_retry_after: 0,
             conn_idle: 5_000_000,
             connect_timeout: 1_000_000,
+            peers: false,
         }
     }
 }
 
 impl Default for Extra {
     fn default() -> Self {
-        Self { has_counter: false, counter_timeout: 100_000, max_units: 0.0 }
+        Self { has_counter: false, mail_per_s: 0.0, counter_timeout: 100_000, max_units: 0.0 }
     }
 }
 
@@ -126,6 +150,10 @@
     pub bands: Vec<String>,
     pub plans: Vec<String>,
     pub zones: Vec<String>,
+    /// This gateway's own, by its place among them.
+    pub zone: Option<u8>,
+    /// Messages a second that a gateway takes in from the others; 0: gateways may send one another none.
+    pub mail_per_s: f64,
     /// Servers close a connection that stood idle for so long.
     pub idle: Span,
     pub connect_within: Span,
@@ -137,11 +165,14 @@
 
 impl From<Params> for Launch {
     fn from(params: Params) -> Self {
+        let zone = zone(&params);
         Self {
             deployment: deployment(&params),
             bands: params.services.into_iter().map(|service| service.name).collect(),
             plans: params.tariffs.into_iter().map(|tariff| tariff.name).collect(),
+            zone,
             zones: params.zones,
+            mail_per_s: if params.caps.peers { params.extra.mail_per_s.max(0.0) } else { 0.0 },
             idle: Span::from_micros(params.caps.conn_idle),
             connect_within: Span::from_micros(params.caps.connect_timeout),
             count_within: Span::from_micros(params.extra.counter_timeout),
@@ -150,6 +181,11 @@
     }
 }
 
+fn zone(params: &Params) -> Option<u8> {
+    let place = params.my_zone.figure().filter(|place| (0.0..255.0).contains(place))?;
+    Some(place as u8)
+}
+
 fn deployment(params: &Params) -> Deployment {
     Deployment {
         gateways: params.balancers.max(1),
--- /dev/null
+++ b/crates/launch/src/operator.rs
@@ -0,0 +1,97 @@
+//! The operator's own file: what an operator may switch on beyond what the deployment's settings tell. Without it a
+//! gateway behaves as if each of these things did not exist.
+
+use serde::Deserialize;
+use std::fmt::{Display, Formatter};
+use std::path::Path;
+
+/// What is wrong with an operator's file, and where.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Mistake {
+    pub file: String,
+    /// From 1; 0 where it is in no one line.
+    pub line: usize,
+    pub reason: String,
+}
+
+impl Display for Mistake {
+    fn fmt(&self, out: &mut Formatter<'_>) -> std::fmt::Result {
+        match self.line {
+            0 => write!(out, "{}: {}", self.file, self.reason),
+            line => write!(out, "{}:{line}: {}", self.file, self.reason),
+        }
+    }
+}
+
+impl std::error::Error for Mistake {}
+
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    pub membership: Membership,
+}
+
+/// Gateways that know each other; see `docs/membership.md`.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Membership {
+    /// Gateways probe one another and keep a view. Everything below needs it.
+    pub on: bool,
+    /// Counts are kept among the gateways while the counter cannot serve.
+    pub counts: bool,
+    /// A quota judged alone is shared among those that have not failed.
+    pub shares: bool,
+}
+
+impl Operator {
+    pub fn read(path: &Path) -> Result<Self, Mistake> {
+        let file = path.display().to_string();
+        match std::fs::read_to_string(path) {
+            Ok(text) => Self::parse(&file, &text),
+            Err(error) => Err(Mistake { file, line: 0, reason: error.to_string() }),
+        }
+    }
+
+    /// Reads a file's text; `file` is what errors call it.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Mistake> {
+        let mistake = |line, reason: String| Mistake { file: file.to_string(), line, reason };
+        let operator: Self = toml::from_str(text).map_err(|error| {
+            let before = error.span().and_then(|span| text.get(..span.start));
+            mistake(before.map_or(0, |text| 1 + text.matches('\n').count()), error.message().to_string())
+        })?;
+        let Membership { on, counts, shares } = operator.membership;
+        if !on && (counts || shares) {
+            let line = text.lines().position(|line| line.trim_start().starts_with("[membership]"));
+            let reason = "membership.counts and membership.shares need membership.on";
+            return Err(mistake(line.map_or(0, |line| line + 1), reason.into()));
+        }
+        Ok(operator)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_cannot_be_meant_is_refused_with_file_line_and_reason() {
+        let whole = "[membership]\non = true\ncounts = true\nshares = false\n";
+        let membership = Membership { on: true, counts: true, shares: false };
+        assert_eq!(Operator::parse("a.toml", whole), Ok(Operator { membership }));
+        assert_eq!(Operator::parse("a.toml", ""), Ok(Operator::default()));
+        for (text, line, reason) in [
+            ("\n[membership]\non = true\ncount = true\n", 4, "unknown field `count`"),
+            ("[members]\non = true\n", 1, "unknown field `members`"),
+            ("[membership]\non = 1\n", 2, "invalid type"),
+            ("[membership]\non = true\non = true\n", 3, "duplicate key"),
+            ("# off\n[membership]\ncounts = true\n", 2, "need membership.on"),
+            ("[membership\n", 1, "unclosed"),
+        ] {
+            let mistake = Operator::parse("a.toml", text).unwrap_err();
+            assert!(mistake.line == line && mistake.reason.contains(reason), "{text}: {mistake}");
+            assert!(mistake.to_string().starts_with(&format!("a.toml:{line}: ")));
+        }
+        let mistake = Operator::read(Path::new("/no/such/operator.toml")).unwrap_err();
+        assert!(mistake.to_string().starts_with("/no/such/operator.toml: "), "{mistake}");
+    }
+}
--- /dev/null
+++ b/crates/membership/src/code.rs
@@ -0,0 +1,228 @@
+//! Identities and members as bytes of fixed size, most significant first, for the library that keeps the membership.
+
+use crate::identity::{Identity, LIFE_BITS};
+use bytes::{Buf, BufMut};
+use foca::{Codec, Header, Member, Message, State};
+use std::fmt::{Display, Formatter};
+
+const IDENTITY: usize = 9;
+const MEMBER: usize = IDENTITY + 3;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Wrong {
+    /// There is no room for it, or too little has come.
+    Short,
+    /// A tag that stands for nothing.
+    Tag(u8),
+}
+
+impl Display for Wrong {
+    fn fmt(&self, out: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Short => out.write_str("too short"),
+            Self::Tag(tag) => write!(out, "unknown tag {tag}"),
+        }
+    }
+}
+
+impl std::error::Error for Wrong {}
+
+pub struct Code;
+
+fn put(identity: &Identity, out: &mut impl BufMut) {
+    out.put_u16(identity.number);
+    out.put_uint(identity.life, LIFE_BITS as usize / 8);
+    out.put_u8(identity.zone);
+}
+
+fn take(from: &mut impl Buf) -> Result<Identity, Wrong> {
+    if from.remaining() < IDENTITY {
+        return Err(Wrong::Short);
+    }
+    Ok(Identity { number: from.get_u16(), life: from.get_uint(LIFE_BITS as usize / 8), zone: from.get_u8() })
+}
+
+/// A message's tag, and what it carries besides: another member, and the number of the probe.
+fn parts(message: &Message<Identity>) -> (u8, Option<&Identity>, Option<u8>) {
+    match message {
+        Message::Ping(probe) => (0, None, Some(*probe)),
+        Message::Ack(probe) => (1, None, Some(*probe)),
+        Message::PingReq { target, probe_number } => (2, Some(target), Some(*probe_number)),
+        Message::IndirectPing { origin, probe_number } => (3, Some(origin), Some(*probe_number)),
+        Message::IndirectAck { target, probe_number } => (4, Some(target), Some(*probe_number)),
+        Message::ForwardedAck { origin, probe_number } => (5, Some(origin), Some(*probe_number)),
+        Message::Announce => (6, None, None),
+        Message::Feed => (7, None, None),
+        Message::Gossip => (8, None, None),
+        Message::Broadcast => (9, None, None),
+        Message::TurnUndead => (10, None, None),
+    }
+}
+
+fn message(tag: u8, from: &mut impl Buf) -> Result<Message<Identity>, Wrong> {
+    let probe = |from: &mut dyn Buf| match from.remaining() {
+        0 => Err(Wrong::Short),
+        _ => Ok(from.get_u8()),
+    };
+    Ok(match tag {
+        0 => Message::Ping(probe(from)?),
+        1 => Message::Ack(probe(from)?),
+        2 => Message::PingReq { target: take(from)?, probe_number: probe(from)? },
+        3 => Message::IndirectPing { origin: take(from)?, probe_number: probe(from)? },
+        4 => Message::IndirectAck { target: take(from)?, probe_number: probe(from)? },
+        5 => Message::ForwardedAck { origin: take(from)?, probe_number: probe(from)? },
+        6 => Message::Announce,
+        7 => Message::Feed,
+        8 => Message::Gossip,
+        9 => Message::Broadcast,
+        10 => Message::TurnUndead,
+        tag => return Err(Wrong::Tag(tag)),
+    })
+}
+
+impl Codec<Identity> for Code {
+    type Error = Wrong;
+
+    fn encode_header(&mut self, header: &Header<Identity>, mut buf: impl BufMut) -> Result<(), Wrong> {
+        let (tag, other, probe) = parts(&header.message);
+        let needed = 2 * IDENTITY + 3 + other.map_or(0, |_| IDENTITY) + probe.map_or(0, |_| 1);
+        if buf.remaining_mut() < needed {
+            return Err(Wrong::Short);
+        }
+        put(&header.src, &mut buf);
+        buf.put_u16(header.src_incarnation);
+        put(&header.dst, &mut buf);
+        buf.put_u8(tag);
+        if let Some(other) = other {
+            put(other, &mut buf);
+        }
+        if let Some(probe) = probe {
+            buf.put_u8(probe);
+        }
+        Ok(())
+    }
+
+    fn decode_header(&mut self, mut buf: impl Buf) -> Result<Header<Identity>, Wrong> {
+        let src = take(&mut buf)?;
+        if buf.remaining() < 2 {
+            return Err(Wrong::Short);
+        }
+        let src_incarnation = buf.get_u16();
+        let dst = take(&mut buf)?;
+        if buf.remaining() < 1 {
+            return Err(Wrong::Short);
+        }
+        let tag = buf.get_u8();
+        Ok(Header { src, src_incarnation, dst, message: message(tag, &mut buf)? })
+    }
+
+    fn encode_member(&mut self, member: &Member<Identity>, mut buf: impl BufMut) -> Result<(), Wrong> {
+        if buf.remaining_mut() < MEMBER {
+            return Err(Wrong::Short);
+        }
+        put(member.id(), &mut buf);
+        buf.put_u16(member.incarnation());
+        buf.put_u8(match member.state() {
+            State::Alive => 0,
+            State::Suspect => 1,
+            State::Down => 2,
+        });
+        Ok(())
+    }
+
+    fn decode_member(&mut self, mut buf: impl Buf) -> Result<Member<Identity>, Wrong> {
+        let id = take(&mut buf)?;
+        if buf.remaining() < 3 {
+            return Err(Wrong::Short);
+        }
+        let incarnation = buf.get_u16();
+        let state = match buf.get_u8() {
+            0 => State::Alive,
+            1 => State::Suspect,
+            2 => State::Down,
+            tag => return Err(Wrong::Tag(tag)),
+        };
+        Ok(Member::new(id, incarnation, state))
+    }
+}
+
+/// A message that also tells its receiver, or whoever it asks to try, that a member is suspected: the member answers
+/// with a later incarnation, and nobody's word is needed but its own.
+pub fn asking(own: Identity, to: Identity, suspect: &Member<Identity>) -> Result<Vec<u8>, Wrong> {
+    // Of no probe that anybody waits for: the answer counts by whom it is from.
+    let probe_number = 0;
+    let message = if to.number == suspect.id().number {
+        Message::Ping(probe_number)
+    } else {
+        Message::PingReq { target: *suspect.id(), probe_number }
+    };
+    let mut out = Vec::new();
+    // An incarnation that is not the latest says nothing: the receivers know better.
+    Code.encode_header(&Header { src: own, src_incarnation: 0, dst: to, message }, &mut out)?;
+    out.put_u16(1);
+    Code.encode_member(suspect, &mut out)?;
+    Ok(out)
+}
+
+/// Whom a message is from and for, the members that it names, and those that it says to be alive, before anything is
+/// made of it.
+pub fn named(mut bytes: &[u8]) -> Result<(Vec<Identity>, Vec<Member<Identity>>), Wrong> {
+    let header = Code.decode_header(&mut bytes)?;
+    let mut named = vec![header.src, header.dst];
+    named.extend(parts(&header.message).1);
+    let mut alive = vec![Member::new(header.src, header.src_incarnation, State::Alive)];
+    let carries = !matches!(header.message, Message::Announce | Message::TurnUndead | Message::Broadcast);
+    if carries && bytes.remaining() >= 2 {
+        for _ in 0..bytes.get_u16() {
+            let member = Code.decode_member(&mut bytes)?;
+            named.push(*member.id());
+            alive.extend((member.state() == State::Alive).then_some(member));
+        }
+    }
+    Ok((named, alive))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::identity::NO_ZONE;
+
+    #[test]
+    fn headers_and_members_come_back_as_they_were() {
+        let one = Identity { number: 299, life: (1 << 48) - 1, zone: 2 };
+        let other = Identity { number: 7, life: 1_764_633_600_000, zone: NO_ZONE };
+        let messages = [
+            Message::Ping(255),
+            Message::Ack(0),
+            Message::PingReq { target: one, probe_number: 3 },
+            Message::IndirectPing { origin: other, probe_number: 4 },
+            Message::IndirectAck { target: one, probe_number: 5 },
+            Message::ForwardedAck { origin: other, probe_number: 6 },
+            Message::Announce,
+            Message::Feed,
+            Message::Gossip,
+            Message::Broadcast,
+            Message::TurnUndead,
+        ];
+        for message in messages {
+            let header = Header { src: one, src_incarnation: 513, dst: other, message };
+            let mut bytes = Vec::new();
+            Code.encode_header(&header, &mut bytes).unwrap();
+            assert_eq!(Code.decode_header(&bytes[..]).unwrap(), header);
+            for cut in 0..bytes.len() {
+                assert_eq!(Code.decode_header(&bytes[..cut]), Err(Wrong::Short));
+            }
+            let mut room = [0_u8; 64];
+            let short = bytes.len() - 1;
+            assert_eq!(Code.encode_header(&header, &mut room[..short]), Err(Wrong::Short));
+        }
+        for state in [State::Alive, State::Suspect, State::Down] {
+            let member = Member::new(one, 9, state);
+            let mut bytes = Vec::new();
+            Code.encode_member(&member, &mut bytes).unwrap();
+            assert_eq!((Code.decode_member(&bytes[..]).unwrap(), bytes.len()), (member, MEMBER));
+            bytes[MEMBER - 1] = 9;
+            assert_eq!(Code.decode_member(&bytes[..]), Err(Wrong::Tag(9)));
+        }
+    }
+}
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -42,8 +42,8 @@
 impl Pace {
     const OVER_S: f64 = 20.0;
     /// So many relays in so many seconds are assumed at the start.
-    const FIRST: f64 = 6.0;
-    const FIRST_S: f64 = 2.0;
+    const FIRST: f64 = 3.0;
+    const FIRST_S: f64 = 1.0;
 
     pub fn new(now_s: f64) -> Self {
         Self { sent: Self::FIRST, at: now_s, began: now_s }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,7 @@
 
 use crate::chance::{hashed, Chance};
 use crate::host::{Arrival, CountName, CustomerId, Deployment, Entry, Fate, Host, JobId};
-use crate::host::{Plan, RelayEnd, ServerId, Standing, JOB_IDS};
+use crate::host::{Plan, RelayEnd, ServerId, Standing, Wanted, JOB_IDS};
 use crate::state::{self, Ask, Counter, Customer, Fleet, Job, Level, Pool, Server, Stage, Step};
 use crate::time::{Moment, Span};
 use fennelgauge_spread::{Member, Pace, Seat};
@@ -16,6 +16,8 @@
 const POOL_KEPT: Span = Span::from_millis(3_000);
 /// As long as a counter keeps names; three windows of any plan at least.
 const COUNTS_KEPT: Span = Span::from_millis(60_000);
+/// For so long after a call had to wait the gateways count among themselves, where they can.
+const SPARED: Span = Span::from_millis(2_000);
 /// Marks of timers: a job's is its id, which is below this; a customer's is its id above this.
 const CUSTOMER_MARK: u64 = JOB_IDS;
 const CALLS_MARK: u64 = u64::MAX;
@@ -179,7 +181,9 @@
         let share = 0.999 / set_size;
         let ceiling = plan.ceiling.map(|it| (it.rate * share, (it.burst + it.slack) * share));
         let spent = Level { amount: ceiling.map_or(0.0, |it| it.1), at: self.started };
-        let fresh = || Customer { plan: arrival.plan, set_size, ceiling, spent, ..Customer::default() };
+        let set_first = arrival.set_first;
+        let fresh =
+            || Customer { plan: arrival.plan, set_first, set_size, ceiling, spent, ..Customer::default() };
         // Ids without number, from any cause, would fill the memory of a gateway that lives long.
         state::let_go(&mut self.customers, arrival.customer, now, COUNTS_KEPT);
         let customer = self.customers.entry(arrival.customer).or_insert_with(fresh);
@@ -242,7 +246,8 @@
         customer.unused = (plan.in_window() - heard).max(0.0);
         // What was judged alone and not told goes to the next window's count; relays out outlast windows.
         if plan.by_rate() {
-            let told = customer.told + customer.ask.as_ref().map_or(0.0, |ask| ask.amount);
+            let told = customer.told.max(customer.told_among);
+            let told = told + customer.ask.as_ref().map_or(0.0, |ask| ask.amount);
             // What was owed before comes in meanwhile: carried on whole, it would turn all jobs away for good,
             // as a count is told of it only along with jobs.
             let untold = if follows { (customer.used - told).max(0.0) } else { 0.0 };
@@ -250,7 +255,7 @@
             customer.used = untold - before.min(plan.in_window());
             customer.owed = customer.used;
         }
-        (customer.told, customer.total) = (0.0, 0.0);
+        (customer.told, customer.told_among, customer.total) = (0.0, 0.0, 0.0);
         customer.window = window;
         customer.began = Moment::from_micros(window.saturating_mul(length).saturating_sub(phase));
     }
@@ -265,9 +270,17 @@
             }
             return;
         }
-        let Some(customer) = self.customers.get(&id).filter(|known| known.ask.is_none()) else { return };
+        let may_call = self.may_call();
+        if !may_call {
+            self.counter.spared = self.now + SPARED;
+        }
+        let spared = self.now < self.counter.spared;
+        let Some(customer) = self.customers.get_mut(&id).filter(|known| known.ask.is_none()) else { return };
+        // A soft plan's jobs all go without a count; an ask for them would only cost.
+        let among = spared && !self.deployment.plans[customer.plan].soft() && self.host.counts_among();
+        let (window, untold) = (customer.window, customer.used - *customer.told(among));
+        let Some(customer) = self.customers.get(&id) else { return };
         let most = self.deployment.plans[customer.plan].pace(self.fleet.usual).1;
-        let (window, untold) = (customer.window, customer.used - customer.told);
         let (mut asked, mut jobs, mut vain) = (0.0, Vec::new(), Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
             let total = customer.total + untold + asked + job.cost;
@@ -285,14 +298,13 @@
         if jobs.is_empty() && amount > -NOTHING {
             return;
         }
-        let may_call = self.may_call();
         let benefit = jobs.iter().filter_map(|job| self.jobs.get(&job.0)).map(|job| self.place(job).0).max();
         let Some(customer) = self.customers.get_mut(&id) else { return };
         // A counter slow, full or silent, from any cause, must not drown in calls: past a bound they wait and
-        // the jobs are judged alone meanwhile.
-        if may_call {
-            customer.ask = Some(Ask { jobs, amount, window, step: Step::Count, sent: self.now });
-            return self.call(id, window, amount);
+        // the jobs are counted among the gateways or, where these can't, judged alone meanwhile.
+        if among || may_call {
+            customer.ask = Some(Ask { jobs, amount, window, step: Step::Count, sent: self.now, among });
+            return self.call(id, window, amount, among.then_some(asked));
         }
         if !std::mem::replace(&mut customer.queued, true) {
             self.counter.queue.insert((benefit.unwrap_or(0), self.now, id));
@@ -305,9 +317,14 @@
         self.counter.out < self.counter.bound.max(1.0) && self.now >= self.counter.rested
     }
 
-    fn call(&mut self, id: CustomerId, window: u64, amount: f64) {
+    /// Adds to a count; `among` is for the gateways' own, and how much of the amount they may refuse.
+    fn call(&mut self, id: CustomerId, window: u64, amount: f64, among: Option<f64>) {
         let name = hashed(&[id, window, 0]);
         self.callers.insert(name, id);
+        if let Some(asked) = among {
+            let wanted = self.wanted(id, asked);
+            return self.host.add_among(name, amount - asked, wanted);
+        }
         let counter = &mut self.counter;
         counter.out += 1.0;
         // With many gateways one call at a time of each is too many: it rests between calls.
@@ -338,6 +355,34 @@
         self.serve_callers();
     }
 
+    /// What an ask among the gateways wants: nothing where the total stands above what is free by now. Just one ask
+    /// takes a count past half of the burst, and that one is always added.
+    fn wanted(&self, id: CustomerId, amount: f64) -> Wanted {
+        let Some(customer) = self.customers.get(&id).filter(|_| amount > 0.0) else {
+            return Wanted::default();
+        };
+        let plan = &self.deployment.plans[customer.plan];
+        let came = plan.rate * self.now.since(customer.began).secs();
+        if !plan.by_rate() {
+            return Wanted { amount, most: plan.relays_out - 1.0, most_marked: plan.relays_out - 1.0 };
+        }
+        Wanted { amount, most: plan.burst / 2.0 + came, most_marked: plan.mark() + plan.burst + came }
+    }
+
+    /// The gateways' own total of a count came, and whether what was wanted was added; or word that none will. It
+    /// says nothing of the counter.
+    pub fn counted_among(&mut self, now: Moment, name: CountName, outcome: Option<(f64, bool)>) {
+        self.now = now;
+        let Some(id) = self.callers.remove(&name) else { return };
+        if let (Some((_, false)), Some(customer)) = (outcome, self.customers.get_mut(&id)) {
+            let refused = |ask: &mut Ask| ask.amount -= ask.jobs.iter().map(|job| job.1).sum::<f64>();
+            customer.ask.iter_mut().filter(|ask| matches!(ask.step, Step::Count)).for_each(refused);
+        }
+        self.roll(id);
+        // Unanswered, it goes on with the next sum, so that it counts as told.
+        self.answered(id, outcome.map(|it| it.0), Fate::TimedOut);
+    }
+
     /// Lets customers that wait for a call have it, as far as calls may be made.
     fn serve_callers(&mut self) {
         while self.may_call() {
@@ -357,21 +402,21 @@
         if ask.window != customer.window {
             return self.ask(id);
         }
-        let (mark, half, window) = (plan.mark(), plan.burst / 2.0, ask.window);
+        let (mark, half, window, among) = (plan.mark(), plan.burst / 2.0, ask.window, ask.among);
         match (ask.step, total) {
             (Step::Count, None) => {
                 // What may have been added counts as added: the count then says too little, never too much.
-                customer.told += if fate == Fate::TimedOut { ask.amount } else { 0.0 };
+                *customer.told(among) += if fate == Fate::TimedOut { ask.amount } else { 0.0 };
                 // Asked for again at once, jobs would stall a time-out each, and calls crowd what is slow.
                 self.judge_alone(id, false);
                 self.ask(id);
             }
             (Step::Count, Some(total)) => {
-                customer.told += ask.amount;
+                *customer.told(among) += ask.amount;
                 let (before, by_rate) = (total - ask.amount, plan.by_rate());
                 // A pause of this gateway looks like a slow call: four times as long as usual tells enough.
                 let took = self.now.since(ask.sent).secs().min(self.counter.usual * 4.0);
-                self.counter.usual += 0.05 * (took - self.counter.usual);
+                self.counter.usual += if among { 0.0 } else { 0.05 * (took - self.counter.usual) };
                 // The first gateway into the window lends of what the last one left.
                 let shortfall = if by_rate && before <= NOTHING { customer.unused } else { 0.0 };
                 // Just one call takes the count past what is granted unseen: it looks the last window up, and
@@ -379,7 +424,7 @@
                 if by_rate && total < mark && total > half && before <= half {
                     ask.step = Step::LookUp(total);
                     customer.ask = Some(ask);
-                    self.call(id, window.wrapping_sub(1), 0.0);
+                    self.call(id, window.wrapping_sub(1), 0.0, among.then_some(0.0));
                 } else {
                     self.settle(id, ask, total);
                 }
@@ -392,7 +437,7 @@
                 let lacked = mark + lacked.clamp(0.0, plan.burst.max(0.0));
                 ask.step = Step::Tell(counted + lacked);
                 customer.ask = Some(ask);
-                self.call(id, window, lacked);
+                self.call(id, window, lacked, among.then_some(0.0));
             }
             (Step::Tell(counted), _) => self.settle(id, ask, counted),
         }
@@ -496,14 +541,15 @@
     /// quota costs less than it earns within: its odds of room are even at best, and of those that wait most
     /// are of customers past their quota.
     fn judge_alone(&mut self, id: CustomerId, rationed: bool) {
+        let sharers = self.sharers(id);
         let Some(customer) = self.customers.get(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
         let ((rate, burst), free) = (plan.pace(self.fleet.usual), plan.soft() && self.deployment.has_counter);
         let costly = rationed && plan.over_cost >= plan.price;
         let pressed = self.now < self.fleet.pressed_until;
-        let (mut ahead, mut jobs) = (customer.ahead.drained(rate / customer.set_size, self.now), Vec::new());
+        let (mut ahead, mut jobs) = (customer.ahead.drained(rate / sharers, self.now), Vec::new());
         for job in customer.waiting.iter().filter_map(|job| self.held(*job)) {
-            let (part, by_part) = (burst / customer.set_size, ahead <= 0.0 && !pressed);
+            let (part, by_part) = (burst / sharers, ahead <= 0.0 && !pressed);
             if free || ahead + job.cost <= part || (by_part && !(costly && job.cost > part)) {
                 ahead += job.cost;
                 jobs.push((job.arrival.job, job.cost));
@@ -512,10 +558,17 @@
         self.grant(id, jobs);
     }
 
+    /// Among how many gateways the customer's quota is shared where each judges alone.
+    fn sharers(&mut self, id: CustomerId) -> f64 {
+        let set = self.customers.get(&id).map(|customer| (customer.set_first, customer.set_size));
+        set.map_or(1.0, |(first, size)| self.host.sharers(first, size).clamp(1.0, size))
+    }
+
     /// Lets jobs go whose units have room; what they take is ahead of this gateway's part.
     fn grant(&mut self, id: CustomerId, jobs: Vec<(JobId, f64)>) {
+        let sharers = self.sharers(id);
         let Some(customer) = self.customers.get_mut(&id) else { return };
-        let part = self.deployment.plans[customer.plan].pace(self.fleet.usual).0 / customer.set_size;
+        let part = self.deployment.plans[customer.plan].pace(self.fleet.usual).0 / sharers;
         let units: f64 = jobs.iter().map(|job| job.1).sum();
         customer.used += units;
         customer.ahead = Level { amount: customer.ahead.drained(part, self.now) + units, at: self.now };
--- a/src/host.rs
+++ b/src/host.rs
@@ -25,10 +25,38 @@
     fn wake(&mut self, after: Span, mark: u64);
     /// Adds to a count of the counter; a new name starts at 0 and is kept for `keep`.
     fn add(&mut self, name: CountName, amount: f64, keep: Span);
+    /// Whether the gateways themselves can keep counts now, for while the counter cannot serve.
+    fn counts_among(&mut self) -> bool {
+        false
+    }
+    /// Adds to a count that the gateways keep, and what is wanted besides where it fits; comes back by `counted_among`.
+    fn add_among(&mut self, _name: CountName, _amount: f64, _wanted: Wanted) {}
+    /// Among how many gateways a customer's quota is shared that is judged alone: those of its set, from the first,
+    /// less some that are held to have failed.
+    fn sharers(&mut self, _first: u32, set_size: f64) -> f64 {
+        set_size
+    }
     /// Asks to be told of changes to the roster, from now on and however often that fails.
     fn follow_roster(&mut self);
 }
 
+/// Units wanted of a count that the gateways keep, and the totals above which they are in vain: of a plain total, and
+/// of one that holds the mark.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Wanted {
+    pub amount: f64,
+    pub most: f64,
+    pub most_marked: f64,
+}
+
+impl Wanted {
+    /// The count stands so that the units may be added.
+    pub fn fits(&self, before: f64) -> bool {
+        let marked = before >= self.most_marked / 2.0;
+        before <= if marked { self.most_marked } else { self.most }
+    }
+}
+
 /// A deployment as told at start.
 #[derive(Clone, Debug, Default)]
 pub struct Deployment {
--- a/src/state.rs
+++ b/src/state.rs
@@ -108,6 +108,7 @@
     pub(crate) plan: usize,
     /// When its last job is over at the latest.
     pub(crate) until: Moment,
+    pub(crate) set_first: u32,
     pub(crate) set_size: f64,
     /// The servers in this customer's order; with many gateways the fleet's slice stands for all.
     pub(crate) ranking: Ranking,
@@ -117,6 +118,8 @@
     /// Units used through this gateway in the window, and how many of them the count was told.
     pub(crate) used: f64,
     pub(crate) told: f64,
+    /// The same of the count that the gateways keep among themselves.
+    pub(crate) told_among: f64,
     /// Of the units used, those of former windows that no count was told of.
     pub(crate) owed: f64,
     /// The latest total heard in the window.
@@ -159,6 +162,19 @@
     pub(crate) window: u64,
     pub(crate) step: Step,
     pub(crate) sent: Moment,
+    /// It went to the gateways' own count in place of the counter's.
+    pub(crate) among: bool,
+}
+
+impl Customer {
+    /// How many of the units used the count was told, of the counter or of the gateways among themselves.
+    pub(crate) fn told(&mut self, among: bool) -> &mut f64 {
+        if among {
+            &mut self.told_among
+        } else {
+            &mut self.told
+        }
+    }
 }
 
 /// What a call is for; with the total that it goes on from.
@@ -183,6 +199,8 @@
     pub(crate) answers: bool,
     /// Rests until then where less than one call at a time is enough.
     pub(crate) rested: Moment,
+    /// Calls had to wait of late: until then the gateways count among themselves, where they can.
+    pub(crate) spared: Moment,
     /// Customers that wait for a call, by benefit, then time.
     pub(crate) queue: BTreeSet<(u64, Moment, CustomerId)>,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,7 @@
 use fennelgauge::choice::Gateway;
 use fennelgauge::host::*;
 use fennelgauge::time::{Moment, Span};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -14,10 +14,12 @@
     Forfeit(JobId),
     Wake(Span, u64),
     Add(CountName, f64),
+    Among(CountName, f64, Wanted),
 }
 
+/// The second says whether the gateways can count among themselves, the third among how many a quota is shared.
 #[derive(Clone, Default)]
-pub struct Notes(pub Rc<RefCell<Vec<Act>>>);
+pub struct Notes(pub Rc<RefCell<Vec<Act>>>, pub Rc<Cell<bool>>, pub Rc<Cell<Option<f64>>>);
 
 impl Notes {
     pub fn take(&self) -> Vec<Act> {
@@ -48,6 +50,15 @@
     fn add(&mut self, name: CountName, amount: f64, _: Span) {
         self.put(Act::Add(name, amount));
     }
+    fn counts_among(&mut self) -> bool {
+        self.1.get()
+    }
+    fn add_among(&mut self, name: CountName, amount: f64, wanted: Wanted) {
+        self.put(Act::Among(name, amount, wanted));
+    }
+    fn sharers(&mut self, _: u32, set_size: f64) -> f64 {
+        self.2.get().unwrap_or(set_size)
+    }
     fn follow_roster(&mut self) {}
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -59,6 +59,7 @@
         for index in 0..self.gateways.len() {
             for act in self.gateways[index].1.take() {
                 match act {
+                    Act::Among(..) => unreachable!("no gateway here counts among others"),
                     Act::Wake(after, mark) => self.timers.push((self.now + after, index, mark)),
                     Act::Add(name, amount) => {
                         assert!(amount.is_finite());
