Use one record for mistakes in files; drop what nothing used among the members

Seen on a second reading: the laboratory's scenarios and the operator's file had the same record of a mistake; a condition in View::set that always held; a list and a wrapper that nothing needed; the time awake looked up twice a datagram.

--- a/crates/gateway/src/peers/log.rs
+++ b/crates/gateway/src/peers/log.rs
@@ -1,6 +1,5 @@
 //! What is logged of the others, at a bounded rate.
 
-use super::count;
 use fennelgauge::time::{Moment, Span};
 use fennelgauge_membership::circle::Circle;
 use fennelgauge_membership::view::{Reach, State};
@@ -97,9 +96,9 @@
     let (kept, own) = circle.counts();
     info!(
         side = "view", own = view.own, life = circle.life(), reach = %reach,
-        present = count(circle, State::Present), suspected = count(circle, State::Suspected),
-        failed = count(circle, State::Failed), left = count(circle, State::Left),
-        never_heard = count(circle, State::NeverHeard), differ, longest_s = longest.secs(),
+        present = view.count(State::Present), suspected = view.count(State::Suspected),
+        failed = view.count(State::Failed), left = view.count(State::Left),
+        never_heard = view.count(State::NeverHeard), differ, longest_s = longest.secs(),
         slept_s = circle.slept().secs(), sent = circle.sent.0, sent_bytes = circle.sent.1, came = circle.came.0,
         held_news, held_counts, counts_kept = kept, counts_own = own,
         refused = circle.refused().values().sum::<u64>(), "whole view"
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -9,7 +9,6 @@
 use fennelgauge_membership::circle::{Circle, Terms};
 use fennelgauge_membership::frame::MOST;
 use fennelgauge_membership::tally::Outcome;
-use fennelgauge_membership::view::State;
 use fennelgauge_membership::Number;
 use log::Log;
 use serde_json::Value;
@@ -194,8 +193,3 @@
         log::tell(now, &mut self.circle);
     }
 }
-
-/// Members in a state, for the log.
-fn count(circle: &Circle, state: State) -> usize {
-    circle.view().count(state)
-}
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -2,28 +2,9 @@
 //! before anything starts; an error names the file, the line and the reason.
 
 use serde::{Deserialize, Serialize};
-use std::fmt::{Display, Formatter};
 use std::path::Path;
 
-/// What is wrong with a scenario, and where.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Mistake {
-    pub file: String,
-    /// From 1; 0 where the mistake is in no one line.
-    pub line: usize,
-    pub reason: String,
-}
-
-impl Display for Mistake {
-    fn fmt(&self, out: &mut Formatter<'_>) -> std::fmt::Result {
-        match self.line {
-            0 => write!(out, "{}: {}", self.file, self.reason),
-            line => write!(out, "{}:{line}: {}", self.file, self.reason),
-        }
-    }
-}
-
-impl std::error::Error for Mistake {}
+pub use fennelgauge_launch::operator::Mistake;
 
 /// Spans are in the unit that ends the name, `_s` or `_ms`; shares lie from 0 to 1.
 #[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
--- a/crates/launch/src/operator.rs
+++ b/crates/launch/src/operator.rs
@@ -5,7 +5,7 @@
 use std::fmt::{Display, Formatter};
 use std::path::Path;
 
-/// What is wrong with an operator's file, and where.
+/// What is wrong with a file that somebody wrote, and where; the laboratory's scenarios tell theirs alike.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Mistake {
     pub file: String,
--- a/crates/membership/src/circle.rs
+++ b/crates/membership/src/circle.rs
@@ -89,18 +89,23 @@
         self.came = (self.came.0 + 1, self.came.1 + bytes.len() as u64);
         let awake = self.members.awake(now);
         self.inflow.0 = self.inflow(awake) + 1.0 / OVER_S;
-        let taken = self.taken(now, from, bytes);
+        let taken = self.taken(now, awake, from, bytes);
         if let Err(refused) = taken {
             *self.refused.entry(refused).or_default() += 1;
         }
         taken
     }
 
-    fn taken(&mut self, now: Moment, from: Option<Number>, bytes: &[u8]) -> Result<(), Refused> {
+    fn taken(
+        &mut self,
+        now: Moment,
+        awake: Moment,
+        from: Option<Number>,
+        bytes: &[u8],
+    ) -> Result<(), Refused> {
         let from = from.filter(|from| *from != self.terms.own).ok_or(Refused::Stranger)?;
         let frame = Frame::decode(bytes, self.terms.of, from)?;
         // A member gone mad must not take all of this limiter's time.
-        let awake = self.members.awake(now);
         if !self.taken.take(awake) {
             return Err(Refused::Flood);
         }
--- a/crates/membership/src/frame.rs
+++ b/crates/membership/src/frame.rs
@@ -42,20 +42,6 @@
     Flood,
 }
 
-impl Refused {
-    pub const ALL: [Self; 9] = [
-        Self::Short,
-        Self::Long,
-        Self::Version,
-        Self::Garbled,
-        Self::Kind,
-        Self::Stranger,
-        Self::Unreadable,
-        Self::Old,
-        Self::Flood,
-    ];
-}
-
 impl Display for Refused {
     fn fmt(&self, out: &mut Formatter<'_>) -> std::fmt::Result {
         out.write_str(match self {
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -139,9 +139,7 @@
         if (fact.state, fact.life) == (state, life) {
             return;
         }
-        if fact.state != state || fact.life != life {
-            self.changes.push(Change { number, from: fact.state, to: state, life });
-        }
+        self.changes.push(Change { number, from: fact.state, to: state, life });
         if fact.state != state {
             fact.since = now;
         }
