--- a/crates/gateway/src/lifecycle/drain.rs
+++ b/crates/gateway/src/lifecycle/drain.rs
@@ -3,24 +3,31 @@
 use crate::memory::timers::Due;
 use crate::sockets::{Limiter, Sockets};
 use calloop::RegistrationToken;
-use fennelgauge::time::Span;
+use fennelgauge::time::{Moment, Span};
+use std::net::TcpListener;
+use std::rc::Rc;
 use tracing::info;
 
 /// Clients that have not heard of the stop still connect for up to 0.4 s.
 const TAKEN: Span = Span::from_millis(500);
+/// A request that comes whole later than this after the stop began is refused at once: the process may be killed
+/// before the job's own time is over, for those taken up to 0.7 s after it began no sooner. Clients in the middle of a
+/// request when connections are ended can come so late.
+const LAST: Span = Span::from_millis(650);
+/// With no descriptor left, connections that wait at the listener are looked for again after this.
+const AGAIN: Span = Span::from_millis(20);
 
-#[derive(Default)]
 pub struct Stop {
-    begun: bool,
+    begun: Option<Moment>,
     closed: bool,
     /// No descriptor was left for a further connection.
     shut: bool,
-    listener: Option<RegistrationToken>,
+    listener: Option<(Rc<TcpListener>, RegistrationToken)>,
 }
 
 impl Stop {
-    pub fn new(listener: RegistrationToken) -> Self {
-        Self { listener: Some(listener), ..Self::default() }
+    pub fn new(listener: Rc<TcpListener>, token: RegistrationToken) -> Self {
+        Self { begun: None, closed: false, shut: false, listener: Some((listener, token)) }
     }
 
     pub fn door_is_shut(&mut self) {
@@ -29,15 +36,27 @@
 
     /// Answers end their connections from now on.
     pub fn begun(&self) -> bool {
-        self.begun
+        self.begun.is_some()
+    }
+
+    /// No connection is kept any more.
+    pub fn closed(&self) -> bool {
+        self.closed
+    }
+
+    /// A request that comes whole now may find no time for its answer.
+    pub fn is_late(&self, now: Moment) -> bool {
+        self.begun.is_some_and(|begun| now.since(begun) > LAST)
     }
 }
 
 impl Sockets {
     pub fn stop(&mut self) {
-        if !std::mem::replace(&mut self.stop.begun, true) {
+        if self.stop.begun.is_none() {
+            let now = self.clock.now();
+            self.stop.begun = Some(now);
             info!(jobs = self.jobs.open.len(), clients = self.clients.len(), "stopping");
-            self.timers.set(self.clock.now() + TAKEN, Due::Closed);
+            self.timers.set(now + TAKEN, Due::Closed);
         }
     }
 
@@ -45,7 +64,7 @@
     pub fn open_door(&mut self) {
         if self.stop.shut && self.may_accept() {
             self.stop.shut = false;
-            let opened = self.stop.listener.as_ref().map(|token| self.handle.enable(token));
+            let opened = self.stop.listener.as_ref().map(|(_, token)| self.handle.enable(token));
             if let Some(Err(error)) = opened {
                 // Tried again at the next turn.
                 self.stop.shut = true;
@@ -54,15 +73,22 @@
         }
     }
 
+    /// Ends what is not wanted any more. The machine has accepted what waits at the listener, whole requests with
+    /// it: closed over them, it would reset them. They are taken in first, as descriptors are given back.
     pub fn close(&mut self) {
-        self.stop.closed = true;
         let now = self.clock.now();
+        if let Some((listener, token)) = self.stop.listener.take() {
+            if !self.accept_all(&listener) {
+                self.stop.listener = Some((listener, token));
+                self.timers.set(now + AGAIN, Due::Closed);
+                return self.end_idle_clients();
+            }
+            self.handle.remove(token);
+        }
+        self.stop.closed = true;
         if let Some(peers) = &mut self.peers {
             peers.leave(now);
         }
-        if let Some(token) = self.stop.listener.take() {
-            self.handle.remove(token);
-        }
         self.end_idle_clients();
     }
 }
--- a/crates/gateway/src/lifecycle/run.rs
+++ b/crates/gateway/src/lifecycle/run.rs
@@ -7,7 +7,7 @@
 use crate::memory::machines::Machines;
 use crate::memory::timers::{Due, Timers};
 use crate::peers::{Peers, Wanted};
-use crate::sockets::{settle, Limiter, Sockets};
+use crate::sockets::{settle, Limiter, Moved, Sockets};
 use crate::wire::client;
 use crate::wire::counter::Counter;
 use crate::wire::discovery::{self, Discovery};
@@ -20,10 +20,11 @@
 use fennelgauge::host::{Fate, JOB_IDS};
 use fennelgauge::time::{Moment, Span};
 use fennelgauge_launch::operator::Operator;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::time::Duration;
 use tracing::{info, warn};
 
@@ -36,6 +37,9 @@
 const BACKLOG: i32 = 1_024;
 /// After a stall all that has come is taken in before timers are judged; a flood ends this after so many looks.
 const LOOKS: usize = 8;
+/// A process may be stopped, or short of its share of a core, amid what it takes in. What came meanwhile goes before
+/// the rest: a small part of the tenth of a second in which a client's leaving is heeded, and of any drain's grace.
+const FRESH: Span = Span::from_millis(20);
 
 /// Runs a gateway; `path` is where its configuration may be read anew.
 pub fn run(start: Start, path: PathBuf, operator: Operator) -> Result<(), Box<dyn std::error::Error>> {
@@ -48,10 +52,7 @@
     let signals = Signals::new(&wanted)?;
     let signalled =
         move |signal: calloop::signals::Event, _: &mut (), limiter: &mut Limiter| match signal.signal() {
-            Signal::SIGHUP => {
-                limiter.host.reload(&path);
-                settle(limiter);
-            }
+            Signal::SIGHUP => limiter.host.reload(&path),
             Signal::SIGUSR1 => limiter.host.tell_view(),
             _ => limiter.host.stop(),
         };
@@ -60,11 +61,11 @@
     let listen = listener.local_addr()?;
     listener.set_nonblocking(true)?;
     rustix::net::listen(&listener, BACKLOG)?;
-    let source = Generic::new(listener, Interest::READ, Mode::Level);
-    let listener = handle
+    let listener = Rc::new(listener);
+    let source = Generic::new(Rc::clone(&listener), Interest::READ, Mode::Level);
+    let token = handle
         .insert_source(source, |_, listener, limiter| {
             let open = limiter.host.accept_all(listener);
-            settle(limiter);
             Ok(if open { PostAction::Continue } else { PostAction::Disable })
         })
         .map_err(|error| error.error)?;
@@ -87,12 +88,7 @@
     if let Some(peers) = &peers {
         let source = Generic::new(peers.socket(), Interest::READ, Mode::Level);
         let came = |_: calloop::Readiness, _: &mut _, limiter: &mut Limiter| {
-            limiter.host.moves += 1;
-            let now = limiter.host.clock.now();
-            if let Some(peers) = &mut limiter.host.peers {
-                peers.read(now);
-            }
-            settle(limiter);
+            limiter.host.note(Moved::Peers);
             Ok(PostAction::Continue)
         };
         handle.insert_source(source, came).map_err(|error| error.error)?;
@@ -123,9 +119,9 @@
         idle: launch.idle.times(0.75),
         connect_within: launch.connect_within,
         counter: Counter::new(start.counter, launch.count_within),
-        discovery: Discovery::new(start.discovery, &start.known),
+        discovery: Discovery::new(start.discovery, start.known),
         peers,
-        stop: Stop::new(listener),
+        stop: Stop::new(listener, token),
         // A job needs a connection on either side, but for the time that it is held only its client's.
         most_clients: (most * 3 / 5).max(1),
         most,
@@ -133,14 +129,15 @@
         most_answers: memory / 4,
         numbered: 0,
         moves: 0,
+        moved: BTreeSet::new(),
+        looked: now,
         ended: VecDeque::new(),
         counted: VecDeque::new(),
         left: VecDeque::new(),
         resumed: VecDeque::new(),
     };
     let mut limiter = Gateway::start(now, sockets, launch.deployment, start.seed);
-    discovery::learn(&mut limiter, start.known);
-    limiter.host.watch_soon();
+    limiter.host.follow_discovery();
     limiter.host.timers.set(now + SWEEP, Due::Sweep);
     settle(&mut limiter);
     info!(name = start.name, %listen, "started");
@@ -151,12 +148,32 @@
     Ok(())
 }
 
+/// Waits for what comes next, and takes it in: lists first, clients last.
+fn look(
+    events: &mut EventLoop<'static, Limiter>,
+    limiter: &mut Limiter,
+    wait: Option<Duration>,
+) -> calloop::Result<()> {
+    events.dispatch(wait, limiter)?;
+    limiter.host.looked = limiter.host.clock.now();
+    let mut looks = 0..LOOKS;
+    while let Some(moved) = limiter.host.moved.pop_first() {
+        moved.take_in(limiter);
+        if limiter.host.is_stale() && looks.next().is_some() {
+            events.dispatch(Duration::ZERO, limiter)?;
+            limiter.host.looked = limiter.host.clock.now();
+        }
+    }
+    settle(limiter);
+    Ok(())
+}
+
 /// Waits for what comes next, takes it in, then sees to what is due.
 fn turn(events: &mut EventLoop<'static, Limiter>, limiter: &mut Limiter) -> calloop::Result<()> {
     let now = limiter.host.clock.now();
     let wait = limiter.host.next_wake(now).map(|at| Duration::from_micros(at.since(now).micros()));
     let mut before = limiter.host.moves;
-    events.dispatch(wait, limiter)?;
+    look(events, limiter, wait)?;
     // A late loop has input to take in before anything is held to be late.
     for _ in 0..LOOKS {
         let now = limiter.host.clock.now();
@@ -164,23 +181,30 @@
             break;
         }
         before = limiter.host.moves;
-        events.dispatch(Duration::ZERO, limiter)?;
+        look(events, limiter, Some(Duration::ZERO))?;
     }
     limiter.host.open_door();
-    let now = limiter.host.clock.now();
-    if let Some(peers) = limiter.host.peers.as_mut().filter(|peers| peers.next(now) <= now) {
-        peers.due(now);
+    let by = limiter.host.clock.now();
+    if let Some(peers) = limiter.host.peers.as_mut().filter(|peers| peers.next(by) <= by) {
+        peers.due(by);
         settle(limiter);
     }
-    while let Some((_, due)) = limiter.host.next_due().filter(|(at, _)| *at <= now) {
+    let mut looks = 0..LOOKS;
+    while let Some((_, due)) = limiter.host.next_due().filter(|(at, _)| *at <= by) {
+        if limiter.host.is_stale() && looks.next().is_some() {
+            look(events, limiter, Some(Duration::ZERO))?;
+            continue;
+        }
         limiter.host.timers.pop();
+        let now = limiter.host.clock.now();
         match due {
             Due::Woken(mark) => limiter.woken(now, mark),
             Due::Patience(key, _) => limiter.host.close_link(key, Some(Fate::TimedOut), "timed out"),
             Due::Connected(key) => limiter.host.close_link(key, None, "never came up"),
             Due::Counted(number) => limiter.host.call_over(number),
-            Due::Serve(key) => client::serve(limiter, key),
+            Due::Serve(key) => client::moved(limiter, key),
             Due::Watch => limiter.host.watch(),
+            Due::Known => discovery::use_known_list(limiter),
             Due::Closed => limiter.host.close(),
             Due::Sweep => {
                 limiter.host.sweep_clients(now);
@@ -209,6 +233,11 @@
         }
     }
 
+    /// What has come since the last look may change what is to be done.
+    fn is_stale(&self) -> bool {
+        self.clock.now().since(self.looked) > FRESH
+    }
+
     /// When something is due: a timer, or a word to the other gateways.
     fn next_wake(&mut self, now: Moment) -> Option<Moment> {
         let timer = self.next_due().map(|(at, _)| at);
@@ -231,21 +260,23 @@
             Due::Patience(key, serial) => links.get(&key).is_some_and(|link| link.carries(serial)),
             Due::Connected(key) => links.get(&key).is_some_and(|link| !link.up),
             Due::Counted(number) => counter.awaits(number),
-            Due::Serve(_) | Due::Watch | Due::Sweep | Due::Closed => true,
+            Due::Serve(_) | Due::Watch | Due::Known | Due::Sweep | Due::Closed => true,
         })
     }
 
     /// False once no descriptor is left: the others wait until one is.
-    fn accept_all(&mut self, listener: &TcpListener) -> bool {
+    pub fn accept_all(&mut self, listener: &TcpListener) -> bool {
         self.moves += 1;
         while self.may_accept() {
             match listener.accept() {
                 Ok((stream, _)) => self.accept(stream),
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return true,
+                Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
                 Err(error) => {
+                    // The system has no more descriptors than this process holds: some must be closed first.
                     info!(side = "client", reason = "not accepted", %error);
-                    return true;
+                    break;
                 }
             }
         }
--- a/crates/gateway/src/memory/channel.rs
+++ b/crates/gateway/src/memory/channel.rs
@@ -1,6 +1,6 @@
 //! One connection: its bytes on the way in and out.
 
-use crate::sockets::Limiter;
+use crate::sockets::{Limiter, Moved};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use rustix::net::{AddressFamily, SocketFlags, SocketType};
@@ -32,16 +32,12 @@
 const USUAL: usize = 2 * 1024;
 
 impl Channel {
-    /// Has `moved` called whenever bytes may be read or written.
-    pub fn new(
-        handle: &LoopHandle<'static, Limiter>,
-        stream: TcpStream,
-        mut moved: impl FnMut(&mut Limiter) + 'static,
-    ) -> io::Result<Self> {
+    /// Has `moved` noted whenever bytes may be read or written.
+    pub fn new(handle: &LoopHandle<'static, Limiter>, stream: TcpStream, moved: Moved) -> io::Result<Self> {
         let stream = Rc::new(stream);
         let source = Generic::new(Rc::clone(&stream), Interest::BOTH, Mode::Edge);
         let inserted = handle.insert_source(source, move |_, _, limiter| {
-            moved(limiter);
+            limiter.host.note(moved);
             Ok(PostAction::Continue)
         });
         let token = inserted.map_err(|error| io::Error::other(error.to_string()))?;
@@ -52,7 +48,7 @@
     pub fn connect(
         handle: &LoopHandle<'static, Limiter>,
         address: SocketAddr,
-        moved: impl FnMut(&mut Limiter) + 'static,
+        moved: Moved,
     ) -> io::Result<Self> {
         let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
         let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
@@ -90,6 +86,26 @@
         }
     }
 
+    /// Reads over what has come, up to `most` bytes, so that an end that stands behind it is seen.
+    pub fn skip(&mut self, most: usize) -> Filled {
+        let (mut bytes, mut left) = ([0; KEPT], most);
+        loop {
+            match (&*self.stream).read(&mut bytes) {
+                Ok(0) => return Filled::Ended,
+                Ok(read) => left = left.saturating_sub(read),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.stuffed = false;
+                    return Filled::Open;
+                }
+                Err(_) => return Filled::Broken,
+            }
+            if left == 0 {
+                return Filled::Open;
+            }
+        }
+    }
+
     /// Lets go of the first bytes of the input.
     pub fn used(&mut self, bytes: usize) {
         self.input.drain(..bytes.min(self.input.len()));
--- a/crates/gateway/src/memory/machines.rs
+++ b/crates/gateway/src/memory/machines.rs
@@ -5,7 +5,7 @@
 use fennelgauge::host::{Entry, JobId, ServerId};
 use fennelgauge::time::{Moment, Span};
 use std::collections::hash_map::DefaultHasher;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
@@ -27,7 +27,7 @@
     }
 }
 
-/// A relay on its way.
+/// A relay on its way, or waiting for its connection to come up.
 pub struct Relay {
     pub job: JobId,
     /// Of its job, from 0.
@@ -35,6 +35,8 @@
     /// Of all relays.
     pub serial: u64,
     pub sent: Moment,
+    /// Its request was handed to the connection: until then it can be taken back as never sent.
+    pub begun: bool,
 }
 
 /// A server that is gone is remembered for so long: lists may contradict one another for a while, and one that
@@ -58,10 +60,15 @@
 }
 
 impl Machines {
-    /// Brings addresses up to a listing; returns the module's entries, and the connections that are of no
-    /// more use as their server is going, has moved or has started again.
-    pub fn learn(&mut self, now: Moment, listing: Listing, zones: &[String]) -> (Vec<Entry>, Vec<u64>) {
-        let (mut entries, mut useless) = (Vec::with_capacity(listing.hosts.len()), Vec::new());
+    /// Brings addresses up to a listing; returns the module's entries, and the servers whose connections are of
+    /// no more use, as they are going, have moved or have started again.
+    pub fn learn(
+        &mut self,
+        now: Moment,
+        listing: Listing,
+        zones: &[String],
+    ) -> (Vec<Entry>, HashSet<ServerId>) {
+        let (mut entries, mut left) = (Vec::with_capacity(listing.hosts.len()), HashSet::new());
         if listing.whole {
             // What the list lacks is gone; what it has is set below.
             self.by_id.values_mut().for_each(|machine| machine.gone = machine.gone.or(Some(now)));
@@ -75,16 +82,15 @@
             let address = line.dial.parse().ok();
             let stays = matches!(line.health, Health::InService);
             if !stays || address != machine.address || line.born_ms != machine.born_ms {
-                useless.append(&mut machine.idle);
+                left.insert(server);
             }
             (machine.address, machine.born_ms) = (address, line.born_ms);
             entries.push(entry(server, &line, zones));
         }
         if listing.whole {
-            let gone = self.by_id.values_mut().filter(|machine| machine.gone.is_some());
-            gone.for_each(|machine| useless.append(&mut machine.idle));
+            left.extend(self.by_id.iter().filter(|(_, machine)| machine.gone.is_some()).map(|(id, _)| *id));
         }
-        (entries, useless)
+        (entries, left)
     }
 
     /// Forgets servers long gone: in a fleet that is replaced without end they would fill the memory.
--- a/crates/gateway/src/memory/timers.rs
+++ b/crates/gateway/src/memory/timers.rs
@@ -19,6 +19,8 @@
     Serve(u64),
     /// Discovery is to be asked again.
     Watch,
+    /// Discovery should have answered for the first time.
+    Known,
     /// Connections are looked over for those that stand still.
     Sweep,
     /// The time in which a stopping gateway takes new connections is over.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -3,6 +3,7 @@
 
 mod log;
 
+use crate::sockets::{settle, Limiter};
 use fennelgauge::host::Wanted as Units;
 use fennelgauge::time::Moment;
 use fennelgauge_launch::operator::Membership;
@@ -43,6 +44,15 @@
     log: Log,
 }
 
+/// Datagrams have come.
+pub fn moved(limiter: &mut Limiter) {
+    let now = limiter.host.clock.now();
+    if let Some(peers) = &mut limiter.host.peers {
+        peers.read(now);
+    }
+    settle(limiter);
+}
+
 impl Wanted<'_> {
     /// Where everybody listens, by number; or why this gateway stays silent.
     fn addresses(&self) -> Result<(SocketAddr, Vec<Option<SocketAddr>>), String> {
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -5,20 +5,45 @@
 use crate::memory::jobs::Jobs;
 use crate::memory::machines::{Link, Machines};
 use crate::memory::timers::{Due, Timers};
-use crate::peers::Peers;
+use crate::peers::{self, Peers};
 use crate::wire::client::{self, Client};
-use crate::wire::counter::Counter;
-use crate::wire::discovery::Discovery;
+use crate::wire::counter::{self, Counter};
+use crate::wire::discovery::{self, Discovery};
 use crate::wire::request::{self, Names};
+use crate::wire::server;
 use calloop::LoopHandle;
 use fennelgauge::choice::Gateway;
 use fennelgauge::host::{CountName, Fate, Host, JobId, RelayEnd, ServerId, Wanted};
 use fennelgauge::time::{Moment, Span};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// The module and its sockets; what the loop hands to each callback.
 pub type Limiter = Gateway<Sockets>;
 
+/// A connection that bytes may be read from or written to, by its number. What the loop found moved is taken in
+/// by this order, not by the system's: after a stall all comes at once, and a total or an answer taken in before
+/// the list that came with it would send a job to a server that was told to drain long before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Moved {
+    Discovery(u64),
+    Server(u64),
+    Counter(u64),
+    Peers,
+    Client(u64),
+}
+
+impl Moved {
+    pub fn take_in(self, limiter: &mut Limiter) {
+        match self {
+            Self::Discovery(key) => discovery::moved(limiter, key),
+            Self::Server(key) => server::moved(limiter, key),
+            Self::Counter(key) => counter::moved(limiter, key),
+            Self::Peers => peers::moved(limiter),
+            Self::Client(key) => client::moved(limiter, key),
+        }
+    }
+}
+
 /// Everything outside the module.
 pub struct Sockets {
     pub handle: LoopHandle<'static, Limiter>,
@@ -47,8 +72,10 @@
     pub most_answers: usize,
     /// Connections and relays are numbered, so that nothing late is taken for something new.
     pub numbered: u64,
-    /// How often anything came in.
+    /// How often anything came in, what of it is not taken in yet, and when it was last looked for.
     pub moves: u64,
+    pub moved: BTreeSet<Moved>,
+    pub looked: Moment,
     /// What has ended inside a call from the module; it is told after that call.
     pub ended: VecDeque<RelayEnd>,
     pub counted: VecDeque<(CountName, Option<f64>, Fate)>,
@@ -63,6 +90,11 @@
         self.numbered
     }
 
+    pub fn note(&mut self, moved: Moved) {
+        self.moves += 1;
+        self.moved.insert(moved);
+    }
+
     pub fn count(&mut self, name: CountName, total: Option<f64>, fate: Fate) {
         self.counted.push_back((name, total, fate));
     }
@@ -93,6 +125,7 @@
 
 impl Host for Sockets {
     fn relay(&mut self, job: JobId, server: ServerId, patience: Span) {
+        self.look_at_client_of(job);
         let now = self.clock.now();
         let Some(record) = self.jobs.open.get_mut(&job) else {
             let end = RelayEnd { job, server, fate: Fate::Moot, took: Span::ZERO, settled: true };
--- a/crates/gateway/src/wire/client.rs
+++ b/crates/gateway/src/wire/client.rs
@@ -4,7 +4,7 @@
 use super::request::{self, Request, Taken};
 use crate::memory::channel::{Channel, Filled};
 use crate::memory::timers::Due;
-use crate::sockets::{settle, Limiter, Sockets};
+use crate::sockets::{settle, Limiter, Moved, Sockets};
 use fennelgauge::host::{Arrival, JobId};
 use fennelgauge::time::{Moment, Span};
 use std::net::TcpStream;
@@ -13,8 +13,6 @@
 /// Requests of one connection that are taken in one turn: a client that writes them without pause must not keep
 /// the loop from all others.
 const AT_ONCE: usize = 16;
-/// Bytes of a next request that are taken in while a job is out.
-const PIPELINED: usize = 4 * 1024;
 /// How long a request may take to come in, from the connection's start or once begun; far above any sound
 /// client's. One that says nothing is owed a close within 3 s of its connecting; the sweep takes its part of that.
 const SLOW: Span = Span::from_millis(2_000);
@@ -22,9 +20,14 @@
 const SLOW_READER: Span = Span::from_millis(10_000);
 /// How long an ended connection may take to be closed by the other side.
 const LINGER: Span = Span::from_millis(1_000);
-/// What is sent on an ended connection is read over this often, so that its answer is not lost by a reset; a
-/// client that sends without end must not cost the others more than that.
-const READ_OVER: usize = 8;
+/// What is sent on an ended connection is read over up to so much, so that its answer is not lost by a reset; and
+/// on one with more requests waiting than are taken in, so that its client's leaving behind them is seen. A client
+/// that sends without end must not cost the others more than that in one turn, and the next comes some time later.
+const READ_OVER: usize = 8 * http::MOST_MESSAGE;
+const READ_ON: Span = Span::from_millis(10);
+/// A client's leaving may stand unread while a job of its is held or tried again: no attempt may begin a tenth of a
+/// second after it. So before each the connection is read, where it was not just read.
+const JUST_READ: Span = Span::from_millis(10);
 /// A served connection that stands unused is closed: some clients never come back, and a machine that vanished
 /// says nothing. A client that does come back by then saves a connection.
 const UNUSED: Span = Span::from_millis(10_000);
@@ -50,6 +53,10 @@
     continued: bool,
     /// It had an answer.
     served: bool,
+    /// More was sent than is taken in at once, and read over: what cannot be read whole gets no answer but its end.
+    overrun: bool,
+    /// When it was last read.
+    read: Moment,
     room: Room,
 }
 
@@ -71,8 +78,7 @@
     Ended,
 }
 
-fn moved(limiter: &mut Limiter, key: u64) {
-    limiter.host.moves += 1;
+pub fn moved(limiter: &mut Limiter, key: u64) {
     limiter.host.receive(key);
     serve(limiter, key);
     settle(limiter);
@@ -100,33 +106,53 @@
 }
 
 impl Sockets {
-    /// A descriptor is left for a further client, be it only to dismiss its job.
+    /// A descriptor is left for a further client, be it only to dismiss its job, or another makes room. Servers keep
+    /// theirs: one connection at the least, however many clients come and say nothing.
     pub fn may_accept(&self) -> bool {
-        self.clients.len() + self.links.len() < self.most + RESERVE
+        let (clients, links) = (self.clients.len(), self.links.len().max(1));
+        let room = clients < self.most_clients + RESERVE && clients + links < self.most + RESERVE;
+        room || self.displaceable(self.clock.now()).is_some()
     }
 
-    /// What a new client is taken in for. Where room is short, one that never sent a whole request makes room, or
-    /// one that stands ended, or else the one unused the longest: closed between requests.
-    fn room_for_client(&mut self, now: Moment) -> Room {
-        if self.clients.len() < self.most_clients && self.make_room() {
-            return Room::ForJobs;
-        }
+    /// The client that makes room first: one that has not sent a whole request for a while, or stands ended, or else
+    /// the one unused the longest.
+    fn displaceable(&self, now: Moment) -> Option<u64> {
         let rank = |client: &Client| match client.stage {
+            // Its next request has come, and is served.
+            Stage::Idle if !client.channel.input.is_empty() => None,
             Stage::Idle if client.served => Some(1),
             Stage::Idle | Stage::Receiving | Stage::Ended => (now.since(client.since) > QUIET).then_some(0),
             Stage::Working | Stage::Answering => None,
         };
         let ranked = self.clients.iter().filter_map(|(key, it)| Some(((rank(it)?, it.since), *key)));
-        let Some((_, oldest)) = ranked.min() else { return Room::ToDismiss };
-        let received = |host: &Self| host.clients.get(&oldest).map_or(0, |it| it.channel.input.len());
-        let before = received(self);
-        self.receive(oldest);
-        if received(self) > before {
-            self.resumed.push_back(oldest);
-            return Room::ToDismiss;
+        ranked.min().map(|(_, key)| key)
+    }
+
+    /// Closes a client that makes room, between requests; false where none does.
+    pub fn displace_client(&mut self, now: Moment) -> bool {
+        while let Some(key) = self.displaceable(now) {
+            let received = |host: &Self| host.clients.get(&key).map(|it| it.channel.input.len());
+            let before = received(self);
+            self.receive(key);
+            match self.clients.get_mut(&key) {
+                // It speaks after all, and is served.
+                Some(client) if Some(client.channel.input.len()) > before => client.since = now,
+                _ => {
+                    self.close_client(key, "crowded");
+                    return true;
+                }
+            }
+            self.resumed.push_back(key);
+        }
+        false
+    }
+
+    /// What a new client is taken in for, once room was made where it is short.
+    fn room_for_client(&mut self, now: Moment) -> Room {
+        if self.clients.len() < self.most_clients && self.make_room() || self.displace_client(now) {
+            return Room::ForJobs;
         }
-        self.close_client(oldest, "crowded");
-        Room::ForJobs
+        Room::ToDismiss
     }
 
     pub fn accept(&mut self, stream: TcpStream) {
@@ -134,8 +160,7 @@
         let room = self.room_for_client(now);
         let key = self.number();
         let opened = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
-        let channel =
-            opened.and_then(|()| Channel::new(&self.handle, stream, move |limiter| moved(limiter, key)));
+        let channel = opened.and_then(|()| Channel::new(&self.handle, stream, Moved::Client(key)));
         match channel {
             Ok(channel) => {
                 let client = Client {
@@ -148,6 +173,8 @@
                     reason: "answered",
                     continued: false,
                     served: false,
+                    overrun: false,
+                    read: now,
                     room,
                 };
                 self.clients.insert(key, client);
@@ -156,27 +183,36 @@
         }
     }
 
+    /// Closes the connection of a job's client that has left, though nothing told of it yet.
+    pub fn look_at_client_of(&mut self, job: JobId) {
+        let Some(key) = self.jobs.open.get(&job).map(|job| job.client) else { return };
+        let now = self.clock.now();
+        if self.clients.get(&key).is_some_and(|client| now.since(client.read) > JUST_READ) {
+            self.receive(key);
+        }
+    }
+
     /// Reads what has come, and writes what could not be written before.
     fn receive(&mut self, key: u64) {
+        let now = self.clock.now();
         let Some(client) = self.clients.get_mut(&key) else { return };
         if client.stage == Stage::Answering {
             self.push(key);
         }
         let Some(client) = self.clients.get_mut(&key) else { return };
-        let busy = client.job.is_some() || client.stage == Stage::Answering;
-        let filled = client.channel.fill(if busy { PIPELINED } else { http::MOST_MESSAGE });
-        if client.stage == Stage::Ended {
+        client.read = now;
+        let ended = client.stage == Stage::Ended;
+        let mut filled = client.channel.fill(http::MOST_MESSAGE);
+        if ended {
             client.channel.used(usize::MAX);
-            for _ in 0..READ_OVER {
-                if !client.channel.stuffed || client.channel.fill(http::MOST_MESSAGE) != Filled::Open {
-                    break;
-                }
-                client.channel.used(usize::MAX);
-            }
         }
-        let ended = client.stage == Stage::Ended;
+        if client.channel.stuffed {
+            client.overrun = true;
+            filled = client.channel.skip(READ_OVER);
+        }
         match filled {
             Filled::Open if ended && client.channel.stuffed => self.close_client(key, "sends on"),
+            Filled::Open if client.channel.stuffed => self.timers.set(now + READ_ON, Due::Serve(key)),
             Filled::Open => {}
             Filled::Ended if ended => {
                 let reason = client.reason;
@@ -189,13 +225,11 @@
 
     /// The next request on a connection, where one has come and the one before is answered.
     fn next_request(&mut self, key: u64, now: Moment) -> Next {
-        let (ready, stopping) = (self.is_ready(), self.stop.begun());
+        let (ready, stopping, late) = (self.is_ready(), self.stop.begun(), self.stop.is_late(now));
         let waits = |client: &Client| matches!(client.stage, Stage::Idle | Stage::Receiving);
-        if self.clients.get(&key).is_some_and(|client| waits(client) && client.channel.stuffed) {
-            self.receive(key);
-        }
         let client = self.clients.get_mut(&key);
-        let Some(client) = client.filter(|it| waits(it) && !it.channel.input.is_empty()) else {
+        let has_more = |it: &Client| it.overrun || !it.channel.input.is_empty();
+        let Some(client) = client.filter(|it| waits(it) && !it.channel.stuffed && has_more(it)) else {
             return Next::Nothing;
         };
         let open = |id: &str| self.jobs.ids.contains(id);
@@ -215,19 +249,25 @@
                         self.push(key);
                         return Next::Answered;
                     }
-                    Request::Job(_) if client.room == Room::ToDismiss => {
-                        (client.keep, client.reason) = (false, "crowded");
-                        request::own(&mut client.channel.output, 429, None, false);
-                        self.push(key);
-                        return Next::Answered;
-                    }
                     Request::Job(job) => {
+                        client.stage = Stage::Working;
+                        // A client that speaks has the place of one that does not.
+                        let crowded = client.room == Room::ToDismiss && !self.displace_client(now);
+                        let Some(client) = self.clients.get_mut(&key) else { return Next::Nothing };
+                        if crowded || late {
+                            let (status, reason) = if late { (503, "stopping") } else { (429, "crowded") };
+                            (client.keep, client.reason) = (false, reason);
+                            request::own(&mut client.channel.output, status, None, false);
+                            self.push(key);
+                            return Next::Answered;
+                        }
                         let id = self.jobs.take(key, job.onward);
-                        (client.stage, client.job) = (Stage::Working, Some(id));
+                        (client.room, client.job) = (Room::ForJobs, Some(id));
                         return Next::Job(Arrival { job: id, ..job.arrival });
                     }
                 }
             }
+            Ok(None) if client.overrun => self.refuse(key, 413),
             Ok(None) => {
                 if client.stage == Stage::Idle {
                     // A first request has its time from the connection's start.
@@ -274,10 +314,10 @@
         let now = self.clock.now();
         let Some(client) = self.clients.get_mut(&key) else { return };
         match client.channel.flush() {
-            Ok(true) if client.keep => {
+            Ok(true) if client.keep && !self.stop.closed() => {
                 client.served = true;
                 (client.stage, client.since, client.until) = (Stage::Idle, now, now + UNUSED);
-                if client.channel.stuffed || !client.channel.input.is_empty() {
+                if client.overrun || !client.channel.input.is_empty() {
                     self.resumed.push_back(key);
                 }
             }
@@ -300,8 +340,9 @@
     pub fn close_client(&mut self, key: u64, reason: &str) {
         let Some(client) = self.clients.remove(&key) else { return };
         if let Some(id) = client.job {
-            self.jobs.end(id);
+            let out = self.jobs.end(id).and_then(|job| job.out);
             self.left.push_back(id);
+            out.into_iter().for_each(|out| self.take_back(out));
         }
         info!(side = "client", key, reason, stage = ?client.stage);
         client.channel.close(&self.handle);
@@ -316,7 +357,7 @@
                 Some(Stage::Receiving) => self.refuse(key, 408),
                 Some(Stage::Answering) => self.close_client(key, "slow reader"),
                 Some(Stage::Ended) => self.close_client(key, "not closed by client"),
-                _ => self.close_client(key, "unused"),
+                _ => self.end_client(key, "unused"),
             }
         }
     }
@@ -325,11 +366,20 @@
     pub fn end_idle_clients(&mut self) {
         let idle = |client: &Client| client.stage == Stage::Idle;
         let idle: Vec<u64> = self.clients.iter().filter(|(_, it)| idle(it)).map(|(key, _)| *key).collect();
-        for key in idle {
-            if let Some(client) = self.clients.get_mut(&key) {
-                client.keep = false;
-            }
-            self.push(key);
+        idle.into_iter().for_each(|key| self.end_client(key, "stopping"));
+    }
+
+    /// Ends the sending on a connection between requests. One that has come meanwhile is served first: its client
+    /// need not send it again. What crosses the end is read over, as a close over it would be a reset.
+    fn end_client(&mut self, key: u64, reason: &'static str) {
+        self.receive(key);
+        let Some(client) = self.clients.get_mut(&key).filter(|client| client.stage == Stage::Idle) else {
+            return;
+        };
+        if client.overrun || !client.channel.input.is_empty() {
+            return self.resumed.push_back(key);
         }
+        (client.keep, client.reason) = (false, reason);
+        self.push(key);
     }
 }
--- a/crates/gateway/src/wire/counter.rs
+++ b/crates/gateway/src/wire/counter.rs
@@ -3,7 +3,7 @@
 use super::http;
 use crate::memory::channel::{Channel, Filled};
 use crate::memory::timers::Due;
-use crate::sockets::{settle, Limiter, Sockets};
+use crate::sockets::{settle, Limiter, Moved, Sockets};
 use fennelgauge::host::{CountName, Fate};
 use fennelgauge::time::{Moment, Span};
 use std::collections::VecDeque;
@@ -105,8 +105,7 @@
     }
 }
 
-fn moved(limiter: &mut Limiter, key: u64) {
-    limiter.host.moves += 1;
+pub fn moved(limiter: &mut Limiter, key: u64) {
     limiter.host.counter_moved(key);
     settle(limiter);
 }
@@ -131,7 +130,7 @@
     fn open_counter(&mut self) {
         let Some(address) = self.counter.address else { return };
         let (key, heard) = (self.number(), self.clock.now());
-        match Channel::connect(&self.handle, address, move |limiter| moved(limiter, key)) {
+        match Channel::connect(&self.handle, address, Moved::Counter(key)) {
             Ok(channel) => {
                 let calls = VecDeque::new();
                 let line = Line { channel, key, up: false, former: false, heard, calls, handed: 0 };
--- a/crates/gateway/src/wire/discovery.rs
+++ b/crates/gateway/src/wire/discovery.rs
@@ -3,10 +3,11 @@
 use super::http;
 use crate::memory::channel::{Channel, Filled};
 use crate::memory::timers::Due;
-use crate::sockets::{settle, Limiter, Sockets};
+use crate::sockets::{settle, Limiter, Moved, Sockets};
 use fennelgauge::host::Standing;
 use fennelgauge::time::{Moment, Span};
 use serde::Deserialize;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tracing::info;
@@ -18,6 +19,15 @@
 /// agent is on this machine, and asking it costs nothing.
 const HOLD: Duration = Duration::from_secs(1);
 const LATE: Span = Span::from_millis(500);
+/// A list of hundreds of servers, indented, may be larger than any request; one beyond this is no list.
+const MOST_LIST: usize = 1024 * 1024;
+/// The list known at the start may be old: it is used once discovery has told what changed since, or has said nothing
+/// for so long. Far more than an agent on this machine takes, and far below what a start may take.
+const FIRST: Span = Span::from_millis(500);
+/// A list older than the one known may come from an agent that lags, and would send jobs to servers that drain; or
+/// the versions began anew. It is asked for again, and believed if it still comes after this, well within the time in
+/// which changes count as told.
+const BELIEVED: Span = Span::from_millis(2_000);
 
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
@@ -27,6 +37,16 @@
     pub hosts: Vec<Line>,
 }
 
+impl Listing {
+    /// The whole list after those changes.
+    fn changed_by(mut self, changes: Self) -> Self {
+        let changed: HashSet<&str> = changes.hosts.iter().map(|line| line.host.as_str()).collect();
+        self.hosts.retain(|line| !changed.contains(line.host.as_str()));
+        self.hosts.extend(changes.hosts);
+        Self { seq: changes.seq, whole: true, hosts: self.hosts }
+    }
+}
+
 /// One server.
 #[derive(Debug, Deserialize)]
 pub struct Line {
@@ -84,8 +104,13 @@
 pub struct Discovery {
     agent: SocketAddr,
     channel: Option<Channel>,
-    /// The version that is known.
+    /// The version to go on from; none asks for the whole list.
     seq: Option<u64>,
+    /// The list known at the start, until discovery has told what changed since.
+    known: Option<Listing>,
+    /// The latest version heard of, and since when only older ones come.
+    latest: u64,
+    older: Option<Moment>,
     key: u64,
     /// When the watch was sent; a timer is set to send it.
     asked: Moment,
@@ -94,14 +119,39 @@
 
 impl Discovery {
     /// Goes on from the list that is known, where one is.
-    pub fn new(agent: SocketAddr, known: &Listing) -> Self {
-        let seq = Some(known.seq).filter(|_| !known.hosts.is_empty());
-        Self { agent, channel: None, seq, key: 0, asked: Moment::default(), waits: false }
+    pub fn new(agent: SocketAddr, known: Listing) -> Self {
+        let (latest, known) = (known.seq, Some(known).filter(|known| !known.hosts.is_empty()));
+        let (seq, older) = (known.as_ref().map(|known| known.seq), None);
+        Self {
+            agent,
+            channel: None,
+            seq,
+            known,
+            latest,
+            older,
+            key: 0,
+            asked: Moment::default(),
+            waits: false,
+        }
+    }
+
+    /// Whether a list is acted on, and what it says along with the one known at the start.
+    fn accept(&mut self, now: Moment, listing: Listing) -> Option<Listing> {
+        let older = listing.seq < self.latest;
+        let since = *self.older.get_or_insert(now);
+        if older && now.since(since) < BELIEVED {
+            self.seq = None;
+            return None;
+        }
+        (self.older, self.latest, self.seq) = (None, listing.seq, Some(listing.seq));
+        match self.known.take() {
+            Some(known) if !listing.whole => Some(known.changed_by(listing)),
+            _ => Some(listing),
+        }
     }
 }
 
-fn moved(limiter: &mut Limiter, key: u64) {
-    limiter.host.moves += 1;
+pub fn moved(limiter: &mut Limiter, key: u64) {
     while limiter.host.discovery.key == key {
         let Some(listing) = limiter.host.discovery_moved() else { break };
         learn(limiter, listing);
@@ -109,12 +159,19 @@
     settle(limiter);
 }
 
+/// Discovery has not answered since the start: what was known then has to do.
+pub fn use_known_list(limiter: &mut Limiter) {
+    if let Some(known) = limiter.host.discovery.known.take() {
+        learn(limiter, known);
+    }
+}
+
 /// Tells the module what a listing says.
-pub fn learn(limiter: &mut Limiter, listing: Listing) {
+fn learn(limiter: &mut Limiter, listing: Listing) {
     let (now, whole) = (limiter.host.clock.now(), listing.whole);
     let host = &mut limiter.host;
-    let (entries, useless) = host.machines.learn(now, listing, &host.zones);
-    useless.into_iter().for_each(|key| host.close_link(key, None, "roster"));
+    let (entries, left) = host.machines.learn(now, listing, &host.zones);
+    host.leave_servers(&left);
     if whole {
         limiter.roster_listed(now, entries.into_iter());
     } else {
@@ -123,6 +180,12 @@
 }
 
 impl Sockets {
+    /// Starts to follow discovery.
+    pub fn follow_discovery(&mut self) {
+        self.timers.set(self.clock.now() + FIRST, Due::Known);
+        self.watch_soon();
+    }
+
     pub fn watch_soon(&mut self) {
         if self.discovery.channel.is_none() && !std::mem::replace(&mut self.discovery.waits, true) {
             let pause = if self.discovery.asked == Moment::default() { Span::ZERO } else { PAUSE };
@@ -136,7 +199,7 @@
             return;
         }
         let (agent, key) = (self.discovery.agent, self.number());
-        match Channel::connect(&self.handle, agent, move |limiter| moved(limiter, key)) {
+        match Channel::connect(&self.handle, agent, Moved::Discovery(key)) {
             Ok(channel) => (self.discovery.channel, self.discovery.key) = (Some(channel), key),
             Err(error) => info!(side = "discovery", key, reason = "refused", %error),
         }
@@ -166,31 +229,36 @@
 
     /// The next listing that has come; the watch is renewed at once.
     fn discovery_moved(&mut self) -> Option<Listing> {
+        let now = self.clock.now();
         let discovery = &mut self.discovery;
         let channel = discovery.channel.as_mut()?;
         let flushed = channel.flush();
-        let filled = channel.fill(http::MOST_MESSAGE);
-        let answer = http::answer(&channel.input, filled == Filled::Ended, http::MOST_BODY);
+        let filled = channel.fill(http::with_body(MOST_LIST));
+        let answer = http::answer(&channel.input, filled == Filled::Ended, MOST_LIST);
         let (used, keep, listing) = match &answer {
             Ok(Some(answer)) => (answer.used, answer.keep, listing(answer)),
-            Ok(None) if flushed.is_ok() && filled == Filled::Open => return None,
+            Ok(None) if flushed.is_ok() && filled == Filled::Open && !channel.stuffed => return None,
             _ => {
                 self.close_discovery("broken");
                 return None;
             }
         };
         channel.used(used);
-        match &listing {
-            Some(listing) => discovery.seq = Some(listing.seq),
-            // An answer that cannot be read is followed by the whole list.
-            None => discovery.seq = None,
-        }
-        if listing.is_none() || !keep || filled != Filled::Open {
-            self.close_discovery(if listing.is_none() { "malformed answer" } else { "closed by discovery" });
+        // An answer that cannot be read, or is not believed, is followed by the whole list.
+        discovery.seq = None;
+        let Some(listing) = listing else {
+            self.close_discovery("malformed answer");
+            return None;
+        };
+        let accepted = discovery.accept(now, listing);
+        if accepted.is_none() {
+            self.close_discovery("older list");
+        } else if !keep || filled != Filled::Open {
+            self.close_discovery("closed by discovery");
         } else {
             self.ask();
         }
-        listing
+        accepted
     }
 
     fn close_discovery(&mut self, reason: &str) {
--- a/crates/gateway/src/wire/server.rs
+++ b/crates/gateway/src/wire/server.rs
@@ -1,13 +1,15 @@
 //! Connections to servers, and what their answers mean.
 
+use super::client::RESERVE;
 use super::http::{self, Answer};
 use super::request;
 use crate::memory::channel::{Channel, Filled};
 use crate::memory::machines::{Link, Relay};
 use crate::memory::timers::Due;
-use crate::sockets::{settle, Limiter, Sockets};
+use crate::sockets::{settle, Limiter, Moved, Sockets};
 use fennelgauge::host::{Fate, JobId, RelayEnd, ServerId};
 use fennelgauge::time::{Moment, Span};
+use std::collections::HashSet;
 use tracing::info;
 
 fn fate(answer: &Answer) -> Fate {
@@ -21,12 +23,28 @@
     }
 }
 
-fn moved(limiter: &mut Limiter, key: u64) {
-    limiter.host.moves += 1;
+pub fn moved(limiter: &mut Limiter, key: u64) {
+    if limiter.host.comes_up(key) {
+        begin(limiter, key);
+    }
     limiter.host.link_moved(key);
     settle(limiter);
 }
 
+/// A connection that a relay waits for has come up, perhaps long after that was asked for: by now its client may
+/// have left, its server may drain or drop no repeats of the job any more. Then it ends as never sent.
+fn begin(limiter: &mut Limiter, key: u64) {
+    let Some(job) = limiter.host.links.get(&key).and_then(|link| link.out.as_ref()).map(|out| out.job) else {
+        return;
+    };
+    limiter.host.look_at_client_of(job);
+    let now = limiter.host.clock.now();
+    match limiter.relay_begins(now, job) {
+        Some(patience) => limiter.host.begin(key, patience),
+        None => limiter.host.take_back(key),
+    }
+}
+
 impl Sockets {
     /// A connection to a server that carries nothing: one that stands idle, or a new one.
     pub fn link_to(&mut self, server: ServerId, now: Moment) -> Result<u64, Fate> {
@@ -46,12 +64,12 @@
         }
         let address = self.machines.by_id.get(&server).and_then(|machine| machine.address);
         let address = address.ok_or(Fate::ConnectFailed)?;
-        if !self.make_room() {
+        if !self.room_for_link(now) {
             // Nothing speaks against the server.
             return Err(Fate::Moot);
         }
         let key = self.number();
-        let channel = Channel::connect(&self.handle, address, move |limiter| moved(limiter, key));
+        let channel = Channel::connect(&self.handle, address, Moved::Server(key));
         match channel {
             Ok(channel) => {
                 self.links.insert(key, Link { channel, server, up: false, out: None, idle: now });
@@ -65,7 +83,7 @@
         }
     }
 
-    /// Keeps within the descriptors allowed: the connection that stood idle the longest makes room.
+    /// Keeps within the descriptors allowed: the connection to a server that stood idle the longest makes room.
     pub fn make_room(&mut self) -> bool {
         if self.clients.len() + self.links.len() < self.most {
             return true;
@@ -76,30 +94,77 @@
         true
     }
 
+    /// Room for a connection to a server: clients that say nothing must not keep all jobs from their servers.
+    fn room_for_link(&mut self, now: Moment) -> bool {
+        let kept = self.links.is_empty() && self.clients.len() < self.most + RESERVE;
+        self.make_room() || kept || self.displace_client(now)
+    }
+
     pub fn send(&mut self, key: u64, job: JobId, number: u8, now: Moment, patience: Span) {
         let serial = self.number();
         let Some(record) = self.jobs.open.get_mut(&job) else { return };
         let Some(link) = self.links.get_mut(&key) else { return };
         record.out = Some(key);
-        link.out = Some(Relay { job, number, serial, sent: now });
-        request::relay(&mut link.channel.output, &record.onward, patience);
+        link.out = Some(Relay { job, number, serial, sent: now, begun: false });
         self.timers.set(now + patience, Due::Patience(key, serial));
-        if link.up && link.channel.flush().is_err() {
-            self.close_link(key, None, "broken");
+        if link.up {
+            self.begin(key, patience);
         }
     }
 
-    fn link_moved(&mut self, key: u64) {
+    /// Writes the request of a relay to its connection, which is up.
+    fn begin(&mut self, key: u64, patience: Span) {
         let Some(link) = self.links.get_mut(&key) else { return };
-        if !link.up {
-            match link.channel.is_up() {
-                Ok(up) => link.up = up,
-                Err(_) => return self.close_link(key, None, "refused"),
-            }
-            if !link.up {
-                return;
+        let Some(relay) = &mut link.out else { return };
+        let Some(record) = self.jobs.open.get(&relay.job) else { return };
+        relay.begun = true;
+        request::relay(&mut link.channel.output, &record.onward, patience);
+        if link.channel.flush().is_err() {
+            self.close_link(key, None, "broken");
+        }
+    }
+
+    /// Takes back a relay whose request has not reached its server whole, which has therefore not begun with it.
+    /// A connection that nothing was written to serves another job.
+    pub fn take_back(&mut self, key: u64) {
+        let Some(link) = self.links.get(&key) else { return };
+        let begun = link.out.as_ref().is_some_and(|out| out.begun);
+        if begun && link.channel.unwritten() > 0 {
+            self.close_link(key, Some(Fate::Moot), "taken back");
+        } else if !begun {
+            let up = link.up;
+            self.relay_over(key, Fate::Moot);
+            if up {
+                self.rest_link(key);
             }
         }
+    }
+
+    /// Leaves the connections to servers that want no more jobs on them: those that carry nothing, and those that
+    /// a relay only waits for.
+    pub fn leave_servers(&mut self, servers: &HashSet<ServerId>) {
+        let waits = |link: &Link| link.out.as_ref().is_none_or(|out| !out.begun);
+        let left = self.links.iter().filter(|(_, link)| servers.contains(&link.server) && waits(link));
+        let left: Vec<u64> = left.map(|(key, _)| *key).collect();
+        left.into_iter().for_each(|key| self.close_link(key, Some(Fate::Moot), "roster"));
+    }
+
+    /// Sees if a connection that was begun has come up; true if it just has.
+    fn comes_up(&mut self, key: u64) -> bool {
+        let Some(link) = self.links.get_mut(&key).filter(|link| !link.up) else { return false };
+        match link.channel.is_up() {
+            Ok(up) => link.up = up,
+            Err(_) => self.close_link(key, None, "refused"),
+        }
+        let Some(link) = self.links.get(&key).filter(|link| link.up) else { return false };
+        if link.out.is_none() {
+            self.rest_link(key);
+        }
+        true
+    }
+
+    fn link_moved(&mut self, key: u64) {
+        let Some(link) = self.links.get_mut(&key).filter(|link| link.up) else { return };
         let flushed = link.channel.flush();
         // An answer may have come although the rest of the request could not be written.
         let most = self.most_answer;
@@ -178,9 +243,10 @@
     pub fn close_link(&mut self, key: u64, fate: Option<Fate>, reason: &str) {
         let Some(link) = self.links.get(&key) else { return };
         // A server begins a job with its last byte: without that, waiting in vain tells no more than a refusal.
-        let unsent = !link.up || link.channel.unwritten() > 0;
+        let unsent = link.out.as_ref().is_some_and(|out| !out.begun) || link.channel.unwritten() > 0;
         let fate = match fate {
-            Some(Fate::Withdrawn) => Fate::Withdrawn,
+            // Given up from this side, it says nothing against the server.
+            Some(Fate::Withdrawn | Fate::Moot) if unsent => Fate::Moot,
             _ if unsent => Fate::ConnectFailed,
             told => told.unwrap_or(Fate::Reset),
         };
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -406,6 +406,11 @@
 fn a_relay_waited_for_long_enough_has_its_connection_closed() {
     let stage = Stage::start(1, 200);
     let mut client = stage.client();
+    // The short job below must not wait for what discovery, silent here, may have to say of the known list.
+    client.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+    while client.status() != "200" {
+        client.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
     // Too little time for a job that is wanted in twelve seconds: answered at once, and nothing sent.
     client.write(job("05", "look", "open", "0", ""));
     assert_eq!(client.status(), "429");
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -322,7 +322,7 @@
         let name = hashed(&[id, window, 0]);
         self.callers.insert(name, id);
         if let Some(asked) = among {
-            let wanted = self.wanted(id, asked);
+            let wanted = self.wanted(id, asked).unwrap_or_default();
             return self.host.add_among(name, amount - asked, wanted);
         }
         let counter = &mut self.counter;
@@ -357,16 +357,14 @@
 
     /// What an ask among the gateways wants: nothing where the total stands above what is free by now. Just one ask
     /// takes a count past half of the burst, and that one is always added.
-    fn wanted(&self, id: CustomerId, amount: f64) -> Wanted {
-        let Some(customer) = self.customers.get(&id).filter(|_| amount > 0.0) else {
-            return Wanted::default();
-        };
+    fn wanted(&self, id: CustomerId, amount: f64) -> Option<Wanted> {
+        let customer = self.customers.get(&id).filter(|_| amount > 0.0)?;
         let plan = &self.deployment.plans[customer.plan];
         let came = plan.rate * self.now.since(customer.began).secs();
         if !plan.by_rate() {
-            return Wanted { amount, most: plan.relays_out - 1.0, most_marked: plan.relays_out - 1.0 };
+            return Some(Wanted { amount, most: plan.relays_out - 1.0, most_marked: plan.relays_out - 1.0 });
         }
-        Wanted { amount, most: plan.burst / 2.0 + came, most_marked: plan.mark() + plan.burst + came }
+        Some(Wanted { amount, most: plan.burst / 2.0 + came, most_marked: plan.mark() + plan.burst + came })
     }
 
     /// The gateways' own total of a count came, and whether what was wanted was added; or word that none will. It
@@ -588,10 +586,7 @@
         let Some(job) = self.jobs.get(&id).filter(|job| job.stage == Stage::Cleared) else { return };
         let (arrival, first, tick) = (job.arrival, job.relays == 0, self.deployment.tick);
         let (latest, place) = (self.latest(job), self.place(job));
-        let patience = (arrival.abandon - tick - tick).since(self.now);
-        if patience <= tick {
-            return self.give_up(id, None);
-        }
+        let Some(patience) = self.patience(job) else { return self.give_up(id, None) };
         let Some(customer) = self.customers.get_mut(&arrival.customer) else { return };
         if let (true, Some((rate, most))) = (first, customer.ceiling) {
             customer.spent = Level { amount: customer.spent.drained(rate, self.now), at: self.now };
@@ -675,11 +670,29 @@
         Some(chosen)
     }
 
-    /// Rule 2: whether a job may be sent to a server, which never gets it twice in a row.
+    /// A relay's connection has come up, perhaps long after the choice: how long its answer is waited for, where all
+    /// still holds that a relay to that server needs. Where it does not, the relay ends as never sent.
+    pub fn relay_begins(&mut self, now: Moment, id: JobId) -> Option<Span> {
+        self.now = now;
+        let job = self.jobs.get(&id)?;
+        self.servers.get(&job.server).filter(|server| self.may_have(job, server))?;
+        self.patience(job)
+    }
+
+    fn patience(&self, job: &Job) -> Option<Span> {
+        let tick = self.deployment.tick;
+        Some((job.arrival.abandon - tick - tick).since(self.now)).filter(|patience| *patience > tick)
+    }
+
+    /// Whether a job may be sent to a server, which never gets it twice in a row.
     fn may_go(&self, job: &Job, server: &Server) -> bool {
+        (job.relays == 0 || job.server != server.entry.server) && self.may_have(job, server)
+    }
+
+    /// Rules 2 and 3: whether a server may have a job now.
+    fn may_have(&self, job: &Job, server: &Server) -> bool {
         let (repeat, origin) = (self.deployment.bands[job.arrival.band].repeat, job.may_have_run);
         server.ready()
-            && (job.relays == 0 || job.server != server.entry.server)
             && origin.is_none_or(|(sent, from)| repeat.may_go(&from, &server.entry, self.now.since(sent)))
     }
 
@@ -816,10 +829,9 @@
 
     /// What goes first under pressure: the most benefit, and of that the newest, as the oldest would be late.
     fn place(&self, job: &Job) -> (u64, Moment, JobId) {
-        let (band, plan) =
-            (&self.deployment.bands[job.arrival.band], &self.deployment.plans[job.arrival.plan]);
-        let benefit = band.benefit * plan.price;
-        (benefit.to_bits(), job.target, job.arrival.job)
+        let (of, sold) = (&job.arrival, &self.deployment);
+        let benefit = sold.bands[of.band].benefit * sold.plans[of.plan].price;
+        (benefit.to_bits(), job.target, of.job)
     }
 
     /// Sends on what waits for a server, as far as there is room.
