--- a/crates/gateway/src/wire/discovery.rs
+++ b/crates/gateway/src/wire/discovery.rs
@@ -180,10 +180,10 @@
 }
 
 impl Sockets {
-    /// Starts to follow discovery.
+    /// Starts to follow discovery, whose time to answer runs from when it was asked.
     pub fn follow_discovery(&mut self) {
+        self.watch();
         self.timers.set(self.clock.now() + FIRST, Due::Known);
-        self.watch_soon();
     }
 
     pub fn watch_soon(&mut self) {
--- a/crates/gateway/src/wire/server.rs
+++ b/crates/gateway/src/wire/server.rs
@@ -128,7 +128,8 @@
     /// A connection that nothing was written to serves another job.
     pub fn take_back(&mut self, key: u64) {
         let Some(link) = self.links.get(&key) else { return };
-        let begun = link.out.as_ref().is_some_and(|out| out.begun);
+        // Taken back already, its connection rests and may not be handed out twice.
+        let Some(begun) = link.out.as_ref().map(|out| out.begun) else { return };
         if begun && link.channel.unwritten() > 0 {
             self.close_link(key, Some(Fate::Moot), "taken back");
         } else if !begun {
--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets/spoken.rs
@@ -1,226 +1,11 @@
-//! The program itself on loopback sockets, between clients and servers that each test plays by hand and small
-//! stand-ins for the counter and discovery. Waits have a bound only so that a failure ends.
+//! What is spoken with clients, servers, the counter and discovery, one thing at a time.
 
-use std::collections::HashMap;
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::thread::JoinHandle;
+use crate::stage::{accept, count, host, job, listener, serve, End, Stage, PATIENT};
+use std::io::{BufRead, Read, Write};
+use std::net::{Shutdown, UdpSocket};
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
-const PATIENT: &str = "15000";
-
-struct Stage {
-    child: Child,
-    at: SocketAddr,
-    servers: Vec<TcpListener>,
-    counter: TcpListener,
-    agent: TcpListener,
-    log: Option<JoinHandle<String>>,
-    configuration: PathBuf,
-}
-
-/// One end of a connection, as the test plays it.
-struct End(BufReader<TcpStream>);
-
-fn listener() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").unwrap()
-}
-
-/// The next connection, if one comes.
-fn accept(listener: &TcpListener) -> End {
-    listener.set_nonblocking(true).unwrap();
-    let accepted = (0..2_000).find_map(|_| {
-        let accepted = listener.accept().ok();
-        if accepted.is_none() {
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        accepted
-    });
-    listener.set_nonblocking(false).unwrap();
-    let stream = accepted.expect("no connection came").0;
-    stream.set_nonblocking(false).unwrap();
-    End::new(stream)
-}
-
-fn host(number: usize, dial: SocketAddr, health: &str) -> String {
-    format!(
-        r#"{{"host":"s-{number}","dial":"{dial}","site":"east","class":"m","block":{number},"health":"{health}","share":1.0,"born_ms":0}}"#
-    )
-}
-
-impl Stage {
-    fn start(servers: usize, sockets: usize) -> Self {
-        let servers: Vec<TcpListener> = (0..servers).map(|_| listener()).collect();
-        let (counter, agent) = (listener(), listener());
-        let hosts = servers.iter().enumerate();
-        let hosts: Vec<String> =
-            hosts.map(|(i, it)| host(i, it.local_addr().unwrap(), "in_service")).collect();
-        let text = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","counter":"{}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
-            "known":{{"seq":41,"whole":true,"hosts":[{}]}},
-            "settings":{{"balancers":1,"self_index":0,"tick":1000,"discovery":"automatic","zones":["east"],
-            "services":[{{"name":"soon","aim":400000,"points":1.0,"semantics":"non_idempotent"}},
-                {{"name":"calm","aim":4000000,"points":1.0,"semantics":"non_idempotent"}},
-                {{"name":"look","aim":12000000,"points":1.0,"semantics":"read_like"}},
-                {{"name":"book","aim":12000000,"points":1.0,"semantics":"non_idempotent"}},
-                {{"name":"post","aim":12000000,"points":1.0,"semantics":"idempotency_key","group":"all",
-                  "repeat_window":60000000}}],
-            "tariffs":[{{"name":"open","price":1.0}},
-                {{"name":"team","price":1.0,"refill":1000.0,"store_size":1000.0}}],
-            "extra":{{"has_counter":true,"counter_timeout":200000,"max_units":6}},
-            "caps":{{"attempts_cap":2,"may_cancel":true,"conn_idle":60000000,"connect_timeout":5000000,
-                "retry_after":true,"max_retry_after":2000000}}}}}}"#,
-            agent.local_addr().unwrap(),
-            counter.local_addr().unwrap(),
-            hosts.join(",")
-        );
-        let port = agent.local_addr().unwrap().port();
-        let configuration = std::env::temp_dir().join(format!("gateway-{}-{port}", std::process::id()));
-        std::fs::write(&configuration, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_fennelgauge-gateway"))
-            .env("BALANCER_CONFIG", &configuration)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut output = BufReader::new(child.stdout.take().unwrap());
-        let mut line = String::new();
-        while !line.contains("started") {
-            line.clear();
-            assert!(output.read_line(&mut line).unwrap() > 0, "it ended before it started");
-        }
-        let at = line.split("listen=").nth(1).unwrap().trim().parse().unwrap();
-        let log = std::thread::spawn(move || {
-            let mut text = String::new();
-            output.read_to_string(&mut text).unwrap();
-            text
-        });
-        Self { child, at, servers, counter, agent, log: Some(log), configuration }
-    }
-
-    fn client(&self) -> End {
-        End::new(TcpStream::connect(self.at).unwrap())
-    }
-
-    fn server(&self, number: usize) -> End {
-        accept(&self.servers[number])
-    }
-
-    fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
-    }
-
-    /// Ends the program and returns what it logged.
-    fn log(mut self) -> String {
-        self.signal("-TERM");
-        assert!(self.child.wait().unwrap().success());
-        self.log.take().unwrap().join().unwrap()
-    }
-}
-
-impl Drop for Stage {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.configuration);
-    }
-}
-
-impl End {
-    fn new(stream: TcpStream) -> Self {
-        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
-        stream.set_nodelay(true).unwrap();
-        Self(BufReader::new(stream))
-    }
-
-    fn write(&mut self, bytes: impl AsRef<[u8]>) {
-        self.0.get_mut().write_all(bytes.as_ref()).unwrap();
-    }
-
-    /// The next message, with its head in lower case.
-    fn read(&mut self) -> (String, Vec<u8>) {
-        let mut head = String::new();
-        while !head.ends_with("\r\n\r\n") {
-            assert!(self.0.read_line(&mut head).unwrap() > 0, "the connection ended after {head:?}");
-        }
-        let head = head.to_lowercase();
-        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
-        let mut body = vec![0; length.map_or(0, |length| length.parse().unwrap())];
-        self.0.read_exact(&mut body).unwrap();
-        (head, body)
-    }
-
-    fn status(&mut self) -> String {
-        self.read().0[9..12].to_string()
-    }
-
-    fn answer(&mut self, status: &str, body: &str) {
-        self.write(format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
-    }
-
-    /// It is closed, whatever came before: calls that were written meanwhile, on a slow machine.
-    fn closes(&mut self) {
-        let kind = self.0.read_to_end(&mut Vec::new()).err().map(|error| error.kind());
-        assert!(kind.is_none_or(|kind| kind == ErrorKind::ConnectionReset), "{kind:?}");
-    }
-
-    fn ends(&mut self) {
-        let mut rest = Vec::new();
-        let ended = self.0.read_to_end(&mut rest);
-        assert!(rest.is_empty() && ended.is_ok_and(|bytes| bytes == 0), "more than an end came: {rest:?}");
-    }
-}
-
-fn job(id: &str, band: &str, plan: &str, left: &str, body: &str) -> String {
-    let method = if band == "look" { "GET" } else { "POST" };
-    let framing = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
-    format!(
-        "{method} /api?q=1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id}\r\nX-Service-Class: {band}\r\n\
-         X-Tier: {plan}\r\nCookie: account=00000000b4d65521\r\nX-Time-Left-Ms: {left}\r\n\
-         Idempotency-Key: k-{id}\r\n{framing}X-Call-Terms: units=2,spread=1,first=0\r\n\r\n{body}"
-    )
-}
-
-/// Adds up counts until its listener is gone.
-fn count(listener: &TcpListener) {
-    let listener = listener.try_clone().unwrap();
-    std::thread::spawn(move || {
-        let mut totals: HashMap<String, f64> = HashMap::new();
-        for stream in listener.incoming().map_while(Result::ok) {
-            let mut end = End::new(stream);
-            let mut line = String::new();
-            while end.0.read_line(&mut line).is_ok_and(|bytes| bytes > 0) {
-                let words: Vec<&str> = line.split_whitespace().collect();
-                let total = totals.entry(words[1].to_string()).or_default();
-                *total += words[2].parse::<f64>().unwrap();
-                let told = format!("ok {total}\r\n");
-                end.write(told);
-                line.clear();
-            }
-        }
-    });
-}
-
-/// Answers every request on every connection, until the listener is gone.
-fn serve(listener: &TcpListener, body: String) {
-    let listener = listener.try_clone().unwrap();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let body = body.clone();
-            std::thread::spawn(move || {
-                let mut end = End::new(stream);
-                while end.0.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
-                    end.read();
-                    end.answer("200 OK", &body);
-                }
-            });
-        }
-    });
-}
-
 #[test]
 fn a_job_and_its_answer_pass_unchanged_in_pieces_and_whole() {
     let stage = Stage::start(1, 200);
@@ -407,10 +192,7 @@
     let stage = Stage::start(1, 200);
     let mut client = stage.client();
     // The short job below must not wait for what discovery, silent here, may have to say of the known list.
-    client.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
-    while client.status() != "200" {
-        client.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
-    }
+    stage.is_ready();
     // Too little time for a job that is wanted in twelve seconds: answered at once, and nothing sent.
     client.write(job("05", "look", "open", "0", ""));
     assert_eq!(client.status(), "429");
@@ -578,6 +360,26 @@
     assert_eq!(client.read().1, b"alone");
 }
 
+#[test]
+fn a_customer_that_changed_its_plan_is_held_to_the_new_one() {
+    let stage = Stage::start(1, 200);
+    serve(&stage.servers[0], "ok".to_string());
+    let mut client = stage.client();
+    client.write(job("ca", "look", "open", PATIENT, ""));
+    assert_eq!(client.status(), "200");
+    client.write(job("cb", "look", "team", PATIENT, ""));
+    let mut counter = accept(&stage.counter);
+    let mut line = String::new();
+    counter.0.read_line(&mut line).unwrap();
+    assert!(line.starts_with("bump "), "{line}");
+    counter.write("ok 2\r\n");
+    assert_eq!(client.status(), "200");
+    // And back: nothing is counted of a plan without a quota.
+    drop(counter);
+    client.write(job("cc", "look", "open", PATIENT, ""));
+    assert_eq!(client.status(), "200");
+}
+
 #[test]
 fn the_watch_goes_on_from_the_known_list_and_is_renewed_at_once() {
     let stage = Stage::start(2, 200);
@@ -705,7 +507,7 @@
 /// refuse messages between gateways. The line that operators start it by names no such file.
 #[test]
 fn no_word_to_other_gateways_unless_operator_and_settings_want_it() {
-    let run = include_str!("../../../deploy/balancer.toml");
+    let run = include_str!("../../../../deploy/balancer.toml");
     let line = run.lines().find(|line| line.starts_with("run = ")).unwrap();
     assert!(!line.contains("--operator"), "{line}");
     let operator = std::env::temp_dir().join(format!("operator-{}.toml", std::process::id()));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -181,12 +181,13 @@
         let share = 0.999 / set_size;
         let ceiling = plan.ceiling.map(|it| (it.rate * share, (it.burst + it.slack) * share));
         let spent = Level { amount: ceiling.map_or(0.0, |it| it.1), at: self.started };
-        let set_first = arrival.set_first;
-        let fresh =
-            || Customer { plan: arrival.plan, set_first, set_size, ceiling, spent, ..Customer::default() };
         // Ids without number, from any cause, would fill the memory of a gateway that lives long.
         state::let_go(&mut self.customers, arrival.customer, now, COUNTS_KEPT);
+        let fresh = || Customer { spent, ..Customer::default() };
         let customer = self.customers.entry(arrival.customer).or_insert_with(fresh);
+        // Customers change their plans, and are served by other gateways: the latest job tells.
+        (customer.plan, customer.ceiling) = (arrival.plan, ceiling);
+        (customer.set_first, customer.set_size) = (arrival.set_first, set_size);
         customer.until = customer.until.max(arrival.abandon);
         customer.waiting.extend(limited.then_some(id));
         let stage = if limited { Stage::Held } else { Stage::Cleared };
