--- a/crates/gateway/src/wire/client.rs
+++ b/crates/gateway/src/wire/client.rs
@@ -55,8 +55,9 @@
     served: bool,
     /// More was sent than is taken in at once, and read over: what cannot be read whole gets no answer but its end.
     overrun: bool,
-    /// When it was last read.
+    /// When it was last read, and until when what it sends beyond that is left where it is.
     read: Moment,
+    rests: Moment,
     room: Room,
 }
 
@@ -175,6 +176,7 @@
                     served: false,
                     overrun: false,
                     read: now,
+                    rests: now,
                     room,
                 };
                 self.clients.insert(key, client);
@@ -200,6 +202,9 @@
             self.push(key);
         }
         let Some(client) = self.clients.get_mut(&key) else { return };
+        if client.channel.stuffed && now < client.rests {
+            return;
+        }
         client.read = now;
         let ended = client.stage == Stage::Ended;
         let mut filled = client.channel.fill(http::MOST_MESSAGE);
@@ -212,7 +217,10 @@
         }
         match filled {
             Filled::Open if ended && client.channel.stuffed => self.close_client(key, "sends on"),
-            Filled::Open if client.channel.stuffed => self.timers.set(now + READ_ON, Due::Serve(key)),
+            Filled::Open if client.channel.stuffed => {
+                client.rests = now + READ_ON;
+                self.timers.set(now + READ_ON, Due::Serve(key));
+            }
             Filled::Open => {}
             Filled::Ended if ended => {
                 let reason = client.reason;
