Let a stop end though clients come without end; believe another agent's first list

It takes what could wait when the time for new connections was over, no more. And, by reading: after SIGHUP the versions of the agent before were held against the next one's, whose lists counted two seconds late (discovery.rs move_discovery).

--- a/crates/gateway/src/lifecycle/drain.rs
+++ b/crates/gateway/src/lifecycle/drain.rs
@@ -1,5 +1,6 @@
 //! The planned stop: new connections are taken for a while, all jobs are answered, then the gateway ends.
 
+use crate::lifecycle::run::BACKLOG;
 use crate::memory::timers::Due;
 use crate::sockets::{Limiter, Sockets};
 use calloop::RegistrationToken;
@@ -23,11 +24,14 @@
     /// No descriptor was left for a further connection.
     shut: bool,
     listener: Option<(Rc<TcpListener>, RegistrationToken)>,
+    /// Once no new connections are wanted: how many of those that waited then may be left. Clients that come without
+    /// end must not keep a stopping gateway at its listener.
+    pub waiting: Option<usize>,
 }
 
 impl Stop {
     pub fn new(listener: Rc<TcpListener>, token: RegistrationToken) -> Self {
-        Self { begun: None, closed: false, shut: false, listener: Some((listener, token)) }
+        Self { begun: None, closed: false, shut: false, listener: Some((listener, token)), waiting: None }
     }
 
     pub fn door_is_shut(&mut self) {
@@ -77,6 +81,8 @@
     /// it: closed over them, it would reset them. They are taken in first, as descriptors are given back.
     pub fn close(&mut self) {
         let now = self.clock.now();
+        // The system keeps one more than it was told.
+        self.stop.waiting.get_or_insert(BACKLOG as usize + 1);
         if let Some((listener, token)) = self.stop.listener.take() {
             if !self.accept_all(&listener) {
                 self.stop.listener = Some((listener, token));
--- a/crates/gateway/src/lifecycle/run.rs
+++ b/crates/gateway/src/lifecycle/run.rs
@@ -34,7 +34,7 @@
 const SWEEP: Span = Span::from_millis(250);
 /// Connections that wait to be accepted: hundreds may come at once, and one that is not taken is tried again by
 /// its client's machine only after a second.
-const BACKLOG: i32 = 1_024;
+pub const BACKLOG: i32 = 1_024;
 /// After a stall all that has come is taken in before timers are judged; a flood ends this after so many looks.
 const LOOKS: usize = 8;
 /// A process may be stopped, or short of its share of a core, amid what it takes in. What came meanwhile goes before
@@ -268,12 +268,18 @@
         })
     }
 
-    /// False once no descriptor is left: the others wait until one is.
+    /// False once no descriptor is left: the others wait until one is. True where none is left that is taken.
     pub fn accept_all(&mut self, listener: &TcpListener) -> bool {
         self.moves += 1;
         while self.may_accept() {
+            if self.stop.waiting == Some(0) {
+                return true;
+            }
             match listener.accept() {
-                Ok((stream, _)) => self.accept(stream),
+                Ok((stream, _)) => {
+                    self.stop.waiting = self.stop.waiting.map(|left| left - 1);
+                    self.accept(stream);
+                }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return true,
                 Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
--- a/crates/gateway/src/wire/discovery.rs
+++ b/crates/gateway/src/wire/discovery.rs
@@ -211,6 +211,7 @@
     pub fn move_discovery(&mut self, agent: SocketAddr) {
         if agent != self.discovery.agent {
             (self.discovery.agent, self.discovery.seq) = (agent, None);
+            (self.discovery.latest, self.discovery.older) = (0, None);
             self.close_discovery("moved");
             self.watch();
         }
--- a/crates/gateway/tests/lab.rs
+++ b/crates/gateway/tests/lab.rs
@@ -7,6 +7,14 @@
 use fennelgauge_lab::run::{play, Run};
 use fennelgauge_lab::scenario::Scenario;
 use fennelgauge_lab::timeline::moment;
+use serde_json::Value;
+use std::fs::Permissions;
+use std::io::{ErrorKind, Read};
+use std::net::TcpStream;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 /// Six gateways, six servers in two zones, three bands; long work, so that jobs are out whenever a fault comes.
 const FLEET: &str = "
@@ -69,8 +77,15 @@
 }
 
 fn played_as(fleet: &str, faults: &str) -> Trace {
+    played_by(
+        fleet,
+        faults,
+        Run { gateway: Some(env!("CARGO_BIN_EXE_fennelgauge-gateway").into()), folder: None },
+    )
+}
+
+fn played_by(fleet: &str, faults: &str, run: Run) -> Trace {
     let scenario = Scenario::parse("fleet.toml", &format!("{fleet}{faults}")).unwrap();
-    let run = Run { gateway: Some(env!("CARGO_BIN_EXE_fennelgauge-gateway").into()), folder: None };
     let trace = play(&scenario, &run, &mut |_| ()).unwrap();
     let report = report(&trace);
     assert!(report.verdict.kept(), "{}", report.text());
@@ -199,6 +214,64 @@
     assert!(down >= 9 && ready * 10 >= down * 9, "{ready} of {down}");
 }
 
+/// Opens connections to every gateway that say nothing, anew as they are closed, until the play is over.
+fn crowd(folder: &Path, over: &AtomicBool) -> usize {
+    let (mut idle, mut opened): (Vec<Vec<TcpStream>>, usize) = ((0..6).map(|_| Vec::new()).collect(), 0);
+    let open = |stream: &TcpStream| {
+        stream.set_nonblocking(true).is_ok()
+            && (&*stream).read(&mut [0; 16]).is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    };
+    while !over.load(Ordering::Relaxed) {
+        for (number, idle) in idle.iter_mut().enumerate() {
+            let text =
+                std::fs::read_to_string(folder.join(format!("gateway-{number}.json"))).unwrap_or_default();
+            let settings: Value = serde_json::from_str(&text).unwrap_or_default();
+            idle.retain(open);
+            let listen = settings["listen"].as_str().unwrap_or_default();
+            let more = (idle.len()..60).map_while(|_| TcpStream::connect(listen).ok());
+            let before = idle.len();
+            idle.extend(more);
+            opened += idle.len() - before;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    opened
+}
+
+/// With room for forty connections each, while discovery says nothing; one begins anew in the middle of that.
+#[test]
+fn idle_clients_fill_the_descriptors_of_several_processes_while_lists_are_silent() {
+    let folder = std::env::temp_dir().join(format!("lab-idle-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let program = folder.join("gateway.sh");
+    let gateway = env!("CARGO_BIN_EXE_fennelgauge-gateway");
+    std::fs::write(&program, format!("#!/bin/sh\nulimit -n 64\nexec '{gateway}' \"$@\"\n")).unwrap();
+    std::fs::set_permissions(&program, Permissions::from_mode(0o755)).unwrap();
+    let over = AtomicBool::new(false);
+    let (trace, opened) = std::thread::scope(|scope| {
+        let crowd = scope.spawn(|| crowd(&folder, &over));
+        let trace = std::panic::catch_unwind(|| {
+            played_by(
+                FLEET,
+                "[[fault]]\nat_s = 1.0\nwhat = 'lists-silent'\non = 'gateways'\nfor_s = 3.0\n\
+                 [[fault]]\nat_s = 2.0\nwhat = 'restart'\non = 'gateway 3'\n\
+                 [[fault]]\nat_s = 4.5\nwhat = 'drain'\non = 'server 1'\nfor_s = 2.0\n",
+                Run { gateway: Some(program.clone()), folder: Some(folder.clone()) },
+            )
+        });
+        over.store(true, Ordering::Relaxed);
+        (trace, crowd.join().unwrap())
+    });
+    let trace = trace.unwrap();
+    // More than all tables hold, so that they were full and filled again.
+    assert!(opened > 6 * 64, "{opened}");
+    assert_eq!(life(&trace, 3, Life::Ready).len(), 2);
+    // What discovery had to tell at its return was heard, and jobs were served throughout.
+    assert!(report(&trace).verdict.looked.get(&Rule::Drains).is_some_and(|looked| *looked > 0));
+    assert!(answers(&trace, Answer::Satisfied) > 100);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 /// Processes of this test's own that are alive.
 fn children() -> Vec<String> {
     let tasks = std::fs::read_dir("/proc/self/task").unwrap().flatten();
--- a/crates/gateway/tests/sockets/crossings.rs
+++ b/crates/gateway/tests/sockets/crossings.rs
@@ -2,8 +2,8 @@
 //! both when it goes on, and a connection comes up when the test lets it. `docs/crossings.md` has a row for each.
 
 use crate::stage::{accept, comes, count, job, listener, serve, Agent, Door, End, Stage, PATIENT};
-use std::io::{BufRead, Read, Write};
-use std::net::Shutdown;
+use std::io::{BufRead, ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
 /// Until the span since a moment is over, however slow the machine is.
@@ -293,6 +293,39 @@
     assert!(answers.iter().all(|it| ["200", "429", "503"].contains(&it.as_str())), "{answers:?}");
 }
 
+#[test]
+fn a_stop_ends_though_clients_come_without_end() {
+    // Room for sixteen connections; there are always more that wait.
+    let mut stage = Stage::start(1, 40);
+    stage.is_ready();
+    let (over, at) = (std::sync::atomic::AtomicBool::new(false), stage.at);
+    let order = std::sync::atomic::Ordering::Relaxed;
+    let ended = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut idle: Vec<TcpStream> = Vec::new();
+            while !over.load(order) {
+                idle.retain(|it| {
+                    let waits = |error: &std::io::Error| error.kind() == ErrorKind::WouldBlock;
+                    (&mut &*it).read(&mut [0; 1]).is_err_and(|error| waits(&error))
+                });
+                while idle.len() < 60 {
+                    // Refused once the listener is gone.
+                    let Ok(stream) = TcpStream::connect(at) else { break };
+                    stream.set_nonblocking(true).unwrap();
+                    idle.push(stream);
+                }
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        });
+        stage.says("reason=\"crowded\"");
+        stage.signal("-TERM");
+        let ended = comes(|| stage.child.try_wait().unwrap().is_some_and(|status| status.success()));
+        over.store(true, order);
+        ended
+    });
+    assert!(ended, "it never stopped");
+}
+
 #[test]
 fn a_request_that_crosses_the_end_of_a_resting_connection_is_not_sent_on() {
     let mut stage = Stage::start(1, 200);
@@ -509,6 +542,24 @@
     all_go_to(&stage, 1);
 }
 
+#[test]
+fn the_first_list_of_another_agent_counts_whatever_its_version() {
+    let stage = Stage::start(2, 200);
+    let mut agent = accept(&stage.agent);
+    agent.read();
+    let next = listener();
+    stage.moves(&stage.agent, &next);
+    stage.signal("-HUP");
+    agent.ends();
+    let mut agent = accept(&next);
+    agent.read();
+    let hosts = [stage.host(0, "terminating"), stage.host(1, "in_service")].join(",");
+    agent.answer("200 OK", &format!(r#"{{"seq":2,"whole":true,"hosts":[{hosts}]}}"#));
+    // An accepted list is followed by a watch on the same connection.
+    assert!(agent.read().0.contains("from=2&"));
+    all_go_to(&stage, 1);
+}
+
 #[test]
 fn refused_and_silent_watches_are_begun_anew_until_discovery_is_back() {
     let stage = Stage::start(2, 200);
@@ -517,12 +568,8 @@
     // A new configuration names an agent that is not there yet.
     let there = listener();
     let next = there.local_addr().unwrap();
+    stage.moves(&stage.agent, &there);
     drop(there);
-    let text = std::fs::read_to_string(&stage.configuration).unwrap();
-    let text = text.replace(&stage.agent.local_addr().unwrap().to_string(), &next.to_string());
-    let file = stage.configuration.with_extension("next");
-    std::fs::write(&file, text).unwrap();
-    std::fs::rename(file, &stage.configuration).unwrap();
     stage.signal("-HUP");
     agent.ends();
     stage.says_often("side=\"discovery\"", 4);
--- a/crates/gateway/tests/sockets/stage.rs
+++ b/crates/gateway/tests/sockets/stage.rs
@@ -167,6 +167,15 @@
         accept(&self.servers[number])
     }
 
+    /// Puts a configuration in place that names another address.
+    pub fn moves(&self, from: &TcpListener, to: &TcpListener) {
+        let text = std::fs::read_to_string(&self.configuration).unwrap();
+        let [from, to] = [from, to].map(|it| it.local_addr().unwrap().to_string());
+        let next = self.configuration.with_extension("next");
+        std::fs::write(&next, text.replace(&from, &to)).unwrap();
+        std::fs::rename(next, &self.configuration).unwrap();
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
