Keep the port of an agent that is not there yet from other tests

A test let a port go and bound it again: another test's listener could have had it meanwhile. Bound and not listened at, it refuses just the same.

--- a/crates/gateway/tests/sockets/crossings.rs
+++ b/crates/gateway/tests/sockets/crossings.rs
@@ -1,7 +1,7 @@
 //! Pairs of events that can cross, in the order that does harm, made to happen every time: a stopped gateway finds
 //! both when it goes on, and a connection comes up when the test lets it. `docs/crossings.md` has a row for each.
 
-use crate::stage::{accept, comes, count, job, listener, serve, Agent, Door, End, Stage, PATIENT};
+use crate::stage::{accept, comes, count, job, listener, serve, unheard, Agent, Door, End, Stage, PATIENT};
 use std::io::{BufRead, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
@@ -566,15 +566,13 @@
     let mut agent = accept(&stage.agent);
     agent.read();
     // A new configuration names an agent that is not there yet.
-    let there = listener();
-    let next = there.local_addr().unwrap();
-    stage.moves(&stage.agent, &there);
-    drop(there);
+    let back = unheard();
+    stage.moves(&stage.agent, &back);
     stage.signal("-HUP");
     agent.ends();
     stage.says_often("side=\"discovery\"", 4);
     // Back, it accepts and says nothing at first.
-    let back = std::net::TcpListener::bind(next).unwrap();
+    rustix::net::listen(&back, 128).unwrap();
     let mut silent = accept(&back);
     silent.read();
     let agent = Agent::tells(&back, &[stage.host(0, "terminating"), stage.host(1, "in_service")]);
--- a/crates/gateway/tests/sockets/stage.rs
+++ b/crates/gateway/tests/sockets/stage.rs
@@ -1,5 +1,6 @@
 //! The program with its surroundings, as the tests play them.
 
+use rustix::net::{AddressFamily, SocketType};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -41,6 +42,13 @@
     TcpListener::bind("127.0.0.1:0").unwrap()
 }
 
+/// One that refuses connections until it is listened at; nobody else can have its port meanwhile.
+pub fn unheard() -> TcpListener {
+    let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    rustix::net::bind(&socket, &SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    TcpListener::from(socket)
+}
+
 /// The next connection, if one comes.
 pub fn accept(listener: &TcpListener) -> End {
     listener.set_nonblocking(true).unwrap();
