--- a/crates/gateway/src/lifecycle/run.rs
+++ b/crates/gateway/src/lifecycle/run.rs
@@ -152,21 +152,23 @@
     Ok(())
 }
 
-/// Waits for what comes next, and takes it in: lists first, clients last.
+/// Waits for what comes next, and takes it in: lists first, clients last. What a look found is as old as its
+/// beginning: a process may be stopped, or lose its core, between the system's answer and its own next step.
 fn look(
     events: &mut EventLoop<'static, Limiter>,
     limiter: &mut Limiter,
     wait: Option<Duration>,
 ) -> calloop::Result<()> {
-    events.dispatch(wait, limiter)?;
     limiter.host.looked = limiter.host.clock.now();
+    events.dispatch(wait, limiter)?;
     let mut looks = 0..LOOKS;
-    while let Some(moved) = limiter.host.moved.pop_first() {
-        moved.take_in(limiter);
+    loop {
         if limiter.host.is_stale() && looks.next().is_some() {
-            events.dispatch(Duration::ZERO, limiter)?;
             limiter.host.looked = limiter.host.clock.now();
+            events.dispatch(Duration::ZERO, limiter)?;
         }
+        let Some(moved) = limiter.host.moved.pop_first() else { break };
+        moved.take_in(limiter);
     }
     settle(limiter);
     Ok(())
--- a/crates/gateway/src/wire/client.rs
+++ b/crates/gateway/src/wire/client.rs
@@ -237,9 +237,12 @@
         let waits = |client: &Client| matches!(client.stage, Stage::Idle | Stage::Receiving);
         let client = self.clients.get_mut(&key);
         let has_more = |it: &Client| it.overrun || !it.channel.input.is_empty();
-        let Some(client) = client.filter(|it| waits(it) && !it.channel.stuffed && has_more(it)) else {
+        let Some(client) = client.filter(|it| waits(it) && has_more(it)) else { return Next::Nothing };
+        // It sends faster than it is read over, and would never be quiet enough to be heard.
+        if client.channel.stuffed {
+            self.refuse(key, 413);
             return Next::Nothing;
-        };
+        }
         let open = |id: &str| self.jobs.ids.contains(id);
         match request::take(&client.channel.input, now, &self.names) {
             // Passed on, a job under the id of another would be taken for a copy of it.
--- a/crates/gateway/tests/sockets/crossings.rs
+++ b/crates/gateway/tests/sockets/crossings.rs
@@ -50,7 +50,7 @@
         drop(client);
         door.open();
         let mut server = stage.server(0);
-        stage.signal("-CONT");
+        stage.goes_on();
         // What comes first on it is the next client's job.
         let mut next = stage.client();
         next.write(job("a1", "look", "open", PATIENT, ""));
@@ -74,7 +74,7 @@
     agent.has_told();
     door.open();
     let mut draining = stage.server(0);
-    stage.signal("-CONT");
+    stage.goes_on();
     // Never sent on, it may go elsewhere, although its band may not run twice.
     let mut server = stage.server(1);
     assert_eq!(id(&server.read().0), "a2");
@@ -100,7 +100,7 @@
     agent.has_told();
     // It may have run.
     drop(first);
-    stage.signal("-CONT");
+    stage.goes_on();
     door.is_dialled();
     pass(sent, 1_500);
     door.open();
@@ -157,7 +157,7 @@
     agent.stops(&stage);
     agent.tell(&[stage.host(0, "in_service"), stage.host(1, "in_service")]);
     agent.has_told();
-    stage.signal("-CONT");
+    stage.goes_on();
     let mut server = stage.server(1);
     assert_eq!(id(&server.read().0), "a6");
     server.answer("200 OK", "other");
@@ -215,7 +215,7 @@
         } else {
             drop(client);
         }
-        stage.signal("-CONT");
+        stage.goes_on();
         stage.says("reason=\"closed by client\"");
         first.write(job("b5", "look", "open", PATIENT, ""));
         assert_eq!(id(&server.read().0), "b5");
@@ -262,7 +262,7 @@
     stage.signal("-STOP");
     drop(first);
     drop(client);
-    stage.signal("-CONT");
+    stage.goes_on();
     stage.says("reason=\"closed by client\"");
     stage.log();
     let mut rest = Vec::new();
@@ -288,7 +288,7 @@
         client.write(job(&format!("d{number}"), "look", "open", PATIENT, ""));
     }
     pass(stopping, 500);
-    stage.signal("-CONT");
+    stage.goes_on();
     let answers: Vec<String> = clients.into_iter().map(|mut client| client.status()).collect();
     assert!(answers.iter().all(|it| ["200", "429", "503"].contains(&it.as_str())), "{answers:?}");
 }
@@ -376,7 +376,7 @@
     stage.signal("-STOP");
     client.write(job("e5", "book", "open", PATIENT, "y"));
     pass(stopping, 500);
-    stage.signal("-CONT");
+    stage.goes_on();
     // Served, or refused where the stop is too far on; it was taken before the connection's end.
     let status = client.status();
     assert!(status == "200" || status == "503", "{status}");
@@ -424,7 +424,7 @@
     client.write(job("f1", "book", "open", PATIENT, "y"));
     agent.tell(&[stage.host(0, "terminating"), stage.host(1, "in_service")]);
     agent.has_told();
-    stage.signal("-CONT");
+    stage.goes_on();
     let mut server = stage.server(1);
     assert_eq!(id(&server.read().0), "f1");
     server.answer("200 OK", "there");
@@ -456,7 +456,7 @@
     let (stage, mut client) = held.expect("it never waits for discovery");
     let agent = Agent::tells(&stage.agent, &[stage.host(0, "terminating"), stage.host(1, "in_service")]);
     agent.has_told();
-    stage.signal("-CONT");
+    stage.goes_on();
     let mut server = stage.server(1);
     assert_eq!(id(&server.read().0), "f2");
     server.answer("200 OK", "there");
@@ -536,7 +536,7 @@
     let hosts = [stage.host(0, "terminating"), stage.host(1, "in_service")].join(",");
     agent.answer("200 OK", &format!(r#"{{"seq":45,"whole":true,"hosts":[{hosts}]}}"#));
     agent.resets();
-    stage.signal("-CONT");
+    stage.goes_on();
     // The broken connection is seen behind the list on it.
     stage.says("side=\"discovery\"");
     all_go_to(&stage, 1);
@@ -661,7 +661,7 @@
         } else {
             server.0.get_ref().shutdown(Shutdown::Both).unwrap();
         }
-        stage.signal("-CONT");
+        stage.goes_on();
         let mut second = stage.server(0);
         assert_eq!(id(&second.read().0), "h4");
         second.answer("200 OK", "twice");
@@ -685,7 +685,7 @@
     agent.tell(&[stage.host(0, "in_service"), stage.host(1, "in_service")]);
     agent.has_told();
     first.write("HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n");
-    stage.signal("-CONT");
+    stage.goes_on();
     let mut second = stage.server(1);
     assert_eq!(id(&second.read().0), "k0");
     // Broken after its last byte, it does not.
--- a/crates/gateway/tests/sockets/spoken.rs
+++ b/crates/gateway/tests/sockets/spoken.rs
@@ -1,10 +1,11 @@
 //! What is spoken with clients, servers, the counter and discovery, one thing at a time.
 
-use crate::stage::{accept, count, host, job, listener, serve, End, Stage, PATIENT};
+use crate::stage::{accept, comes, count, host, job, listener, serve, End, Stage, PATIENT};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, UdpSocket};
 use std::process::{Command, Stdio};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 #[test]
 fn a_job_and_its_answer_pass_unchanged_in_pieces_and_whole() {
@@ -103,12 +104,43 @@
     // Far more than the connection's buffers hold: it cannot all be written unless it is all read.
     endless.write(job("90", "post", "open", PATIENT, "x").replace("Length: 1\r\n", "Length: 600000000\r\n"));
     let mut other = endless.0.get_ref().try_clone().unwrap();
-    assert!((0..4_000).any(|_| other.write_all(&[b'x'; 64 * 1024]).is_err()));
+    let begun = Instant::now();
+    while other.write_all(&[b'x'; 64 * 1024]).is_ok() {
+        assert!(begun.elapsed() < Duration::from_secs(20), "it reads on and on");
+    }
     assert_eq!(half.status(), "408");
     half.ends();
     silent.ends();
 }
 
+#[test]
+fn a_client_that_had_sent_far_too_much_when_it_was_first_heard_is_closed() {
+    let stage = Stage::start(1, 200);
+    stage.signal("-STOP");
+    let mut endless = stage.client();
+    endless.write(job("9f", "post", "open", PATIENT, "x"));
+    let (written, over) = (AtomicUsize::new(0), AtomicBool::new(false));
+    let mut other = endless.0.get_ref().try_clone().unwrap();
+    std::thread::scope(|scope| {
+        let writing = scope.spawn(|| {
+            while !over.load(Ordering::Relaxed) && other.write_all(&[b'x'; 64 * 1024]).is_ok() {
+                written.fetch_add(1, Ordering::Relaxed);
+            }
+            !over.load(Ordering::Relaxed)
+        });
+        // Until the buffers between are full.
+        let mut before = usize::MAX;
+        assert!(comes(|| {
+            std::thread::sleep(Duration::from_millis(50));
+            std::mem::replace(&mut before, written.load(Ordering::Relaxed)) == written.load(Ordering::Relaxed)
+        }));
+        stage.goes_on();
+        let closed = comes(|| writing.is_finished());
+        over.store(true, Ordering::Relaxed);
+        assert!(closed && writing.join().unwrap(), "it reads on and on");
+    });
+}
+
 #[test]
 fn silent_clients_make_room_for_one_that_speaks() {
     // Room for sixteen connections, nine of them of clients.
@@ -148,7 +180,7 @@
     stage.signal("-STOP");
     client.write(job("94", "book", "open", PATIENT, "y"));
     server.answer("200 OK", "mine");
-    stage.signal("-CONT");
+    stage.goes_on();
     let mut server = stage.server(0);
     server.read();
     server.answer("200 OK", "next");
@@ -499,7 +531,7 @@
     server.answer("200 OK", "in time");
     // Past the job's target time, when a relay that hangs would be taken back.
     std::thread::sleep(Duration::from_millis(4_500));
-    stage.signal("-CONT");
+    stage.goes_on();
     assert_eq!(client.read().1, b"in time");
 }
 
--- a/crates/gateway/tests/sockets/stage.rs
+++ b/crates/gateway/tests/sockets/stage.rs
@@ -189,6 +189,12 @@
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
     }
 
+    /// Lets a stopped program go on, later than what it holds to be one moment.
+    pub fn goes_on(&self) {
+        std::thread::sleep(Duration::from_millis(50));
+        self.signal("-CONT");
+    }
+
     /// Ends the program and returns what it logged.
     pub fn log(mut self) -> String {
         self.signal("-TERM");
@@ -200,6 +206,12 @@
 
 impl Drop for Stage {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!(
+                "{}",
+                self.said.0.lock().map_or_else(|said| said.into_inner().clone(), |said| said.clone())
+            );
+        }
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.configuration);
