--- a/crates/gateway/tests/sockets/crossings.rs
+++ b/crates/gateway/tests/sockets/crossings.rs
@@ -19,12 +19,22 @@
     request.lines().find_map(|line| line.strip_prefix("x-correlation-id: ")).unwrap()
 }
 
+/// A configuration by which calls to the counter are waited for until the test has it answer.
+fn slow_counter(text: String) -> String {
+    text.replace(r#""counter_timeout":200000"#, r#""counter_timeout":9000000"#)
+}
+
+/// That customer's job in place of the usual one's.
+fn of_customer(number: u32, job: String) -> String {
+    job.replace("account=00000000b4d65521", &format!("account={number:016x}"))
+}
+
 /// Jobs of several customers, each with an order of servers of its own, all go to that server and none to the other.
 fn all_go_to(stage: &Stage, number: usize) {
     for customer in 0..8 {
         let mut client = stage.client();
         let asks = job(&format!("5{customer}"), "look", "open", PATIENT, "");
-        client.write(asks.replace("account=00000000b4d65521", &format!("account={customer:016x}")));
+        client.write(of_customer(customer, asks));
         let mut server = stage.server(number);
         server.read();
         server.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
@@ -168,8 +178,6 @@
 
 #[test]
 fn a_client_that_left_behind_bytes_not_read_has_left() {
-    let slow_counter =
-        |text: String| text.replace(r#""counter_timeout":200000"#, r#""counter_timeout":9000000"#);
     for requests in [50, 1_000] {
         let stage = Stage::with(1, 200, slow_counter);
         let mut client = stage.client();
@@ -191,8 +199,6 @@
 
 #[test]
 fn a_client_that_left_with_its_counters_answer_gets_no_relay() {
-    let slow_counter =
-        |text: String| text.replace(r#""counter_timeout":200000"#, r#""counter_timeout":9000000"#);
     for half in [false, true] {
         let stage = Stage::with(1, 200, slow_counter);
         // A connection stands ready, so that a relay would be written at once.
@@ -238,9 +244,8 @@
     other.0.get_ref().set_read_timeout(Some(Duration::from_millis(100))).unwrap();
     let mut first = None;
     for customer in 0..64 {
-        let account = format!("account={customer:016x}");
         let asks = job(&format!("c{customer}"), "look", "open", PATIENT, "");
-        client.write(asks.replace("account=00000000b4d65521", &account));
+        client.write(of_customer(customer, asks));
         stage.servers[0].set_nonblocking(true).unwrap();
         comes(|| {
             first = stage.servers[0].accept().ok().map(|accepted| accepted.0);
--- a/crates/gateway/tests/sockets/spoken.rs
+++ b/crates/gateway/tests/sockets/spoken.rs
@@ -1,6 +1,6 @@
 //! What is spoken with clients, servers, the counter and discovery, one thing at a time.
 
-use crate::stage::{accept, comes, count, host, job, listener, serve, End, Stage, PATIENT};
+use crate::stage::{accept, comes, count, host, job, listener, serve, signal, End, Stage, PATIENT};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, UdpSocket};
 use std::process::{Command, Stdio};
@@ -487,7 +487,7 @@
     let answers: Vec<String> = clients.iter_mut().map(End::status).collect();
     assert!(answers.iter().all(|status| status == "200" || status == "429"), "{answers:?}");
     assert!(answers.iter().any(|status| status == "200"), "{answers:?}");
-    let files = std::fs::read_dir(format!("/proc/{}/fd", stage.child.id())).unwrap().count();
+    let files = stage.descriptors();
     assert!(files <= 40, "{files}");
     // Once the crowd has gone there is room again.
     drop(clients);
@@ -570,8 +570,7 @@
         let mut child = command.spawn().unwrap();
         other.set_read_timeout(Some(Duration::from_secs(if named && allowed { 15 } else { 1 }))).unwrap();
         let came = other.recv(&mut [0; 512]).is_ok();
-        let pid = child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        signal(&child, "-TERM");
         let mut log = String::new();
         child.stdout.take().unwrap().read_to_string(&mut log).unwrap();
         assert!(child.wait().unwrap().success());
@@ -624,11 +623,7 @@
             // A job of a class with no time, of a plan with nothing, is dismissed and not lost.
             client.write(job("s0", "a", "p", "50", "x"));
             assert_eq!(client.status(), if number == 6 { "429" } else { "400" }, "{said}");
-            assert!(Command::new("kill")
-                .args(["-TERM", &child.id().to_string()])
-                .status()
-                .unwrap()
-                .success());
+            signal(&child, "-TERM");
         }
         assert_eq!(child.wait().unwrap().success(), wrong.is_none(), "{said}");
         if let Some(wrong) = wrong {
@@ -666,7 +661,7 @@
         assert_eq!(client.status(), "400");
         client.ends();
     }
-    assert!(Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap().success());
+    signal(&child, "-TERM");
     assert!(child.wait().unwrap().success());
     std::fs::remove_file(&file).unwrap();
 }
--- a/crates/gateway/tests/sockets/stage.rs
+++ b/crates/gateway/tests/sockets/stage.rs
@@ -42,6 +42,11 @@
     TcpListener::bind("127.0.0.1:0").unwrap()
 }
 
+pub fn signal(child: &Child, name: &str) {
+    let pid = child.id().to_string();
+    assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+}
+
 /// One that refuses connections until it is listened at; nobody else can have its port meanwhile.
 pub fn unheard() -> TcpListener {
     let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
@@ -185,8 +190,7 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+        signal(&self.child, name);
     }
 
     /// Lets a stopped program go on, later than what it holds to be one moment.
