--- a/crates/gateway/tests/sockets/spoken.rs
+++ b/crates/gateway/tests/sockets/spoken.rs
@@ -1,8 +1,10 @@
 //! What is spoken with clients, servers, the counter and discovery, one thing at a time.
 
-use crate::stage::{accept, comes, count, host, job, listener, serve, signal, End, Stage, PATIENT};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, UdpSocket};
+use crate::stage::{
+    accept, address, comes, count, heard, host, job, listener, serve, signal, End, Stage, PATIENT,
+};
+use std::io::{BufRead, Read, Write};
+use std::net::{Shutdown, TcpStream, UdpSocket};
 use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -612,12 +614,9 @@
             .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let mut output = BufReader::new(child.stdout.take().unwrap());
-        let mut said = String::new();
-        while !said.contains("started") && output.read_line(&mut said).unwrap() > 0 {}
+        let (_output, said) = heard(&mut child);
         if wrong.is_none() {
-            let at = said.split("listen=").nth(1).expect(&said).trim();
-            let mut client = End::new(std::net::TcpStream::connect(at).unwrap());
+            let mut client = End::new(TcpStream::connect(address(&said)).unwrap());
             client.write("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
             assert_eq!(client.status(), "503", "{said}");
             // A job of a class with no time, of a plan with nothing, is dismissed and not lost.
@@ -649,14 +648,12 @@
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    let mut output = BufReader::new(child.stdout.take().unwrap());
-    let mut said = String::new();
-    while !said.contains("started") && output.read_line(&mut said).unwrap() > 0 {}
-    let at = said.split("listen=").nth(1).expect(&said).trim().to_string();
+    let (output, said) = heard(&mut child);
+    let at = address(&said);
     drop((output, child.stderr.take()));
     // Each of these is a line of the log.
     for _ in 0..3 {
-        let mut client = End::new(std::net::TcpStream::connect(&at).unwrap());
+        let mut client = End::new(TcpStream::connect(at).unwrap());
         client.write("NONSENSE\r\n\r\n");
         assert_eq!(client.status(), "400");
         client.ends();
--- a/crates/gateway/tests/sockets/stage.rs
+++ b/crates/gateway/tests/sockets/stage.rs
@@ -5,7 +5,7 @@
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -42,6 +42,19 @@
     TcpListener::bind("127.0.0.1:0").unwrap()
 }
 
+/// What a program just begun says, until it has started or ended.
+pub fn heard(child: &mut Child) -> (BufReader<ChildStdout>, String) {
+    let (mut output, mut said) = (BufReader::new(child.stdout.take().unwrap()), String::new());
+    while !said.contains("started") && output.read_line(&mut said).unwrap() > 0 {}
+    (output, said)
+}
+
+/// Where it listens, once it has said that it started.
+pub fn address(said: &str) -> SocketAddr {
+    let at = said.split("listen=").nth(1).unwrap_or_else(|| panic!("it ended before it started: {said}"));
+    at.trim().parse().unwrap()
+}
+
 pub fn signal(child: &Child, name: &str) {
     let pid = child.id().to_string();
     assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
@@ -120,20 +133,15 @@
             .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let mut output = BufReader::new(child.stdout.take().unwrap());
-        let mut line = String::new();
-        while !line.contains("started") {
-            line.clear();
-            assert!(output.read_line(&mut line).unwrap() > 0, "it ended before it started");
-        }
-        let at = line.split("listen=").nth(1).unwrap().trim().parse().unwrap();
+        let (output, line) = heard(&mut child);
+        let at = address(&line);
         let said = Arc::new((Mutex::new(String::new()), Condvar::new()));
-        let heard = Arc::clone(&said);
+        let hears = Arc::clone(&said);
         let reader = std::thread::spawn(move || {
-            let mut line = String::new();
+            let (mut output, mut line) = (output, String::new());
             while output.read_line(&mut line).unwrap() > 0 {
-                heard.0.lock().unwrap().push_str(&line);
-                heard.1.notify_all();
+                hears.0.lock().unwrap().push_str(&line);
+                hears.1.notify_all();
                 line.clear();
             }
         });
