Take word that a member failed for a suspicion unless its time to speak up is over

Cause: by SWIM word of a failure is final whoever says it. The other side gave 1 up just before the cut healed, and its word ended 1 at 5, which had heard it all along. Ruled out: a starved process (its own time awake covers that, and the accusation came right after the other side's of the same member).

Such word is now a suspicion to whoever heard the member within two seconds or has not suspected it for as long as suspects have to speak up (members.rs, `doubts`; code.rs, `with_doubts`). Taking it about any suspect was tried first: at 40 members the suspicion itself comes across the cut before the word does.

A parting shows as left whichever of its two pieces of news comes first.

Tests: sockets/members.rs plays two members around a real gateway, one with a clock of its own, so that it gives the others up at once; fleet.rs heals cuts at the first accusation; both fail without the mend. members/tests.rs has the rest.

--- a/crates/gateway/tests/sockets/main.rs
+++ b/crates/gateway/tests/sockets/main.rs
@@ -2,5 +2,6 @@
 //! stand-ins for the counter and discovery. Waits have a bound only so that a failure ends.
 
 mod crossings;
+mod members;
 mod spoken;
 mod stage;
--- a/crates/gateway/tests/sockets/stage.rs
+++ b/crates/gateway/tests/sockets/stage.rs
@@ -51,7 +51,7 @@
 
 /// Where it listens, once it has said that it started.
 pub fn address(said: &str) -> SocketAddr {
-    let at = said.split("listen=").nth(1).unwrap_or_else(|| panic!("it ended before it started: {said}"));
+    let (_, at) = said.rsplit_once("listen=").unwrap_or_else(|| panic!("it ended before it started: {said}"));
     at.trim().parse().unwrap()
 }
 
@@ -94,6 +94,16 @@
 
     /// With a configuration changed by `change`.
     pub fn with(servers: usize, sockets: usize, change: impl FnOnce(String) -> String) -> Self {
+        Self::operated(servers, sockets, change, "")
+    }
+
+    /// And with what the operator's file says, if that is anything.
+    pub fn operated(
+        servers: usize,
+        sockets: usize,
+        change: impl FnOnce(String) -> String,
+        operator: &str,
+    ) -> Self {
         let servers: Vec<TcpListener> = (0..servers).map(|_| listener()).collect();
         let (counter, agent) = (listener(), listener());
         let hosts = servers.iter().enumerate();
@@ -122,13 +132,17 @@
         let port = agent.local_addr().unwrap().port();
         let configuration = std::env::temp_dir().join(format!("gateway-{}-{port}", std::process::id()));
         std::fs::write(&configuration, change(text)).unwrap();
+        let file = configuration.with_extension("toml");
+        std::fs::write(&file, operator).unwrap();
+        let arguments = if operator.is_empty() { "" } else { "--operator \"$1\"" };
         // As many descriptors as it is told of, so that a further one is refused by the system itself.
         let mut child = Command::new("sh")
             .args([
                 "-c",
-                &format!("ulimit -n {sockets}; exec \"$0\""),
+                &format!("ulimit -n {sockets}; exec \"$0\" {arguments}"),
                 env!("CARGO_BIN_EXE_fennelgauge-gateway"),
             ])
+            .arg(&file)
             .env("BALANCER_CONFIG", &configuration)
             .stdout(Stdio::piped())
             .spawn()
@@ -148,6 +162,11 @@
         Self { child, at, servers, counter, agent, said, reader: Some(reader), configuration }
     }
 
+    /// Whether the program has logged that by now.
+    pub fn logged(&self, words: &str) -> bool {
+        self.said.0.lock().unwrap().contains(words)
+    }
+
     /// Waits until the program has logged that.
     pub fn says(&self, words: &str) {
         self.says_often(words, 1);
@@ -227,6 +246,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.configuration);
+        let _ = std::fs::remove_file(self.configuration.with_extension("toml"));
     }
 }
 
--- a/crates/membership/src/code.rs
+++ b/crates/membership/src/code.rs
@@ -1,6 +1,7 @@
 //! Identities and members as bytes of fixed size, most significant first, for the library that keeps the membership.
 
 use crate::identity::{Identity, LIFE_BITS};
+use crate::Number;
 use bytes::{Buf, BufMut};
 use foca::{Codec, Header, Member, Message, State};
 use std::fmt::{Display, Formatter};
@@ -164,22 +165,55 @@
     Ok(out)
 }
 
+struct Opened {
+    header: Header<Identity>,
+    /// Those that it tells of.
+    members: Vec<Member<Identity>>,
+    /// Where they begin among its bytes.
+    begin: usize,
+}
+
+fn opened(bytes: &[u8]) -> Result<Opened, Wrong> {
+    let mut rest = bytes;
+    let header = Code.decode_header(&mut rest)?;
+    let carries = !matches!(header.message, Message::Announce | Message::TurnUndead | Message::Broadcast);
+    let told = if carries && rest.remaining() >= 2 { rest.get_u16() } else { 0 };
+    let begin = bytes.len() - rest.remaining();
+    let members: Result<Vec<_>, Wrong> = (0..told).map(|_| Code.decode_member(&mut rest)).collect();
+    Ok(Opened { header, members: members?, begin })
+}
+
 /// Whom a message is from and for, the members that it names, and those that it says to be alive, before anything is
 /// made of it.
-pub fn named(mut bytes: &[u8]) -> Result<(Vec<Identity>, Vec<Member<Identity>>), Wrong> {
-    let header = Code.decode_header(&mut bytes)?;
+pub fn named(bytes: &[u8]) -> Result<(Vec<Identity>, Vec<Member<Identity>>), Wrong> {
+    let Opened { header, members, .. } = opened(bytes)?;
     let mut named = vec![header.src, header.dst];
     named.extend(parts(&header.message).1);
-    let mut alive = vec![Member::new(header.src, header.src_incarnation, State::Alive)];
-    let carries = !matches!(header.message, Message::Announce | Message::TurnUndead | Message::Broadcast);
-    if carries && bytes.remaining() >= 2 {
-        for _ in 0..bytes.get_u16() {
-            let member = Code.decode_member(&mut bytes)?;
-            named.push(*member.id());
-            alive.extend((member.state() == State::Alive).then_some(member));
+    named.extend(members.iter().map(|member| *member.id()));
+    let sender = Member::new(header.src, header.src_incarnation, State::Alive);
+    let alive = members.into_iter().filter(|member| member.state() == State::Alive);
+    Ok((named, std::iter::once(sender).chain(alive).collect()))
+}
+
+/// The message with those members only suspected that it holds to be down and `doubted` doubts. What a member says of
+/// itself is not doubted.
+pub fn with_doubts(
+    bytes: &[u8],
+    from: Number,
+    doubted: impl Fn(&Member<Identity>) -> bool,
+) -> Result<Vec<u8>, Wrong> {
+    let Opened { members, begin, .. } = opened(bytes)?;
+    let (head, mut tail) = bytes.split_at(begin);
+    let mut out = head.to_vec();
+    for mut member in members {
+        tail.advance(MEMBER);
+        if member.state() == State::Down && member.id().number != from && doubted(&member) {
+            member = Member::new(*member.id(), member.incarnation(), State::Suspect);
         }
+        Code.encode_member(&member, &mut out)?;
     }
-    Ok((named, alive))
+    out.extend(tail);
+    Ok(out)
 }
 
 #[cfg(test)]
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -2,7 +2,7 @@
 //! that survive a restart at the same address, partings, time that was slept through, and the view.
 
 use crate::clock::{Awake, BEAT};
-use crate::code::{asking, named, Code, Wrong};
+use crate::code::{asking, named, with_doubts, Code, Wrong};
 use crate::frame::{Refused, ROOM as FRAME};
 use crate::identity::{Identity, NO_ZONE};
 use crate::view::{State, View};
@@ -13,7 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::rc::Rc;
 use std::time::Duration;
@@ -63,6 +63,12 @@
     left: Rc<RefCell<BTreeMap<Number, u64>>>,
 }
 
+impl Partings {
+    fn has_left(&self, who: &Identity) -> bool {
+        self.left.borrow().get(&who.number).is_some_and(|life| *life >= who.life)
+    }
+}
+
 struct Parting {
     number: Number,
     life: u64,
@@ -125,8 +131,20 @@
     }
 }
 
+/// A member by the life and incarnation in which it is suspected.
+type Suspect = (Identity, u16);
+
+struct Suspicion {
+    since: Moment,
+    /// How often it was asked once more.
+    asked: u32,
+    /// Not before then is it looked at again.
+    looks: Moment,
+}
+
 enum Due {
     Library(Timer<Identity>),
+    Look(Suspect),
     /// A probe to that member, sent then, goes once more unless it has been heard since.
     Probe(Number, Moment, Vec<u8>),
 }
@@ -141,17 +159,24 @@
     lapses: u32,
     partings: Partings,
     view: View,
-    /// Suspects asked once more: how often, and when it is looked at next.
-    asked: BTreeMap<(Identity, u16), (u32, Moment)>,
+    suspicions: BTreeMap<Suspect, Suspicion>,
     introduces: Moment,
     apart: Span,
     chance: ChaCha8Rng,
     left: bool,
 }
 
+fn size(of: Number) -> f64 {
+    f64::from(of.max(10)).log10()
+}
+
+/// How long a suspect has to speak up.
+fn speak_up(of: Number, lapses: u32) -> Duration {
+    SPEAK_UP.mul_f64(size(of) * f64::from(1 + lapses))
+}
+
 fn config(of: Number, lapses: u32) -> Config {
-    let size = f64::from(of.max(10)).log10();
-    let most = NonZeroU8::new((size * TOLD) as u8).unwrap_or(NonZeroU8::MIN);
+    let most = NonZeroU8::new((size(of) * TOLD) as u8).unwrap_or(NonZeroU8::MIN);
     let one = NonZeroUsize::MIN;
     let each = |frequency: Duration| Some(PeriodicParams { frequency, num_members: one });
     Config {
@@ -159,7 +184,7 @@
         probe_rtt: ANSWER,
         num_indirect_probes: NonZeroUsize::new(INDIRECT).unwrap_or(one),
         max_transmissions: most,
-        suspect_to_down_after: SPEAK_UP.mul_f64(size * f64::from(1 + lapses)),
+        suspect_to_down_after: speak_up(of, lapses),
         remove_down_after: None,
         max_packet_size: NonZeroUsize::new(ROOM).unwrap_or(one),
         notify_down_members: true,
@@ -187,7 +212,7 @@
             lapses: 0,
             partings,
             view: View::new(own, zone, of, now),
-            asked: BTreeMap::new(),
+            suspicions: BTreeMap::new(),
             introduces: now,
             apart: INTRODUCE,
             chance,
@@ -251,7 +276,16 @@
         }
         let known = self.view.fact(from).copied().unwrap_or_default();
         self.meet(alive);
-        let taken = self.foca.handle_data(body, &mut self.wishes);
+        let doubted = |failed: &_| self.doubts(awake, failed);
+        let body = with_doubts(body, from, doubted).map_err(|_| Refused::Unreadable)?;
+        let taken = self.foca.handle_data(&body, &mut self.wishes);
+        // To a datagram for a former life the library says nothing, and its sender would hold this member for silent until
+        // news of the present life came round.
+        let former = who[1].number == own.number && who[1].life < own.life;
+        if former && who[1] != Identity::anybody(own.number) && !self.left {
+            // Only the room of a datagram could fail it.
+            let _ = self.foca.announce(who[0], &mut self.wishes);
+        }
         self.take_in(awake);
         match taken {
             Ok(()) => {}
@@ -266,6 +300,25 @@
         Ok(())
     }
 
+    /// Whether word that a member failed is no more than a suspicion to this limiter. By the protocol such word is final;
+    /// it may come from the other side of a cut that has just healed, or from a limiter that reaches few, about a member
+    /// that was heard here all along. So it is taken about those only whose time to speak up is over here too.
+    fn doubts(&self, awake: Moment, failed: &foca::Member<Identity>) -> bool {
+        let id = failed.id();
+        let fact = self.view.fact(id.number).filter(|fact| fact.life == id.life && fact.state.may_work());
+        let Some(fact) = fact.filter(|_| id.number != self.view.own && !self.partings.has_left(id)) else {
+            return false;
+        };
+        let lately = fact.heard.is_some_and(|heard| awake.since(heard) < LATELY);
+        let suspicion = self.suspicions.get(&(*id, failed.incarnation()));
+        lately || suspicion.is_none_or(|suspicion| awake < suspicion.since + self.speak_up())
+    }
+
+    fn speak_up(&self) -> Span {
+        let wait = speak_up(self.view.facts().len() as Number, self.lapses);
+        Span::from_micros(u64::try_from(wait.as_micros()).unwrap_or(u64::MAX))
+    }
+
     /// Takes in members that nobody has told of yet, without passing it on: a fleet that begins at once would else tell
     /// everybody of everybody many times over, which cost more than all other datagrams of a day together.
     fn meet(&mut self, alive: Vec<foca::Member<Identity>>) {
@@ -290,12 +343,21 @@
         let awake = self.awake(now);
         while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= awake) {
             match entry.remove() {
-                Due::Library(timer) if !self.withheld(awake, &timer) => {
+                // The library would give it up at once; or, where it was refuted meanwhile, tell a living member that it is
+                // held to be failed, and that one would begin a new life.
+                Due::Library(Timer::ChangeSuspectToDown { member_id, incarnation, .. }) => {
+                    self.look_at(awake, (member_id, incarnation));
+                    self.take_in(awake);
+                }
+                Due::Look(suspect) => {
+                    self.look_at(awake, suspect);
+                    self.take_in(awake);
+                }
+                Due::Library(timer) => {
                     // Its errors are about timers that have lost their cause.
                     let _ = self.foca.handle_timer(timer, &mut self.wishes);
                     self.take_in(awake);
                 }
-                Due::Library(_) => {}
                 Due::Probe(to, sent, body) => {
                     if self.view.fact(to).is_some_and(|fact| fact.heard < Some(sent)) {
                         self.wishes.sends.push((to, body));
@@ -309,51 +371,45 @@
         self.take_in(awake);
     }
 
-    /// Whether that timer is to be withheld from the library: it is about to give a suspect up that is asked once more
-    /// in place of that, or is suspected no longer.
-    fn withheld(&mut self, awake: Moment, timer: &Timer<Identity>) -> bool {
-        let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = timer else { return false };
-        let suspect = self.foca.iter_membership_state().find(|member| {
-            member.id() == member_id
-                && member.incarnation() == *incarnation
-                && member.state() == foca::State::Suspect
-        });
-        // Refuted meanwhile. The library would change nothing by that timer, but tell a living member that it is held
-        // to be failed, and that one would begin a new life.
-        let Some(suspect) = suspect.cloned() else { return true };
-        let heard = self.view.fact(member_id.number).and_then(|fact| fact.heard);
-        let lately = heard.is_some_and(|heard| awake.since(heard) < LATELY);
-        let (asked, looks) = self.asked.entry((*member_id, *incarnation)).or_insert((0, awake));
+    /// A suspect's time to speak up is over: it is asked once more, and given up when that was in vain so often.
+    fn look_at(&mut self, awake: Moment, suspect: Suspect) {
+        // Refuted meanwhile, or known to have failed.
+        let Some(suspicion) = self.suspicions.get_mut(&suspect) else { return };
         // Each probe in vain winds up one more timer for the same suspicion: one of them is enough.
-        if awake < *looks {
-            return true;
+        if awake < suspicion.looks {
+            return;
         }
-        if lately {
-            *looks = awake + LATELY;
-        } else if *asked == LAST_ASKS {
-            self.asked.remove(&(*member_id, *incarnation));
-            return false;
-        } else {
-            *asked += 1;
-            *looks = awake + LAST_APART;
+        let (id, incarnation) = suspect;
+        let heard = self.view.fact(id.number).and_then(|fact| fact.heard);
+        let lately = heard.is_some_and(|heard| awake.since(heard) < LATELY);
+        if !lately && suspicion.asked == LAST_ASKS {
+            let failed = foca::Member::new(id, incarnation, foca::State::Down);
+            // Only the room of a datagram could fail it.
+            let _ = self.foca.apply_many(std::iter::once(failed), true, &mut self.wishes);
+            return;
         }
-        let looks = *looks;
-        self.set(looks, Due::Library(timer.clone()));
-        if lately {
-            return true;
+        let looks = awake + if lately { LATELY } else { LAST_APART };
+        suspicion.looks = looks;
+        suspicion.asked += u32::from(!lately);
+        self.set(looks, Due::Look(suspect));
+        if !lately {
+            self.ask_once_more(&foca::Member::new(id, incarnation, foca::State::Suspect));
         }
+    }
+
+    /// Itself, and through others.
+    fn ask_once_more(&mut self, suspect: &foca::Member<Identity>) {
         let others = self
             .foca
             .iter_members()
-            .filter(|member| member.id() != member_id && member.state() == foca::State::Alive);
+            .filter(|member| member.id() != suspect.id() && member.state() == foca::State::Alive);
         let through = others.map(|member| *member.id()).sample(&mut self.chance, LAST_THROUGH);
         let own = self.identity();
-        for to in through.into_iter().chain([*member_id]) {
-            if let Ok(body) = asking(own, to, &suspect) {
+        for to in through.into_iter().chain([*suspect.id()]) {
+            if let Ok(body) = asking(own, to, suspect) {
                 self.wishes.sends.push((to.number, body));
             }
         }
-        true
     }
 
     fn set(&mut self, at: Moment, due: Due) {
@@ -402,12 +458,6 @@
     }
 
     fn take_in(&mut self, awake: Moment) {
-        if !self.asked.is_empty() {
-            let suspects = self.foca.iter_members().filter(|member| member.state() == foca::State::Suspect);
-            let suspects: Vec<(Identity, u16)> =
-                suspects.map(|member| (*member.id(), member.incarnation())).collect();
-            self.asked.retain(|who, _| suspects.contains(who));
-        }
         for (after, timer) in std::mem::take(&mut self.wishes.timers) {
             let after = Span::from_micros(u64::try_from(after.as_micros()).unwrap_or(u64::MAX));
             let probes = matches!(timer, Timer::SendIndirectProbe { .. });
@@ -419,17 +469,27 @@
                 }
             }
         }
-        let left = self.partings.left.borrow();
+        let mut suspects = BTreeSet::new();
         for member in self.foca.iter_membership_state() {
             let id = member.id();
-            let gone = left.get(&id.number).is_some_and(|life| *life >= id.life);
             let state = match member.state() {
+                _ if self.partings.has_left(id) => State::Left,
                 foca::State::Alive => State::Present,
                 foca::State::Suspect => State::Suspected,
-                foca::State::Down if gone => State::Left,
                 foca::State::Down => State::Failed,
             };
             self.view.set(id.number, state, id.life, id.zone, awake);
+            if member.state() == foca::State::Suspect {
+                suspects.insert((*id, member.incarnation()));
+            }
+        }
+        self.suspicions.retain(|suspect, _| suspects.contains(suspect));
+        for suspect in suspects {
+            let new = Suspicion { since: awake, asked: 0, looks: awake };
+            self.suspicions.entry(suspect).or_insert(new);
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/membership/tests/fleet.rs
+++ b/crates/membership/tests/fleet.rs
@@ -293,6 +293,24 @@
     fleet.until(60.0, "the halves have met", |it| it.agree_on(&|_| true));
 }
 
+/// A cut that heals just as one side gives a member of the other up: the news of it goes round on the side where that
+/// member was heard all along, and nobody there takes it for more than a suspicion.
+#[test]
+fn news_of_a_failure_from_across_a_healed_cut_ends_nobody() {
+    for (of, seed) in (0..8).map(|seed| (8, seed)).chain([(40, 20), (40, 21)]) {
+        let mut fleet = Fleet::met(of, seed);
+        fleet.part(|number| number % 2 == 0, |number| number % 2 == 1, true);
+        while fleet.accused.is_empty() {
+            fleet.step();
+        }
+        fleet.cut.clear();
+        fleet.run(5.0);
+        fleet.until(60.0, "one view after the cut", |it| it.agree_on(&|_| true));
+        let own: Vec<_> = fleet.accused.iter().filter(|(_, by, who)| by % 2 == who % 2).collect();
+        assert!(own.is_empty(), "{of} members, seed {seed}: {own:?}");
+    }
+}
+
 #[test]
 fn one_stopped_or_starved_does_not_accuse_the_fleet() {
     let mut fleet = Fleet::met(12, 7);
