--- /dev/null
+++ b/crates/membership/src/code/tests.rs
@@ -0,0 +1,41 @@
+use super::*;
+use crate::identity::NO_ZONE;
+
+#[test]
+fn headers_and_members_come_back_as_they_were() {
+    let one = Identity { number: 299, life: (1 << 48) - 1, zone: 2 };
+    let other = Identity { number: 7, life: 1_764_633_600_000, zone: NO_ZONE };
+    let messages = [
+        Message::Ping(255),
+        Message::Ack(0),
+        Message::PingReq { target: one, probe_number: 3 },
+        Message::IndirectPing { origin: other, probe_number: 4 },
+        Message::IndirectAck { target: one, probe_number: 5 },
+        Message::ForwardedAck { origin: other, probe_number: 6 },
+        Message::Announce,
+        Message::Feed,
+        Message::Gossip,
+        Message::Broadcast,
+        Message::TurnUndead,
+    ];
+    for message in messages {
+        let header = Header { src: one, src_incarnation: 513, dst: other, message };
+        let mut bytes = Vec::new();
+        Code.encode_header(&header, &mut bytes).unwrap();
+        assert_eq!(Code.decode_header(&bytes[..]).unwrap(), header);
+        for cut in 0..bytes.len() {
+            assert_eq!(Code.decode_header(&bytes[..cut]), Err(Wrong::Short));
+        }
+        let mut room = [0_u8; 64];
+        let short = bytes.len() - 1;
+        assert_eq!(Code.encode_header(&header, &mut room[..short]), Err(Wrong::Short));
+    }
+    for state in [State::Alive, State::Suspect, State::Down] {
+        let member = Member::new(one, 9, state);
+        let mut bytes = Vec::new();
+        Code.encode_member(&member, &mut bytes).unwrap();
+        assert_eq!((Code.decode_member(&bytes[..]).unwrap(), bytes.len()), (member, MEMBER));
+        bytes[MEMBER - 1] = 9;
+        assert_eq!(Code.decode_member(&bytes[..]), Err(Wrong::Tag(9)));
+    }
+}
