Call what discovery says of a server its health

The wire's word of the same name stays in discovery's code. The laboratory's records name the field so too.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -85,7 +85,7 @@
         let mut gateway = Gateway::start(now, Last::default(), deployment(gateways), 7);
         let entry = |server| Entry {
             server,
-            standing: Standing::Ready,
+            health: Health::Ready,
             rating: 1.0,
             zone: (server % 3) as u16,
             cell: (server % 40) as u16,
--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -2,7 +2,7 @@
 
 use crate::frame::{Batch, Record, Reply};
 use fennelgauge::choice::Gateway;
-use fennelgauge::host::{Arrival, CountName, Entry, Fate, Host, JobId, RelayEnd, ServerId, Standing};
+use fennelgauge::host::{Arrival, CountName, Entry, Fate, Health, Host, JobId, RelayEnd, ServerId};
 use fennelgauge::time::{Moment, Span};
 use fennelgauge_launch::Launch;
 use std::cell::RefCell;
@@ -170,10 +170,10 @@
     let since = record.u64(13);
     Entry {
         server: record.u32(3),
-        standing: match record.u8(2) {
-            0 => Standing::Gone,
-            1 => Standing::Ready,
-            _ => Standing::Draining,
+        health: match record.u8(2) {
+            0 => Health::Gone,
+            1 => Health::Ready,
+            _ => Health::Draining,
         },
         rating: f64::from(record.f32(7)),
         zone: record.u16(11),
--- a/crates/gateway/src/memory/machines.rs
+++ b/crates/gateway/src/memory/machines.rs
@@ -119,7 +119,7 @@
     let zone = zones.iter().position(|zone| *zone == line.site);
     Entry {
         server,
-        standing: line.health.into(),
+        health: line.health.into(),
         rating: line.share,
         zone: zone.and_then(|zone| u16::try_from(zone).ok()).unwrap_or(u16::MAX),
         cell: line.block,
--- a/crates/gateway/src/wire/discovery.rs
+++ b/crates/gateway/src/wire/discovery.rs
@@ -4,7 +4,7 @@
 use crate::memory::channel::{Channel, Filled};
 use crate::memory::timers::Due;
 use crate::sockets::{settle, Limiter, Moved, Sockets};
-use fennelgauge::host::Standing;
+use fennelgauge::host;
 use fennelgauge::time::{Moment, Span};
 use serde::Deserialize;
 use std::collections::HashSet;
@@ -76,7 +76,7 @@
     Terminating,
 }
 
-impl From<Health> for Standing {
+impl From<Health> for host::Health {
     fn from(health: Health) -> Self {
         match health {
             Health::InService => Self::Ready,
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -1,7 +1,7 @@
 //! What happened in a play, as the world outside the gateways saw it. The judge and the report know nothing else.
 
 use crate::scenario::Scenario;
-use fennelgauge::host::Standing;
+use fennelgauge::host::Health;
 use fennelgauge::time::Moment;
 use serde::{Deserialize, Serialize};
 use std::io::{BufRead, Write};
@@ -74,12 +74,12 @@
     Gone,
 }
 
-impl From<Standing> for Listed {
-    fn from(standing: Standing) -> Self {
-        match standing {
-            Standing::Ready => Self::Ready,
-            Standing::Draining => Self::Draining,
-            Standing::Gone => Self::Gone,
+impl From<Health> for Listed {
+    fn from(health: Health) -> Self {
+        match health {
+            Health::Ready => Self::Ready,
+            Health::Draining => Self::Draining,
+            Health::Gone => Self::Gone,
         }
     }
 }
--- a/crates/lab/src/run/agent.rs
+++ b/crates/lab/src/run/agent.rs
@@ -3,7 +3,7 @@
 use super::http::{self, Reader};
 use super::stage::Shared;
 use crate::record::Event;
-use fennelgauge::host::{Entry, Standing};
+use fennelgauge::host::{Entry, Health};
 use serde_json::{json, Value};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -32,10 +32,10 @@
     let world = stage.world.borrow();
     let zones = &world.scenario.deployment.zones;
     let hosts = entries.iter().map(|entry| {
-        let health = match entry.standing {
-            Standing::Ready => "in_service",
-            Standing::Draining => "terminating",
-            Standing::Gone => "terminated",
+        let health = match entry.health {
+            Health::Ready => "in_service",
+            Health::Draining => "terminating",
+            Health::Gone => "terminated",
         };
         json!({
             "host": format!("s-{:04x}", entry.server),
@@ -82,7 +82,7 @@
         let whole = from.is_none_or(|from| from > version);
         let text = listing(&stage, version, whole, &entries, class).to_string();
         for entry in &entries {
-            let listed = entry.standing.into();
+            let listed = entry.health.into();
             stage.put(Event::Told { gateway, server: entry.server, listed });
         }
         if stream.write_all(&http::answer("200 OK", "", &text)).await.is_err() || message.closes() {
--- a/crates/lab/src/run/process.rs
+++ b/crates/lab/src/run/process.rs
@@ -108,7 +108,7 @@
             (version, world.discovery.whole(version))
         };
         for entry in &entries {
-            let listed = entry.standing.into();
+            let listed = entry.health.into();
             stage.put(Event::Told { gateway: number, server: entry.server, listed });
         }
         let world = stage.world.borrow();
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -302,7 +302,7 @@
         node.start(self.now, self.world.scenario.seed, version, &entries);
         let life = node.life;
         for entry in entries {
-            self.put(Event::Told { gateway, server: entry.server, listed: entry.standing.into() });
+            self.put(Event::Told { gateway, server: entry.server, listed: entry.health.into() });
         }
         self.queue.put(self.now + STARTS, Happening::Ready(gateway, life));
         if let Some(at) = self.world.discovery.next(gateway) {
@@ -444,7 +444,7 @@
         node.version = version;
         node.told(self.now, &entries);
         for entry in entries {
-            self.put(Event::Told { gateway, server: entry.server, listed: entry.standing.into() });
+            self.put(Event::Told { gateway, server: entry.server, listed: entry.health.into() });
         }
     }
 
--- a/crates/lab/src/stand/discovery.rs
+++ b/crates/lab/src/stand/discovery.rs
@@ -3,7 +3,7 @@
 
 use crate::chance::{of, Use};
 use crate::scenario::Scenario;
-use fennelgauge::host::{Entry, ServerId, Standing};
+use fennelgauge::host::{Entry, Health, ServerId};
 use fennelgauge::time::{Moment, Span};
 use rand::RngExt;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -98,7 +98,7 @@
     /// The whole list as of a version: what is gone is not on it.
     pub fn whole(&self, version: usize) -> Vec<Entry> {
         let mut entries = self.between(0, version);
-        entries.retain(|entry| entry.standing != Standing::Gone);
+        entries.retain(|entry| entry.health != Health::Gone);
         entries
     }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -11,7 +11,7 @@
 use crate::stand::server::{Receipts, Server};
 use crate::target::Party;
 use crate::timeline::{Act, OnServer, Timeline, START};
-use fennelgauge::host::{Entry, ServerId, Standing};
+use fennelgauge::host::{Entry, Health, ServerId};
 use fennelgauge::time::{Moment, Span};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -101,10 +101,10 @@
         let speed = least + (most - least) * drawn;
         let zone = self.timeline.layout.servers.get(place as usize).copied().unwrap_or_default();
         let cell = (place / figures.cell.max(1)) as u16;
-        let entry = Entry { server, standing: Standing::Ready, rating, zone, cell, started };
+        let entry = Entry { server, health: Health::Ready, rating, zone, cell, started };
         let model = Server::new(&self.scenario, rating, speed, started, now);
-        let standing = Known { place, model, reach: Reach::Up, entry, rating, speed, life: 0 };
-        self.servers.insert(server, standing);
+        let health = Known { place, model, reach: Reach::Up, entry, rating, speed, life: 0 };
+        self.servers.insert(server, health);
         self.tell_started(server, now);
         server
     }
@@ -144,9 +144,9 @@
         None
     }
 
-    fn list(&mut self, now: Moment, server: ServerId, standing: Standing) {
+    fn list(&mut self, now: Moment, server: ServerId, health: Health) {
         if let Some(known) = self.servers.get_mut(&server) {
-            known.entry.standing = standing;
+            known.entry.health = health;
             self.discovery.change(now, known.entry);
         }
     }
@@ -158,17 +158,17 @@
             OnServer::Slow(times) => known.model.slow = times,
             OnServer::Fail(share) => known.model.failing = share,
             OnServer::TurnAway(turns) => known.model.turns_away = turns,
-            OnServer::Drain => self.list(now, server, Standing::Draining),
+            OnServer::Drain => self.list(now, server, Health::Draining),
             OnServer::Crash | OnServer::Remove => {
                 known.reach = Reach::Down;
                 self.trace.put(now, Event::Ended { server });
-                self.list(now, server, Standing::Gone);
+                self.list(now, server, Health::Gone);
                 return Some(Upset::Ended(server));
             }
             OnServer::Vanish => {
                 known.reach = Reach::Silent;
                 self.trace.put(now, Event::Ended { server });
-                self.list(now, server, Standing::Gone);
+                self.list(now, server, Health::Gone);
                 return Some(Upset::Silenced(server));
             }
             OnServer::Back => {
@@ -178,7 +178,7 @@
                 known.life += 1;
                 known.reach = Reach::Up;
                 self.tell_started(server, now);
-                self.list(now, server, Standing::Ready);
+                self.list(now, server, Health::Ready);
                 // Its machine is back: what was open to its former life meets a reset.
                 return Some(Upset::Ended(server));
             }
@@ -186,12 +186,12 @@
                 let place = known.place;
                 known.reach = Reach::Down;
                 self.trace.put(now, Event::Ended { server });
-                self.list(now, server, Standing::Gone);
+                self.list(now, server, Health::Gone);
                 let next = self.build(place, Some(now), now);
                 if let Some(at) = self.places.get_mut(place as usize) {
                     *at = next;
                 }
-                self.list(now, next, Standing::Ready);
+                self.list(now, next, Health::Ready);
                 return Some(Upset::Ended(server));
             }
         }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,7 @@
 
 use crate::chance::{hashed, Chance};
 use crate::host::{Arrival, CountName, CustomerId, Deployment, Entry, Fate, Host, JobId};
-use crate::host::{Plan, RelayEnd, ServerId, Standing, Wanted, JOB_IDS};
+use crate::host::{Health, Plan, RelayEnd, ServerId, Wanted, JOB_IDS};
 use crate::state::{self, Ask, Counter, Customer, Fleet, Job, Level, Pool, Server, Stage, Step};
 use crate::time::{Moment, Span};
 use fennelgauge_spread::{Member, Pace, Seat};
@@ -143,8 +143,8 @@
                 push,
                 ..Server::default()
             });
-            if entry.standing == Standing::Gone {
-                server.entry.standing = Standing::Gone;
+            if entry.health == Health::Gone {
+                server.entry.health = Health::Gone;
                 continue;
             }
             if entry.started != server.entry.started {
@@ -164,7 +164,7 @@
     /// The whole roster; a server that it lacks is gone.
     pub fn roster_listed(&mut self, now: Moment, entries: impl Iterator<Item = Entry>) {
         self.fleet.carried = self.carried().unwrap_or(self.fleet.carried);
-        self.servers.values_mut().for_each(|server| server.entry.standing = Standing::Gone);
+        self.servers.values_mut().for_each(|server| server.entry.health = Health::Gone);
         self.roster_changed(now, entries);
     }
 
--- a/src/host.rs
+++ b/src/host.rs
@@ -216,7 +216,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Standing {
+pub enum Health {
     Ready,
     Draining,
     #[default]
@@ -227,7 +227,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Entry {
     pub server: ServerId,
-    pub standing: Standing,
+    pub health: Health,
     pub rating: f64,
     pub zone: u16,
     pub cell: u16,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a gateway remembers; `choice.rs` alone decides by it.
 
-use crate::host::{Arrival, CountName, CustomerId, Entry, JobId, ServerId, Standing};
+use crate::host::{Arrival, CountName, CustomerId, Entry, Health, JobId, ServerId};
 use crate::time::{Moment, Span};
 use fennelgauge_spread::{Pace, Slice};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -216,11 +216,11 @@
 impl Server {
     /// Gone, with nothing out and nothing sent for `kept`.
     pub(crate) fn is_past(&self, now: Moment, kept: Span) -> bool {
-        self.entry.standing == Standing::Gone && self.out <= 0.0 && now >= self.tried + kept
+        self.entry.health == Health::Gone && self.out <= 0.0 && now >= self.tried + kept
     }
 
     pub(crate) fn ready(&self) -> bool {
-        self.entry.standing == Standing::Ready
+        self.entry.health == Health::Ready
     }
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -100,8 +100,8 @@
     Moment::from_micros(1_000_000_000 + millis * 1_000)
 }
 
-pub fn entry(server: ServerId, standing: Standing, started: Option<Moment>) -> Entry {
-    Entry { server, standing, rating: 1.0, zone: 0, cell: (server % 2) as u16, started }
+pub fn entry(server: ServerId, health: Health, started: Option<Moment>) -> Entry {
+    Entry { server, health, rating: 1.0, zone: 0, cell: (server % 2) as u16, started }
 }
 
 pub fn arrival(job: JobId, band: usize, plan: usize, units: f64, abandon: Moment) -> Arrival {
@@ -112,7 +112,7 @@
 pub fn gateway(deployment: Deployment, servers: u32) -> (Gateway<Notes>, Notes) {
     let notes = Notes::default();
     let mut gateway = Gateway::start(at(0), notes.clone(), deployment, 5);
-    gateway.roster_listed(at(0), (0..servers).map(|id| entry(id, Standing::Ready, None)));
+    gateway.roster_listed(at(0), (0..servers).map(|id| entry(id, Health::Ready, None)));
     (gateway, notes)
 }
 
--- a/tests/found.rs
+++ b/tests/found.rs
@@ -246,7 +246,7 @@
         for job in 0..40 {
             let now = job * 500;
             if job == 38 {
-                gateway.roster_changed(at(now), [entry(0, Standing::Ready, Some(at(now)))].into_iter());
+                gateway.roster_changed(at(now), [entry(0, Health::Ready, Some(at(now)))].into_iter());
             }
             gateway.job_arrived(at(now), Arrival { customer: job, ..arrival(job, 0, 0, 1.0, at(now + 490)) });
             for act in notes.take() {
@@ -295,7 +295,7 @@
     let (mut gateway, notes) = gateway(deployment, 20);
     let mut out = [0, 0];
     for (round, ready) in [(0, 20), (1, 2)] {
-        gateway.roster_listed(at(10), (0..ready).map(|id| entry(id, Standing::Ready, None)));
+        gateway.roster_listed(at(10), (0..ready).map(|id| entry(id, Health::Ready, None)));
         (0..50).for_each(|job| gateway.job_arrived(at(10), arrival(100 * round + job, 0, 0, 1.0, at(2_000))));
         let relays = notes.take().into_iter().filter(|act| matches!(act, Act::Relay(..))).count();
         out[round as usize] = relays;
@@ -408,7 +408,7 @@
         sent.count()
     };
     assert_eq!(relays(&mut gateway, 0..200, 0), 200);
-    let fresh = (2..4).map(|id| entry(id, Standing::Ready, Some(at(4_000))));
+    let fresh = (2..4).map(|id| entry(id, Health::Ready, Some(at(4_000))));
     gateway.roster_listed(at(4_000), fresh);
     // As much as their part of what warm ones carried; nothing before.
     let sent = relays(&mut gateway, 200..400, 2_000);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -25,7 +25,7 @@
     jobs: BTreeMap<JobId, (usize, Taken)>,
     timers: Vec<(Moment, usize, u64)>,
     calls: Vec<(usize, CountName)>,
-    standing: BTreeMap<ServerId, Standing>,
+    health: BTreeMap<ServerId, Health>,
     cold: Option<(ServerId, Moment)>,
     pushed: Vec<(Moment, f64)>,
     store: (f64, Moment),
@@ -43,7 +43,7 @@
             jobs: BTreeMap::new(),
             timers: Vec::new(),
             calls: Vec::new(),
-            standing: (0..SERVERS).map(|id| (id, Standing::Ready)).collect(),
+            health: (0..SERVERS).map(|id| (id, Health::Ready)).collect(),
             cold: None,
             pushed: Vec::new(),
             store: (CEILING.burst, at(0)),
@@ -79,7 +79,7 @@
         assert!(!job.answered, "rule 1: relay after the final answer");
         assert!(self.now + patience <= job.arrival.abandon, "rule 1: relay outlives its job");
         assert_eq!(job.out, None, "two relays at once");
-        assert_eq!(self.standing[&server], Standing::Ready, "rule 3");
+        assert_eq!(self.health[&server], Health::Ready, "rule 3");
         for &(before, sent) in &job.ran {
             match deployment().bands[job.arrival.band].repeat {
                 Repeat::Pure => {}
@@ -156,8 +156,7 @@
         self.calls.retain(|call| call.0 != index);
         let cold = self.cold;
         let started = |id| cold.filter(|cold| cold.0 == id).map(|cold| cold.1);
-        let list: Vec<_> =
-            self.standing.iter().map(|(id, standing)| entry(*id, *standing, started(*id))).collect();
+        let list: Vec<_> = self.health.iter().map(|(id, health)| entry(*id, *health, started(*id))).collect();
         let notes = self.gateways[index].1.clone();
         let (gateways, own_index) = (self.gateways.len() as u32, index as u32);
         let deployment = Deployment { gateways, own_index, ..deployment() };
@@ -166,10 +165,10 @@
         self.note();
     }
 
-    fn change(&mut self, server: ServerId, standing: Standing, started: Option<Moment>) {
-        self.standing.insert(server, standing);
+    fn change(&mut self, server: ServerId, health: Health, started: Option<Moment>) {
+        self.health.insert(server, health);
         for index in 0..self.gateways.len() {
-            self.gateways[index].0.roster_changed(self.now, [entry(server, standing, started)].into_iter());
+            self.gateways[index].0.roster_changed(self.now, [entry(server, health, started)].into_iter());
             self.note();
         }
     }
@@ -214,14 +213,14 @@
             }
             13 if b < 8 => self.restart(index),
             14 if b < 20 => {
-                let standing = [Standing::Ready, Standing::Draining, Standing::Gone][(a % 3) as usize];
+                let health = [Health::Ready, Health::Draining, Health::Gone][(a % 3) as usize];
                 if self.cold.is_none_or(|cold| cold.0 != b % SERVERS) {
-                    self.change(b % SERVERS, standing, None);
+                    self.change(b % SERVERS, health, None);
                 }
             }
             15 if b < 4 && self.cold.is_none() => {
                 self.cold = Some((b, self.now));
-                self.change(b, Standing::Ready, Some(self.now));
+                self.change(b, Health::Ready, Some(self.now));
             }
             _ => self.advance(Span::from_millis(u64::from(2 + a / 2))),
         }
