--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -117,11 +117,11 @@
         };
         self.gateway.job_arrived(self.now, arrival);
         if let Some(name) = self.gateway.host.call.take() {
-            self.gateway.counted(self.now + Span::from_millis(2), name, Some(1.0), Fate::Satisfied);
+            self.gateway.counted(self.now + Span::from_millis(2), name, Some(1.0), Outcome::Satisfied);
         }
         if let Some((job, server)) = self.gateway.host.relay.take() {
             let took = Span::from_millis(70);
-            let end = RelayEnd { job, server, fate: Fate::Satisfied, took, settled: true };
+            let end = RelayEnd { job, server, outcome: Outcome::Satisfied, took, settled: true };
             self.gateway.relay_ended(self.now + took, end);
         }
         // What is left of the job ends here, as a client that goes away would end it.
--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -2,7 +2,7 @@
 
 use crate::frame::{Batch, Record, Reply};
 use fennelgauge::choice::Gateway;
-use fennelgauge::host::{Arrival, CountName, Entry, Fate, Health, Host, JobId, RelayEnd, ServerId};
+use fennelgauge::host::{Arrival, CountName, Entry, Health, Host, JobId, Outcome, RelayEnd, ServerId};
 use fennelgauge::time::{Moment, Span};
 use fennelgauge_launch::Launch;
 use std::cell::RefCell;
@@ -107,13 +107,13 @@
             }
             1100 => gateway.job_arrived(now, arrival(record)?),
             1010 => {
-                let fate = fate(record.u16(17)).ok_or("unknown outcome")?;
+                let outcome = outcome(record.u16(17)).ok_or("unknown outcome")?;
                 gateway.relay_ended(
                     now,
                     RelayEnd {
                         job: record.u64(4),
                         server: record.u32(13),
-                        fate,
+                        outcome,
                         took: Span::from_micros(record.u32(19).into()),
                         settled: record.u8(23) != 0,
                     },
@@ -122,10 +122,10 @@
             1050 | 1070 => gateway.job_left(now, record.u64(4)),
             1020 => gateway.woken(now, record.u64(4)),
             1060 => {
-                let fate = fate(record.u16(12)).ok_or("unknown outcome")?;
+                let outcome = outcome(record.u16(12)).ok_or("unknown outcome")?;
                 let total = Some(f64::from(record.f32(14)))
-                    .filter(|total| fate == Fate::Satisfied && total.is_finite());
-                gateway.counted(now, record.u64(4), total, fate);
+                    .filter(|total| outcome == Outcome::Satisfied && total.is_finite());
+                gateway.counted(now, record.u64(4), total, outcome);
             }
             // Probes and messages between gateways are not used.
             1040 | 1090 => {}
@@ -152,16 +152,16 @@
     })
 }
 
-fn fate(status: u16) -> Option<Fate> {
+fn outcome(status: u16) -> Option<Outcome> {
     Some(match status {
-        0 => Fate::Satisfied,
-        255 => Fate::Error,
-        254 => Fate::Full,
-        253 => Fate::TimedOut,
-        252 => Fate::ConnectFailed,
-        251 => Fate::Reset,
-        250 => Fate::Withdrawn,
-        249 => Fate::Moot,
+        0 => Outcome::Satisfied,
+        255 => Outcome::Error,
+        254 => Outcome::Full,
+        253 => Outcome::TimedOut,
+        252 => Outcome::ConnectFailed,
+        251 => Outcome::Reset,
+        250 => Outcome::Withdrawn,
+        249 => Outcome::NotSent,
         _ => return None,
     })
 }
--- a/crates/gateway/src/lifecycle/run.rs
+++ b/crates/gateway/src/lifecycle/run.rs
@@ -17,7 +17,7 @@
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, Mode, PostAction};
 use fennelgauge::choice::Gateway;
-use fennelgauge::host::{Fate, JOB_IDS};
+use fennelgauge::host::{Outcome, JOB_IDS};
 use fennelgauge::time::{Moment, Span};
 use fennelgauge_launch::operator::Operator;
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -205,7 +205,7 @@
         let now = limiter.host.clock.now();
         match due {
             Due::Woken(mark) => limiter.woken(now, mark),
-            Due::Patience(key, _) => limiter.host.close_link(key, Some(Fate::TimedOut), "timed out"),
+            Due::Patience(key, _) => limiter.host.close_link(key, Some(Outcome::TimedOut), "timed out"),
             Due::Connected(key) => limiter.host.close_link(key, None, "never came up"),
             Due::Counted(number) => limiter.host.call_over(number),
             Due::Serve(key) => client::moved(limiter, key),
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -13,7 +13,7 @@
 use crate::wire::server;
 use calloop::LoopHandle;
 use fennelgauge::choice::Gateway;
-use fennelgauge::host::{CountName, Fate, Host, JobId, RelayEnd, ServerId, Wanted};
+use fennelgauge::host::{CountName, Host, JobId, Outcome, RelayEnd, ServerId, Wanted};
 use fennelgauge::time::{Moment, Span};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
@@ -78,7 +78,7 @@
     pub looked: Moment,
     /// What has ended inside a call from the module; it is told after that call.
     pub ended: VecDeque<RelayEnd>,
-    pub counted: VecDeque<(CountName, Option<f64>, Fate)>,
+    pub counted: VecDeque<(CountName, Option<f64>, Outcome)>,
     pub left: VecDeque<JobId>,
     /// Clients whose next request may have come already.
     pub resumed: VecDeque<u64>,
@@ -95,8 +95,8 @@
         self.moved.insert(moved);
     }
 
-    pub fn count(&mut self, name: CountName, total: Option<f64>, fate: Fate) {
-        self.counted.push_back((name, total, fate));
+    pub fn count(&mut self, name: CountName, total: Option<f64>, outcome: Outcome) {
+        self.counted.push_back((name, total, outcome));
     }
 }
 
@@ -106,8 +106,8 @@
         let now = limiter.host.clock.now();
         if let Some(end) = limiter.host.ended.pop_front() {
             limiter.relay_ended(now, end);
-        } else if let Some((name, total, fate)) = limiter.host.counted.pop_front() {
-            limiter.counted(now, name, total, fate);
+        } else if let Some((name, total, outcome)) = limiter.host.counted.pop_front() {
+            limiter.counted(now, name, total, outcome);
         } else if let Some(job) = limiter.host.left.pop_front() {
             limiter.job_left(now, job);
         } else if let Some(key) = limiter.host.resumed.pop_front() {
@@ -128,15 +128,15 @@
         self.look_at_client_of(job);
         let now = self.clock.now();
         let Some(record) = self.jobs.open.get_mut(&job) else {
-            let end = RelayEnd { job, server, fate: Fate::Moot, took: Span::ZERO, settled: true };
+            let end = RelayEnd { job, server, outcome: Outcome::NotSent, took: Span::ZERO, settled: true };
             return self.ended.push_back(end);
         };
         let number = record.relays;
         record.relays = number.saturating_add(1);
         match self.link_to(server, now) {
             Ok(key) => self.send(key, job, number, now, patience),
-            Err(fate) => {
-                self.ended.push_back(RelayEnd { job, server, fate, took: Span::ZERO, settled: false })
+            Err(outcome) => {
+                self.ended.push_back(RelayEnd { job, server, outcome, took: Span::ZERO, settled: false })
             }
         }
     }
@@ -145,7 +145,7 @@
         let out = self.jobs.open.get(&job).and_then(|record| record.out);
         let is_it = |link: &Link| link.out.as_ref().is_some_and(|out| (out.job, out.number) == (job, relay));
         if let Some(key) = out.filter(|key| self.links.get(key).is_some_and(is_it)) {
-            self.close_link(key, Some(Fate::Withdrawn), "withdrawn");
+            self.close_link(key, Some(Outcome::Withdrawn), "withdrawn");
         }
     }
 
--- a/crates/gateway/src/wire/counter.rs
+++ b/crates/gateway/src/wire/counter.rs
@@ -4,7 +4,7 @@
 use crate::memory::channel::{Channel, Filled};
 use crate::memory::timers::Due;
 use crate::sockets::{settle, Limiter, Moved, Sockets};
-use fennelgauge::host::{CountName, Fate};
+use fennelgauge::host::{CountName, Outcome};
 use fennelgauge::time::{Moment, Span};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -77,15 +77,15 @@
 }
 
 /// What a line says of the call that it answers; none if it is no answer.
-fn answer(line: &[u8]) -> Option<(Option<f64>, Fate)> {
+fn answer(line: &[u8]) -> Option<(Option<f64>, Outcome)> {
     let line = http::text(line)?;
     match line.split_once(' ') {
         Some(("ok", total)) => {
             let total = total.trim().parse::<f64>().ok().filter(|total| total.is_finite())?;
-            Some((Some(total), Fate::Satisfied))
+            Some((Some(total), Outcome::Satisfied))
         }
-        _ if line == "busy" => Some((None, Fate::Full)),
-        _ if line == "error" => Some((None, Fate::Error)),
+        _ if line == "busy" => Some((None, Outcome::Full)),
+        _ if line == "error" => Some((None, Outcome::Error)),
         _ => None,
     }
 }
@@ -118,7 +118,7 @@
         }
         let number = self.number();
         let Some(line) = self.counter.present() else {
-            return self.count(name, None, Fate::ConnectFailed);
+            return self.count(name, None, Outcome::ConnectFailed);
         };
         let before = line.channel.output.len();
         bump(&mut line.channel.output, name, amount, keep);
@@ -193,11 +193,11 @@
                 used += length + 1;
                 // An answer that fits no call would shift all that follow, and a spoilt one is the call's own:
                 // it was added, and the module must hear that no total comes.
-                let (Some((total, fate)), Some(call)) = (told, line.calls.front()) else {
+                let (Some((total, outcome)), Some(call)) = (told, line.calls.front()) else {
                     return Err("garbled");
                 };
                 if !call.over {
-                    self.counted.push_back((call.name, total, fate));
+                    self.counted.push_back((call.name, total, outcome));
                 }
                 line.calls.pop_front();
                 line.heard = now;
@@ -223,8 +223,8 @@
         let written = line.handed - line.channel.unwritten() as u64;
         line.channel.close(&self.handle);
         for call in line.calls.into_iter().filter(|call| !call.over) {
-            let fate = if call.end <= written { Fate::TimedOut } else { Fate::ConnectFailed };
-            self.counted.push_back((call.name, None, fate));
+            let outcome = if call.end <= written { Outcome::TimedOut } else { Outcome::ConnectFailed };
+            self.counted.push_back((call.name, None, outcome));
         }
     }
 
@@ -243,7 +243,7 @@
             let name = call.name;
             let owes_since = line.calls.front().map_or(now, |call| call.sent.max(line.heard));
             line.former |= few && now.since(owes_since) >= unheard;
-            self.count(name, None, Fate::TimedOut);
+            self.count(name, None, Outcome::TimedOut);
         }
         self.leave_former_counters();
     }
--- a/crates/gateway/src/wire/server.rs
+++ b/crates/gateway/src/wire/server.rs
@@ -7,19 +7,19 @@
 use crate::memory::machines::{Link, Relay};
 use crate::memory::timers::Due;
 use crate::sockets::{settle, Limiter, Moved, Sockets};
-use fennelgauge::host::{Fate, JobId, RelayEnd, ServerId};
+use fennelgauge::host::{JobId, Outcome, RelayEnd, ServerId};
 use fennelgauge::time::{Moment, Span};
 use std::collections::HashSet;
 use tracing::info;
 
-fn fate(answer: &Answer) -> Fate {
+fn outcome(answer: &Answer) -> Outcome {
     let unrun = |header: &httparse::Header| {
         header.name.eq_ignore_ascii_case("x-unprocessed") && header.value.trim_ascii() == b"1"
     };
     match answer.status {
-        200 => Fate::Satisfied,
-        503 | 504 if answer.headers.iter().any(unrun) => Fate::Full,
-        _ => Fate::Error,
+        200 => Outcome::Satisfied,
+        503 | 504 if answer.headers.iter().any(unrun) => Outcome::Full,
+        _ => Outcome::Error,
     }
 }
 
@@ -47,7 +47,7 @@
 
 impl Sockets {
     /// A connection to a server that carries nothing: one that stands idle, or a new one.
-    pub fn link_to(&mut self, server: ServerId, now: Moment) -> Result<u64, Fate> {
+    pub fn link_to(&mut self, server: ServerId, now: Moment) -> Result<u64, Outcome> {
         while let Some(key) = self.machines.by_id.get_mut(&server).and_then(|machine| machine.idle.pop()) {
             let Some(link) = self.links.get_mut(&key) else { continue };
             if now.since(link.idle) >= self.idle {
@@ -63,10 +63,10 @@
             }
         }
         let address = self.machines.by_id.get(&server).and_then(|machine| machine.address);
-        let address = address.ok_or(Fate::ConnectFailed)?;
+        let address = address.ok_or(Outcome::ConnectFailed)?;
         if !self.room_for_link(now) {
             // Nothing speaks against the server.
-            return Err(Fate::Moot);
+            return Err(Outcome::NotSent);
         }
         let key = self.number();
         let channel = Channel::connect(&self.handle, address, Moved::Server(key));
@@ -78,7 +78,7 @@
             }
             Err(error) => {
                 info!(side = "server", key, server, reason = "refused", %error);
-                Err(Fate::ConnectFailed)
+                Err(Outcome::ConnectFailed)
             }
         }
     }
@@ -131,10 +131,10 @@
         // Taken back already, its connection rests and may not be handed out twice.
         let Some(begun) = link.out.as_ref().map(|out| out.begun) else { return };
         if begun && link.channel.unwritten() > 0 {
-            self.close_link(key, Some(Fate::Moot), "taken back");
+            self.close_link(key, Some(Outcome::NotSent), "taken back");
         } else if !begun {
             let up = link.up;
-            self.relay_over(key, Fate::Moot);
+            self.relay_over(key, Outcome::NotSent);
             if up {
                 self.rest_link(key);
             }
@@ -147,7 +147,7 @@
         let waits = |link: &Link| link.out.as_ref().is_none_or(|out| !out.begun);
         let left = self.links.iter().filter(|(_, link)| servers.contains(&link.server) && waits(link));
         let left: Vec<u64> = left.map(|(key, _)| *key).collect();
-        left.into_iter().for_each(|key| self.close_link(key, Some(Fate::Moot), "roster"));
+        left.into_iter().for_each(|key| self.close_link(key, Some(Outcome::NotSent), "roster"));
     }
 
     /// Sees if a connection that was begun has come up; true if it just has.
@@ -179,9 +179,9 @@
         };
         match http::answer(&link.channel.input, filled == Filled::Ended, most) {
             Ok(Some(answer)) => {
-                let (job, fate) = (relay.job, fate(&answer));
+                let (job, outcome) = (relay.job, outcome(&answer));
                 let keep = answer.keep && whole && open && answer.used == link.channel.input.len();
-                if let (Fate::Satisfied, Some(record)) = (fate, self.jobs.open.get(&job)) {
+                if let (Outcome::Satisfied, Some(record)) = (outcome, self.jobs.open.get(&job)) {
                     let client = self.clients.get_mut(&record.client);
                     if let Some(client) = client {
                         let keep = client.keep && !self.stop.begun();
@@ -190,10 +190,10 @@
                     }
                 }
                 link.channel.used(usize::MAX);
-                if fate == Fate::Satisfied {
+                if outcome == Outcome::Satisfied {
                     self.finish(job, |_, _| {});
                 }
-                self.relay_over(key, fate);
+                self.relay_over(key, outcome);
                 if keep {
                     self.rest_link(key);
                 } else {
@@ -203,11 +203,11 @@
             Ok(None) if flushed.is_err() || !open => self.close_link(key, None, "broken"),
             Ok(None) if link.channel.input.len() > http::MOST_MESSAGE => {
                 if self.answers() > self.most_answers {
-                    self.close_link(key, Some(Fate::Error), "no memory");
+                    self.close_link(key, Some(Outcome::Error), "no memory");
                 }
             }
             Ok(None) => {}
-            Err(_) => self.close_link(key, Some(Fate::Error), "malformed answer"),
+            Err(_) => self.close_link(key, Some(Outcome::Error), "malformed answer"),
         }
     }
 
@@ -227,7 +227,7 @@
         }
     }
 
-    fn relay_over(&mut self, key: u64, fate: Fate) {
+    fn relay_over(&mut self, key: u64, outcome: Outcome) {
         let now = self.clock.now();
         let Some(link) = self.links.get_mut(&key) else { return };
         let Some(relay) = link.out.take() else { return };
@@ -237,22 +237,22 @@
             record.out = None;
         }
         let took = now.since(relay.sent);
-        self.ended.push_back(RelayEnd { job: relay.job, server: link.server, fate, took, settled });
+        self.ended.push_back(RelayEnd { job: relay.job, server: link.server, outcome, took, settled });
     }
 
     /// Closes a connection to a server. A relay on it ends as told, if its last byte was written.
-    pub fn close_link(&mut self, key: u64, fate: Option<Fate>, reason: &str) {
+    pub fn close_link(&mut self, key: u64, outcome: Option<Outcome>, reason: &str) {
         let Some(link) = self.links.get(&key) else { return };
         // A server begins a job with its last byte: without that, waiting in vain tells no more than a refusal.
         let unsent = link.out.as_ref().is_some_and(|out| !out.begun) || link.channel.unwritten() > 0;
-        let fate = match fate {
+        let outcome = match outcome {
             // Given up from this side, it says nothing against the server.
-            Some(Fate::Withdrawn | Fate::Moot) if unsent => Fate::Moot,
-            _ if unsent => Fate::ConnectFailed,
-            told => told.unwrap_or(Fate::Reset),
+            Some(Outcome::Withdrawn | Outcome::NotSent) if unsent => Outcome::NotSent,
+            _ if unsent => Outcome::ConnectFailed,
+            told => told.unwrap_or(Outcome::Reset),
         };
         info!(side = "server", key, server = link.server, reason);
-        self.relay_over(key, fate);
+        self.relay_over(key, outcome);
         if let Some(link) = self.links.remove(&key) {
             if let Some(machine) = self.machines.by_id.get_mut(&link.server) {
                 machine.idle.retain(|idle| *idle != key);
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -15,7 +15,7 @@
 use crate::timeline::{moment, Act, OnGateway, START};
 use crate::told;
 use crate::world::{Reach, Upset, World};
-use fennelgauge::host::{Arrival, Fate, JobId, RelayEnd, ServerId};
+use fennelgauge::host::{Arrival, JobId, Outcome, RelayEnd, ServerId};
 use fennelgauge::time::{Moment, Span};
 use node::{Deed, Node};
 use queue::Queue;
@@ -27,8 +27,8 @@
 enum Word {
     Job(JobId),
     Wake(u64),
-    Ended(RelayNumber, Fate),
-    Counted(u64, Option<f64>, Fate),
+    Ended(RelayNumber, Outcome),
+    Counted(u64, Option<f64>, Outcome),
     Listed,
     Left(JobId),
     /// A datagram of another gateway.
@@ -221,7 +221,7 @@
                     self.calls.remove(&call);
                 }
                 if !over {
-                    self.word(gateway, life, Word::Counted(name, None, Fate::TimedOut));
+                    self.word(gateway, life, Word::Counted(name, None, Outcome::TimedOut));
                 }
             }
             Happening::Client(job, how, hold_off) => self.answered(job, how, hold_off),
@@ -241,7 +241,7 @@
                 self.relays.iter().filter(|(_, relay)| relay.server == server).map(|it| *it.0).collect();
             for relay in hit {
                 self.relay_over(relay, RelayOver::Reset);
-                self.back(relay, Fate::Reset);
+                self.back(relay, Outcome::Reset);
             }
             self.nodes.iter_mut().for_each(|node| node.forget(server));
         }
@@ -400,10 +400,10 @@
                     self.nodes[gateway as usize].left(self.now, id);
                 }
             }
-            Word::Counted(name, total, fate) => {
-                self.nodes[gateway as usize].counted(self.now, name, total, fate)
+            Word::Counted(name, total, outcome) => {
+                self.nodes[gateway as usize].counted(self.now, name, total, outcome)
             }
-            Word::Ended(relay, fate) => self.ended(relay, fate),
+            Word::Ended(relay, outcome) => self.ended(relay, outcome),
             Word::Listed => self.listed(gateway),
             Word::Mail(from, bytes) => self.nodes[gateway as usize].mail(self.now, from, &bytes),
             Word::Circle => {}
@@ -457,7 +457,7 @@
                 Deed::Withdraw(job, nth) => {
                     let out = self.nodes[gateway as usize].relays.get(&(job, nth)).copied();
                     if let Some(relay) = out.filter(|relay| self.relays.contains_key(relay)) {
-                        self.ended(relay, Fate::Withdrawn);
+                        self.ended(relay, Outcome::Withdrawn);
                     }
                 }
                 Deed::Answer(job, how, hold_off) => self.answer(gateway, job, how, hold_off),
@@ -537,7 +537,8 @@
         self.nodes[gateway as usize].relayed(job, number);
         let since = relay.since;
         self.relays.insert(number, relay);
-        self.queue.put(now + patience, Happening::Word(gateway, life, Word::Ended(number, Fate::TimedOut)));
+        self.queue
+            .put(now + patience, Happening::Word(gateway, life, Word::Ended(number, Outcome::TimedOut)));
         if reused.is_some() {
             // A connection that a fault has caught carries nothing; patience ends it.
             let caught = self.world.timeline.links.caught(from, to, since, now);
@@ -552,10 +553,10 @@
         let there = links.takes(from, to, now, number) + links.takes(to, from, now, number + (1 << 40));
         let within = Span::from_micros(told::CONNECT_WITHIN_US);
         if comes_up > now + within || reach == Reach::Silent {
-            let word = Word::Ended(number, Fate::ConnectFailed);
+            let word = Word::Ended(number, Outcome::ConnectFailed);
             self.queue.put(now + within, Happening::Word(gateway, life, word));
         } else if reach == Reach::Down {
-            let word = Word::Ended(number, Fate::ConnectFailed);
+            let word = Word::Ended(number, Outcome::ConnectFailed);
             self.queue.put(comes_up + there, Happening::Word(gateway, life, word));
         } else {
             let on_the_way = links.takes(from, to, now, number + (1 << 41));
@@ -574,11 +575,13 @@
         let draws = [self.world.draw(number), self.world.draw(number | 1 << 48)];
         let handshake = Span::from_secs(self.world.scenario.servers.handshake_ms / 1e3);
         let Some(known) = self.world.servers.get_mut(&server).filter(|known| known.life == lives) else {
-            return self.back(number, Fate::Reset);
+            return self.back(number, Outcome::Reset);
         };
         match known.reach {
             Reach::Silent => return,
-            Reach::Down => return self.back(number, if fresh { Fate::ConnectFailed } else { Fate::Reset }),
+            Reach::Down => {
+                return self.back(number, if fresh { Outcome::ConnectFailed } else { Outcome::Reset })
+            }
             Reach::Up => {}
         }
         let refused = fresh && !known.model.connects();
@@ -600,7 +603,7 @@
                 known.model.leaves(number);
             }
             self.look_at(server);
-            return self.back(number, Fate::Reset);
+            return self.back(number, Outcome::Reset);
         }
         match taken {
             Taken::In => {
@@ -610,11 +613,11 @@
             }
             Taken::TurnedAway => {
                 self.relay_over(number, RelayOver::TurnedAway);
-                self.back(number, Fate::Full);
+                self.back(number, Outcome::Full);
             }
             Taken::Failed => {
                 self.relay_over(number, RelayOver::Failed);
-                self.back(number, Fate::Error);
+                self.back(number, Outcome::Error);
             }
         }
         self.look_at(server);
@@ -628,7 +631,7 @@
     }
 
     /// Word of how a relay ended goes back to its gateway.
-    fn back(&mut self, number: RelayNumber, fate: Fate) {
+    fn back(&mut self, number: RelayNumber, outcome: Outcome) {
         let Some(relay) = self.relays.get(&number) else { return };
         let (gateway, life) = (relay.gateway, relay.life);
         let (from, to) = (self.world.party(relay.server), Party::Gateway(gateway));
@@ -637,7 +640,7 @@
             return;
         }
         let at = self.arrival(from, to);
-        self.queue.put(at, Happening::Word(gateway, life, Word::Ended(number, fate)));
+        self.queue.put(at, Happening::Word(gateway, life, Word::Ended(number, outcome)));
     }
 
     /// Sees to it that a server's next end of work is noticed when it comes, once.
@@ -671,7 +674,7 @@
             self.world.effect(self.now, job, server);
             if there {
                 self.relay_over(number, RelayOver::Answered);
-                self.back(number, Fate::Satisfied);
+                self.back(number, Outcome::Satisfied);
             }
             if self.relays.get(&number).is_some_and(|relay| !relay.awaited) {
                 self.relays.remove(&number);
@@ -680,7 +683,7 @@
     }
 
     /// A relay has ended for its gateway, from whatever cause comes first.
-    fn ended(&mut self, number: RelayNumber, fate: Fate) {
+    fn ended(&mut self, number: RelayNumber, outcome: Outcome) {
         let Some(relay) = self.relays.get_mut(&number) else { return };
         if !std::mem::replace(&mut relay.awaited, false) {
             return;
@@ -689,8 +692,8 @@
             (relay.gateway, relay.job, relay.server, relay.sent, relay.since);
         let there = relay.there;
         let node = &mut self.nodes[gateway as usize];
-        match fate {
-            Fate::Satisfied | Fate::Error | Fate::Full => {
+        match outcome {
+            Outcome::Satisfied | Outcome::Error | Outcome::Full => {
                 self.relays.remove(&number);
                 node.rest_link(server, since, self.now);
             }
@@ -706,8 +709,8 @@
             }
         }
         let settled = !self.nodes[gateway as usize].open.contains(&job);
-        let end = RelayEnd { job, server, fate, took: self.now.since(sent), settled };
-        if fate == Fate::Satisfied && !settled {
+        let end = RelayEnd { job, server, outcome, took: self.now.since(sent), settled };
+        if outcome == Outcome::Satisfied && !settled {
             self.nodes[gateway as usize].close(job);
             self.sends_back(gateway, job, Answer::Satisfied, None);
         }
@@ -756,10 +759,10 @@
         }
         let Some(counter) = &mut self.world.counter else { return };
         let told = counter.call(self.now, gateway, name, amount, keep);
-        let (total, fate, at) = match told {
+        let (total, outcome, at) = match told {
             Told::Nothing => return,
-            Told::Busy => (None, Fate::Full, self.now),
-            Told::Total(total, at) => (Some(total), Fate::Satisfied, at),
+            Told::Busy => (None, Outcome::Full, self.now),
+            Told::Total(total, at) => (Some(total), Outcome::Satisfied, at),
         };
         let (from, to) = (Party::Counter, Party::Gateway(gateway));
         let id = self.number();
@@ -769,7 +772,7 @@
         let in_time = self.calls.get_mut(&number).filter(|call| !call.over && arrives < call.until);
         if let Some(call) = in_time {
             call.over = true;
-            self.queue.put(arrives, Happening::Word(gateway, life, Word::Counted(name, total, fate)));
+            self.queue.put(arrives, Happening::Word(gateway, life, Word::Counted(name, total, outcome)));
         }
     }
 
--- a/crates/lab/src/sim/node.rs
+++ b/crates/lab/src/sim/node.rs
@@ -8,7 +8,7 @@
 use crate::told;
 use fennelgauge::choice::Gateway;
 use fennelgauge::host::{
-    Arrival, CountName, Deployment, Entry, Fate, Host, JobId, RelayEnd, ServerId, Wanted,
+    Arrival, CountName, Deployment, Entry, Host, JobId, Outcome, RelayEnd, ServerId, Wanted,
 };
 use fennelgauge::time::{Moment, Span};
 use fennelgauge_membership::circle::{Circle, Terms};
@@ -220,8 +220,8 @@
         self.with(now, |gateway| gateway.job_left(now, job));
     }
 
-    pub fn counted(&mut self, now: Moment, name: CountName, total: Option<f64>, fate: Fate) {
-        self.with(now, |gateway| gateway.counted(now, name, total, fate));
+    pub fn counted(&mut self, now: Moment, name: CountName, total: Option<f64>, outcome: Outcome) {
+        self.with(now, |gateway| gateway.counted(now, name, total, outcome));
     }
 
     pub fn told(&mut self, now: Moment, entries: &[Entry]) {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,7 +3,7 @@
 //! `host.rs`, the records in `state.rs`; `docs/design.md` tells what follows the design and what departs.
 
 use crate::chance::{hashed, Chance};
-use crate::host::{Arrival, CountName, CustomerId, Deployment, Entry, Fate, Host, JobId};
+use crate::host::{Arrival, CountName, CustomerId, Deployment, Entry, Host, JobId, Outcome};
 use crate::host::{Health, Plan, RelayEnd, ServerId, Wanted, JOB_IDS};
 use crate::state::{self, Ask, Counter, Customer, Fleet, Job, Level, Pool, Server, Stage, Step};
 use crate::time::{Moment, Span};
@@ -334,7 +334,7 @@
     }
 
     /// A total came back, or word that none will.
-    pub fn counted(&mut self, now: Moment, name: CountName, total: Option<f64>, fate: Fate) {
+    pub fn counted(&mut self, now: Moment, name: CountName, total: Option<f64>, outcome: Outcome) {
         self.now = now;
         if self.pool.draw.as_ref().is_some_and(|draw| draw.0 == name) {
             return self.drawn(total);
@@ -352,7 +352,7 @@
         let first = std::mem::replace(&mut counter.answers, total.is_some()) && total.is_none();
         counter.borne = if first { counter.bound } else { counter.borne };
         self.roll(id);
-        self.answered(id, total, fate);
+        self.answered(id, total, outcome);
         self.serve_callers();
     }
 
@@ -379,7 +379,7 @@
         }
         self.roll(id);
         // Unanswered, it goes on with the next sum, so that it counts as told.
-        self.answered(id, outcome.map(|it| it.0), Fate::TimedOut);
+        self.answered(id, outcome.map(|it| it.0), Outcome::TimedOut);
     }
 
     /// Lets customers that wait for a call have it, as far as calls may be made.
@@ -394,7 +394,7 @@
         }
     }
 
-    fn answered(&mut self, id: CustomerId, total: Option<f64>, fate: Fate) {
+    fn answered(&mut self, id: CustomerId, total: Option<f64>, outcome: Outcome) {
         let Some(customer) = self.customers.get_mut(&id) else { return };
         let plan = &self.deployment.plans[customer.plan];
         let Some(mut ask) = customer.ask.take() else { return };
@@ -405,7 +405,7 @@
         match (ask.step, total) {
             (Step::Count, None) => {
                 // What may have been added counts as added: the count then says too little, never too much.
-                *customer.told(among) += if fate == Fate::TimedOut { ask.amount } else { 0.0 };
+                *customer.told(among) += if outcome == Outcome::TimedOut { ask.amount } else { 0.0 };
                 // Asked for again at once, jobs would stall a time-out each, and calls crowd what is slow.
                 self.judge_alone(id, false);
                 self.ask(id);
@@ -751,17 +751,17 @@
         if let Some(job) = self.jobs.get_mut(&end.job) {
             let Stage::Out(sent) = job.stage else { return self.work_off() };
             job.stage = Stage::Cleared;
-            let unrun = matches!(end.fate, Fate::Full | Fate::ConnectFailed | Fate::Moot);
+            let unrun = matches!(end.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent);
             let at = self.servers.get(&end.server).map(|server| server.entry).unwrap_or_default();
             job.may_have_run = job.may_have_run.or((!unrun).then_some((sent, at)));
             // A job that no server may have any more would be held for nothing until its time runs short.
             let again = |job: &Job| {
                 job.relays < self.deployment.most_relays
-                    && (self.fleet.spare >= 1.0 || end.fate == Fate::ConnectFailed)
+                    && (self.fleet.spare >= 1.0 || end.outcome == Outcome::ConnectFailed)
                     && now < self.latest(job)
                     && self.servers.values().any(|to| self.may_go(job, to))
             };
-            if end.settled || end.fate == Fate::Satisfied {
+            if end.settled || end.outcome == Outcome::Satisfied {
                 self.forget(end.job);
             } else if self.jobs.get(&end.job).is_some_and(again) {
                 self.fleet.spare = (self.fleet.spare - 1.0).max(0.0);
@@ -780,8 +780,8 @@
         let (now, took, fleet) = (self.now, end.took.secs(), &mut self.fleet);
         let Some(server) = self.servers.get_mut(&end.server) else { return };
         (server.out, fleet.out) = ((server.out - 1.0).max(0.0), (fleet.out - 1.0).max(0.0));
-        match end.fate {
-            Fate::Satisfied => {
+        match end.outcome {
+            Outcome::Satisfied => {
                 server.gap += 0.1 * (now.since(server.heard).secs() - server.gap);
                 server.heard = now;
                 server.failing *= 0.8;
@@ -809,11 +809,11 @@
                     fleet.bound *= 1.03;
                 }
             }
-            Fate::Withdrawn | Fate::Moot => {}
-            Fate::Full | Fate::Error | Fate::Reset | Fate::ConnectFailed | Fate::TimedOut => {
+            Outcome::Withdrawn | Outcome::NotSent => {}
+            Outcome::Full | Outcome::Error | Outcome::Reset | Outcome::ConnectFailed | Outcome::TimedOut => {
                 // A server that fails or turns all away at once would look idle and draw all jobs.
                 server.failing += 0.2 * (1.0 - server.failing);
-                if end.fate == Fate::Full {
+                if end.outcome == Outcome::Full {
                     server.cut(0.7, now, fleet.usual, least);
                     fleet.bound *= 0.97;
                 }
@@ -822,8 +822,8 @@
         }
         fleet.bound = fleet.bound.max(least);
         // A refusal comes at once; rested only by that, many gateways would ask again in a herd.
-        let busy =
-            if end.fate == Fate::Satisfied { end.took } else { end.took.max(Span::from_secs(fleet.usual)) };
+        let shortest = if end.outcome == Outcome::Satisfied { 0.0 } else { fleet.usual };
+        let busy = end.took.max(Span::from_secs(shortest));
         (server.rested, fleet.rested) =
             (now + rest(busy, server.bound), now + rest(busy, fleet.bound * fleet.ready.max(1.0)));
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -194,7 +194,7 @@
 
 /// How a relay, or a call to the counter, ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fate {
+pub enum Outcome {
     Satisfied,
     Error,
     Full,
@@ -202,14 +202,14 @@
     ConnectFailed,
     Reset,
     Withdrawn,
-    Moot,
+    NotSent,
 }
 
 #[derive(Clone, Copy, Debug)]
 pub struct RelayEnd {
     pub job: JobId,
     pub server: ServerId,
-    pub fate: Fate,
+    pub outcome: Outcome,
     pub took: Span,
     /// The job needs no further answer.
     pub settled: bool,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -116,6 +116,6 @@
     (gateway, notes)
 }
 
-pub fn end(job: JobId, server: ServerId, fate: Fate, took: u64) -> RelayEnd {
-    RelayEnd { job, server, fate, took: Span::from_millis(took), settled: fate == Fate::Satisfied }
+pub fn end(job: JobId, server: ServerId, outcome: Outcome, took: u64) -> RelayEnd {
+    RelayEnd { job, server, outcome, took: Span::from_millis(took), settled: outcome == Outcome::Satisfied }
 }
--- a/tests/found.rs
+++ b/tests/found.rs
@@ -24,7 +24,7 @@
     let (mut gateway, notes) = gateway(deployment, 2);
     gateway.job_arrived(at(10), arrival(1, 0, 2, 4.0, at(400)));
     let (name, amount) = count_of(&notes.take()).expect("an ask");
-    gateway.counted(at(12), name, Some(amount), Fate::Satisfied);
+    gateway.counted(at(12), name, Some(amount), Outcome::Satisfied);
     assert!(notes.take().contains(&Act::Dismiss(1)));
 }
 
@@ -38,7 +38,7 @@
         let now = job * 2_000;
         gateway.job_arrived(at(now), arrival(job, 0, 0, 1.0, at(now + 1_900)));
         let server = relayed(&notes.take()).expect("a relay");
-        gateway.relay_ended(at(now + 1_500), end(job, server, Fate::Satisfied, 1_500));
+        gateway.relay_ended(at(now + 1_500), end(job, server, Outcome::Satisfied, 1_500));
     }
 }
 
@@ -48,7 +48,7 @@
     let (mut gateway, notes) = gateway(deployment(), 2);
     gateway.job_arrived(at(10), arrival(1, 0, 1, 1.0, at(2_000)));
     let (name, amount) = count_of(&notes.take()).expect("an ask");
-    gateway.counted(at(12), name, Some(amount + 3.0), Fate::Satisfied);
+    gateway.counted(at(12), name, Some(amount + 3.0), Outcome::Satisfied);
     assert_eq!(count_of(&notes.take()), Some((name, -amount)));
 }
 
@@ -79,7 +79,7 @@
             for act in notes.take() {
                 if let Act::Relay(job, server, _) = act {
                     sent += 1;
-                    gateway.relay_ended(at(now + 1), end(job, server, Fate::Satisfied, 1));
+                    gateway.relay_ended(at(now + 1), end(job, server, Outcome::Satisfied, 1));
                 }
             }
         }
@@ -101,7 +101,7 @@
         for job in 2..60 {
             let now = job * 40;
             gateway.job_arrived(at(now), arrival(job, 0, 0, 1.0, at(now + 4_000)));
-            gateway.relay_ended(at(now + 20), end(job, 0, Fate::Satisfied, 20));
+            gateway.relay_ended(at(now + 20), end(job, 0, Outcome::Satisfied, 20));
             gateway.woken(at(now + 20), 1);
         }
         assert_eq!(notes.take().contains(&Act::Withdraw(1, 0)), taken_back);
@@ -131,9 +131,9 @@
         let arrival = Arrival { customer: job % 50, ..arrival(job, 0, 0, 1.0, at(job * 20 + 2_000)) };
         gateway.job_arrived(at(job * 20), arrival);
         while let Some(server) = relayed(&notes.take()) {
-            let fate = if server == 0 { Fate::Full } else { Fate::Satisfied };
+            let outcome = if server == 0 { Outcome::Full } else { Outcome::Satisfied };
             sent += usize::from(server == 0);
-            gateway.relay_ended(at(job * 20 + 1), end(job, server, fate, 1));
+            gateway.relay_ended(at(job * 20 + 1), end(job, server, outcome, 1));
         }
     }
     assert!(sent < 40, "{sent}");
@@ -152,11 +152,11 @@
                 Act::Add(name, amount) => {
                     let total = totals.entry(name).or_insert(0.0);
                     *total += amount;
-                    gateway.counted(at(job * 10), name, Some(*total), Fate::Satisfied);
+                    gateway.counted(at(job * 10), name, Some(*total), Outcome::Satisfied);
                 }
                 Act::Relay(job, server, _) => {
                     sent += 1.0;
-                    gateway.relay_ended(at(job * 10), end(job, server, Fate::Satisfied, 1));
+                    gateway.relay_ended(at(job * 10), end(job, server, Outcome::Satisfied, 1));
                 }
                 _ => {}
             }
@@ -179,7 +179,7 @@
         for act in notes.take() {
             if let Act::Relay(id, server, _) = act {
                 last += usize::from(job >= 3_500);
-                gateway.relay_ended(at(now + took), end(id, server, Fate::Satisfied, took));
+                gateway.relay_ended(at(now + took), end(id, server, Outcome::Satisfied, took));
             }
         }
     }
@@ -199,10 +199,10 @@
             let mut acts = notes.take();
             while let Some(act) = acts.pop() {
                 match act {
-                    Act::Add(name, _) => gateway.counted(at(now), name, Some(0.0), Fate::Satisfied),
+                    Act::Add(name, _) => gateway.counted(at(now), name, Some(0.0), Outcome::Satisfied),
                     Act::Relay(job, server, _) => {
                         sent += 1.0;
-                        gateway.relay_ended(at(now), end(job, server, Fate::Satisfied, 1));
+                        gateway.relay_ended(at(now), end(job, server, Outcome::Satisfied, 1));
                     }
                     _ => {}
                 }
@@ -227,7 +227,7 @@
         for act in notes.take() {
             if let Act::Add(name, _) = act {
                 calls += 1;
-                gateway.counted(at(now), name, None, Fate::Full);
+                gateway.counted(at(now), name, None, Outcome::Full);
             }
         }
         gateway.woken(at(now), u64::MAX);
@@ -252,7 +252,7 @@
             for act in notes.take() {
                 if let Act::Relay(id, server, _) = act {
                     sent += usize::from(job >= 38 && server == 0);
-                    gateway.relay_ended(at(now + 20), end(id, server, Fate::Satisfied, 20));
+                    gateway.relay_ended(at(now + 20), end(id, server, Outcome::Satisfied, 20));
                 }
             }
         }
@@ -275,15 +275,15 @@
     let (mut first, notes) = gateway(deployment(), 4);
     first.job_arrived(at(10), arrival(1, 0, 0, 6.5, at(2_000)));
     let (name, amount) = count_of(&notes.take()).expect("an ask");
-    first.counted(at(12), name, Some(amount), Fate::Satisfied);
+    first.counted(at(12), name, Some(amount), Outcome::Satisfied);
     let (last, _) = count_of(&notes.take()).expect("a look at the last window");
-    first.counted(at(14), last, Some(12.0), Fate::Satisfied);
+    first.counted(at(14), last, Some(12.0), Outcome::Satisfied);
     let (told, lacked) = count_of(&notes.take()).expect("word of what the burst lacks");
     assert!(told == name && last != name && lacked > 1_000.0);
     let (mut second, notes) = gateway(deployment(), 4);
     second.job_arrived(at(20), arrival(2, 0, 0, 1.0, at(420)));
     assert!(count_of(&notes.take()).is_some());
-    second.counted(at(22), name, Some(amount + lacked + 1.0), Fate::Satisfied);
+    second.counted(at(22), name, Some(amount + lacked + 1.0), Outcome::Satisfied);
     assert_eq!(relayed(&notes.take()), None);
 }
 
@@ -306,18 +306,18 @@
 /// A job that had failed and might not run again was held for a server until its time ran short.
 #[test]
 fn a_job_that_no_server_may_have_again_is_answered_at_once() {
-    for (band, fate, servers, answer) in [
-        (3, Fate::Error, 3, Act::Forfeit(1)),
-        (2, Fate::Reset, 2, Act::Forfeit(1)),
-        (3, Fate::Full, 1, Act::Dismiss(1)),
-        (0, Fate::Error, 1, Act::Dismiss(1)),
+    for (band, outcome, servers, answer) in [
+        (3, Outcome::Error, 3, Act::Forfeit(1)),
+        (2, Outcome::Reset, 2, Act::Forfeit(1)),
+        (3, Outcome::Full, 1, Act::Dismiss(1)),
+        (0, Outcome::Error, 1, Act::Dismiss(1)),
     ] {
         let mut deployment = deployment();
         deployment.plans[0] = Plan::default();
         let (mut gateway, notes) = gateway(deployment, servers);
         gateway.job_arrived(at(0), arrival(1, band, 0, 1.0, at(2_000)));
         let server = relayed(&notes.take()).expect("a relay");
-        gateway.relay_ended(at(5), end(1, server, fate, 5));
+        gateway.relay_ended(at(5), end(1, server, outcome, 5));
         assert_eq!(notes.take(), [answer]);
     }
 }
@@ -331,9 +331,9 @@
         // One job a millisecond, each of its own customer; calls are not answered in the second third.
         let (now, third) = (at(job), job as usize / 2_000);
         for (name, amount) in std::mem::take(&mut out) {
-            let (total, fate) =
-                if third == 1 { (None, Fate::TimedOut) } else { (Some(amount), Fate::Satisfied) };
-            gateway.counted(now, name, total, fate);
+            let (total, outcome) =
+                if third == 1 { (None, Outcome::TimedOut) } else { (Some(amount), Outcome::Satisfied) };
+            gateway.counted(now, name, total, outcome);
             calls[third] += 1;
         }
         let arrival = Arrival { customer: 1_000 + job, ..arrival(job, 0, 0, 1.0, at(job + 400)) };
@@ -370,7 +370,7 @@
         let server = relayed(&notes.take());
         if let Some(server) = server {
             units += if job % 20 == 0 { 1.0 } else { 0.0 };
-            gateway.relay_ended(now, end(job, server, Fate::Satisfied, 1));
+            gateway.relay_ended(now, end(job, server, Outcome::Satisfied, 1));
         } else {
             gateway.job_left(now, job);
         }
@@ -384,7 +384,7 @@
     let (mut gateway, notes) = gateway(deployment(), 2);
     gateway.job_arrived(at(10), arrival(1, 0, 0, 1.0, at(2_000)));
     let (name, _) = count_of(&notes.take()).expect("an ask");
-    gateway.counted(at(40), name, None, Fate::TimedOut);
+    gateway.counted(at(40), name, None, Outcome::TimedOut);
     assert!(relayed(&notes.take()).is_some());
 }
 
@@ -401,7 +401,7 @@
             gateway.job_arrived(at(now), Arrival { customer, ..arrival(*job, 0, 0, 1.0, at(now + 2_000)) });
             let server = relayed(&notes.take());
             if let Some(server) = server {
-                gateway.relay_ended(at(now + 10), end(*job, server, Fate::Satisfied, 10));
+                gateway.relay_ended(at(now + 10), end(*job, server, Outcome::Satisfied, 10));
             }
             server.is_some()
         });
@@ -431,12 +431,17 @@
             let name =
                 acts.iter().find_map(|act| if let Act::Add(name, _) = act { Some(*name) } else { None });
             if let Some(server) = relayed(&acts) {
-                gateway.relay_ended(now, end(job, server, Fate::Satisfied, 1));
+                gateway.relay_ended(now, end(job, server, Outcome::Satisfied, 1));
             }
             let Some(name) = name else { break };
             asked_after += u32::from(job > 300);
             let total = (job >= 100).then_some(1.0);
-            gateway.counted(now, name, total, if total.is_some() { Fate::Satisfied } else { Fate::Full });
+            gateway.counted(
+                now,
+                name,
+                total,
+                if total.is_some() { Outcome::Satisfied } else { Outcome::Full },
+            );
         }
     }
     assert!(asked_after > 20, "{asked_after}");
--- a/tests/mass.rs
+++ b/tests/mass.rs
@@ -78,7 +78,7 @@
     from: u64,
     jobs: u64,
     apart: u64,
-    ends: impl Fn(ServerId) -> (Fate, u64),
+    ends: impl Fn(ServerId) -> (Outcome, u64),
 ) -> Vec<ServerId> {
     let mut servers = Vec::new();
     for job in from..from + jobs {
@@ -89,9 +89,9 @@
         // A relay that ends badly may be followed by another.
         while let Some((job, server)) = relays(&notes.take()).first().copied() {
             servers.push(server);
-            let (fate, took) = ends(server);
+            let (outcome, took) = ends(server);
             late += took.min(apart / 4);
-            gateway.relay_ended(at(now + late), end(job, server, fate, took));
+            gateway.relay_ended(at(now + late), end(job, server, outcome, took));
         }
     }
     servers
@@ -111,7 +111,7 @@
     let mut given = [0; 60];
     for own_index in 0..300 {
         let deployment = Deployment { own_index, ..unlimited() };
-        let servers = sent(&mut gateway(deployment, 60), 0, 60, 200, |_| (Fate::Satisfied, 20));
+        let servers = sent(&mut gateway(deployment, 60), 0, 60, 200, |_| (Outcome::Satisfied, 20));
         let different: BTreeSet<&ServerId> = servers.iter().collect();
         assert!(different.len() <= 4, "{different:?}");
         servers.iter().for_each(|server| given[*server as usize] += 1);
@@ -126,12 +126,12 @@
 fn a_slice_with_nobody_well_widens_and_narrows_again() {
     let mut played = gateway(unlimited(), 60);
     let slice: BTreeSet<ServerId> =
-        sent(&mut played, 0, 20, 200, |_| (Fate::Satisfied, 20)).into_iter().collect();
+        sent(&mut played, 0, 20, 200, |_| (Outcome::Satisfied, 20)).into_iter().collect();
     let bad = |server: ServerId| {
         if slice.contains(&server) {
-            (Fate::ConnectFailed, 5)
+            (Outcome::ConnectFailed, 5)
         } else {
-            (Fate::Satisfied, 20)
+            (Outcome::Satisfied, 20)
         }
     };
     sent(&mut played, 20, 20, 200, bad);
@@ -139,8 +139,8 @@
     let elsewhere = wide.iter().filter(|server| !slice.contains(server)).count();
     assert!(elsewhere >= 38 && wide.iter().collect::<BTreeSet<_>>().len() <= slice.len() + 4, "{wide:?}");
     // Well again, they are found by single trials, and the neighbours are left.
-    sent(&mut played, 80, 60, 200, |_| (Fate::Satisfied, 20));
-    let narrow = sent(&mut played, 140, 20, 200, |_| (Fate::Satisfied, 20));
+    sent(&mut played, 80, 60, 200, |_| (Outcome::Satisfied, 20));
+    let narrow = sent(&mut played, 140, 20, 200, |_| (Outcome::Satisfied, 20));
     assert!(narrow.iter().all(|server| slice.contains(server)), "{narrow:?} {slice:?}");
 }
 
@@ -158,7 +158,7 @@
             gateway.job_arrived(at(now), Arrival { customer, ..arrival(job, 0, 0, 1.0, at(now + 5_000)) });
             for (job, server) in relays(&notes.take()) {
                 played += 1;
-                gateway.relay_ended(at(now + 10), end(job, server, Fate::Satisfied, took));
+                gateway.relay_ended(at(now + 10), end(job, server, Outcome::Satisfied, took));
             }
         }
         played
@@ -184,7 +184,7 @@
     gateway.job_arrived(at(2_011), job(20, 3, 1));
     let acts = notes.take();
     assert!(relays(&acts).is_empty() && !acts.contains(&Act::Dismiss(20)), "{acts:?}");
-    gateway.counted(at(2_012), first, Some(1.0), Fate::Satisfied);
+    gateway.counted(at(2_012), first, Some(1.0), Outcome::Satisfied);
     notes.take();
     // Its turn comes once the counter has rested; the total it brings back has room.
     let mut now = 2_012;
@@ -201,6 +201,6 @@
         now += 10;
         assert!(now < 2_500, "no call in time");
     };
-    gateway.counted(at(now + 2), name, Some(1.0), Fate::Satisfied);
+    gateway.counted(at(now + 2), name, Some(1.0), Outcome::Satisfied);
     assert_eq!(relays(&notes.take()).len(), 1);
 }
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -44,7 +44,7 @@
         let acts = notes.take();
         let name = called(&acts).expect("a call");
         assert!(among(&acts).is_empty());
-        gateway.counted(at(id * 40 + 2), name, Some(1.0), Fate::Satisfied);
+        gateway.counted(at(id * 40 + 2), name, Some(1.0), Outcome::Satisfied);
         assert!(among(&notes.take()).is_empty());
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -112,15 +112,15 @@
         assert!(act == Act::Forfeit(id) || free || unrun, "rule 2: dismissed though it may have run");
     }
 
-    fn end_relay(&mut self, id: JobId, fate: Fate) {
+    fn end_relay(&mut self, id: JobId, outcome: Outcome) {
         let Some((index, job)) = self.jobs.get_mut(&id) else { return };
         let Some((server, sent)) = job.out.take() else { return };
-        if !matches!(fate, Fate::Full | Fate::ConnectFailed | Fate::Moot) {
+        if !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::NotSent) {
             job.ran.push((server, sent));
         }
-        job.answered |= fate == Fate::Satisfied;
+        job.answered |= outcome == Outcome::Satisfied;
         let took = self.now.since(sent).micros() / 1_000;
-        self.gateways[*index].0.relay_ended(self.now, end(id, server, fate, took));
+        self.gateways[*index].0.relay_ended(self.now, end(id, server, outcome, took));
         self.note();
     }
 
@@ -138,7 +138,7 @@
             let over = |job: &Taken| job.out.is_some() && now + Span::from_millis(4) >= job.arrival.abandon;
             let late: Vec<JobId> =
                 self.jobs.iter().filter(|(_, job)| over(&job.1)).map(|(id, _)| *id).collect();
-            late.into_iter().for_each(|id| self.end_relay(id, Fate::TimedOut));
+            late.into_iter().for_each(|id| self.end_relay(id, Outcome::TimedOut));
             for (_, job) in self.jobs.values() {
                 assert!(
                     job.answered || now <= job.arrival.abandon,
@@ -191,24 +191,30 @@
             6..=9 => {
                 let out: Vec<JobId> =
                     self.jobs.iter().filter(|job| job.1 .1.out.is_some()).map(|job| *job.0).collect();
-                let fates = [Fate::Satisfied, Fate::Satisfied, Fate::Error, Fate::Full, Fate::TimedOut];
-                let more = [Fate::ConnectFailed, Fate::Reset, Fate::Withdrawn, Fate::Satisfied];
-                let fate = *fates.iter().chain(&more).cycle().nth(b as usize).expect("a cycle has no end");
+                let fates = [
+                    Outcome::Satisfied,
+                    Outcome::Satisfied,
+                    Outcome::Error,
+                    Outcome::Full,
+                    Outcome::TimedOut,
+                ];
+                let more = [Outcome::ConnectFailed, Outcome::Reset, Outcome::Withdrawn, Outcome::Satisfied];
+                let outcome = *fates.iter().chain(&more).cycle().nth(b as usize).expect("a cycle has no end");
                 if let Some(id) = out.get(a as usize % out.len().max(1)) {
-                    self.end_relay(*id, fate);
+                    self.end_relay(*id, outcome);
                 }
             }
             10..=12 if !self.calls.is_empty() => {
                 let (index, name) = self.calls.remove(0);
-                let (total, fate) = match b % 6 {
-                    0 => (None, Fate::TimedOut),
-                    1 => (None, Fate::Full),
-                    2 => (Some(0.0), Fate::Satisfied),
-                    3 => (Some(-1e6), Fate::Satisfied),
-                    4 => (Some(1e6), Fate::Satisfied),
-                    _ => (Some(f64::from(a % 12)), Fate::Satisfied),
+                let (total, outcome) = match b % 6 {
+                    0 => (None, Outcome::TimedOut),
+                    1 => (None, Outcome::Full),
+                    2 => (Some(0.0), Outcome::Satisfied),
+                    3 => (Some(-1e6), Outcome::Satisfied),
+                    4 => (Some(1e6), Outcome::Satisfied),
+                    _ => (Some(f64::from(a % 12)), Outcome::Satisfied),
                 };
-                self.gateways[index].0.counted(self.now, name, total, fate);
+                self.gateways[index].0.counted(self.now, name, total, outcome);
                 self.note();
             }
             13 if b < 8 => self.restart(index),
