--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -120,7 +120,7 @@
                 );
             }
             1050 | 1070 => gateway.job_left(now, record.u64(4)),
-            1020 => gateway.woken(now, record.u64(4)),
+            1020 => gateway.timer_fired(now, record.u64(4)),
             1060 => {
                 let outcome = outcome(record.u16(12)).ok_or("unknown outcome")?;
                 let total = Some(f64::from(record.f32(14)))
--- a/crates/gateway/src/lifecycle/run.rs
+++ b/crates/gateway/src/lifecycle/run.rs
@@ -204,7 +204,7 @@
         limiter.host.timers.pop();
         let now = limiter.host.clock.now();
         match due {
-            Due::Woken(mark) => limiter.woken(now, mark),
+            Due::Module(mark) => limiter.timer_fired(now, mark),
             Due::Patience(key, _) => limiter.host.close_link(key, Some(Outcome::TimedOut), "timed out"),
             Due::Connected(key) => limiter.host.close_link(key, None, "never came up"),
             Due::Counted(number) => limiter.host.call_over(number),
@@ -262,7 +262,7 @@
     fn next_due(&mut self) -> Option<(Moment, Due)> {
         let Self { timers, jobs, links, counter, .. } = self;
         timers.next(|due| match due {
-            Due::Woken(mark) => mark >= JOB_IDS || jobs.open.contains_key(&mark),
+            Due::Module(mark) => mark >= JOB_IDS || jobs.open.contains_key(&mark),
             Due::Patience(key, serial) => links.get(&key).is_some_and(|link| link.carries(serial)),
             Due::Connected(key) => links.get(&key).is_some_and(|link| !link.up),
             Due::Counted(number) => counter.awaits(number),
--- a/crates/gateway/src/memory/timers.rs
+++ b/crates/gateway/src/memory/timers.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
     /// The module asked to be woken with this mark.
-    Woken(u64),
+    Module(u64),
     /// The patience for a relay, by its connection and its own number, is over.
     Patience(u64, u64),
     /// A connection should have come up.
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -161,7 +161,7 @@
         // Never at once, and all that is due within one tick together.
         let tick = self.tick.micros().max(1);
         let at = (self.clock.now() + after).micros() / tick * tick;
-        self.timers.set(Moment::from_micros(at.saturating_add(tick)), Due::Woken(mark));
+        self.timers.set(Moment::from_micros(at.saturating_add(tick)), Due::Module(mark));
     }
 
     fn add(&mut self, name: CountName, amount: f64, keep: Span) {
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -394,7 +394,7 @@
         }
         match word {
             Word::Job(id) => self.job(gateway, id),
-            Word::Wake(mark) => self.nodes[gateway as usize].woken(self.now, mark),
+            Word::Wake(mark) => self.nodes[gateway as usize].timer_fired(self.now, mark),
             Word::Left(id) => {
                 if self.nodes[gateway as usize].close(id) {
                     self.nodes[gateway as usize].left(self.now, id);
--- a/crates/lab/src/sim/node.rs
+++ b/crates/lab/src/sim/node.rs
@@ -212,8 +212,8 @@
         self.with(now, |gateway| gateway.job_arrived(now, arrival));
     }
 
-    pub fn woken(&mut self, now: Moment, mark: u64) {
-        self.with(now, |gateway| gateway.woken(now, mark));
+    pub fn timer_fired(&mut self, now: Moment, mark: u64) {
+        self.with(now, |gateway| gateway.timer_fired(now, mark));
     }
 
     pub fn left(&mut self, now: Moment, job: JobId) {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -883,7 +883,7 @@
     }
 
     /// A timer has come due.
-    pub fn woken(&mut self, now: Moment, mark: u64) {
+    pub fn timer_fired(&mut self, now: Moment, mark: u64) {
         self.now = now;
         if mark == CALLS_MARK {
             self.serve_callers();
--- a/src/host.rs
+++ b/src/host.rs
@@ -21,7 +21,7 @@
     fn dismiss(&mut self, job: JobId, hold_off: Option<Span>);
     /// Final answer: failed, with no promise about effects.
     fn forfeit(&mut self, job: JobId);
-    /// Asks for a call of `woken` with `mark`. Where the mark is a job's id, none is needed once that is over.
+    /// Asks for a call of `timer_fired` with `mark`. Where the mark is a job's id, none is needed once that is over.
     fn wake(&mut self, after: Span, mark: u64);
     /// Adds to a count of the counter; a new name starts at 0 and is kept for `keep`.
     fn add(&mut self, name: CountName, amount: f64, keep: Span);
--- a/tests/found.rs
+++ b/tests/found.rs
@@ -102,7 +102,7 @@
             let now = job * 40;
             gateway.job_arrived(at(now), arrival(job, 0, 0, 1.0, at(now + 4_000)));
             gateway.relay_ended(at(now + 20), end(job, 0, Outcome::Satisfied, 20));
-            gateway.woken(at(now + 20), 1);
+            gateway.timer_fired(at(now + 20), 1);
         }
         assert_eq!(notes.take().contains(&Act::Withdraw(1, 0)), taken_back);
     }
@@ -230,7 +230,7 @@
                 gateway.counted(at(now), name, None, Outcome::Full);
             }
         }
-        gateway.woken(at(now), u64::MAX);
+        gateway.timer_fired(at(now), u64::MAX);
     }
     assert!((2..=12).contains(&calls), "{calls}");
 }
@@ -338,7 +338,7 @@
         }
         let arrival = Arrival { customer: 1_000 + job, ..arrival(job, 0, 0, 1.0, at(job + 400)) };
         gateway.job_arrived(now, arrival);
-        gateway.woken(now, u64::MAX);
+        gateway.timer_fired(now, u64::MAX);
         let added = notes.take().into_iter();
         out.extend(added.filter_map(|act| {
             if let Act::Add(name, amount) = act {
--- a/tests/mass.rs
+++ b/tests/mass.rs
@@ -189,7 +189,7 @@
     // Its turn comes once the counter has rested; the total it brings back has room.
     let mut now = 2_012;
     let name = loop {
-        gateway.woken(at(now), u64::MAX);
+        gateway.timer_fired(at(now), u64::MAX);
         let added =
             notes
                 .take()
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -82,7 +82,7 @@
     gateway.counted_among(at(20), name, Some((5.0, false)));
     let acts = notes.take();
     assert!(sent(&acts) == 0 && among(&acts).is_empty(), "{acts:?}");
-    gateway.woken(at(700), JOB_IDS + 1_001);
+    gateway.timer_fired(at(700), JOB_IDS + 1_001);
     let (_, firm, wanted) = among(&notes.take()).first().copied().unwrap_or_default();
     assert_eq!(firm, 0.0, "nothing is owed back, {wanted:?}");
     // Another's keeper is gone: its job goes by this gateway's own part at once.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -132,7 +132,7 @@
             let due: Vec<_> = self.timers.iter().copied().filter(|timer| timer.0 <= now).collect();
             self.timers.retain(|timer| timer.0 > now);
             for (_, index, mark) in due {
-                self.gateways[index].0.woken(now, mark);
+                self.gateways[index].0.timer_fired(now, mark);
                 self.note();
             }
             let over = |job: &Taken| job.out.is_some() && now + Span::from_millis(4) >= job.arrival.abandon;
