Read a message among members once, and turn lengths of time in one place

Found on a second reading. A datagram's message was decoded twice, for whom it names and again for its doubted members: it is opened once now. The turning of the library's spans into ours stood twice, as did the taking in after each timer. In the socket tests the whole list of two servers was put together in three places.

--- a/crates/gateway/tests/sockets/crossings.rs
+++ b/crates/gateway/tests/sockets/crossings.rs
@@ -29,6 +29,12 @@
     job.replace("account=00000000b4d65521", &format!("account={number:016x}"))
 }
 
+/// Discovery's whole list of two servers, the second one in service.
+fn list(stage: &Stage, seq: u64, health: &str) -> String {
+    let hosts = [stage.host(0, health), stage.host(1, "in_service")].join(",");
+    format!(r#"{{"seq":{seq},"whole":true,"hosts":[{hosts}]}}"#)
+}
+
 /// Jobs of several customers, each with an order of servers of its own, all go to that server and none to the other.
 fn all_go_to(stage: &Stage, number: usize) {
     for customer in 0..8 {
@@ -475,10 +481,7 @@
     let stage = Stage::start(2, 200);
     let mut agent = accept(&stage.agent);
     agent.read();
-    let list = |seq: u64, health: &str| {
-        let hosts = [stage.host(0, health), stage.host(1, "in_service")].join(",");
-        format!(r#"{{"seq":{seq},"whole":true,"hosts":[{hosts}]}}"#)
-    };
+    let list = |seq, health| list(&stage, seq, health);
     agent.answer("200 OK", &list(45, "terminating"));
     agent.read();
     agent.answer("200 OK", &list(44, "in_service"));
@@ -538,8 +541,7 @@
     let mut agent = accept(&stage.agent);
     agent.read();
     stage.signal("-STOP");
-    let hosts = [stage.host(0, "terminating"), stage.host(1, "in_service")].join(",");
-    agent.answer("200 OK", &format!(r#"{{"seq":45,"whole":true,"hosts":[{hosts}]}}"#));
+    agent.answer("200 OK", &list(&stage, 45, "terminating"));
     agent.resets();
     stage.goes_on();
     // The broken connection is seen behind the list on it.
@@ -558,8 +560,7 @@
     agent.ends();
     let mut agent = accept(&next);
     agent.read();
-    let hosts = [stage.host(0, "terminating"), stage.host(1, "in_service")].join(",");
-    agent.answer("200 OK", &format!(r#"{{"seq":2,"whole":true,"hosts":[{hosts}]}}"#));
+    agent.answer("200 OK", &list(&stage, 2, "terminating"));
     // An accepted list is followed by a watch on the same connection.
     assert!(agent.read().0.contains("from=2&"));
     all_go_to(&stage, 1);
--- a/crates/membership/src/code.rs
+++ b/crates/membership/src/code.rs
@@ -1,7 +1,6 @@
 //! Identities and members as bytes of fixed size, most significant first, for the library that keeps the membership.
 
 use crate::identity::{Identity, LIFE_BITS};
-use crate::Number;
 use bytes::{Buf, BufMut};
 use foca::{Codec, Header, Member, Message, State};
 use std::fmt::{Display, Formatter};
@@ -165,7 +164,9 @@
     Ok(out)
 }
 
-struct Opened {
+/// A message, before anything is made of it.
+pub struct Opened<'a> {
+    bytes: &'a [u8],
     header: Header<Identity>,
     /// Those that it tells of.
     members: Vec<Member<Identity>>,
@@ -173,47 +174,47 @@
     begin: usize,
 }
 
-fn opened(bytes: &[u8]) -> Result<Opened, Wrong> {
-    let mut rest = bytes;
-    let header = Code.decode_header(&mut rest)?;
-    let carries = !matches!(header.message, Message::Announce | Message::TurnUndead | Message::Broadcast);
-    let told = if carries && rest.remaining() >= 2 { rest.get_u16() } else { 0 };
-    let begin = bytes.len() - rest.remaining();
-    let members: Result<Vec<_>, Wrong> = (0..told).map(|_| Code.decode_member(&mut rest)).collect();
-    Ok(Opened { header, members: members?, begin })
-}
+impl<'a> Opened<'a> {
+    pub fn new(bytes: &'a [u8]) -> Result<Self, Wrong> {
+        let mut rest = bytes;
+        let header = Code.decode_header(&mut rest)?;
+        let carries = !matches!(header.message, Message::Announce | Message::TurnUndead | Message::Broadcast);
+        let told = if carries && rest.remaining() >= 2 { rest.get_u16() } else { 0 };
+        let begin = bytes.len() - rest.remaining();
+        let members: Result<Vec<_>, Wrong> = (0..told).map(|_| Code.decode_member(&mut rest)).collect();
+        Ok(Self { bytes, header, members: members?, begin })
+    }
 
-/// Whom a message is from and for, the members that it names, and those that it says to be alive, before anything is
-/// made of it.
-pub fn named(bytes: &[u8]) -> Result<(Vec<Identity>, Vec<Member<Identity>>), Wrong> {
-    let Opened { header, members, .. } = opened(bytes)?;
-    let mut named = vec![header.src, header.dst];
-    named.extend(parts(&header.message).1);
-    named.extend(members.iter().map(|member| *member.id()));
-    let sender = Member::new(header.src, header.src_incarnation, State::Alive);
-    let alive = members.into_iter().filter(|member| member.state() == State::Alive);
-    Ok((named, std::iter::once(sender).chain(alive).collect()))
-}
+    /// Whom it is from and for, and the members that it names.
+    pub fn named(&self) -> Vec<Identity> {
+        let mut named = vec![self.header.src, self.header.dst];
+        named.extend(parts(&self.header.message).1);
+        named.extend(self.members.iter().map(|member| *member.id()));
+        named
+    }
 
-/// The message with those members only suspected that it holds to be down and `doubted` doubts. What a member says of
-/// itself is not doubted.
-pub fn with_doubts(
-    bytes: &[u8],
-    from: Number,
-    doubted: impl Fn(&Member<Identity>) -> bool,
-) -> Result<Vec<u8>, Wrong> {
-    let Opened { members, begin, .. } = opened(bytes)?;
-    let (head, mut tail) = bytes.split_at(begin);
-    let mut out = head.to_vec();
-    for mut member in members {
-        tail.advance(MEMBER);
-        if member.state() == State::Down && member.id().number != from && doubted(&member) {
-            member = Member::new(*member.id(), member.incarnation(), State::Suspect);
+    /// Those that it says to be alive, its sender first.
+    pub fn alive(&self) -> impl Iterator<Item = Member<Identity>> + '_ {
+        let sender = Member::new(self.header.src, self.header.src_incarnation, State::Alive);
+        let alive = self.members.iter().filter(|member| member.state() == State::Alive);
+        std::iter::once(sender).chain(alive.cloned())
+    }
+
+    /// The message with those members only suspected that it holds to be down and `doubted` doubts. What a member says
+    /// of itself is not doubted.
+    pub fn with_doubts(&self, doubted: impl Fn(&Member<Identity>) -> bool) -> Result<Vec<u8>, Wrong> {
+        let (head, mut tail) = self.bytes.split_at(self.begin);
+        let mut out = head.to_vec();
+        for member in &self.members {
+            tail.advance(MEMBER);
+            let (id, incarnation) = (*member.id(), member.incarnation());
+            let others = member.state() == State::Down && id.number != self.header.src.number;
+            let state = if others && doubted(member) { State::Suspect } else { member.state() };
+            Code.encode_member(&Member::new(id, incarnation, state), &mut out)?;
         }
-        Code.encode_member(&member, &mut out)?;
+        out.extend(tail);
+        Ok(out)
     }
-    out.extend(tail);
-    Ok(out)
 }
 
 #[cfg(test)]
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -2,7 +2,7 @@
 //! that survive a restart at the same address, partings, time that was slept through, and the view.
 
 use crate::clock::{Awake, BEAT};
-use crate::code::{asking, named, with_doubts, Code, Wrong};
+use crate::code::{asking, Code, Opened, Wrong};
 use crate::frame::{Refused, ROOM as FRAME};
 use crate::identity::{Identity, NO_ZONE};
 use crate::view::{State, View};
@@ -166,6 +166,10 @@
     left: bool,
 }
 
+fn span(of: Duration) -> Span {
+    Span::from_micros(u64::try_from(of.as_micros()).unwrap_or(u64::MAX))
+}
+
 fn size(of: Number) -> f64 {
     f64::from(of.max(10)).log10()
 }
@@ -257,7 +261,8 @@
         let awake = self.awake(now);
         let (digest, body) = body.split_first_chunk::<DIGEST>().ok_or(Refused::Unreadable)?;
         let digest = u32::from_be_bytes(*digest);
-        let (who, alive) = named(body).map_err(|_| Refused::Unreadable)?;
+        let message = Opened::new(body).map_err(|_| Refused::Unreadable)?;
+        let who = message.named();
         if who[0].number != from {
             return Err(Refused::Stranger);
         }
@@ -275,9 +280,9 @@
             }
         }
         let known = self.view.fact(from).copied().unwrap_or_default();
-        self.meet(alive);
-        let doubted = |failed: &_| self.doubts(awake, failed);
-        let body = with_doubts(body, from, doubted).map_err(|_| Refused::Unreadable)?;
+        self.meet(message.alive());
+        let body = message.with_doubts(|failed| self.doubts(awake, failed));
+        let body = body.map_err(|_| Refused::Unreadable)?;
         let taken = self.foca.handle_data(&body, &mut self.wishes);
         // To a datagram for a former life the library says nothing, and its sender would hold this member for silent until
         // news of the present life came round.
@@ -315,18 +320,17 @@
     }
 
     fn speak_up(&self) -> Span {
-        let wait = speak_up(self.view.facts().len() as Number, self.lapses);
-        Span::from_micros(u64::try_from(wait.as_micros()).unwrap_or(u64::MAX))
+        span(speak_up(self.view.facts().len() as Number, self.lapses))
     }
 
     /// Takes in members that nobody has told of yet, without passing it on: a fleet that begins at once would else tell
     /// everybody of everybody many times over, which cost more than all other datagrams of a day together.
-    fn meet(&mut self, alive: Vec<foca::Member<Identity>>) {
+    fn meet(&mut self, alive: impl Iterator<Item = foca::Member<Identity>>) {
         let new = |member: &foca::Member<Identity>| {
             let fact = self.view.fact(member.id().number);
             member.id().number != self.view.own && fact.is_some_and(|it| it.state == State::NeverHeard)
         };
-        let new: Vec<foca::Member<Identity>> = alive.into_iter().filter(new).collect();
+        let new: Vec<foca::Member<Identity>> = alive.filter(new).collect();
         if !new.is_empty() {
             // No codec is at work here that could fail.
             let _ = self.foca.apply_many(new.into_iter(), false, &mut self.wishes);
@@ -347,16 +351,11 @@
                 // held to be failed, and that one would begin a new life.
                 Due::Library(Timer::ChangeSuspectToDown { member_id, incarnation, .. }) => {
                     self.look_at(awake, (member_id, incarnation));
-                    self.take_in(awake);
-                }
-                Due::Look(suspect) => {
-                    self.look_at(awake, suspect);
-                    self.take_in(awake);
                 }
+                Due::Look(suspect) => self.look_at(awake, suspect),
                 Due::Library(timer) => {
                     // Its errors are about timers that have lost their cause.
                     let _ = self.foca.handle_timer(timer, &mut self.wishes);
-                    self.take_in(awake);
                 }
                 Due::Probe(to, sent, body) => {
                     if self.view.fact(to).is_some_and(|fact| fact.heard < Some(sent)) {
@@ -364,6 +363,7 @@
                     }
                 }
             }
+            self.take_in(awake);
         }
         if awake >= self.introduces && !self.left {
             self.introduce(awake);
@@ -459,7 +459,7 @@
 
     fn take_in(&mut self, awake: Moment) {
         for (after, timer) in std::mem::take(&mut self.wishes.timers) {
-            let after = Span::from_micros(u64::try_from(after.as_micros()).unwrap_or(u64::MAX));
+            let after = span(after);
             let probes = matches!(timer, Timer::SendIndirectProbe { .. });
             self.set(awake + after, Due::Library(timer));
             // With the probe itself comes the wish to ask others later.
