--- /dev/null
+++ b/crates/batch/src/state.rs
@@ -0,0 +1,202 @@
+//! The state of a group: its batch jobs and the count of queued tokens.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Item, ItemResult, Job};
+
+/// The most that one reading of results holds, in bytes of text.
+pub const MAX_PAGE_BYTES: usize = 900_000;
+
+/// A change of a group. Changes that have no effect any more are left out silently, alike at every copy.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    Accept(Job),
+    Finish { job: String, results: Vec<ItemResult> },
+    End { job: String },
+    Remove { job: String },
+}
+
+/// A batch job with what has become of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobState {
+    pub job: Job,
+    /// In the order of their positions.
+    pub results: Vec<ItemResult>,
+    /// By item: whether it has a result.
+    pub finished: Vec<bool>,
+    pub ended: bool,
+}
+
+impl JobState {
+    fn new(job: Job) -> Self {
+        let finished = vec![false; job.items.len()];
+        Self { job, results: Vec::new(), finished, ended: false }
+    }
+
+    /// Whether nothing is left to run.
+    pub fn is_over(&self) -> bool {
+        self.ended || self.results.len() == self.finished.len()
+    }
+
+    /// Items without a result, by their place.
+    pub fn open_items(&self) -> impl Iterator<Item = u32> + '_ {
+        let open = self.finished.iter().enumerate().filter(|(_, finished)| !**finished);
+        open.map(|(item, _)| item as u32)
+    }
+
+    fn queued_tokens(&self) -> u64 {
+        match self.ended {
+            true => 0,
+            false => self.open_items().map(|item| self.job.items[item as usize].tokens).sum(),
+        }
+    }
+}
+
+/// Results read from a position on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Page {
+    pub total: u32,
+    pub next: u32,
+    /// Each with the id of its item.
+    pub results: Vec<(String, ItemResult)>,
+    /// Whether no more results can come.
+    pub complete: bool,
+}
+
+/// The answer to whether a batch job may be accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    Fits,
+    /// It is there already.
+    Known,
+    /// Its tenant would have more tokens queued on the route than allowed.
+    OverQuota {
+        queued: u64,
+        most: u64,
+    },
+}
+
+/// All batch jobs of a group.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupState {
+    jobs: BTreeMap<String, JobState>,
+    /// Queued tokens by tenant and route.
+    queued: HashMap<(String, String), u64>,
+}
+
+impl GroupState {
+    /// Whether a job may be accepted where `most` tokens (0: any number) may be queued.
+    pub fn admission(&self, job: &Job, most: u64) -> Admission {
+        if self.jobs.contains_key(&job.id) {
+            return Admission::Known;
+        }
+        let queued = self.queued_tokens(&job.tenant, &job.route);
+        match most > 0 && queued + job.tokens() > most {
+            true => Admission::OverQuota { queued, most },
+            false => Admission::Fits,
+        }
+    }
+
+    /// Tokens of a tenant's items on a route that are neither finished nor ended.
+    pub fn queued_tokens(&self, tenant: &str, route: &str) -> u64 {
+        self.queued.get(&(tenant.to_owned(), route.to_owned())).copied().unwrap_or(0)
+    }
+
+    pub fn job(&self, id: &str) -> Option<&JobState> {
+        self.jobs.get(id)
+    }
+
+    pub fn jobs(&self) -> impl Iterator<Item = &JobState> {
+        self.jobs.values()
+    }
+
+    /// Carries out a change.
+    pub fn apply(&mut self, command: Command) {
+        match command {
+            Command::Accept(job) => self.accept(job),
+            Command::Finish { job, results } => self.finish(&job, results),
+            Command::End { job } => self.end(&job),
+            Command::Remove { job } => self.remove(&job),
+        }
+    }
+
+    fn accept(&mut self, job: Job) {
+        if self.jobs.contains_key(&job.id) {
+            return;
+        }
+        *self.queued.entry((job.tenant.clone(), job.route.clone())).or_default() += job.tokens();
+        self.jobs.insert(job.id.clone(), JobState::new(job));
+    }
+
+    fn finish(&mut self, id: &str, results: Vec<ItemResult>) {
+        let Some(state) = self.jobs.get_mut(id) else { return };
+        let mut released = 0;
+        for result in results {
+            let Some(finished) = state.finished.get_mut(result.item as usize) else { continue };
+            if std::mem::replace(finished, true) {
+                continue;
+            }
+            let item: &mut Item = &mut state.job.items[result.item as usize];
+            item.body = Vec::new();
+            released += if state.ended { 0 } else { item.tokens };
+            state.results.push(result);
+        }
+        let key = (state.job.tenant.clone(), state.job.route.clone());
+        self.release(key, released);
+    }
+
+    fn end(&mut self, id: &str) {
+        let Some(state) = self.jobs.get_mut(id) else { return };
+        let released = state.queued_tokens();
+        state.ended = true;
+        for item in &mut state.job.items {
+            item.body = Vec::new();
+        }
+        let key = (state.job.tenant.clone(), state.job.route.clone());
+        self.release(key, released);
+    }
+
+    fn remove(&mut self, id: &str) {
+        let Some(state) = self.jobs.remove(id) else { return };
+        let released = state.queued_tokens();
+        self.release((state.job.tenant, state.job.route), released);
+    }
+
+    fn release(&mut self, key: (String, String), tokens: u64) {
+        if let Some(queued) = self.queued.get_mut(&key) {
+            *queued = queued.saturating_sub(tokens);
+            if *queued == 0 {
+                self.queued.remove(&key);
+            }
+        }
+    }
+
+    /// Results from a position on; at least one if one exists. None if the job is unknown or another tenant's.
+    pub fn page(&self, tenant: &str, id: &str, start: u32) -> Option<Page> {
+        let state = self.jobs.get(id).filter(|state| state.job.tenant == tenant)?;
+        let mut results = Vec::new();
+        let mut bytes = 0;
+        for result in state.results.iter().skip(start as usize) {
+            bytes += result.text.len();
+            if bytes > MAX_PAGE_BYTES && !results.is_empty() {
+                break;
+            }
+            results.push((state.job.items[result.item as usize].id.clone(), result.clone()));
+        }
+        Some(Page {
+            total: state.job.items.len() as u32,
+            next: start + results.len() as u32,
+            results,
+            complete: state.is_over(),
+        })
+    }
+
+    /// The body of an item that has no result yet.
+    pub fn body(&self, tenant: &str, id: &str, item: &str) -> Option<&[u8]> {
+        let state = self.jobs.get(id).filter(|state| state.job.tenant == tenant && !state.ended)?;
+        let place = state.job.items.iter().position(|there| there.id == item)?;
+        (!state.finished[place]).then(|| state.job.items[place].body.as_slice())
+    }
+}
--- /dev/null
+++ b/crates/batch/src/tests.rs
@@ -0,0 +1,132 @@
+use super::*;
+
+fn job(id: &str, tenant: &str, tokens: &[u64]) -> Job {
+    let item = |(place, tokens): (usize, &u64)| Item {
+        id: format!("{id}-{place}"),
+        path: "/p/1".to_owned(),
+        headers: vec![],
+        body: vec![place as u8; 3],
+        tokens: *tokens,
+    };
+    Job {
+        id: id.to_owned(),
+        tenant: tenant.to_owned(),
+        route: "r".to_owned(),
+        host: "h".to_owned(),
+        received_ms: 0,
+        items: tokens.iter().enumerate().map(item).collect(),
+    }
+}
+
+fn result(item: u32, text: &str) -> ItemResult {
+    ItemResult { item, outcome: ItemOutcome::Succeeded, text: text.to_owned() }
+}
+
+fn finish(job: &str, results: Vec<ItemResult>) -> Command {
+    Command::Finish { job: job.to_owned(), results }
+}
+
+fn end(job: &str) -> Command {
+    Command::End { job: job.to_owned() }
+}
+
+#[test]
+fn queued_tokens_follow_every_change() {
+    let steps: Vec<(&str, Command, u64)> = vec![
+        ("accepted", Command::Accept(job("j", "t", &[10, 20, 30])), 60),
+        ("accepted twice", Command::Accept(job("j", "t", &[10, 20, 30])), 60),
+        ("another tenant's", Command::Accept(job("k", "u", &[5])), 60),
+        ("one finished", finish("j", vec![result(1, "x")]), 40),
+        ("finished twice", finish("j", vec![result(1, "y")]), 40),
+        ("no such item", finish("j", vec![result(9, "y")]), 40),
+        ("no such job", finish("z", vec![result(0, "y")]), 40),
+        ("ended", end("j"), 0),
+        ("ended twice", end("j"), 0),
+        ("finished after its end", finish("j", vec![result(0, "z")]), 0),
+        ("accepted again after its end", Command::Accept(job("j", "t", &[10, 20, 30])), 0),
+        ("one more", Command::Accept(job("l", "t", &[7])), 7),
+        ("removed", Command::Remove { job: "l".to_owned() }, 0),
+        ("removed after its end", Command::Remove { job: "j".to_owned() }, 0),
+    ];
+    let mut state = GroupState::default();
+    for (name, command, queued) in steps {
+        state.apply(command);
+        assert_eq!(state.queued_tokens("t", "r"), queued, "{name}");
+    }
+    assert_eq!(state.queued_tokens("u", "r"), 5);
+}
+
+#[test]
+fn admission_counts_what_is_queued() {
+    let mut state = GroupState::default();
+    state.apply(Command::Accept(job("j", "t", &[10, 20])));
+    let cases = [
+        (job("k", "t", &[10]), 40, Admission::Fits),
+        (job("k", "t", &[11]), 40, Admission::OverQuota { queued: 30, most: 40 }),
+        (job("k", "u", &[40]), 40, Admission::Fits),
+        (job("k", "t", &[1_000]), 0, Admission::Fits),
+        (job("j", "t", &[1_000]), 40, Admission::Known),
+    ];
+    for (job, most, expected) in cases {
+        assert_eq!(state.admission(&job, most), expected, "{} {}", job.id, job.tenant);
+    }
+}
+
+#[test]
+fn a_position_never_changes() {
+    let mut state = GroupState::default();
+    state.apply(Command::Accept(job("j", "t", &[1, 1, 1])));
+    state.apply(finish("j", vec![result(2, "two"), result(0, "zero")]));
+    state.apply(finish("j", vec![result(2, "other"), result(1, "one")]));
+    let page = state.page("t", "j", 0).expect("there");
+    let read: Vec<(&str, &str)> =
+        page.results.iter().map(|(id, result)| (id.as_str(), result.text.as_str())).collect();
+    assert_eq!(read, [("j-2", "two"), ("j-0", "zero"), ("j-1", "one")]);
+    assert_eq!((page.total, page.next, page.complete), (3, 3, true));
+    assert_eq!(state.page("t", "j", 2).expect("there").results.len(), 1);
+    assert!(state.page("u", "j", 0).is_none(), "another tenant's");
+}
+
+#[test]
+fn a_page_is_bounded_but_never_empty_where_there_is_a_result() {
+    let mut state = GroupState::default();
+    state.apply(Command::Accept(job("j", "t", &[1, 1])));
+    let long = "x".repeat(MAX_PAGE_BYTES + 1);
+    state.apply(finish("j", vec![result(0, &long), result(1, &long)]));
+    let page = state.page("t", "j", 0).expect("there");
+    assert_eq!((page.results.len(), page.next), (1, 1));
+}
+
+#[test]
+fn bodies_are_there_until_the_result_or_the_end() {
+    let mut state = GroupState::default();
+    state.apply(Command::Accept(job("j", "t", &[1, 1])));
+    assert_eq!(state.body("t", "j", "j-1"), Some([1, 1, 1].as_slice()));
+    assert_eq!(state.body("u", "j", "j-1"), None);
+    state.apply(finish("j", vec![result(1, "x")]));
+    assert_eq!(state.body("t", "j", "j-1"), None);
+    state.apply(end("j"));
+    assert_eq!(state.body("t", "j", "j-0"), None);
+}
+
+#[test]
+fn malformed_jobs_are_refused_with_item_and_reason() {
+    let mut twice = job("j", "t", &[1, 1]);
+    twice.items[1].id = "j-0".to_owned();
+    let mut nameless = job("j", "t", &[1]);
+    nameless.items[0].id = String::new();
+    let mut foreign = job("j", "t", &[1]);
+    foreign.items[0].path = "/q/1".to_owned();
+    let cases = [
+        (job("", "t", &[1]), Err(JobError::NoId)),
+        (job("j", "t", &[]), Err(JobError::ItemCount(0))),
+        (job("j", "t", &[1; 201]), Err(JobError::ItemCount(201))),
+        (twice, Err(JobError::DuplicateItem("j-0".to_owned()))),
+        (nameless, Err(JobError::EmptyItemId(0))),
+        (foreign, Err(JobError::ForeignPath("j-0".to_owned()))),
+        (job("j", "t", &[1; 200]), Ok(())),
+    ];
+    for (job, expected) in cases {
+        assert_eq!(job.check("/p/"), expected);
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/platform_reader.rs
@@ -0,0 +1,56 @@
+//! Reads the platform's list for everybody who follows this machine: the head reads, the other members follow it and
+//! read themselves only when it is silent.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use fennelgauge_upstream::{client, read_list, Reader};
+use fennelgauge_wire::{Have, Reply, Request, Watch};
+use tokio::time::{sleep, Instant};
+
+use crate::core::Core;
+use crate::identity::random_number;
+
+const READ_EVERY: Duration = Duration::from_millis(500);
+/// A follower reads for itself once the newest list that it has is so old.
+const FOLLOWER_PATIENCE: Duration = Duration::from_millis(1_400);
+const FOLLOW_WAIT: Duration = Duration::from_millis(400);
+
+/// Keeps the list of servers, without end.
+pub async fn keep_list(core: Rc<Core>) {
+    let Some(platform) = core.settings.cloud.addr else { return };
+    let client = client();
+    let mut reader = Reader::new(random_number());
+    loop {
+        let began = Instant::now();
+        let stale = core.known.servers_age().is_none_or(|age| age > FOLLOWER_PATIENCE);
+        if core.is_head() || (stale && core.is_member()) {
+            match read_list(&client, platform).await {
+                Ok(servers) => core.known.take_servers(Some(reader.numbered(servers)), began.elapsed()),
+                Err(reason) => log::warn!("{reason}"),
+            }
+        }
+        sleep(READ_EVERY.saturating_sub(began.elapsed()).max(Duration::from_millis(50))).await;
+    }
+}
+
+/// As a member that is not the head: follows the head's list.
+pub async fn follow_head(core: Rc<Core>) {
+    loop {
+        let view = core.view();
+        let head = view.head().filter(|head| head.identity != core.me.identity && core.is_member());
+        let Some(head) = head else {
+            sleep(FOLLOW_WAIT).await;
+            continue;
+        };
+        let have = Have { generation: u64::MAX, stores: u64::MAX, view: u64::MAX, ..core.known.have() };
+        let watch = Request::Watch(Watch { have, wait_ms: FOLLOW_WAIT.as_millis() as u64 });
+        match core.caller.call(head.peer, watch, FOLLOW_WAIT * 2).await {
+            Ok(Reply::News(news)) => {
+                let age = Duration::from_millis(news.servers_age_ms);
+                core.known.take_servers(news.servers, age);
+            }
+            _ => sleep(FOLLOW_WAIT / 2).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control-plane/src/process.rs
@@ -0,0 +1,95 @@
+//! Runs a control process: its parts, its sockets, its end.
+
+use std::rc::Rc;
+
+use actix_web::web::{Data, PayloadConfig};
+use actix_web::App;
+use fennelgauge_http::{serve_http, until_stopped, HttpTimes};
+use fennelgauge_settings::Settings;
+use fennelgauge_upstream::{subscribe, Known, Subscription};
+use fennelgauge_wire::{serve, Caller, Reply, Request};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use crate::core::Core;
+use crate::duties::{report_usage, UsageCollector};
+use crate::identity::identity;
+use crate::operator::{routes, Operator, MAX_ORDER_BYTES};
+use crate::placement::{keep_placement, Presence};
+use crate::platform_reader::{follow_head, keep_list};
+use crate::store;
+
+/// Runs as a store where the settings say so, else as a part of the core, until a signal ends it.
+pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    let settings = Rc::new(settings);
+    match settings.serves("storage") {
+        true => store::run(settings).await,
+        false => run_core(settings).await,
+    }
+}
+
+async fn run_core(settings: Rc<Settings>) -> anyhow::Result<()> {
+    let known = Rc::new(Known::default());
+    let caller = Caller::default();
+    let peer = settings.control_peer_address();
+    let identity = identity(&settings)?;
+    let core = Core::open(settings.clone(), known.clone(), caller.clone(), identity, peer)?;
+    let presence = Rc::new(Presence::default());
+    let collector = Rc::new(UsageCollector::default());
+
+    let listener = TcpListener::bind(peer).await?;
+    let answering = (core.clone(), presence.clone(), collector.clone());
+    spawn_local(serve(listener, move |request| answer(answering.clone(), request)));
+    spawn_local(core.clone().keep_membership());
+    spawn_local(core.clone().settle_doubts());
+    spawn_local(keep_list(core.clone()));
+    spawn_local(follow_head(core.clone()));
+    spawn_local(keep_placement(core.clone(), presence));
+    spawn_local(report_usage(core.clone(), collector));
+    spawn_local(subscribe(known, caller, subscription(&settings)));
+    serve_operator(&settings, core).await
+}
+
+/// How this process follows the control plane's news.
+pub fn subscription(settings: &Settings) -> Subscription {
+    let fallback = settings.seed_peers();
+    Subscription {
+        node: settings.node.clone(),
+        zone: settings.zone.clone(),
+        seeds: Box::new(move || match Settings::from_environment() {
+            Ok(settings) => settings.seed_peers(),
+            Err(_) => fallback.clone(),
+        }),
+    }
+}
+
+async fn answer(
+    (core, presence, collector): (Rc<Core>, Rc<Presence>, Rc<UsageCollector>),
+    request: Request,
+) -> Reply {
+    match request {
+        Request::Watch(watch) => Reply::News(Box::new(core.known.answer(&watch).await)),
+        Request::Core(request) => Reply::Core(core.answer(request).await),
+        Request::StorePresence(told) => {
+            presence.hear(told);
+            Reply::Noted
+        }
+        Request::Usage(report) => {
+            collector.hear(report);
+            Reply::Noted
+        }
+        Request::Store(_) => Reply::NotHere,
+    }
+}
+
+async fn serve_operator(settings: &Settings, core: Rc<Core>) -> anyhow::Result<()> {
+    if let Some(control) = settings.listen.control {
+        let listener = TcpListener::bind(control).await?;
+        let operator = Data::new(Operator { core });
+        let app =
+            App::new().app_data(PayloadConfig::new(MAX_ORDER_BYTES)).app_data(operator).configure(routes);
+        spawn_local(serve_http(listener, app, HttpTimes::default()));
+    }
+    until_stopped().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/data-plane/src/main.rs
@@ -0,0 +1,60 @@
+//! The data plane of the serving tier.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use fennelgauge_settings::{start_logging, Settings};
+use tokio::task::LocalSet;
+
+const HELP: &str = "\
+fennelgauge-data-plane: takes clients' requests to servers
+
+USAGE
+  fennelgauge-data-plane [run] [--log LEVEL]     run with the settings that FENNELGAUGE_BOOT names
+  fennelgauge-data-plane check-settings FILE     check a settings file
+
+OPTIONS
+  --log LEVEL   error, warn, info, debug or trace
+  --help, --version
+";
+
+fn main() -> ExitCode {
+    match command(pico_args::Arguments::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(reason) => {
+            eprintln!("fennelgauge-data-plane: {reason:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn command(mut arguments: pico_args::Arguments) -> anyhow::Result<()> {
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(());
+    }
+    if arguments.contains(["-V", "--version"]) {
+        println!("fennelgauge-data-plane {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let level = arguments.opt_value_from_str("--log")?;
+    let subcommand = arguments.subcommand()?.unwrap_or_else(|| "run".to_owned());
+    match subcommand.as_str() {
+        "run" => run(level),
+        "check-settings" => check_settings(&arguments.free_from_str::<String>()?),
+        other => anyhow::bail!("{other} is no command: see --help"),
+    }
+}
+
+fn run(level: Option<log::LevelFilter>) -> anyhow::Result<()> {
+    let settings = Settings::from_environment()?;
+    start_logging(&settings, level)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, fennelgauge_data_plane::process::run(settings))
+}
+
+fn check_settings(file: &str) -> anyhow::Result<()> {
+    let settings = Settings::read(Path::new(file))?;
+    println!("{file}: settings of {} are in order", settings.node);
+    Ok(())
+}
--- /dev/null
+++ b/crates/data-plane/src/process.rs
@@ -0,0 +1,151 @@
+//! Runs a data plane: its parts, its sockets, its end.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_web::web::{Data, PayloadConfig};
+use actix_web::App;
+use fennelgauge_http::{serve_http, until_stopped, HttpTimes};
+use fennelgauge_settings::Settings;
+use fennelgauge_upstream::{client, read_list, subscribe, Known, Pool, Reader, Sender, Subscription};
+use fennelgauge_wire::{serve, Caller, Reply, Request};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, Instant};
+
+use crate::usage::{report_usage, UsageCounts};
+use crate::{front, ready};
+
+/// After a stop is asked for, new connections still come for so long.
+const LAST_CONNECTIONS: Duration = Duration::from_millis(2_600);
+/// Left of the time for a stop when the last requests are given up.
+const STOP_MARGIN: Duration = Duration::from_millis(600);
+const POOL_EVERY: Duration = Duration::from_millis(500);
+/// The list is read here once what the control plane tells is so old.
+const OWN_LIST_AFTER: Duration = Duration::from_millis(2_500);
+/// Without a confirmed source a process is ready after so long with what it has.
+const UNCONFIRMED_READY: Duration = Duration::from_secs(4);
+
+/// All that the parts of a data plane share.
+pub struct Plane {
+    pub settings: Settings,
+    pub known: Rc<Known>,
+    pub caller: Caller,
+    pub pool: Pool,
+    pub sender: Sender,
+    pub usage: RefCell<UsageCounts>,
+    /// Requests being answered.
+    pub open: Cell<usize>,
+    pub stopping: Cell<bool>,
+    ready: Cell<bool>,
+    started: Instant,
+}
+
+impl Plane {
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            usage: RefCell::new(UsageCounts::new(settings.bounds.usage_window_s)),
+            settings,
+            known: Rc::new(Known::default()),
+            caller: Caller::default(),
+            pool: Pool::default(),
+            sender: Sender::default(),
+            open: Cell::new(0),
+            stopping: Cell::new(false),
+            ready: Cell::new(false),
+            started: Instant::now(),
+        }
+    }
+
+    /// Whether clients may come: the configuration in force and some servers are known, and no stop was asked for.
+    pub fn is_ready(&self) -> bool {
+        if !self.ready.get() {
+            let confirmed = self.known.confirmed_age().is_some_and(|age| age < OWN_LIST_AFTER);
+            let long_enough = self.started.elapsed() > UNCONFIRMED_READY;
+            let servers = !self.known.servers().servers.is_empty();
+            self.ready.set(self.known.table().is_some() && servers && (confirmed || long_enough));
+        }
+        self.ready.get() && !self.stopping.get()
+    }
+}
+
+/// Runs until a signal ends it.
+pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    let plane = Rc::new(Plane::new(settings));
+    let peers = TcpListener::bind(plane.settings.data_peer_address()).await?;
+    let known = plane.known.clone();
+    spawn_local(serve(peers, move |request| answer(known.clone(), request)));
+    spawn_local(subscribe(plane.known.clone(), plane.caller.clone(), subscription(&plane.settings)));
+    spawn_local(keep_pool(plane.clone()));
+    spawn_local(report_usage(plane.clone()));
+    if let Some(address) = plane.settings.listen.ready {
+        let app = App::new().app_data(Data::new(plane.clone())).configure(ready::routes);
+        spawn_local(serve_http(TcpListener::bind(address).await?, app, HttpTimes::default()));
+    }
+    if let Some(address) = plane.settings.listen.front {
+        let app = App::new()
+            .app_data(PayloadConfig::new(front::MAX_BODY_BYTES))
+            .app_data(Data::new(plane.clone()))
+            .configure(front::routes);
+        let times = HttpTimes { head: Duration::from_secs(5), idle: Duration::from_secs(60) };
+        spawn_local(serve_http(TcpListener::bind(address).await?, app, times));
+    }
+    until_stopped().await;
+    stop(&plane).await;
+    Ok(())
+}
+
+/// Says that it is no longer ready, answers what comes meanwhile, and waits for the last answers.
+async fn stop(plane: &Plane) {
+    let began = Instant::now();
+    let until = plane.settings.grace().saturating_sub(STOP_MARGIN);
+    plane.stopping.set(true);
+    sleep(LAST_CONNECTIONS.min(until)).await;
+    while plane.open.get() > 0 && began.elapsed() < until {
+        sleep(Duration::from_millis(20)).await;
+    }
+    sleep(Duration::from_millis(30)).await;
+}
+
+/// How this process follows the control plane's news.
+fn subscription(settings: &Settings) -> Subscription {
+    let fallback = settings.seed_peers();
+    Subscription {
+        node: settings.node.clone(),
+        zone: settings.zone.clone(),
+        seeds: Box::new(move || match Settings::from_environment() {
+            Ok(settings) => settings.seed_peers(),
+            Err(_) => fallback.clone(),
+        }),
+    }
+}
+
+async fn answer(known: Rc<Known>, request: Request) -> Reply {
+    match request {
+        Request::Watch(watch) => Reply::News(Box::new(known.answer(&watch).await)),
+        _ => Reply::NotHere,
+    }
+}
+
+/// Keeps the pool level with the list; reads the list itself while the control plane is silent.
+async fn keep_pool(plane: Rc<Plane>) {
+    let client = client();
+    let mut reader = Reader::new(getrandom::u64().unwrap_or(1));
+    loop {
+        plane.pool.update(&plane.known.servers());
+        let silent = plane.known.servers_age().is_none_or(|age| age > OWN_LIST_AFTER);
+        let long_up = plane.started.elapsed() > OWN_LIST_AFTER * 2;
+        if let (true, true, Some(platform)) = (silent, long_up, plane.settings.cloud.addr) {
+            let began = Instant::now();
+            match read_list(&client, platform).await {
+                Ok(servers) => {
+                    plane.known.take_servers(Some(reader.numbered(servers)), began.elapsed());
+                    plane.pool.update(&plane.known.servers());
+                }
+                Err(reason) => log::warn!("{reason}"),
+            }
+        }
+        let _ = tokio::time::timeout(POOL_EVERY, plane.known.changed()).await;
+    }
+}
--- /dev/null
+++ b/crates/data-plane/src/resumed.rs
@@ -0,0 +1,95 @@
+//! A stream that goes on at another server when one breaks off: whole events only, each once.
+
+use actix_web::error::ErrorBadGateway;
+use actix_web::web::Bytes;
+use fennelgauge_upstream::EventReader;
+use futures_util::stream::{self, Stream, StreamExt};
+
+use crate::front::Open;
+use crate::live::{Accepted, Attempts};
+
+struct Resumed {
+    attempts: Attempts,
+    accepted: Option<Accepted>,
+    reader: EventReader,
+    last_event: Option<u64>,
+    _open: Open,
+}
+
+enum Piece {
+    Events(Bytes),
+    End,
+    Broken,
+}
+
+/// The events of an answer, continued after a break while the time and the route's retries allow.
+pub(crate) fn stream(
+    attempts: Attempts,
+    open: Open,
+    accepted: Accepted,
+) -> impl Stream<Item = Result<Bytes, actix_web::Error>> {
+    let resumed = Resumed {
+        attempts,
+        accepted: Some(accepted),
+        reader: EventReader::default(),
+        last_event: None,
+        _open: open,
+    };
+    stream::unfold(Some(Box::new(resumed)), |resumed| async move {
+        let mut resumed = resumed?;
+        match resumed.piece().await {
+            Piece::Events(bytes) => Some((Ok(bytes), Some(resumed))),
+            Piece::End => None,
+            Piece::Broken => Some((Err(ErrorBadGateway("the stream broke off")), None)),
+        }
+    })
+}
+
+impl Resumed {
+    async fn piece(&mut self) -> Piece {
+        loop {
+            let Some(accepted) = self.accepted.as_mut() else { return Piece::Broken };
+            match accepted.answer.next().await {
+                Some(Ok(bytes)) => {
+                    self.reader.push(&bytes);
+                    let events = self.whole_events();
+                    if !events.is_empty() {
+                        return Piece::Events(events);
+                    }
+                }
+                None if !self.reader.has_rest() => return Piece::End,
+                Some(Err(_)) | None => {
+                    if !self.continue_elsewhere().await {
+                        return Piece::Broken;
+                    }
+                }
+            }
+        }
+    }
+
+    fn whole_events(&mut self) -> Bytes {
+        let mut bytes = Vec::new();
+        for event in self.reader.by_ref() {
+            self.last_event = event.id.or(self.last_event);
+            bytes.extend_from_slice(&event.bytes);
+        }
+        Bytes::from(bytes)
+    }
+
+    async fn continue_elsewhere(&mut self) -> bool {
+        if let Some(broken) = self.accepted.take() {
+            self.attempts.plane.pool.failed(&broken.ticket.server.id);
+        }
+        self.reader = EventReader::default();
+        if self.attempts.runs >= self.attempts.most_runs() {
+            return false;
+        }
+        match self.attempts.next(self.last_event).await {
+            Ok(accepted) if accepted.answer.status().is_success() => {
+                self.accepted = Some(accepted);
+                true
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/data-plane/src/usage.rs
@@ -0,0 +1,63 @@
+//! Counts requests that began to run, by window and tenant, and tells the counts to the head of the core.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use fennelgauge_wire::{Request, UsageReport, WindowCounts};
+use tokio::time::sleep;
+
+use crate::process::Plane;
+
+const REPORT_EVERY: Duration = Duration::from_millis(1_000);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(900);
+/// Windows that are told again, in case the head has changed.
+const WINDOWS_TOLD: usize = 4;
+
+/// Counts of the newest windows.
+pub struct UsageCounts {
+    width_s: f64,
+    life: u64,
+    windows: BTreeMap<u64, BTreeMap<String, u64>>,
+}
+
+impl UsageCounts {
+    /// For windows of so many seconds.
+    pub fn new(width_s: f64) -> Self {
+        Self { width_s, life: getrandom::u64().unwrap_or(1), windows: BTreeMap::new() }
+    }
+
+    /// A request of the tenant's began now.
+    pub fn count(&mut self, tenant: &str) {
+        let now_s = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
+        let window = (now_s / self.width_s) as u64;
+        *self.windows.entry(window).or_default().entry(tenant.to_owned()).or_default() += 1;
+        while self.windows.len() > WINDOWS_TOLD {
+            self.windows.pop_first();
+        }
+    }
+
+    fn report(&self, node: &str) -> UsageReport {
+        let windows = self.windows.iter().map(|(window, counts)| WindowCounts {
+            window: *window,
+            counts: counts.iter().map(|(tenant, count)| (tenant.clone(), *count)).collect(),
+        });
+        UsageReport { node: node.to_owned(), life: self.life, windows: windows.collect() }
+    }
+}
+
+/// Tells the counts without end.
+pub async fn report_usage(plane: Rc<Plane>) {
+    loop {
+        sleep(REPORT_EVERY).await;
+        let Some(view) = plane.known.view() else { continue };
+        let Some(head) = view.head() else { continue };
+        let report = plane.usage.borrow().report(&plane.settings.node);
+        if report.windows.is_empty() {
+            continue;
+        }
+        if let Err(reason) = plane.caller.call(head.peer, Request::Usage(report), REPORT_TIMEOUT).await {
+            log::info!("usage is told again: {reason}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,84 @@
+//! Serves an actix-web application on the current thread, so that it shares its state with the rest of the process
+//! without locks.
+
+use std::time::Duration;
+
+use actix_http::HttpService;
+use actix_service::{map_config, IntoServiceFactory, Service, ServiceFactory, ServiceFactoryExt};
+use actix_web::body::MessageBody;
+use actix_web::dev::{AppConfig, ServiceRequest, ServiceResponse};
+use actix_web::{App, Error};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+/// How long clients may take.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpTimes {
+    /// For the head of a request.
+    pub head: Duration,
+    /// Between two requests of a connection.
+    pub idle: Duration,
+}
+
+impl Default for HttpTimes {
+    fn default() -> Self {
+        Self { head: Duration::from_secs(5), idle: Duration::from_secs(30) }
+    }
+}
+
+/// Takes connections in without end, each on a task of its own.
+pub async fn serve_http<T, B>(listener: TcpListener, app: App<T>, times: HttpTimes)
+where
+    T: ServiceFactory<
+            ServiceRequest,
+            Config = (),
+            Response = ServiceResponse<B>,
+            Error = Error,
+            InitError = (),
+        > + 'static,
+    B: MessageBody + 'static,
+{
+    let app = app.into_factory().map_err(|error: Error| error.error_response());
+    let service = HttpService::build()
+        .keep_alive(times.idle)
+        .client_request_timeout(times.head)
+        .client_disconnect_timeout(Duration::from_millis(500))
+        .finish(map_config(app, |()| AppConfig::default()))
+        .tcp();
+    let Ok(service) = service.new_service(()).await else {
+        log::error!("the HTTP service cannot be made");
+        return;
+    };
+    let service = std::rc::Rc::new(service);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                let _ = stream.set_nodelay(true);
+                let service = service.clone();
+                spawn_local(async move {
+                    if let Err(reason) = service.call(stream).await {
+                        log::debug!("a client's connection: {reason:?}");
+                    }
+                });
+            }
+            Err(reason) => {
+                log::warn!("connections cannot be taken in: {reason}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+/// Waits for a signal that asks for the end.
+pub async fn until_stopped() {
+    use tokio::signal::unix::{signal, SignalKind};
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return tokio::time::sleep(Duration::MAX).await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,34 @@
+//! What the operator configures and what the platform lists: the configuration document with its checks and patches, the
+//! table that finds a request's route and tenant, and the list of servers. Pure.
+
+mod configuration;
+mod document;
+mod routing;
+mod servers;
+
+pub use configuration::{
+    Autoscale, Configuration, Engine, Limits, Route, RouteKind, Service, Tenant, WeightedService,
+};
+pub use document::{patched, Document, DocumentError};
+pub use routing::{Access, Denial, RoutingTable};
+pub use servers::{Server, ServerList, ServerState};
+
+/// A fixed spreading of a text or bytes over 64 bits, alike in every process and version.
+pub fn stable_hash(text: &(impl AsRef<[u8]> + ?Sized)) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let folded =
+        text.as_ref().iter().fold(OFFSET, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(PRIME));
+    mixed(folded)
+}
+
+/// Spreads nearby numbers over all 64 bits (the finalizer of splitmix64).
+pub fn mixed(number: u64) -> u64 {
+    let number = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let number = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let number = (number ^ (number >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    number ^ (number >> 31)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/model/src/tests.rs
@@ -0,0 +1,97 @@
+use super::*;
+
+fn whole() -> serde_json::Value {
+    serde_json::json!({
+        "generation": 7,
+        "routes": [
+            {"name": "a", "host": "A.example", "path_prefix": "/x/", "kind": "streaming", "timeout_ms": 5000, "backend": "s"},
+            {"name": "b", "host": "a.example", "path_prefix": "/x/y/", "kind": "batch", "timeout_ms": 5000,
+             "split": [{"backend": "s", "weight": 90}, {"backend": "s", "weight": 10}], "public": true},
+        ],
+        "services": [{"name": "s", "health_path": "/healthz", "kept": {"whole": true}}],
+        "limits": {},
+        "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}, {"name": "u", "api_keys": ["k3"]}],
+    })
+}
+
+fn parsed(value: &serde_json::Value, current: u64) -> Result<Document, DocumentError> {
+    Document::parse(&serde_json::to_vec(value).unwrap(), current)
+}
+
+#[test]
+fn what_is_invalid_is_refused_with_its_reason() {
+    type Change = fn(&mut serde_json::Value);
+    let cases: [(&str, Change, u64, &str); 7] = [
+        ("unknown service", |v| v["routes"][0]["backend"] = "z".into(), 6, "not among the services"),
+        ("same place", |v| v["routes"][1]["path_prefix"] = "/x/".into(), 6, "share host"),
+        (
+            "no weight",
+            |v| v["routes"][1]["split"] = serde_json::json!([{"backend": "s", "weight": 0}]),
+            6,
+            "sum to 0",
+        ),
+        ("no timeout", |v| v["routes"][0]["timeout_ms"] = 0.into(), 6, "timeout_ms is 0"),
+        ("old version", |_| (), 8, "not above"),
+        ("same version", |_| (), 7, "not above"),
+        ("shared key", |v| v["tenants"][1]["api_keys"][0] = "k2".into(), 6, "share a key"),
+    ];
+    for (name, change, current, reason) in cases {
+        let mut value = whole();
+        change(&mut value);
+        let error = parsed(&value, current).expect_err(name).to_string();
+        assert!(error.contains(reason), "{name}: {error}");
+    }
+    let text = serde_json::to_vec(&whole()).unwrap();
+    assert!(matches!(Document::parse(&text[..text.len() / 2], 0), Err(DocumentError::Unreadable(_))));
+}
+
+#[test]
+fn a_request_finds_its_longest_route_and_its_tenant() {
+    let table = RoutingTable::new(parsed(&whole(), 0).unwrap().configuration);
+    let cases = [
+        ("a.example", "/x/1", Some("Bearer k1"), Ok(("a", Some("t")))),
+        ("A.EXAMPLE:80", "/x/1", Some("bearer k3"), Ok(("a", Some("u")))),
+        ("a.example", "/x/y/1", None, Ok(("b", None))),
+        ("a.example", "/x/1", Some("Bearer no"), Err(Denial::UnknownKey)),
+        ("a.example", "/x/1", None, Err(Denial::UnknownKey)),
+        ("a.example", "/z/1", Some("Bearer k1"), Err(Denial::NoRoute)),
+        ("b.example", "/x/1", Some("Bearer k1"), Err(Denial::NoRoute)),
+    ];
+    for (host, path, key, expected) in cases {
+        let found = table.access(host, path, key);
+        let found = found.as_ref().map(|access| {
+            (access.route.name.as_str(), access.tenant.as_ref().map(|tenant| tenant.name.as_str()))
+        });
+        assert_eq!(found.map_err(|denial| *denial), expected, "{host}{path}");
+    }
+}
+
+#[test]
+fn a_patch_replaces_adds_and_removes_by_name_and_keeps_the_rest() {
+    let patch = serde_json::json!({
+        "generation": 9,
+        "upsert": {"routes": [{"name": "b", "host": "b", "path_prefix": "/", "kind": "idempotent", "timeout_ms": 1, "backend": "s"}],
+                   "tenants": [{"name": "v", "api_keys": ["k9"]}]},
+        "remove": {"routes": ["a"], "tenants": ["u"]},
+    });
+    let json = patched(&serde_json::to_vec(&whole()).unwrap(), &serde_json::to_vec(&patch).unwrap()).unwrap();
+    let document = Document::parse(&json, 7).unwrap();
+    let names = |list: &str| -> Vec<String> {
+        let value: serde_json::Value = serde_json::from_slice(&json).unwrap();
+        value[list].as_array().unwrap().iter().map(|item| item["name"].as_str().unwrap().to_owned()).collect()
+    };
+    assert_eq!(names("routes"), ["b"]);
+    assert_eq!(names("tenants"), ["t", "v"]);
+    assert_eq!(document.configuration.generation, 9);
+    assert!(String::from_utf8(json).unwrap().contains("\"kept\":{\"whole\":true}"));
+}
+
+#[test]
+fn splits_follow_their_weights() {
+    let mut route = parsed(&whole(), 0).unwrap().configuration.routes[1].clone();
+    route.split[1].backend = "other".to_owned();
+    let cases = [(0.0, "s"), (0.5, "s"), (0.89, "s"), (0.91, "other"), (1.0, "other")];
+    for (chance, service) in cases {
+        assert_eq!(route.service(chance), service, "{chance}");
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/known.rs
@@ -0,0 +1,186 @@
+//! What a process knows of the tier. Versions only rise; whoever knows something can pass it on to watchers.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use fennelgauge_coordination::{StoreView, View};
+use fennelgauge_model::{Configuration, RoutingTable, ServerList};
+use fennelgauge_wire::{ConfigurationBytes, Have, News, Watch};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Shared by all parts of a process.
+#[derive(Default)]
+pub struct Known {
+    table: RefCell<Option<Rc<RoutingTable>>>,
+    configuration: RefCell<(u64, Vec<u8>)>,
+    servers: RefCell<ServerList>,
+    servers_read: Cell<Option<Instant>>,
+    stores: RefCell<Rc<StoreView>>,
+    view: RefCell<Option<Rc<View>>>,
+    confirmed: Cell<Option<Instant>>,
+    changed: Notify,
+}
+
+impl Known {
+    /// The configuration in force, ready for look-ups.
+    pub fn table(&self) -> Option<Rc<RoutingTable>> {
+        self.table.borrow().clone()
+    }
+
+    pub fn generation(&self) -> u64 {
+        self.configuration.borrow().0
+    }
+
+    pub fn stores(&self) -> Rc<StoreView> {
+        self.stores.borrow().clone()
+    }
+
+    pub fn view(&self) -> Option<Rc<View>> {
+        self.view.borrow().clone()
+    }
+
+    pub fn servers(&self) -> std::cell::Ref<'_, ServerList> {
+        self.servers.borrow()
+    }
+
+    /// How long ago the list of servers was read; none before the first.
+    pub fn servers_age(&self) -> Option<Duration> {
+        self.servers_read.get().map(|read| read.elapsed())
+    }
+
+    /// How long ago the core's view was confirmed, as far as is known here.
+    pub fn confirmed_age(&self) -> Option<Duration> {
+        self.confirmed.get().map(|confirmed| confirmed.elapsed())
+    }
+
+    /// Waits for the next change of anything.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Takes a configuration unless it is older. One that cannot be read is left alone.
+    pub fn take_configuration(&self, generation: u64, json: Vec<u8>) -> bool {
+        if generation <= self.generation() {
+            return false;
+        }
+        let configuration: Configuration = match serde_json::from_slice(&json) {
+            Ok(configuration) => configuration,
+            Err(reason) => {
+                log::error!("configuration {generation} cannot be read and is left alone: {reason}");
+                return false;
+            }
+        };
+        *self.table.borrow_mut() = Some(Rc::new(RoutingTable::new(configuration)));
+        *self.configuration.borrow_mut() = (generation, json);
+        log::info!("configuration {generation} is in force");
+        self.changed.notify_waiters();
+        true
+    }
+
+    /// Takes a list of servers that was read `age` ago, unless a later reading is known.
+    pub fn take_servers(&self, list: Option<ServerList>, age: Duration) {
+        let Some(read) = Instant::now().checked_sub(age) else { return };
+        if self.servers_read.get().is_some_and(|known| known >= read) {
+            return;
+        }
+        self.servers_read.set(Some(read));
+        if let Some(list) = list {
+            *self.servers.borrow_mut() = list;
+            self.changed.notify_waiters();
+        }
+    }
+
+    pub fn take_stores(&self, stores: StoreView) {
+        if stores.epoch > self.stores.borrow().epoch {
+            *self.stores.borrow_mut() = Rc::new(stores);
+            self.changed.notify_waiters();
+        }
+    }
+
+    pub fn take_view(&self, view: &View) {
+        let known = self.view.borrow().as_ref().map_or(0, |view| view.epoch);
+        if view.epoch > known {
+            *self.view.borrow_mut() = Some(Rc::new(view.clone()));
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// The core's view was confirmed that long ago.
+    pub fn take_confirmed(&self, age: Duration) {
+        let Some(confirmed) = Instant::now().checked_sub(age) else { return };
+        if self.confirmed.get().is_none_or(|known| known < confirmed) {
+            self.confirmed.set(Some(confirmed));
+        }
+    }
+
+    /// Takes all that is newer.
+    pub fn take(&self, news: News) {
+        if let Some((generation, ConfigurationBytes(json))) = news.configuration {
+            self.take_configuration(generation, json);
+        }
+        self.take_servers(news.servers, Duration::from_millis(news.servers_age_ms));
+        if let Some(stores) = news.stores {
+            self.take_stores(stores);
+        }
+        if let Some(view) = news.view {
+            self.take_view(&view);
+        }
+        self.take_confirmed(Duration::from_millis(news.confirmed_age_ms));
+    }
+
+    /// What this process has.
+    pub fn have(&self) -> Have {
+        let servers = self.servers.borrow();
+        Have {
+            generation: self.generation(),
+            servers: (servers.reader, servers.version),
+            stores: self.stores.borrow().epoch,
+            view: self.view.borrow().as_ref().map_or(0, |view| view.epoch),
+        }
+    }
+
+    /// Answers a watcher as soon as there is something newer, or when its time is up.
+    pub async fn answer(&self, watch: &Watch) -> News {
+        let until = Instant::now() + Duration::from_millis(watch.wait_ms.min(5_000));
+        loop {
+            let changed = self.changed.notified();
+            if self.is_newer_than(&watch.have) {
+                return self.news(&watch.have);
+            }
+            if tokio::time::timeout_at(until, changed).await.is_err() {
+                return self.news(&watch.have);
+            }
+        }
+    }
+
+    fn is_newer_than(&self, have: &Have) -> bool {
+        let own = self.have();
+        own.generation > have.generation
+            || own.stores > have.stores
+            || own.view > have.view
+            || (own.servers != have.servers && self.servers_read.get().is_some())
+    }
+
+    fn news(&self, have: &Have) -> News {
+        let own = self.have();
+        let configuration = (own.generation > have.generation).then(|| {
+            let (generation, json) = self.configuration.borrow().clone();
+            (generation, ConfigurationBytes(json))
+        });
+        News {
+            configuration,
+            servers: (own.servers != have.servers).then(|| self.servers.borrow().clone()),
+            servers_age_ms: age_ms(self.servers_age()),
+            stores: (own.stores > have.stores).then(|| StoreView::clone(&self.stores.borrow())),
+            view: self.view.borrow().as_ref().filter(|_| own.view > have.view).map(|view| View::clone(view)),
+            confirmed_age_ms: age_ms(self.confirmed_age()),
+        }
+    }
+}
+
+/// In milliseconds; an hour where nothing is known.
+fn age_ms(age: Option<Duration>) -> u64 {
+    age.map_or(3_600_000, |age| age.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/upstream/src/subscriber.rs
@@ -0,0 +1,75 @@
+//! Follows the control plane's news: a long poll at one source, another source when it is silent or out of touch.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fennelgauge_model::stable_hash;
+use fennelgauge_wire::{Caller, Reply, Request, Watch};
+use tokio::time::{sleep, Instant};
+
+use crate::Known;
+
+const WAIT: Duration = Duration::from_millis(400);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+const RETRY: Duration = Duration::from_millis(100);
+/// A source whose view was not confirmed for so long is left for another.
+const STALE: Duration = Duration::from_millis(1_500);
+
+/// Who follows, and where to begin.
+pub struct Subscription {
+    pub node: String,
+    pub zone: String,
+    /// Addresses for our own processes at the seeds, read anew whenever nobody answers.
+    pub seeds: Box<dyn Fn() -> Vec<SocketAddr>>,
+}
+
+/// Follows without end.
+pub async fn subscribe(known: Rc<Known>, caller: Caller, subscription: Subscription) {
+    let mut source = 0;
+    loop {
+        let sources = sources(&known, &subscription);
+        if sources.is_empty() {
+            sleep(RETRY).await;
+            continue;
+        }
+        let peer = sources[source % sources.len()];
+        let watch = Request::Watch(Watch { have: known.have(), wait_ms: WAIT.as_millis() as u64 });
+        let began = Instant::now();
+        match caller.call(peer, watch, ANSWER_TIMEOUT).await {
+            Ok(Reply::News(news)) => {
+                let stale = news.confirmed_age_ms > STALE.as_millis() as u64;
+                known.take(*news);
+                if stale {
+                    source += 1;
+                    sleep(RETRY).await;
+                }
+            }
+            _ => {
+                source += 1;
+                if began.elapsed() < RETRY {
+                    sleep(RETRY).await;
+                }
+            }
+        }
+    }
+}
+
+/// Members of the core, those of the own zone first, then by a ranking of the own node's; then the seeds.
+fn sources(known: &Known, subscription: &Subscription) -> Vec<SocketAddr> {
+    let mut sources = Vec::new();
+    if let Some(view) = known.view() {
+        let mut members: Vec<_> = view.members.iter().collect();
+        members.sort_by_key(|member| {
+            let pair = format!("{}/{}", subscription.node, member.identity.node);
+            (member.zone != subscription.zone, stable_hash(&pair))
+        });
+        sources.extend(members.iter().map(|member| member.peer));
+    }
+    for seed in (subscription.seeds)() {
+        if !sources.contains(&seed) {
+            sources.push(seed);
+        }
+    }
+    sources
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,15 @@
+//! What processes of the tier say to each other: typed messages in bincode, in checked frames on TCP, many calls at a time on
+//! one connection a peer.
+
+mod calls;
+mod frame;
+mod messages;
+mod server;
+
+pub use calls::{CallError, Caller};
+pub use frame::{decode, encode, FrameError};
+pub use messages::*;
+pub use server::serve;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/wire/src/messages.rs
@@ -0,0 +1,322 @@
+//! All messages.
+
+use serde::{Deserialize, Serialize};
+
+use fennelgauge_batch::{Job, Page};
+use fennelgauge_coordination::{
+    AcceptReply, Ballot, GroupNumber, Member, PrepareReply, Proposal, StateVersion, StoreNumber, StoreView,
+    View,
+};
+use fennelgauge_model::ServerList;
+
+/// A message with the number of its call.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Tagged<M> {
+    pub number: u64,
+    pub body: M,
+}
+
+/// What may be asked.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Request {
+    /// To any process that has news: answered when there is something newer, or after a while.
+    Watch(Watch),
+    Core(CoreRequest),
+    Store(StoreRequest),
+    /// Requests that began, to the head of the core.
+    Usage(UsageReport),
+    /// A store is there.
+    StorePresence(StorePresence),
+}
+
+/// What is answered.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Reply {
+    News(Box<News>),
+    Core(CoreReply),
+    Store(StoreReply),
+    /// Taken notice of.
+    Noted,
+    /// The asked process does not do that.
+    NotHere,
+}
+
+/// What a watcher has already.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Have {
+    /// Generation of the configuration.
+    pub generation: u64,
+    /// Life of the list's reader and the list's version.
+    pub servers: (u64, u64),
+    pub stores: u64,
+    pub view: u64,
+}
+
+/// Asks for what is newer than what the watcher has.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Watch {
+    pub have: Have,
+    /// How long the answer may be held, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// What is newer, and how fresh the source is.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct News {
+    /// The configuration's generation and JSON.
+    pub configuration: Option<(u64, ConfigurationBytes)>,
+    pub servers: Option<ServerList>,
+    /// How long ago the list was read, in milliseconds.
+    pub servers_age_ms: u64,
+    pub stores: Option<StoreView>,
+    pub view: Option<View>,
+    /// How long ago the source's view was confirmed by a majority, in milliseconds.
+    pub confirmed_age_ms: u64,
+}
+
+/// A configuration as the operator wrote it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationBytes(#[serde(with = "serde_bytes")] pub Vec<u8>);
+
+/// Among the core's machines, and from any control process to the head.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum CoreRequest {
+    /// Is there, in this view.
+    Heartbeat {
+        epoch: u64,
+    },
+    /// Wants to be a member.
+    Join {
+        member: Member,
+    },
+    Prepare {
+        epoch: u64,
+        ballot: Ballot,
+    },
+    Accept {
+        epoch: u64,
+        ballot: Ballot,
+        proposal: Proposal,
+    },
+    Install {
+        view: View,
+        state: StateVersion,
+    },
+    /// A write on its way along the chain.
+    Append {
+        epoch: u64,
+        state: StateVersion,
+    },
+    /// Whether the view still stands.
+    Confirm {
+        epoch: u64,
+    },
+    Order(Order),
+    /// The newest committed configuration, to the tail.
+    Read,
+    /// To empty a store, to the head.
+    RetireStart {
+        node: String,
+    },
+    RetireState {
+        node: String,
+    },
+}
+
+/// The operator's order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    pub kind: OrderKind,
+    /// The generation that it builds on.
+    pub base: u64,
+    #[serde(with = "serde_bytes")]
+    pub body: Vec<u8>,
+}
+
+/// How an order changes the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderKind {
+    Put,
+    Patch,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum CoreReply {
+    /// The view that the asked process is in, and whether it takes writes there.
+    Epoch {
+        epoch: u64,
+        sealed: bool,
+    },
+    Prepared(PrepareReply),
+    Accepted(AcceptReply),
+    /// All links from here on have synced the version.
+    Committed,
+    /// Not taken here: another view, or a gap.
+    Refused {
+        epoch: u64,
+    },
+    Ordered(OrderReply),
+    Configuration(Option<ConfigurationBytes>),
+    Retire(RetireReply),
+}
+
+/// What became of an order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderReply {
+    Acknowledged,
+    /// Another generation is current.
+    Conflict {
+        current: u64,
+    },
+    Invalid(String),
+    /// Not taken; ask again.
+    Unavailable,
+    /// May have been taken.
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RetireReply {
+    Running,
+    Succeeded,
+    UnknownNode,
+    TooFew,
+    Unavailable,
+}
+
+/// Requests of each tenant that began in each window, as one process counted them so far.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct UsageReport {
+    pub node: String,
+    /// Drawn at the process's start.
+    pub life: u64,
+    pub windows: Vec<WindowCounts>,
+}
+
+/// Counts of one window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WindowCounts {
+    pub window: u64,
+    pub counts: Vec<(String, u64)>,
+}
+
+/// A store tells the head of the core that it is there.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StorePresence {
+    pub member: Member,
+    /// Groups that it has copied as a learner.
+    pub level: Vec<GroupNumber>,
+}
+
+/// To stores. `epoch` is that of the stores' view.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum StoreRequest {
+    Submit {
+        epoch: u64,
+        group: GroupNumber,
+        job: Job,
+        most_queued: u64,
+    },
+    End {
+        epoch: u64,
+        group: GroupNumber,
+        tenant: String,
+        job: String,
+    },
+    Read {
+        epoch: u64,
+        group: GroupNumber,
+        tenant: String,
+        job: String,
+        start: u32,
+        wait_ms: u64,
+    },
+    Body {
+        epoch: u64,
+        group: GroupNumber,
+        tenant: String,
+        job: String,
+        item: String,
+    },
+    /// Entries on their way along chains.
+    Append {
+        epoch: u64,
+        entries: Vec<Entry>,
+    },
+    /// Whether the view still stands.
+    Confirm {
+        epoch: u64,
+    },
+    /// How far the asked store is in a group.
+    Position {
+        epoch: u64,
+        group: GroupNumber,
+    },
+    /// What follows a position, for a learner.
+    Fetch {
+        epoch: u64,
+        group: GroupNumber,
+        after: EntryPosition,
+    },
+    /// A whole copy of a group, from its predecessor in the chain.
+    Install {
+        epoch: u64,
+        group: GroupNumber,
+        copy: GroupCopy,
+    },
+}
+
+/// A place in the sequence of a group's entries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EntryPosition {
+    pub sequence: u64,
+    /// Of the stores' view in which the head made the entry.
+    pub epoch: u64,
+}
+
+/// One change of a group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    pub group: GroupNumber,
+    pub position: EntryPosition,
+    /// A batch command in bincode.
+    #[serde(with = "serde_bytes")]
+    pub command: Vec<u8>,
+}
+
+/// A group as a whole.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupCopy {
+    pub position: EntryPosition,
+    /// The group's state in bincode.
+    #[serde(with = "serde_bytes")]
+    pub state: Vec<u8>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum StoreReply {
+    Accepted,
+    OverQuota,
+    /// Certainly not taken: wrong store, wrong view, no room.
+    NotTaken,
+    /// May have been taken.
+    Unknown,
+    Page(Page),
+    Body(serde_bytes::ByteBuf),
+    NotFound,
+    /// Nobody here can be sure.
+    Unsure,
+    /// Groups whose entries are committed, up to the entries that were sent.
+    Appended {
+        committed: Vec<GroupNumber>,
+        refused: Vec<GroupNumber>,
+    },
+    /// The view of the asked store.
+    Epoch(u64),
+    Position(EntryPosition),
+    Entries(Vec<Entry>),
+    Copy(GroupCopy),
+}
+
+/// The number of a store with the group it stands for.
+pub type Learner = (StoreNumber, GroupNumber);
