--- a/crates/control-plane/src/core/membership.rs
+++ b/crates/control-plane/src/core/membership.rs
@@ -159,7 +159,8 @@
         };
         let next = next_view(&view, |member| self.is_alive(member), &joiners, self.rules);
         let own_turn = first_alive == own && self.in_view_for() > LOST_AFTER / 2;
-        if !stuck && !(own_turn && next.is_some()) {
+        let needed = own_turn && next.is_some();
+        if !stuck && !needed {
             return;
         }
         let next = next.unwrap_or(View { epoch: view.epoch + 1, members: view.members });
--- a/crates/control-plane/src/duties.rs
+++ b/crates/control-plane/src/duties.rs
@@ -23,12 +23,13 @@
 const WINDOWS_BACK: u64 = 4;
 
 type Counts = BTreeMap<String, u64>;
+/// Counts by process and its life.
+type ByProcess = HashMap<(String, u64), Counts>;
 
 /// What processes told of the requests that began.
 #[derive(Default)]
 pub struct UsageCollector {
-    /// By window, by process and its life.
-    windows: RefCell<BTreeMap<u64, HashMap<(String, u64), Counts>>>,
+    windows: RefCell<BTreeMap<u64, ByProcess>>,
 }
 
 impl UsageCollector {
--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -1,8 +1,227 @@
-//! A store.
-use fennelgauge_settings::Settings;
+//! A store: keeps groups of batch jobs with other stores, runs their items, answers what becomes of them.
+
+mod group;
+mod journal;
+mod learner;
+mod replication;
+mod runner;
+mod serving;
+#[cfg(test)]
+mod tests;
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use fennelgauge_coordination::{GroupNumber, Identity, Member, StoreNumber, StoreView, GROUPS};
+use fennelgauge_http::until_stopped;
+use fennelgauge_settings::Settings;
+use fennelgauge_upstream::{subscribe, Known, Pool, Sender};
+use fennelgauge_wire::{serve, Caller, Entry, Reply, Request, StoreReply, StoreRequest};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{timeout_at, Instant};
+
+use crate::identity::identity;
+use crate::process::subscription;
+use group::HeldGroup;
+use journal::{Journal, Record};
+
+/// A whole write is made once so much has been written since the last one, or twice its size.
+const WHOLE_WRITE_AFTER: usize = 24 << 20;
+/// Work for the next view waits so long for the news of it.
+const NEWS_PATIENCE: Duration = Duration::from_millis(400);
 
-pub async fn run(_settings: Rc<Settings>) -> anyhow::Result<()> {
-    fennelgauge_http::until_stopped().await;
+/// One store.
+pub struct Store {
+    me: Member,
+    settings: Rc<Settings>,
+    known: Rc<Known>,
+    caller: Caller,
+    pool: Pool,
+    sender: Sender,
+    journal: Journal,
+    groups: Vec<RefCell<HeldGroup>>,
+    /// Entries made here that are not handed to the journal yet.
+    pending: RefCell<Vec<Entry>>,
+    flush: Notify,
+    /// Something changed in a group.
+    changed: Notify,
+    /// The view in which a group's successor was last found level.
+    checked: RefCell<HashMap<GroupNumber, u64>>,
+    /// Groups that this store has copied as a learner.
+    level: RefCell<BTreeSet<GroupNumber>>,
+    running: RefCell<HashMap<runner::ItemKey, AbortHandle>>,
+    /// Bytes handed to the journal since the last whole write, and the size of that.
+    written: Cell<usize>,
+    whole_size: Cell<usize>,
+}
+
+/// Runs a store until a signal ends it.
+pub async fn run(settings: Rc<Settings>) -> anyhow::Result<()> {
+    let identity = identity(&settings)?;
+    let store = Store::open(settings.clone(), identity)?;
+    let listener = TcpListener::bind(settings.control_peer_address()).await?;
+    let answering = store.clone();
+    spawn_local(serve(listener, move |request| answer(answering.clone(), request)));
+    spawn_local(subscribe(store.known.clone(), store.caller.clone(), subscription(&settings)));
+    spawn_local(store.clone().flush_entries());
+    spawn_local(store.clone().repair_successors());
+    spawn_local(store.clone().tell_presence());
+    spawn_local(store.clone().learn());
+    spawn_local(store.clone().run_items());
+    until_stopped().await;
     Ok(())
 }
+
+async fn answer(store: Rc<Store>, request: Request) -> Reply {
+    match request {
+        Request::Store(request) => Reply::Store(store.answer(request).await),
+        Request::Watch(watch) => Reply::News(Box::new(store.known.answer(&watch).await)),
+        _ => Reply::NotHere,
+    }
+}
+
+impl Store {
+    fn open(settings: Rc<Settings>, identity: Identity) -> anyhow::Result<Rc<Self>> {
+        let (journal, records) = Journal::open(settings.data_dir.as_deref())?;
+        let groups: Vec<RefCell<HeldGroup>> = (0..GROUPS).map(|_| RefCell::default()).collect();
+        for record in records {
+            restore(&groups, record);
+        }
+        for group in &groups {
+            let mut group = group.borrow_mut();
+            group.synced = group.position().sequence;
+        }
+        let peer = settings.control_peer_address();
+        let me = Member { identity, peer, zone: settings.zone.clone(), region: settings.region.clone() };
+        Ok(Rc::new(Self {
+            me,
+            settings,
+            known: Rc::default(),
+            caller: Caller::default(),
+            pool: Pool::default(),
+            sender: Sender::default(),
+            journal,
+            groups,
+            pending: RefCell::default(),
+            flush: Notify::new(),
+            changed: Notify::new(),
+            checked: RefCell::default(),
+            level: RefCell::default(),
+            running: RefCell::default(),
+            written: Cell::new(0),
+            whole_size: Cell::new(0),
+        }))
+    }
+
+    async fn answer(self: &Rc<Self>, request: StoreRequest) -> StoreReply {
+        match request {
+            StoreRequest::Submit { epoch, group, job, most_queued } => {
+                self.submit(epoch, group, job, most_queued).await
+            }
+            StoreRequest::End { epoch, group, tenant, job } => self.end(epoch, group, &tenant, job).await,
+            StoreRequest::Read { epoch, group, tenant, job, start, wait_ms } => {
+                self.read(epoch, group, (&tenant, &job), start, Duration::from_millis(wait_ms)).await
+            }
+            StoreRequest::Body { epoch, group, tenant, job, item } => {
+                self.body(epoch, group, (&tenant, &job), &item).await
+            }
+            StoreRequest::Append { epoch, batches } => self.append(epoch, batches).await,
+            StoreRequest::Position { epoch, group } => self.position(epoch, group).await,
+            StoreRequest::Fetch { epoch, group, after } => self.fetch(epoch, group, after).await,
+            StoreRequest::Install { epoch, group, copy } => self.install(epoch, group, &copy).await,
+        }
+    }
+
+    fn held(&self, group: GroupNumber) -> &RefCell<HeldGroup> {
+        &self.groups[usize::from(group.0) % self.groups.len()]
+    }
+
+    fn view(&self) -> Rc<StoreView> {
+        self.known.stores()
+    }
+
+    /// This store's number in a view.
+    fn number(&self, view: &StoreView) -> Option<StoreNumber> {
+        let own = view.stores.iter().find(|store| store.member.identity == self.me.identity);
+        own.map(|store| store.number)
+    }
+
+    /// The view of that epoch, waiting a little for the news of it; none if it is not the newest here.
+    async fn view_of(&self, epoch: u64) -> Option<Rc<StoreView>> {
+        let until = Instant::now() + NEWS_PATIENCE;
+        while self.view().epoch < epoch {
+            timeout_at(until, self.known.changed()).await.ok()?;
+        }
+        Some(self.view()).filter(|view| view.epoch == epoch)
+    }
+
+    fn is_head(&self, view: &StoreView, group: GroupNumber) -> bool {
+        view.head(group).is_some_and(|head| head.member.identity == self.me.identity)
+    }
+
+    fn is_tail(&self, view: &StoreView, group: GroupNumber) -> bool {
+        view.tail(group).is_some_and(|tail| tail.member.identity == self.me.identity)
+    }
+
+    /// The next link of a group's chain after this store.
+    fn successor(&self, view: &StoreView, group: GroupNumber) -> Option<(StoreNumber, SocketAddr)> {
+        let own = self.number(view)?;
+        let chain = &view.group(group)?.chain;
+        let place = chain.iter().position(|number| *number == own)?;
+        let next = view.store(*chain.get(place + 1)?)?;
+        Some((next.number, next.member.peer))
+    }
+
+    /// Hands records to the journal; whole copies instead, once enough was written.
+    fn journal_records(&self, records: Vec<Record>) -> tokio::sync::oneshot::Receiver<bool> {
+        let size: usize = records.iter().map(record_size).sum();
+        self.written.set(self.written.get() + size);
+        let written = self.journal.write(&records, false);
+        if self.written.get() < WHOLE_WRITE_AFTER.max(2 * self.whole_size.get()) {
+            return written;
+        }
+        let whole: Vec<Record> = GroupNumber::all()
+            .filter(|group| self.held(*group).borrow().position().sequence > 0)
+            .map(|group| Record::Copy { group, copy: self.held(group).borrow().copy() })
+            .collect();
+        self.whole_size.set(whole.iter().map(record_size).sum());
+        self.written.set(0);
+        self.journal.write(&whole, true)
+    }
+}
+
+fn restore(groups: &[RefCell<HeldGroup>], record: Record) {
+    let held = |group: GroupNumber| groups.get(usize::from(group.0));
+    match record {
+        Record::Entry(entry) => {
+            if let Some(group) = held(entry.group) {
+                let offered = group.borrow_mut().offer(&entry);
+                if !matches!(offered, group::Offer::Taken | group::Offer::Had) {
+                    log::error!("group {}: entry {:?} does not fit", entry.group.0, entry.position);
+                }
+            }
+        }
+        Record::Copy { group, copy } => {
+            if let Some(group) = held(group) {
+                group.borrow_mut().install(&copy);
+            }
+        }
+    }
+}
+
+fn record_size(record: &Record) -> usize {
+    match record {
+        Record::Entry(entry) => entry.command.len() + 32,
+        Record::Copy { copy, .. } => copy.state.len() + 64,
+    }
+}
+
+/// Milliseconds since 1970 on this machine's clock.
+fn wall_clock_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/crates/control-plane/src/store/runner.rs
@@ -0,0 +1,333 @@
+//! Runs the items of the batch jobs whose groups this store heads: behind interactive requests, the most urgent first.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_web::http::header::{HeaderName, HeaderValue};
+use actix_web::http::{Method, StatusCode};
+use actix_web::web::Bytes;
+use fennelgauge_batch::{Command, Item, ItemOutcome, ItemResult};
+use fennelgauge_coordination::{GroupNumber, StoreView};
+use fennelgauge_model::{stable_hash, Route, RouteKind};
+use fennelgauge_upstream::{
+    is_hop_by_hop, Answer, EventReader, Outgoing, SendError, Ticket, LAST_EVENT_ID, PREFIX_HASH, PRIORITY,
+    TENANT,
+};
+use futures_util::StreamExt;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout, Instant};
+
+use super::{wall_clock_ms, Store};
+
+const LOOK_EVERY: Duration = Duration::from_millis(200);
+const TRY_AGAIN: Duration = Duration::from_millis(120);
+const LONGEST_RUN: Duration = Duration::from_secs(20);
+/// After a silence of this length an item's stream is given up.
+const LONGEST_SILENCE: Duration = Duration::from_millis(4_000);
+/// Items wait while their servers are fuller than this, as a part of their slots.
+const ENOUGH_LOAD: f64 = 0.8;
+/// Behind all interactive requests.
+const ITEM_PRIORITY: &str = "9";
+/// Kept beyond the time for which results are promised, as clocks differ.
+const KEPT_LONGER_MS: u64 = 30_000;
+/// Past an item's retention by so much it is given up, as clocks differ.
+const RETENTION_MARGIN_MS: u64 = 6_000;
+
+/// One item of one batch job.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ItemKey {
+    pub group: GroupNumber,
+    pub job: String,
+    pub item: u32,
+}
+
+/// An item that may run, with what decides its turn.
+struct Candidate {
+    due_ms: u64,
+    key: ItemKey,
+}
+
+/// What a run needs of an item and its batch job.
+struct OpenItem {
+    item: Item,
+    /// None where the configuration has no such route any more.
+    route: Option<Rc<Route>>,
+    tenant: String,
+    host: String,
+    received_ms: u64,
+}
+
+/// What one attempt came to.
+enum Attempt {
+    Finished(ItemOutcome),
+    /// The server tried and failed.
+    Failed,
+    /// Broke off, refused or not reached: again, from the next event.
+    Again,
+}
+
+impl Store {
+    /// Starts items without end, as servers have room.
+    pub(super) async fn run_items(self: Rc<Self>) {
+        loop {
+            let _ = timeout(LOOK_EVERY, self.changed.notified()).await;
+            self.pool.update(&self.known.servers());
+            let view = self.view();
+            self.stop_foreign_items(&view);
+            self.remove_old_jobs(&view);
+            let mut candidates = self.candidates(&view);
+            candidates.sort_by_key(|candidate| candidate.due_ms);
+            let room = self.room();
+            for candidate in candidates.into_iter().take(room) {
+                self.start(candidate.key);
+            }
+            sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    /// How many more items may run now.
+    fn room(&self) -> usize {
+        let servers = self.known.servers();
+        let slots: usize = servers.servers.iter().map(|server| server.slots as usize).sum();
+        let stores = self.view().stores.len().max(1);
+        let most = (slots / stores).max(4);
+        most.saturating_sub(self.running.borrow().len())
+    }
+
+    fn candidates(&self, view: &StoreView) -> Vec<Candidate> {
+        let Some(table) = self.known.table() else { return Vec::new() };
+        let running = self.running.borrow();
+        let mut candidates = Vec::new();
+        for group in GroupNumber::all().filter(|group| self.is_head(view, *group)) {
+            let held = self.held(group).borrow();
+            if held.committed == 0 && held.position().sequence > 0 {
+                continue;
+            }
+            for state in held.state().jobs().filter(|state| !state.is_over()) {
+                let route = table.configuration.routes.iter().find(|route| route.name == state.job.route);
+                let due_ms = state.job.received_ms + route.map_or(0, |route| route.batch_target_ms);
+                for item in state.open_items() {
+                    let key = ItemKey { group, job: state.job.id.clone(), item };
+                    if !running.contains_key(&key) {
+                        candidates.push(Candidate { due_ms, key });
+                    }
+                }
+            }
+        }
+        candidates
+    }
+
+    fn start(self: &Rc<Self>, key: ItemKey) {
+        let store = self.clone();
+        let own = key.clone();
+        let task = spawn_local(async move {
+            if let Some(result) = store.run_item(&own).await {
+                store.finish_item(&own, result);
+            }
+            store.running.borrow_mut().remove(&own);
+            store.changed.notify_waiters();
+        });
+        self.running.borrow_mut().insert(key, task.abort_handle());
+    }
+
+    fn finish_item(&self, key: &ItemKey, result: ItemResult) {
+        let view = self.view();
+        if self.is_head(&view, key.group) {
+            self.change(&view, key.group, Command::Finish { job: key.job.clone(), results: vec![result] });
+        }
+    }
+
+    /// Ends the running items of one batch job.
+    pub(super) fn stop_items(&self, group: GroupNumber, job: &str) {
+        self.running.borrow_mut().retain(|key, task| {
+            let stops = key.group == group && key.job == job;
+            if stops {
+                task.abort();
+            }
+            !stops
+        });
+    }
+
+    /// Ends the running items of groups that this store no longer heads.
+    fn stop_foreign_items(&self, view: &StoreView) {
+        self.running.borrow_mut().retain(|key, task| {
+            let own = self.is_head(view, key.group);
+            if !own {
+                task.abort();
+            }
+            own
+        });
+    }
+
+    /// Removes batch jobs whose results are no longer promised.
+    fn remove_old_jobs(&self, view: &StoreView) {
+        let kept_ms = (self.settings.bounds.status_s * 1_000.0) as u64 + KEPT_LONGER_MS;
+        let now_ms = wall_clock_ms();
+        for group in GroupNumber::all().filter(|group| self.is_head(view, *group)) {
+            let old: Vec<String> = {
+                let held = self.held(group).borrow();
+                let jobs = held.state().jobs();
+                jobs.filter(|state| state.is_over() && state.job.received_ms + kept_ms < now_ms)
+                    .map(|state| state.job.id.clone())
+                    .collect()
+            };
+            for job in old {
+                self.change(view, group, Command::Remove { job });
+            }
+        }
+    }
+
+    /// Runs one item to its end; none if it need not run any more.
+    async fn run_item(self: &Rc<Self>, key: &ItemKey) -> Option<ItemResult> {
+        let mut text: Vec<String> = Vec::new();
+        let mut last_event = None;
+        let mut failures = 0;
+        let mut tried = Vec::new();
+        if !self.is_committed(key).await {
+            return None;
+        }
+        loop {
+            let OpenItem { item, route, tenant, host, received_ms } = self.item(key)?;
+            let dead = ItemResult { item: key.item, outcome: ItemOutcome::DeadLettered, text: String::new() };
+            let Some(route) = route else { return Some(dead) };
+            let given_up_ms = received_ms + (route.retention_s * 1_000.0) as u64 + RETENTION_MARGIN_MS;
+            if route.retention_s > 0.0 && wall_clock_ms() > given_up_ms {
+                return Some(dead);
+            }
+            let service =
+                route.service((stable_hash(&item.id) >> 11) as f64 / (1_u64 << 53) as f64).to_owned();
+            if self.pool.mean_load(&service).is_some_and(|load| load > ENOUGH_LOAD) {
+                sleep(TRY_AGAIN).await;
+                continue;
+            }
+            let Some(ticket) = self.pool.choose(&service, &tried, affinity(&item)) else {
+                tried.clear();
+                sleep(TRY_AGAIN).await;
+                continue;
+            };
+            let outgoing = outgoing(&item, &tenant, &host, last_event);
+            match self.attempt(&ticket, &outgoing, &mut text, &mut last_event).await {
+                Attempt::Finished(ItemOutcome::Succeeded) => {
+                    let text = text.join("\n");
+                    return Some(ItemResult { item: key.item, outcome: ItemOutcome::Succeeded, text });
+                }
+                Attempt::Finished(ItemOutcome::DeadLettered) => return Some(dead),
+                Attempt::Failed => {
+                    failures += 1;
+                    if failures >= route.retries.max(1) {
+                        return Some(dead);
+                    }
+                }
+                Attempt::Again => {}
+            }
+            tried = vec![ticket.server.id.clone()];
+            drop(ticket);
+            sleep(TRY_AGAIN).await;
+        }
+    }
+
+    /// Waits until the acceptance of the item's batch job is committed.
+    async fn is_committed(&self, key: &ItemKey) -> bool {
+        let position = self.held(key.group).borrow().position();
+        self.committed(key.group, position, Instant::now() + LONGEST_SILENCE).await
+    }
+
+    /// The item as it stands now; none if it is over.
+    fn item(&self, key: &ItemKey) -> Option<OpenItem> {
+        let held = self.held(key.group).borrow();
+        let state = held.state().job(&key.job).filter(|state| !state.ended)?;
+        let item = state.job.items.get(key.item as usize)?.clone();
+        if state.finished[key.item as usize] {
+            return None;
+        }
+        let table = self.known.table()?;
+        let path = item.path.split('?').next().unwrap_or("");
+        let route = table.route(&state.job.host, path).filter(|route| route.kind == RouteKind::Batch);
+        Some(OpenItem {
+            item,
+            route,
+            tenant: state.job.tenant.clone(),
+            host: state.job.host.clone(),
+            received_ms: state.job.received_ms,
+        })
+    }
+
+    async fn attempt(
+        &self,
+        ticket: &Ticket,
+        outgoing: &Outgoing,
+        text: &mut Vec<String>,
+        last_event: &mut Option<u64>,
+    ) -> Attempt {
+        let answer = match self.sender.send(&ticket.server, outgoing, LONGEST_RUN, LONGEST_RUN).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.pool.learn_failure(&ticket.server, &error);
+                if error == SendError::MayHaveRun {
+                    log::info!("item {}: {error}", outgoing.id);
+                }
+                return Attempt::Again;
+            }
+        };
+        self.pool.learn(&ticket.server, &answer);
+        match answer.status() {
+            status if status.is_success() => read_events(answer, text, last_event).await,
+            StatusCode::UNPROCESSABLE_ENTITY => Attempt::Finished(ItemOutcome::DeadLettered),
+            StatusCode::INTERNAL_SERVER_ERROR => Attempt::Failed,
+            _ => Attempt::Again,
+        }
+    }
+}
+
+/// Collects the events of an answer; a break leaves what was whole.
+async fn read_events(mut answer: Answer, text: &mut Vec<String>, last_event: &mut Option<u64>) -> Attempt {
+    let mut reader = EventReader::default();
+    loop {
+        let piece = match timeout(LONGEST_SILENCE, answer.next()).await {
+            Ok(Some(Ok(piece))) => piece,
+            Ok(None) if !reader.has_rest() => return Attempt::Finished(ItemOutcome::Succeeded),
+            _ => return Attempt::Again,
+        };
+        reader.push(&piece);
+        for event in reader.by_ref() {
+            *last_event = event.id.or(*last_event);
+            text.push(event.data);
+        }
+    }
+}
+
+fn outgoing(item: &Item, tenant: &str, host: &str, last_event: Option<u64>) -> Outgoing {
+    let own = [TENANT, PRIORITY, LAST_EVENT_ID];
+    let mut headers: Vec<(HeaderName, HeaderValue)> = item
+        .headers
+        .iter()
+        .filter_map(|(name, value)| Some((name.parse().ok()?, HeaderValue::from_str(value).ok()?)))
+        .filter(|(name, _): &(HeaderName, HeaderValue)| {
+            !is_hop_by_hop(name) && !own.contains(name) && name != "authorization" && name != "host"
+        })
+        .collect();
+    if let Ok(tenant) = HeaderValue::from_str(tenant) {
+        headers.push((TENANT, tenant));
+    }
+    headers.push((PRIORITY, HeaderValue::from_static(ITEM_PRIORITY)));
+    if let Some(last_event) = last_event {
+        headers.push((LAST_EVENT_ID, HeaderValue::from(last_event)));
+    }
+    Outgoing {
+        method: Method::POST,
+        path_and_query: item.path.clone(),
+        host: host.to_owned(),
+        id: item.id.clone(),
+        headers,
+        body: Bytes::copy_from_slice(&item.body),
+    }
+}
+
+/// Items that share the larger part of their prompt share this.
+fn affinity(item: &Item) -> Option<u64> {
+    let (_, value) =
+        item.headers.iter().find(|(name, _)| PREFIX_HASH == name.to_ascii_lowercase().as_str())?;
+    let parts: Vec<&str> = value.split(',').collect();
+    let shared = parts.len().checked_sub(2)?;
+    Some(stable_hash(parts[shared].split(':').next()?.trim()))
+}
--- a/crates/coordination/src/proposer.rs
+++ b/crates/coordination/src/proposer.rs
@@ -40,7 +40,7 @@
     pub fn promised(&mut self, member: usize, reply: PrepareReply) -> Step {
         match reply {
             PrepareReply::Promised(promise) => {
-                self.promises.insert(member, promise);
+                self.promises.insert(member, *promise);
                 self.progress()
             }
             PrepareReply::Refused(ballot) => Step::Lost { round: ballot.round },
--- a/crates/coordination/src/tests.rs
+++ b/crates/coordination/src/tests.rs
@@ -26,7 +26,8 @@
 #[test]
 fn the_next_view_keeps_the_living_in_order_and_fills_up_from_other_zones() {
     let rules = ViewRules::for_losses(1);
-    let cases: [(&str, &[&str], &str, Vec<Member>, Option<&str>); 7] = [
+    type Case = (&'static str, &'static [&'static str], &'static str, Vec<Member>, Option<&'static str>);
+    let cases: [Case; 7] = [
         ("nothing to do", &["a", "b", "c"], "", vec![], None),
         ("one is lost", &["a", "b", "c"], "a", vec![], Some("b c")),
         ("and replaced", &["a", "b", "c"], "a", vec![member("d", 1, "d")], Some("b c d")),
@@ -67,7 +68,7 @@
 #[test]
 fn a_proposer_takes_up_what_may_be_decided_and_the_newest_state() {
     let promise = |accepted, sequence| {
-        PrepareReply::Promised(Promise { accepted, state: state(4, sequence), candidate: None })
+        PrepareReply::Promised(Box::new(Promise { accepted, state: state(4, sequence), candidate: None }))
     };
     let wanted = View { epoch: 5, members: view(&["b", "c"]).members };
     let mut fresh = Proposer::new(view(&["a", "b", "c"]), ballot(1, "b"));
--- a/crates/coordination/src/view.rs
+++ b/crates/coordination/src/view.rs
@@ -95,7 +95,7 @@
 /// The answer to the first question of an attempt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PrepareReply {
-    Promised(Promise),
+    Promised(Box<Promise>),
     /// A higher ballot was promised.
     Refused(Ballot),
     /// This member is in a later view already.
@@ -141,7 +141,7 @@
             _ => {
                 self.promised = Some(ballot.clone());
                 let accepted = self.accepted.clone();
-                PrepareReply::Promised(Promise { accepted, state: state.clone(), candidate })
+                PrepareReply::Promised(Box::new(Promise { accepted, state: state.clone(), candidate }))
             }
         }
     }
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -4,8 +4,7 @@
 
 use fennelgauge_batch::{Job, Page};
 use fennelgauge_coordination::{
-    AcceptReply, Ballot, GroupNumber, Member, PrepareReply, Proposal, StateVersion, StoreNumber, StoreView,
-    View,
+    AcceptReply, Ballot, GroupNumber, Member, PrepareReply, Proposal, StateVersion, StoreView, View,
 };
 use fennelgauge_model::ServerList;
 
@@ -241,13 +240,9 @@
     /// Entries on their way along chains.
     Append {
         epoch: u64,
-        entries: Vec<Entry>,
+        batches: Vec<EntryBatch>,
     },
-    /// Whether the view still stands.
-    Confirm {
-        epoch: u64,
-    },
-    /// How far the asked store is in a group.
+    /// Whether the view still stands, and how far the asked store is in a group.
     Position {
         epoch: u64,
         group: GroupNumber,
@@ -284,9 +279,19 @@
     pub command: Vec<u8>,
 }
 
+/// Entries of one group in order; whoever has taken them is at `end`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryBatch {
+    pub group: GroupNumber,
+    pub entries: Vec<Entry>,
+    pub end: EntryPosition,
+}
+
 /// A group as a whole.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupCopy {
+    /// The first place of each epoch, oldest first, and the last place.
+    pub history: Vec<EntryPosition>,
     pub position: EntryPosition,
     /// The group's state in bincode.
     #[serde(with = "serde_bytes")]
@@ -306,17 +311,15 @@
     NotFound,
     /// Nobody here can be sure.
     Unsure,
-    /// Groups whose entries are committed, up to the entries that were sent.
+    /// Groups whose entries every further link has, too.
     Appended {
         committed: Vec<GroupNumber>,
-        refused: Vec<GroupNumber>,
     },
-    /// The view of the asked store.
-    Epoch(u64),
+    /// The asked store is in that view.
+    OtherEpoch(u64),
     Position(EntryPosition),
+    /// The copy is on the disk.
+    Installed,
     Entries(Vec<Entry>),
     Copy(GroupCopy),
 }
-
-/// The number of a store with the group it stands for.
-pub type Learner = (StoreNumber, GroupNumber);
