--- a/crates/control-plane/src/core/chain.rs
+++ b/crates/control-plane/src/core/chain.rs
@@ -189,10 +189,8 @@
     pub(super) async fn read_here(self: &Rc<Self>) -> Option<ConfigurationBytes> {
         let view = self.view();
         let is_tail = view.tail().is_some_and(|tail| tail.identity == self.me.identity);
-        let state = self.state();
-        let order = self.state.borrow().order();
-        let usable = is_tail && order == self.committed.get() && state.generation > 0;
-        (usable && self.confirm().await).then(|| ConfigurationBytes(state.configuration.clone()))
+        let state = self.committed_state().filter(|state| is_tail && state.generation > 0)?;
+        self.confirm().await.then(|| ConfigurationBytes(state.configuration.clone()))
     }
 
     /// To empty a store, at the head.
@@ -211,7 +209,8 @@
         if !self.is_head() || !self.confirm().await {
             return RetireReply::Unavailable;
         }
-        match self.state().retirements.get(node) {
+        let Some(state) = self.committed_state() else { return RetireReply::Unavailable };
+        match state.retirements.get(node) {
             Some(Retirement::Running) => RetireReply::Running,
             Some(Retirement::Succeeded) => RetireReply::Succeeded,
             None => RetireReply::UnknownNode,
--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -131,6 +131,11 @@
         self.decoded.borrow().clone()
     }
 
+    /// The newest state, if every link of the chain has it.
+    pub fn committed_state(&self) -> Option<Rc<ControlState>> {
+        (self.committed.get() == self.state.borrow().order()).then(|| self.state())
+    }
+
     /// Since when this machine is in its view.
     pub fn in_view_for(&self) -> Duration {
         self.installed_at.get().elapsed()
--- a/crates/control-plane/src/duties.rs
+++ b/crates/control-plane/src/duties.rs
@@ -100,7 +100,8 @@
     platform: SocketAddr,
     window: u64,
 ) -> bool {
-    if !core.state().usage.contains_key(&window) {
+    let Some(state) = core.committed_state() else { return false };
+    if !state.usage.contains_key(&window) {
         let counts = collector.sum(window);
         if counts.is_empty() {
             return true;
@@ -109,7 +110,9 @@
             return false;
         }
     }
-    let Some(counts) = core.state().usage.get(&window).cloned() else { return false };
+    // Only what is committed is sent: what is not may be replaced by another head's counts.
+    let Some(state) = core.committed_state() else { return false };
+    let Some(counts) = state.usage.get(&window) else { return false };
     let fence = core.epoch().to_string();
     let call = client
         .post(format!("http://{platform}/usage"))
--- a/crates/control-plane/src/store/runner.rs
+++ b/crates/control-plane/src/store/runner.rs
@@ -13,7 +13,6 @@
     is_hop_by_hop, Answer, EventReader, Outgoing, SendError, Ticket, LAST_EVENT_ID, PREFIX_HASH, PRIORITY,
     TENANT,
 };
-use futures_util::StreamExt;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -72,6 +71,7 @@
         loop {
             let _ = timeout(LOOK_EVERY, self.changed.notified()).await;
             self.pool.update(&self.known.servers());
+            self.sender.keep_only(&self.known.servers().servers);
             let view = self.view();
             self.stop_foreign_items(&view);
             self.remove_old_jobs(&view);
--- a/crates/data-plane/src/live.rs
+++ b/crates/data-plane/src/live.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use actix_web::body::SizedStream;
+use actix_web::error::ErrorBadGateway;
 use actix_web::http::header::{self, HeaderName, HeaderValue};
 use actix_web::http::StatusCode;
 use actix_web::web::Bytes;
@@ -13,7 +14,7 @@
     is_hop_by_hop, Answer, Outgoing, SendError, Ticket, DEADLINE, PREFIX_HASH, PRIORITY, REQUEST_ID,
     TARGET_INSTANCE, TENANT,
 };
-use futures_util::stream::{self, Stream, StreamExt};
+use futures_util::stream::{self, Stream};
 use tokio::time::{sleep, Instant};
 
 use crate::front::{close_if_stopping, finished, header_text, refused, Open};
@@ -215,9 +216,12 @@
 /// The bytes as they come; a break is passed on as a break.
 fn plain(open: Open, accepted: Accepted) -> impl Stream<Item = Result<Bytes, actix_web::Error>> {
     let Accepted { answer, ticket } = accepted;
-    let parts = Box::pin((answer, ticket, open));
-    stream::unfold(parts, |mut parts| async move {
-        let next = parts.0.next().await?;
-        Some((next.map_err(actix_web::Error::from), parts))
+    let parts = Box::new((answer, ticket, open));
+    stream::unfold(Some(parts), |parts| async move {
+        let mut parts = parts?;
+        match parts.0.next().await? {
+            Ok(bytes) => Some((Ok(bytes), Some(parts))),
+            Err(broken) => Some((Err(ErrorBadGateway(broken)), None)),
+        }
     })
 }
--- a/crates/data-plane/src/process.rs
+++ b/crates/data-plane/src/process.rs
@@ -134,6 +134,7 @@
     let mut reader = Reader::new(getrandom::u64().unwrap_or(1));
     loop {
         plane.pool.update(&plane.known.servers());
+        plane.sender.keep_only(&plane.known.servers().servers);
         let silent = plane.known.servers_age().is_none_or(|age| age > OWN_LIST_AFTER);
         let long_up = plane.started.elapsed() > OWN_LIST_AFTER * 2;
         if let (true, true, Some(platform)) = (silent, long_up, plane.settings.cloud.addr) {
--- a/crates/data-plane/src/resumed.rs
+++ b/crates/data-plane/src/resumed.rs
@@ -3,7 +3,7 @@
 use actix_web::error::ErrorBadGateway;
 use actix_web::web::Bytes;
 use fennelgauge_upstream::EventReader;
-use futures_util::stream::{self, Stream, StreamExt};
+use futures_util::stream::{self, Stream};
 
 use crate::front::Open;
 use crate::live::{Accepted, Attempts};
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,6 +1,7 @@
 //! What a process knows of the tier and how it uses the servers: news from the control plane, the pool of servers and the
 //! choice among them, sending a request, reading events.
 
+mod connection;
 mod events;
 mod headers;
 mod known;
@@ -9,12 +10,13 @@
 mod send;
 mod subscriber;
 
+pub use connection::{Answer, BrokenOff};
 pub use events::{Event, EventReader};
 pub use headers::*;
 pub use known::Known;
 pub use platform::{read_list, ListError, Reader};
 pub use pool::{Pool, Ticket};
-pub use send::{client, Answer, Outgoing, SendError, Sender};
+pub use send::{client, Outgoing, SendError, Sender};
 pub use subscriber::{subscribe, Subscription};
 
 #[cfg(test)]
--- a/crates/upstream/src/send.rs
+++ b/crates/upstream/src/send.rs
@@ -2,19 +2,21 @@
 
 use std::time::Duration;
 
+use actix_http::RequestHead;
 use actix_web::web::Bytes;
-use awc::error::SendRequestError;
 use awc::http::header::{HeaderName, HeaderValue, HOST};
 use awc::http::{Method, StatusCode};
 
+use tokio::time::timeout;
+
+use crate::connection::{Answer, Connections, ExchangeError};
 use crate::{DEADLINE, NOT_EXECUTED, REQUEST_ID, SERVER_LOAD, TARGET_INSTANCE};
 use fennelgauge_model::Server;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 const IDLE_FOR: Duration = Duration::from_secs(12);
-
-/// An answer's head, with its body still to come.
-pub type Answer = awc::ClientResponse;
+/// For the body of a refusal.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// A request as it goes to whichever server is chosen.
 #[derive(Clone, Debug)]
@@ -41,7 +43,7 @@
     TimeUp,
 }
 
-/// A client without habits of its own: no redirects, no decompression, no added headers.
+/// A client for calls to the platform, without habits of its own: no redirects, no decompression, no added headers.
 pub fn client() -> awc::Client {
     let connector = awc::Connector::new()
         .timeout(CONNECT_TIMEOUT)
@@ -57,15 +59,9 @@
 }
 
 /// Sends requests.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub struct Sender {
-    client: awc::Client,
-}
-
-impl Default for Sender {
-    fn default() -> Self {
-        Self { client: client() }
-    }
+    connections: Connections,
 }
 
 impl Sender {
@@ -77,31 +73,40 @@
         deadline: Duration,
         within: Duration,
     ) -> Result<Answer, SendError> {
-        let url = format!("http://{}{}", server.addr, outgoing.path_and_query);
-        let mut request = self.client.request(outgoing.method.clone(), url).no_decompress().timeout(within);
-        let headers = request.headers_mut();
-        for (name, value) in &outgoing.headers {
-            headers.append(name.clone(), value.clone());
-        }
-        let request = request
-            .insert_header((HOST, outgoing.host.as_str()))
-            .insert_header((REQUEST_ID, outgoing.id.as_str()))
-            .insert_header((TARGET_INSTANCE, server.id.as_str()))
-            .insert_header((DEADLINE, deadline.as_millis().max(1).to_string()));
-        let answer = request.send_body(outgoing.body.clone()).await.map_err(classified)?;
-        checked(answer, &outgoing.id)
+        let head = head(server, outgoing, deadline).ok_or(SendError::NotSent)?;
+        let exchange = self.connections.exchange(server.addr, head, &outgoing.body);
+        let answer = match timeout(within, exchange).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(ExchangeError::NotSent)) => return Err(SendError::NotSent),
+            Ok(Err(ExchangeError::Broken)) => return Err(SendError::MayHaveRun),
+            Err(_) => return Err(SendError::TimeUp),
+        };
+        checked(answer, &outgoing.id).await
+    }
+
+    /// Closes idle connections to servers that are not listed any more.
+    pub fn keep_only(&self, servers: &[Server]) {
+        self.connections.keep_only(|peer| servers.iter().any(|server| server.addr == *peer));
     }
 }
 
-fn classified(error: SendRequestError) -> SendError {
-    match error {
-        SendRequestError::Url(_) | SendRequestError::Connect(_) => SendError::NotSent,
-        SendRequestError::Timeout => SendError::TimeUp,
-        _ => SendError::MayHaveRun,
+/// The head that goes to the server; none if the path cannot be sent.
+fn head(server: &Server, outgoing: &Outgoing, deadline: Duration) -> Option<RequestHead> {
+    let mut head = RequestHead::default();
+    head.method = outgoing.method.clone();
+    head.uri = outgoing.path_and_query.parse().ok()?;
+    let headers = head.headers_mut();
+    headers.insert(HOST, HeaderValue::from_str(&outgoing.host).ok()?);
+    headers.insert(REQUEST_ID, HeaderValue::from_str(&outgoing.id).ok()?);
+    headers.insert(TARGET_INSTANCE, HeaderValue::from_str(&server.id).ok()?);
+    headers.insert(DEADLINE, HeaderValue::from(deadline.as_millis().max(1) as u64));
+    for (name, value) in &outgoing.headers {
+        headers.append(name.clone(), value.clone());
     }
+    Some(head)
 }
 
-fn checked(answer: Answer, id: &str) -> Result<Answer, SendError> {
+async fn checked(answer: Answer, id: &str) -> Result<Answer, SendError> {
     let status = answer.status();
     let answered = answer.headers().get(REQUEST_ID).map(|value| value.as_bytes() == id.as_bytes());
     if answered == Some(false) || (answered.is_none() && status.is_success()) {
@@ -109,10 +114,11 @@
     }
     let not_executed =
         answer.headers().contains_key(NOT_EXECUTED) || status == StatusCode::MISDIRECTED_REQUEST;
-    match not_executed {
-        true => Err(SendError::NotExecuted(status)),
-        false => Ok(answer),
+    if not_executed {
+        let _ = timeout(REFUSAL_TIMEOUT, answer.discard()).await;
+        return Err(SendError::NotExecuted(status));
     }
+    Ok(answer)
 }
 
 /// The value of an answer's load header.
