Pace items by their due times, prefer servers of the own zone, refuse before there is a configuration

Batch items filled all slots at once and made live streams late; they are begun now at the pace that their due times need.

--- a/crates/control-plane/src/store/runner.rs
+++ b/crates/control-plane/src/store/runner.rs
@@ -25,6 +25,12 @@
 const LONGEST_SILENCE: Duration = Duration::from_millis(4_000);
 /// Items wait while their servers are fuller than this, as a part of their slots.
 const ENOUGH_LOAD: f64 = 0.8;
+/// Items are begun at a pace at which this part of the time until they are due would do.
+const PART_OF_DUE: f64 = 0.35;
+/// What is overdue is begun at the pace of so many seconds.
+const SHORTEST_PACE_S: f64 = 0.5;
+/// Weight of the newest item in the mean time that an item takes.
+const NEWEST_WEIGHT: f64 = 0.05;
 /// Behind all interactive requests.
 const ITEM_PRIORITY: &str = "9";
 /// Kept beyond the time for which results are promised, as clocks differ.
@@ -46,6 +52,14 @@
     key: ItemKey,
 }
 
+impl Candidate {
+    /// How much of this item has to be begun in a second for it to be done well before it is due.
+    fn pace(&self, now_ms: u64) -> f64 {
+        let left_s = self.due_ms.saturating_sub(now_ms) as f64 / 1_000.0;
+        1.0 / (left_s * PART_OF_DUE).max(SHORTEST_PACE_S)
+    }
+}
+
 /// What a run needs of an item and its batch job.
 struct OpenItem {
     item: Item,
@@ -77,7 +91,7 @@
             self.remove_old_jobs(&view);
             let mut candidates = self.candidates(&view);
             candidates.sort_by_key(|candidate| candidate.due_ms);
-            let room = self.room();
+            let room = self.room(&candidates);
             for candidate in candidates.into_iter().take(room) {
                 self.start(candidate.key);
             }
@@ -85,13 +99,17 @@
         }
     }
 
-    /// How many more items may run now.
-    fn room(&self) -> usize {
+    /// How many more items may run now: as many as the due times need, at the pace at which items end.
+    fn room(&self, candidates: &[Candidate]) -> usize {
+        let now_ms = wall_clock_ms();
+        let longest = candidates.iter().map(|candidate| candidate.due_ms.saturating_sub(now_ms)).max();
+        let per_s: f64 = candidates.iter().map(|candidate| candidate.pace(now_ms)).sum();
+        let paced = (per_s * self.item_s.get()).ceil() as usize + usize::from(longest.is_some());
         let servers = self.known.servers();
         let slots: usize = servers.servers.iter().map(|server| server.slots as usize).sum();
-        let stores = self.view().stores.len().max(1);
-        let most = (slots / stores).max(4);
-        most.saturating_sub(self.running.borrow().len())
+        let most = (slots / self.view().stores.len().max(1)).max(4);
+        let running = self.running.borrow().len();
+        paced.min(most.saturating_sub(running))
     }
 
     fn candidates(&self, view: &StoreView) -> Vec<Candidate> {
@@ -121,7 +139,9 @@
         let store = self.clone();
         let own = key.clone();
         let task = spawn_local(async move {
+            let began = Instant::now();
             if let Some(result) = store.run_item(&own).await {
+                store.learn_time(began.elapsed());
                 store.finish_item(&own, result);
             }
             store.running.borrow_mut().remove(&own);
@@ -130,6 +150,11 @@
         self.running.borrow_mut().insert(key, task.abort_handle());
     }
 
+    fn learn_time(&self, took: Duration) {
+        let before = self.item_s.get();
+        self.item_s.set(before + NEWEST_WEIGHT * (took.as_secs_f64() - before));
+    }
+
     fn finish_item(&self, key: &ItemKey, result: ItemResult) {
         let view = self.view();
         if self.is_head(&view, key.group) {
--- a/crates/data-plane/src/front.rs
+++ b/crates/data-plane/src/front.rs
@@ -6,7 +6,7 @@
 use actix_web::http::{Method, StatusCode};
 use actix_web::web::{self, Bytes, Data};
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
-use fennelgauge_model::{Access, Denial, RouteKind};
+use fennelgauge_model::{Denial, RouteKind};
 
 use crate::process::Plane;
 use crate::{batch, live};
@@ -14,6 +14,9 @@
 /// The largest body that is read at all, in bytes; a configuration may allow less.
 pub const MAX_BODY_BYTES: usize = 64 << 20;
 
+/// For clients that come before there is a configuration.
+const NOT_READY_RETRY_AFTER_S: f64 = 0.3;
+
 /// All paths.
 pub fn routes(service: &mut web::ServiceConfig) {
     service
@@ -36,18 +39,21 @@
 impl Drop for Open {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get().saturating_sub(1));
+        self.0.last_ended.set(tokio::time::Instant::now());
     }
 }
 
 async fn request(request: HttpRequest, body: Bytes, plane: Data<Rc<Plane>>) -> HttpResponse {
     let plane: Rc<Plane> = plane.get_ref().clone();
     let open = Open::new(&plane);
-    let access = match access(&plane, &request) {
+    let Some(table) = plane.known.table() else {
+        return refused(&plane, StatusCode::SERVICE_UNAVAILABLE, NOT_READY_RETRY_AFTER_S);
+    };
+    let access = match table.access(host(&request), request.uri().path(), authorization(&request)) {
         Ok(access) => access,
         Err(denial) => return finished(&plane, denied(denial)),
     };
-    let most = plane.known.table().map_or(MAX_BODY_BYTES, |table| table.configuration.limits.max_body_bytes);
-    if body.len() > most {
+    if body.len() > table.configuration.limits.max_body_bytes {
         return finished(&plane, HttpResponse::build(StatusCode::PAYLOAD_TOO_LARGE));
     }
     match access.route.kind {
@@ -59,12 +65,6 @@
     }
 }
 
-/// Route and tenant of a request.
-pub fn access(plane: &Plane, request: &HttpRequest) -> Result<Access, Denial> {
-    let table = plane.known.table().ok_or(Denial::NoRoute)?;
-    table.access(host(request), request.uri().path(), authorization(request))
-}
-
 /// The host that the client named.
 pub fn host(request: &HttpRequest) -> &str {
     header_text(request, &header::HOST).or_else(|| request.uri().host()).unwrap_or("")
--- a/crates/data-plane/src/process.rs
+++ b/crates/data-plane/src/process.rs
@@ -19,6 +19,8 @@
 
 /// After a stop is asked for, new connections still come for so long.
 const LAST_CONNECTIONS: Duration = Duration::from_millis(2_600);
+/// An answer's last bytes leave within so long.
+const ANSWER_LEAVES: Duration = Duration::from_millis(30);
 /// Left of the time for a stop when the last requests are given up.
 const STOP_MARGIN: Duration = Duration::from_millis(600);
 const POOL_EVERY: Duration = Duration::from_millis(500);
@@ -37,6 +39,8 @@
     pub usage: RefCell<UsageCounts>,
     /// Requests being answered.
     pub open: Cell<usize>,
+    /// When the last of them ended.
+    pub last_ended: Cell<Instant>,
     pub stopping: Cell<bool>,
     ready: Cell<bool>,
     started: Instant,
@@ -46,18 +50,24 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             usage: RefCell::new(UsageCounts::new(settings.bounds.usage_window_s)),
+            pool: Pool::new(&settings.zone),
             settings,
             known: Rc::new(Known::default()),
             caller: Caller::default(),
-            pool: Pool::default(),
             sender: Sender::default(),
             open: Cell::new(0),
+            last_ended: Cell::new(Instant::now()),
             stopping: Cell::new(false),
             ready: Cell::new(false),
             started: Instant::now(),
         }
     }
 
+    /// Whether no request is open and the last answer has left.
+    fn is_quiet(&self) -> bool {
+        self.open.get() == 0 && self.last_ended.get().elapsed() >= ANSWER_LEAVES
+    }
+
     /// Whether clients may come: the configuration in force and some servers are known, and no stop was asked for.
     pub fn is_ready(&self) -> bool {
         if !self.ready.get() {
@@ -102,10 +112,10 @@
     let until = plane.settings.grace().saturating_sub(STOP_MARGIN);
     plane.stopping.set(true);
     sleep(LAST_CONNECTIONS.min(until)).await;
-    while plane.open.get() > 0 && began.elapsed() < until {
-        sleep(Duration::from_millis(20)).await;
+    // After the last check nothing is awaited: a request that is read after it has nobody to answer it.
+    while !plane.is_quiet() && began.elapsed() < until {
+        sleep(Duration::from_millis(10)).await;
     }
-    sleep(Duration::from_millis(30)).await;
 }
 
 /// How this process follows the control plane's news.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -69,16 +69,20 @@
     }
 }
 
-/// Waits for a signal that asks for the end.
+/// Waits for a signal that asks for the end. A hangup asks for nothing: settings are read anew whenever they are needed.
 pub async fn until_stopped() {
     use tokio::signal::unix::{signal, SignalKind};
-    let (Ok(mut terminate), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()), signal(SignalKind::hangup()))
     else {
-        return tokio::time::sleep(Duration::MAX).await;
+        log::error!("signals cannot be heard: the process ends only when it is killed");
+        return std::future::pending().await;
     };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = interrupt.recv() => return,
+            _ = hangup.recv() => log::info!("hangup: the settings are read when they are needed"),
+        }
     }
 }
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -15,6 +15,8 @@
 const LONGEST_REST: Duration = Duration::from_secs(8);
 /// A server keeps the prompts it has cached while its load is at most so much above the least loaded one's, in slots.
 const KEEP_WITHIN: f64 = 0.35;
+/// A server in another zone is chosen when those in the own zone are fuller by so much, in slots.
+const OWN_ZONE_WITHIN: f64 = 0.2;
 /// From this part of its slots on, a server is left in favour of one that is emptier.
 const CROWDED: f64 = 0.85;
 
@@ -67,10 +69,11 @@
 }
 
 /// All servers, by id.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Pool {
     servers: Rc<RefCell<HashMap<String, Seen>>>,
     reader: Rc<RefCell<(u64, u64)>>,
+    zone: Rc<str>,
 }
 
 /// A request's place at a server; given back when dropped.
@@ -86,6 +89,11 @@
 }
 
 impl Pool {
+    /// For a process in `zone`, whose servers are nearer and cost nothing on the way.
+    pub fn new(zone: &str) -> Self {
+        Self { servers: Rc::default(), reader: Rc::default(), zone: zone.into() }
+    }
+
     /// Takes up a list; a list already taken costs nothing.
     pub fn update(&self, list: &ServerList) {
         let version = (list.reader, list.version);
@@ -125,7 +133,7 @@
             let resting =
                 || of_service().filter(|seen| seen.listed && seen.server.state == ServerState::Ready);
             let candidates = if usable.is_empty() { resting().collect() } else { usable };
-            best(&candidates, affinity, now)?.server.clone()
+            best(&candidates, affinity, &self.zone, now)?.server.clone()
         };
         self.with(&server.id, |seen| seen.in_flight += 1);
         Some(Ticket { pool: self.clone(), server })
@@ -183,8 +191,12 @@
     Some((parts.next()??, parts.next()??))
 }
 
-fn best<'a>(candidates: &[&'a Seen], affinity: Option<u64>, now: Instant) -> Option<&'a Seen> {
-    let least = candidates.iter().map(|seen| seen.load(now)).min_by(f64::total_cmp)?;
+fn best<'a>(candidates: &[&'a Seen], affinity: Option<u64>, zone: &str, now: Instant) -> Option<&'a Seen> {
+    let own_zone: Vec<&Seen> = candidates.iter().copied().filter(|seen| seen.server.zone == zone).collect();
+    let least_of_all = least_load(candidates, now)?;
+    let near = least_load(&own_zone, now).is_some_and(|least| least <= least_of_all + OWN_ZONE_WITHIN);
+    let candidates = if near { own_zone.as_slice() } else { candidates };
+    let least = least_load(candidates, now)?;
     if let Some(affinity) = affinity {
         let home = candidates.iter().max_by_key(|seen| mixed(affinity ^ stable_hash(&seen.server.id)))?;
         let load = home.load(now);
@@ -194,3 +206,7 @@
     }
     candidates.iter().copied().min_by(|left, right| left.load(now).total_cmp(&right.load(now)))
 }
+
+fn least_load(candidates: &[&Seen], now: Instant) -> Option<f64> {
+    candidates.iter().map(|seen| seen.load(now)).min_by(f64::total_cmp)
+}
--- a/crates/upstream/src/tests.rs
+++ b/crates/upstream/src/tests.rs
@@ -32,7 +32,7 @@
 }
 
 fn pool(servers: Vec<Server>) -> Pool {
-    let pool = Pool::default();
+    let pool = Pool::new("z");
     pool.update(&ServerList { version: 1, reader: 1, servers });
     pool
 }
