--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -55,8 +55,6 @@
     /// Groups that this store has copied as a learner.
     level: RefCell<BTreeSet<GroupNumber>>,
     running: RefCell<HashMap<runner::ItemKey, AbortHandle>>,
-    /// How long an item takes, in seconds, as a running mean.
-    item_s: Cell<f64>,
     /// Bytes handed to the journal since the last whole write, and the size of that.
     written: Cell<usize>,
     whole_size: Cell<usize>,
@@ -115,7 +113,6 @@
             checked: RefCell::default(),
             level: RefCell::default(),
             running: RefCell::default(),
-            item_s: Cell::new(1.0),
             written: Cell::new(0),
             whole_size: Cell::new(0),
         }))
--- a/crates/control-plane/src/store/runner.rs
+++ b/crates/control-plane/src/store/runner.rs
@@ -10,8 +10,8 @@
 use fennelgauge_coordination::{GroupNumber, StoreView};
 use fennelgauge_model::{stable_hash, Route, RouteKind};
 use fennelgauge_upstream::{
-    is_hop_by_hop, Answer, EventReader, Outgoing, SendError, Ticket, LAST_EVENT_ID, PREFIX_HASH, PRIORITY,
-    TENANT,
+    is_hop_by_hop, Answer, Demand, EventReader, Outgoing, SendError, Ticket, LAST_EVENT_ID, PREFIX_HASH,
+    PRIORITY, TENANT,
 };
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
@@ -19,6 +19,9 @@
 use super::{wall_clock_ms, Store};
 
 const LOOK_EVERY: Duration = Duration::from_millis(200);
+const START_EVERY: Duration = Duration::from_millis(20);
+/// Items that are begun at once at most: prompts that come together hold up the streams of a server.
+const MOST_AT_ONCE: f64 = 6.0;
 const TRY_AGAIN: Duration = Duration::from_millis(120);
 const LONGEST_RUN: Duration = Duration::from_secs(20);
 /// After a silence of this length an item's stream is given up.
@@ -29,8 +32,6 @@
 const PART_OF_DUE: f64 = 0.35;
 /// What is overdue is begun at the pace of so many seconds.
 const SHORTEST_PACE_S: f64 = 0.5;
-/// Weight of the newest item in the mean time that an item takes.
-const NEWEST_WEIGHT: f64 = 0.05;
 /// Behind all interactive requests.
 const ITEM_PRIORITY: &str = "9";
 /// Kept beyond the time for which results are promised, as clocks differ.
@@ -80,36 +81,41 @@
 }
 
 impl Store {
-    /// Starts items without end, as servers have room.
+    /// Starts items without end, evenly, at the pace that their due times need.
     pub(super) async fn run_items(self: Rc<Self>) {
+        let mut looked = Instant::now();
+        let mut credit: f64 = 0.0;
         loop {
-            let _ = timeout(LOOK_EVERY, self.changed.notified()).await;
+            sleep(START_EVERY).await;
+            if self.running.borrow().is_empty() {
+                let _ = timeout(LOOK_EVERY, self.changed.notified()).await;
+            }
             self.pool.update(&self.known.servers());
             self.sender.keep_only(&self.known.servers().servers);
             let view = self.view();
             self.stop_foreign_items(&view);
             self.remove_old_jobs(&view);
             let mut candidates = self.candidates(&view);
+            let now_ms = wall_clock_ms();
+            let per_s: f64 = candidates.iter().map(|candidate| candidate.pace(now_ms)).sum();
+            let passed_s = looked.elapsed().as_secs_f64().min(LOOK_EVERY.as_secs_f64());
+            looked = Instant::now();
+            credit = (credit + per_s * passed_s).min(MOST_AT_ONCE);
             candidates.sort_by_key(|candidate| candidate.due_ms);
-            let room = self.room(&candidates);
+            let room = (credit as usize).min(self.room());
             for candidate in candidates.into_iter().take(room) {
+                credit -= 1.0;
                 self.start(candidate.key);
             }
-            sleep(Duration::from_millis(2)).await;
         }
     }
 
-    /// How many more items may run now: as many as the due times need, at the pace at which items end.
-    fn room(&self, candidates: &[Candidate]) -> usize {
-        let now_ms = wall_clock_ms();
-        let longest = candidates.iter().map(|candidate| candidate.due_ms.saturating_sub(now_ms)).max();
-        let per_s: f64 = candidates.iter().map(|candidate| candidate.pace(now_ms)).sum();
-        let paced = (per_s * self.item_s.get()).ceil() as usize + usize::from(longest.is_some());
+    /// How many more items this store's part of the servers has places for.
+    fn room(&self) -> usize {
         let servers = self.known.servers();
         let slots: usize = servers.servers.iter().map(|server| server.slots as usize).sum();
         let most = (slots / self.view().stores.len().max(1)).max(4);
-        let running = self.running.borrow().len();
-        paced.min(most.saturating_sub(running))
+        most.saturating_sub(self.running.borrow().len())
     }
 
     fn candidates(&self, view: &StoreView) -> Vec<Candidate> {
@@ -139,9 +145,7 @@
         let store = self.clone();
         let own = key.clone();
         let task = spawn_local(async move {
-            let began = Instant::now();
             if let Some(result) = store.run_item(&own).await {
-                store.learn_time(began.elapsed());
                 store.finish_item(&own, result);
             }
             store.running.borrow_mut().remove(&own);
@@ -150,11 +154,6 @@
         self.running.borrow_mut().insert(key, task.abort_handle());
     }
 
-    fn learn_time(&self, took: Duration) {
-        let before = self.item_s.get();
-        self.item_s.set(before + NEWEST_WEIGHT * (took.as_secs_f64() - before));
-    }
-
     fn finish_item(&self, key: &ItemKey, result: ItemResult) {
         let view = self.view();
         if self.is_head(&view, key.group) {
@@ -225,7 +224,7 @@
                 sleep(TRY_AGAIN).await;
                 continue;
             }
-            let Some(ticket) = self.pool.choose(&service, &tried, affinity(&item)) else {
+            let Some(ticket) = self.pool.choose(&service, &tried, &demand(&item)) else {
                 tried.clear();
                 sleep(TRY_AGAIN).await;
                 continue;
@@ -294,7 +293,7 @@
                 return Attempt::Again;
             }
         };
-        self.pool.learn(&ticket.server, &answer);
+        self.pool.learn(ticket, &answer);
         match answer.status() {
             status if status.is_success() => read_events(answer, text, last_event).await,
             StatusCode::UNPROCESSABLE_ENTITY => Attempt::Finished(ItemOutcome::DeadLettered),
@@ -348,11 +347,8 @@
     }
 }
 
-/// Items that share the larger part of their prompt share this.
-fn affinity(item: &Item) -> Option<u64> {
-    let (_, value) =
-        item.headers.iter().find(|(name, _)| PREFIX_HASH == name.to_ascii_lowercase().as_str())?;
-    let parts: Vec<&str> = value.split(',').collect();
-    let shared = parts.len().checked_sub(2)?;
-    Some(stable_hash(parts[shared].split(':').next()?.trim()))
+/// What the choice of a server goes by.
+fn demand(item: &Item) -> Demand {
+    let prefix = item.headers.iter().find(|(name, _)| PREFIX_HASH == name.to_ascii_lowercase().as_str());
+    Demand::of_item(prefix.map(|(_, value)| value.as_str()))
 }
--- a/crates/data-plane/src/live.rs
+++ b/crates/data-plane/src/live.rs
@@ -11,7 +11,7 @@
 use actix_web::{HttpRequest, HttpResponse};
 use fennelgauge_model::{stable_hash, Access, RouteKind};
 use fennelgauge_upstream::{
-    is_hop_by_hop, Answer, Outgoing, SendError, Ticket, DEADLINE, PREFIX_HASH, PRIORITY, REQUEST_ID,
+    is_hop_by_hop, Answer, Demand, Outgoing, SendError, Ticket, DEADLINE, PREFIX_HASH, PRIORITY, REQUEST_ID,
     TARGET_INSTANCE, TENANT,
 };
 use futures_util::stream::{self, Stream};
@@ -38,7 +38,7 @@
     pub service: String,
     pub outgoing: Outgoing,
     pub until: Instant,
-    affinity: Option<u64>,
+    demand: Demand,
     tried: Vec<String>,
     /// Servers that may have run it.
     pub runs: u32,
@@ -101,7 +101,7 @@
         };
         Some(Self {
             service: access.route.service(chance).to_owned(),
-            affinity: affinity(request),
+            demand: Demand::of_prefix(header_text(request, &PREFIX_HASH)),
             until: Instant::now() + deadline.min(held),
             tried: Vec::new(),
             runs: 0,
@@ -123,7 +123,7 @@
             if left.is_zero() {
                 return Err(if self.runs > 0 { Failure::TimeUp } else { Failure::NotRun });
             }
-            let Some(ticket) = self.plane.pool.choose(&self.service, &self.tried, self.affinity) else {
+            let Some(ticket) = self.plane.pool.choose(&self.service, &self.tried, &self.demand) else {
                 if self.tried.is_empty() && left > LOOK_AGAIN {
                     sleep(LOOK_AGAIN).await;
                     continue;
@@ -134,7 +134,7 @@
             let sent = self.plane.sender.send(&ticket.server, &outgoing, left, left).await;
             let error = match sent {
                 Ok(answer) => {
-                    self.plane.pool.learn(&ticket.server, &answer);
+                    self.plane.pool.learn(&ticket, &answer);
                     self.runs += 1;
                     return Ok(Accepted { answer, ticket });
                 }
@@ -185,13 +185,6 @@
     headers
 }
 
-/// Requests that share the larger part of their prompt share this.
-fn affinity(request: &HttpRequest) -> Option<u64> {
-    let parts: Vec<&str> = header_text(request, &PREFIX_HASH)?.split(',').collect();
-    let shared = parts.len().checked_sub(2)?;
-    Some(stable_hash(parts[shared].split(':').next()?.trim()))
-}
-
 /// Passes an answer on as it comes.
 fn pass_on(attempts: Attempts, open: Open, accepted: Accepted) -> HttpResponse {
     let answer = &accepted.answer;
--- /dev/null
+++ b/crates/upstream/src/demand.rs
@@ -0,0 +1,44 @@
+//! What a request asks of a server, as far as its headers tell.
+
+use fennelgauge_model::stable_hash;
+
+/// A shared part of a prompt is worth going to the server that has it from so many tokens on.
+const WORTH_KEEPING_TOKENS: u64 = 1_000;
+
+/// From so many tokens on, the reading of a prompt holds up the other streams of its server.
+const LONG_PROMPT_TOKENS: u64 = 2_000;
+
+/// What the choice of a server goes by.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Alike for requests that share a part of their prompt that is worth keeping.
+    pub affinity: Option<u64>,
+    /// Tokens of the prompt that a server without any of its parts reads.
+    pub prompt_tokens: u64,
+    /// Kept away from the servers of short interactive requests: its prompt is long, or nobody waits for it.
+    pub is_bulk: bool,
+}
+
+impl Demand {
+    /// From the parts of a prompt, `ID:TOKENS` in order and separated by commas; the last is the request's own.
+    pub fn of_prefix(parts: Option<&str>) -> Self {
+        let Some(parts) = parts else { return Self::default() };
+        let parts: Vec<(&str, u64)> = parts.split(',').filter_map(part).collect();
+        let prompt_tokens = parts.iter().map(|(_, tokens)| tokens).sum();
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let shared_tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
+        let affinity = shared.last().filter(|_| shared_tokens >= WORTH_KEEPING_TOKENS);
+        let is_bulk = prompt_tokens >= LONG_PROMPT_TOKENS;
+        Self { affinity: affinity.map(|(id, _)| stable_hash(*id)), prompt_tokens, is_bulk }
+    }
+
+    /// The same, for an item of a batch job.
+    pub fn of_item(parts: Option<&str>) -> Self {
+        Self { is_bulk: true, ..Self::of_prefix(parts) }
+    }
+}
+
+fn part(part: &str) -> Option<(&str, u64)> {
+    let (id, tokens) = part.trim().split_once(':')?;
+    Some((id, tokens.parse().ok()?))
+}
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -2,15 +2,18 @@
 //! choice among them, sending a request, reading events.
 
 mod connection;
+mod demand;
 mod events;
 mod headers;
 mod known;
+mod mix;
 mod platform;
 mod pool;
 mod send;
 mod subscriber;
 
 pub use connection::{Answer, BrokenOff};
+pub use demand::Demand;
 pub use events::{Event, EventReader};
 pub use headers::*;
 pub use known::Known;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -1,6 +1,6 @@
 //! The servers as this process sees them, and the choice among them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,6 +8,9 @@
 use fennelgauge_model::{mixed, stable_hash, Server, ServerList, ServerState};
 use tokio::time::Instant;
 
+use crate::mix::Mix;
+use crate::Demand;
+
 /// What a server told of its load is trusted for so long.
 const TOLD_FOR: Duration = Duration::from_millis(1_500);
 /// A server that could not be reached rests for so long, doubling with each further failure.
@@ -15,6 +18,10 @@
 const LONGEST_REST: Duration = Duration::from_secs(8);
 /// A server keeps the prompts it has cached while its load is at most so much above the least loaded one's, in slots.
 const KEEP_WITHIN: f64 = 0.35;
+/// A server for the other kind of request is chosen when those for the own kind are fuller by so much, in slots.
+const OWN_KIND_WITHIN: f64 = 0.35;
+/// So many tokens of prompts still to be read weigh as much as a server full of requests.
+const UNREAD_TOKENS: f64 = 60_000.0;
 /// A server in another zone is chosen when those in the own zone are fuller by so much, in slots.
 const OWN_ZONE_WITHIN: f64 = 0.2;
 /// From this part of its slots on, a server is left in favour of one that is emptier.
@@ -24,7 +31,11 @@
 struct Seen {
     server: Server,
     listed: bool,
+    /// Its place in a fixed ranking of its service's servers in its zone, between 0 and 1.
+    rank: f64,
     in_flight: u32,
+    /// Tokens of prompts sent there from here that have brought no answer yet.
+    unread_tokens: u64,
     told: Option<Told>,
     failures: u32,
     rests_until: Option<Instant>,
@@ -41,7 +52,16 @@
 
 impl Seen {
     fn new(server: Server) -> Self {
-        Self { server, listed: true, in_flight: 0, told: None, failures: 0, rests_until: None }
+        Self {
+            server,
+            listed: true,
+            rank: 0.0,
+            in_flight: 0,
+            unread_tokens: 0,
+            told: None,
+            failures: 0,
+            rests_until: None,
+        }
     }
 
     fn slots(&self) -> f64 {
@@ -58,7 +78,7 @@
             }
             None => own,
         };
-        requests / self.slots()
+        requests / self.slots() + self.unread_tokens as f64 / UNREAD_TOKENS
     }
 
     fn usable(&self, now: Instant) -> bool {
@@ -74,16 +94,28 @@
     servers: Rc<RefCell<HashMap<String, Seen>>>,
     reader: Rc<RefCell<(u64, u64)>>,
     zone: Rc<str>,
+    mixes: Rc<RefCell<HashMap<String, Mix>>>,
 }
 
 /// A request's place at a server; given back when dropped.
 pub struct Ticket {
     pool: Pool,
     pub server: Server,
+    unread_tokens: Cell<u64>,
+}
+
+impl Ticket {
+    /// The server answered: it has read the prompt.
+    fn prompt_read(&self) {
+        let tokens = self.unread_tokens.replace(0);
+        self.pool
+            .with(&self.server.id, |seen| seen.unread_tokens = seen.unread_tokens.saturating_sub(tokens));
+    }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
+        self.prompt_read();
         self.pool.with(&self.server.id, |seen| seen.in_flight = seen.in_flight.saturating_sub(1));
     }
 }
@@ -91,7 +123,7 @@
 impl Pool {
     /// For a process in `zone`, whose servers are nearer and cost nothing on the way.
     pub fn new(zone: &str) -> Self {
-        Self { servers: Rc::default(), reader: Rc::default(), zone: zone.into() }
+        Self { servers: Rc::default(), reader: Rc::default(), zone: zone.into(), mixes: Rc::default() }
     }
 
     /// Takes up a list; a list already taken costs nothing.
@@ -110,6 +142,7 @@
             seen.listed = true;
         }
         servers.retain(|_, seen| seen.listed || seen.in_flight > 0);
+        rank(&mut servers);
     }
 
     /// Whether a server is still to be given requests.
@@ -118,10 +151,11 @@
         servers.get(id).is_some_and(|seen| seen.listed && seen.server.state == ServerState::Ready)
     }
 
-    /// Chooses a server of a service, none of `tried`. Requests with the same `affinity` go to the same server while that
+    /// Chooses a server of a service, none of `tried`. Requests with the same affinity go to the same server while that
     /// does not load it much more than others.
-    pub fn choose(&self, service: &str, tried: &[String], affinity: Option<u64>) -> Option<Ticket> {
+    pub fn choose(&self, service: &str, tried: &[String], demand: &Demand) -> Option<Ticket> {
         let now = Instant::now();
+        let bulk_part = self.bulk_part(service, demand, now);
         let server = {
             let servers = self.servers.borrow();
             let of_service = || {
@@ -133,10 +167,24 @@
             let resting =
                 || of_service().filter(|seen| seen.listed && seen.server.state == ServerState::Ready);
             let candidates = if usable.is_empty() { resting().collect() } else { usable };
-            best(&candidates, affinity, &self.zone, now)?.server.clone()
+            best(&candidates, demand, bulk_part, &self.zone, now)?.server.clone()
         };
-        self.with(&server.id, |seen| seen.in_flight += 1);
-        Some(Ticket { pool: self.clone(), server })
+        let tokens = demand.prompt_tokens;
+        self.with(&server.id, |seen| {
+            seen.in_flight += 1;
+            seen.unread_tokens += tokens;
+        });
+        Some(Ticket { pool: self.clone(), server, unread_tokens: Cell::new(tokens) })
+    }
+
+    fn bulk_part(&self, service: &str, demand: &Demand, now: Instant) -> Option<f64> {
+        let mut mixes = self.mixes.borrow_mut();
+        if !mixes.contains_key(service) {
+            mixes.insert(service.to_owned(), Mix::new());
+        }
+        let mix = mixes.get_mut(service)?;
+        mix.count(demand, now);
+        mix.bulk_part()
     }
 
     /// The mean load of a service's servers as a part of their slots; none without servers.
@@ -152,9 +200,10 @@
     }
 
     /// A server answered; `load` is the value of its load header, if it sent one.
-    pub fn answered(&self, id: &str, load: Option<&str>) {
+    pub fn answered(&self, ticket: &Ticket, load: Option<&str>) {
+        ticket.prompt_read();
         let told = load.and_then(parse_load);
-        self.with(id, |seen| {
+        self.with(&ticket.server.id, |seen| {
             seen.failures = 0;
             seen.rests_until = None;
             if let Some((running, waiting)) = told {
@@ -191,13 +240,38 @@
     Some((parts.next()??, parts.next()??))
 }
 
-fn best<'a>(candidates: &[&'a Seen], affinity: Option<u64>, zone: &str, now: Instant) -> Option<&'a Seen> {
-    let own_zone: Vec<&Seen> = candidates.iter().copied().filter(|seen| seen.server.zone == zone).collect();
-    let least_of_all = least_load(candidates, now)?;
-    let near = least_load(&own_zone, now).is_some_and(|least| least <= least_of_all + OWN_ZONE_WITHIN);
-    let candidates = if near { own_zone.as_slice() } else { candidates };
-    let least = least_load(candidates, now)?;
-    if let Some(affinity) = affinity {
+fn rank(servers: &mut HashMap<String, Seen>) {
+    let mut pools: HashMap<(String, String), Vec<(u64, String)>> = HashMap::new();
+    for seen in servers.values().filter(|seen| seen.listed && seen.server.state == ServerState::Ready) {
+        let pool = (seen.server.backend.clone(), seen.server.zone.clone());
+        pools.entry(pool).or_default().push((stable_hash(&seen.server.id), seen.server.id.clone()));
+    }
+    for mut pool in pools.into_values() {
+        pool.sort();
+        let count = pool.len() as f64;
+        for (place, (_, id)) in pool.into_iter().enumerate() {
+            if let Some(seen) = servers.get_mut(&id) {
+                seen.rank = (place as f64 + 0.5) / count;
+            }
+        }
+    }
+}
+
+/// The best of the candidates: those for the request's kind unless they are much fuller than the others, then those near,
+/// then the one that has its prompt, else the least loaded.
+fn best<'a>(
+    candidates: &[&'a Seen],
+    demand: &Demand,
+    bulk_part: Option<f64>,
+    zone: &str,
+    now: Instant,
+) -> Option<&'a Seen> {
+    let of_kind = |seen: &&Seen| bulk_part.is_none_or(|part| (seen.rank < part) == demand.is_bulk);
+    let candidates = narrowed(candidates, of_kind, OWN_KIND_WITHIN, now);
+    let near = |seen: &&Seen| demand.affinity.is_some() || seen.server.zone == zone;
+    let candidates = narrowed(&candidates, near, OWN_ZONE_WITHIN, now);
+    let least = least_load(&candidates, now)?;
+    if let Some(affinity) = demand.affinity {
         let home = candidates.iter().max_by_key(|seen| mixed(affinity ^ stable_hash(&seen.server.id)))?;
         let load = home.load(now);
         if load <= least + KEEP_WITHIN && load < CROWDED {
@@ -207,6 +281,20 @@
     candidates.iter().copied().min_by(|left, right| left.load(now).total_cmp(&right.load(now)))
 }
 
+/// Those that fulfil a wish, unless the least loaded of them is fuller by more than `within` than the least loaded of all.
+fn narrowed<'a>(
+    candidates: &[&'a Seen],
+    wish: impl Fn(&&Seen) -> bool,
+    within: f64,
+    now: Instant,
+) -> Vec<&'a Seen> {
+    let wished: Vec<&Seen> = candidates.iter().copied().filter(|seen| wish(seen)).collect();
+    match (least_load(&wished, now), least_load(candidates, now)) {
+        (Some(least), Some(least_of_all)) if least <= least_of_all + within => wished,
+        _ => candidates.to_vec(),
+    }
+}
+
 fn least_load(candidates: &[&Seen], now: Instant) -> Option<f64> {
     candidates.iter().map(|seen| seen.load(now)).min_by(f64::total_cmp)
 }
--- a/crates/upstream/src/send.rs
+++ b/crates/upstream/src/send.rs
@@ -128,8 +128,8 @@
 
 impl crate::Pool {
     /// Learns from the head of an answer.
-    pub fn learn(&self, server: &Server, answer: &Answer) {
-        self.answered(&server.id, told_load(answer));
+    pub fn learn(&self, ticket: &crate::Ticket, answer: &Answer) {
+        self.answered(ticket, told_load(answer));
     }
 
     /// Learns from a failure.
--- a/crates/upstream/src/tests.rs
+++ b/crates/upstream/src/tests.rs
@@ -44,24 +44,72 @@
         server("b", ServerState::Ready),
         server("c", ServerState::Draining),
     ]);
-    let first = pool.choose("s", &[], None).expect("a server");
-    let second = pool.choose("s", &[], None).expect("a server");
+    let first = pool.choose("s", &[], &Demand::default()).expect("a server");
+    let second = pool.choose("s", &[], &Demand::default()).expect("a server");
     assert_ne!(first.server.id, second.server.id);
-    assert!(pool.choose("other", &[], None).is_none());
-    assert!(pool.choose("s", &["a".to_owned(), "b".to_owned()], None).is_none(), "draining is no choice");
-    pool.answered(&first.server.id, Some("4,9,4"));
+    assert!(pool.choose("other", &[], &Demand::default()).is_none());
+    assert!(
+        pool.choose("s", &["a".to_owned(), "b".to_owned()], &Demand::default()).is_none(),
+        "draining is no choice"
+    );
+    pool.answered(&first, Some("4,9,4"));
     drop((first, second));
     pool.failed("b");
-    assert_eq!(pool.choose("s", &[], None).expect("the one that does not rest").server.id, "a");
+    assert_eq!(pool.choose("s", &[], &Demand::default()).expect("the one that does not rest").server.id, "a");
+}
+
+fn same() -> Demand {
+    Demand { affinity: Some(7), prompt_tokens: 0, is_bulk: false }
+}
+
+#[test]
+fn a_large_shared_part_binds_a_request_to_a_server() {
+    let cases = [
+        (None, false, 0),
+        (Some("5c1e07a2:800,91bd3f06:410,e4402b7d:250"), true, 1_460),
+        (Some("5c1e07a2:100,91bd3f06:410,e4402b7d:2500"), false, 3_010),
+        (Some("e4402b7d:2500"), false, 2_500),
+        (Some("garbled,a:b,"), false, 0),
+    ];
+    for (parts, bound, tokens) in cases {
+        let demand = Demand::of_prefix(parts);
+        assert_eq!((demand.affinity.is_some(), demand.prompt_tokens), (bound, tokens), "{parts:?}");
+    }
+}
+
+#[test]
+fn a_server_that_still_reads_prompts_is_left_in_favour_of_another() {
+    let pool = pool(vec![server("a", ServerState::Ready), server("b", ServerState::Ready)]);
+    let large = Demand { affinity: None, prompt_tokens: 50_000, is_bulk: false };
+    let reading = pool.choose("s", &[], &large).expect("a server");
+    let other = || pool.choose("s", &[], &Demand::default()).expect("a server").server.id.clone();
+    assert!((0..3).all(|_| other() != reading.server.id));
+    pool.answered(&reading, None);
+    let held: Vec<_> = (0..2).map(|_| pool.choose("s", &[], &Demand::default()).expect("a server")).collect();
+    assert!(held.iter().any(|ticket| ticket.server.id == reading.server.id), "its prompt is read");
+}
+
+#[test]
+fn short_requests_keep_away_from_the_servers_of_bulk_unless_theirs_are_full() {
+    let pool = pool(vec![server("a", ServerState::Ready), server("b", ServerState::Ready)]);
+    let bulk = Demand { affinity: None, prompt_tokens: 6_000, is_bulk: true };
+    let short = Demand { affinity: None, prompt_tokens: 2_000, is_bulk: false };
+    let first = pool.choose("s", &[], &bulk).expect("a server");
+    let bulk_server = first.server.id.clone();
+    drop(first);
+    let shorts: Vec<_> = (0..3).map(|_| pool.choose("s", &[], &short).expect("a server")).collect();
+    assert_ne!(shorts[0].server.id, bulk_server);
+    assert_eq!(shorts[0].server.id, shorts[1].server.id, "though the other is idle");
+    assert_eq!(shorts[2].server.id, bulk_server, "until theirs is much fuller");
 }
 
 #[test]
 fn the_same_prompt_goes_to_the_same_server_until_it_is_crowded() {
     let pool = pool(vec![server("a", ServerState::Ready), server("b", ServerState::Ready)]);
-    let home = pool.choose("s", &[], Some(7)).expect("a server");
-    let again = pool.choose("s", &[], Some(7)).expect("a server");
+    let home = pool.choose("s", &[], &same()).expect("a server");
+    let again = pool.choose("s", &[], &same()).expect("a server");
     assert_eq!(home.server.id, again.server.id);
-    let third = pool.choose("s", &[], Some(7)).expect("a server");
+    let third = pool.choose("s", &[], &same()).expect("a server");
     assert_ne!(home.server.id, third.server.id);
 }
 
