--- a/crates/upstream/src/demand.rs
+++ b/crates/upstream/src/demand.rs
@@ -8,6 +8,18 @@
 /// From so many tokens on, the reading of a prompt holds up the other streams of its server.
 const LONG_PROMPT_TOKENS: u64 = 2_000;
 
+/// Which servers of a service a request is for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Kind {
+    /// An interactive request with a short prompt.
+    #[default]
+    Short,
+    /// A request whose long prompt holds up the streams of its server.
+    Long,
+    /// An item of a batch job: short, but nobody waits for it.
+    Item,
+}
+
 /// What the choice of a server goes by.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Demand {
@@ -15,8 +27,7 @@
     pub affinity: Option<u64>,
     /// Tokens of the prompt that a server without any of its parts reads.
     pub prompt_tokens: u64,
-    /// Kept away from the servers of short interactive requests: its prompt is long, or nobody waits for it.
-    pub is_bulk: bool,
+    pub kind: Kind,
 }
 
 impl Demand {
@@ -28,13 +39,13 @@
         let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
         let shared_tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
         let affinity = shared.last().filter(|_| shared_tokens >= WORTH_KEEPING_TOKENS);
-        let is_bulk = prompt_tokens >= LONG_PROMPT_TOKENS;
-        Self { affinity: affinity.map(|(id, _)| stable_hash(*id)), prompt_tokens, is_bulk }
+        let kind = if prompt_tokens >= LONG_PROMPT_TOKENS { Kind::Long } else { Kind::Short };
+        Self { affinity: affinity.map(|(id, _)| stable_hash(*id)), prompt_tokens, kind }
     }
 
     /// The same, for an item of a batch job.
     pub fn of_item(parts: Option<&str>) -> Self {
-        Self { is_bulk: true, ..Self::of_prefix(parts) }
+        Self { kind: Kind::Item, ..Self::of_prefix(parts) }
     }
 }
 
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -13,7 +13,7 @@
 mod subscriber;
 
 pub use connection::{Answer, BrokenOff};
-pub use demand::Demand;
+pub use demand::{Demand, Kind};
 pub use events::{Event, EventReader};
 pub use headers::*;
 pub use known::Known;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -8,8 +8,8 @@
 use fennelgauge_model::{mixed, stable_hash, Server, ServerList, ServerState};
 use tokio::time::Instant;
 
+use crate::demand::{Demand, Kind};
 use crate::mix::Mix;
-use crate::Demand;
 
 /// What a server told of its load is trusted for so long.
 const TOLD_FOR: Duration = Duration::from_millis(1_500);
@@ -155,7 +155,7 @@
     /// does not load it much more than others.
     pub fn choose(&self, service: &str, tried: &[String], demand: &Demand) -> Option<Ticket> {
         let now = Instant::now();
-        let bulk_part = self.bulk_part(service, demand, now);
+        let long_part = self.long_part(service, demand, now);
         let server = {
             let servers = self.servers.borrow();
             let of_service = || {
@@ -167,7 +167,7 @@
             let resting =
                 || of_service().filter(|seen| seen.listed && seen.server.state == ServerState::Ready);
             let candidates = if usable.is_empty() { resting().collect() } else { usable };
-            best(&candidates, demand, bulk_part, &self.zone, now)?.server.clone()
+            best(&candidates, demand, long_part, &self.zone, now)?.server.clone()
         };
         let tokens = demand.prompt_tokens;
         self.with(&server.id, |seen| {
@@ -177,14 +177,14 @@
         Some(Ticket { pool: self.clone(), server, unread_tokens: Cell::new(tokens) })
     }
 
-    fn bulk_part(&self, service: &str, demand: &Demand, now: Instant) -> Option<f64> {
+    fn long_part(&self, service: &str, demand: &Demand, now: Instant) -> Option<f64> {
         let mut mixes = self.mixes.borrow_mut();
         if !mixes.contains_key(service) {
             mixes.insert(service.to_owned(), Mix::new());
         }
         let mix = mixes.get_mut(service)?;
         mix.count(demand, now);
-        mix.bulk_part()
+        mix.long_part()
     }
 
     /// The mean load of a service's servers as a part of their slots; none without servers.
@@ -262,11 +262,15 @@
 fn best<'a>(
     candidates: &[&'a Seen],
     demand: &Demand,
-    bulk_part: Option<f64>,
+    long_part: Option<f64>,
     zone: &str,
     now: Instant,
 ) -> Option<&'a Seen> {
-    let of_kind = |seen: &&Seen| bulk_part.is_none_or(|part| (seen.rank < part) == demand.is_bulk);
+    let of_kind = |seen: &&Seen| match (long_part, demand.kind) {
+        (None, _) | (_, Kind::Item) => true,
+        (Some(part), Kind::Long) => seen.rank < part,
+        (Some(part), Kind::Short) => seen.rank >= part,
+    };
     let candidates = narrowed(candidates, of_kind, OWN_KIND_WITHIN, now);
     let near = |seen: &&Seen| demand.affinity.is_some() || seen.server.zone == zone;
     let candidates = narrowed(&candidates, near, OWN_ZONE_WITHIN, now);
--- a/crates/upstream/src/tests.rs
+++ b/crates/upstream/src/tests.rs
@@ -59,7 +59,7 @@
 }
 
 fn same() -> Demand {
-    Demand { affinity: Some(7), prompt_tokens: 0, is_bulk: false }
+    Demand { affinity: Some(7), prompt_tokens: 0, kind: Kind::Short }
 }
 
 #[test]
@@ -80,7 +80,7 @@
 #[test]
 fn a_server_that_still_reads_prompts_is_left_in_favour_of_another() {
     let pool = pool(vec![server("a", ServerState::Ready), server("b", ServerState::Ready)]);
-    let large = Demand { affinity: None, prompt_tokens: 50_000, is_bulk: false };
+    let large = Demand { affinity: None, prompt_tokens: 50_000, kind: Kind::Short };
     let reading = pool.choose("s", &[], &large).expect("a server");
     let other = || pool.choose("s", &[], &Demand::default()).expect("a server").server.id.clone();
     assert!((0..3).all(|_| other() != reading.server.id));
@@ -90,17 +90,17 @@
 }
 
 #[test]
-fn short_requests_keep_away_from_the_servers_of_bulk_unless_theirs_are_full() {
+fn short_requests_keep_away_from_the_servers_of_long_ones_unless_theirs_are_full() {
     let pool = pool(vec![server("a", ServerState::Ready), server("b", ServerState::Ready)]);
-    let bulk = Demand { affinity: None, prompt_tokens: 6_000, is_bulk: true };
-    let short = Demand { affinity: None, prompt_tokens: 2_000, is_bulk: false };
-    let first = pool.choose("s", &[], &bulk).expect("a server");
-    let bulk_server = first.server.id.clone();
+    let long = Demand { affinity: None, prompt_tokens: 6_000, kind: Kind::Long };
+    let short = Demand { affinity: None, prompt_tokens: 2_000, kind: Kind::Short };
+    let first = pool.choose("s", &[], &long).expect("a server");
+    let long_server = first.server.id.clone();
     drop(first);
     let shorts: Vec<_> = (0..3).map(|_| pool.choose("s", &[], &short).expect("a server")).collect();
-    assert_ne!(shorts[0].server.id, bulk_server);
+    assert_ne!(shorts[0].server.id, long_server);
     assert_eq!(shorts[0].server.id, shorts[1].server.id, "though the other is idle");
-    assert_eq!(shorts[2].server.id, bulk_server, "until theirs is much fuller");
+    assert_eq!(shorts[2].server.id, long_server, "until theirs is much fuller");
 }
 
 #[test]
