--- a/crates/control-plane/src/duties.rs
+++ b/crates/control-plane/src/duties.rs
@@ -1,4 +1,4 @@
-//! Duties towards the platform: the head reports usage. Counts of a window are fixed by the chain before they are first
+//! Duties towards the platform: the head reports usage and orders servers. Counts of a window are fixed by the chain before they are first
 //! sent, so that whoever sends them sends the same. The fence is the epoch of the view.
 
 use std::cell::RefCell;
@@ -7,11 +7,13 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use fennelgauge_model::{ServerState, Service};
 use fennelgauge_upstream::{client, FENCING_TOKEN, LEASE_HOLDER};
-use fennelgauge_wire::UsageReport;
-use tokio::time::sleep;
+use fennelgauge_wire::{ServiceTimeliness, UsageReport};
+use tokio::time::{sleep, Instant};
 
 use crate::core::Core;
+use crate::scaling::{Scaler, Seen};
 
 const CHECK_EVERY: Duration = Duration::from_millis(300);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -22,6 +24,9 @@
 /// Windows further back are not reported any more.
 const WINDOWS_BACK: u64 = 4;
 
+/// Timeliness is looked at so often.
+const LOOK_EVERY: Duration = Duration::from_millis(1_500);
+
 type Counts = BTreeMap<String, u64>;
 /// Counts by process and its life.
 type ByProcess = HashMap<(String, u64), Counts>;
@@ -30,11 +35,16 @@
 #[derive(Default)]
 pub struct UsageCollector {
     windows: RefCell<BTreeMap<u64, ByProcess>>,
+    /// By process and its life: what it told of its answers last.
+    timeliness: RefCell<HashMap<(String, u64), Vec<ServiceTimeliness>>>,
+    /// By service: answers and late ones since the last look.
+    fresh: RefCell<BTreeMap<String, (u64, u64)>>,
 }
 
 impl UsageCollector {
     /// A process told its counts so far.
     pub fn hear(&self, report: UsageReport) {
+        self.hear_timeliness((report.node.clone(), report.life), &report.timeliness);
         let mut windows = self.windows.borrow_mut();
         for counted in report.windows {
             let process = (report.node.clone(), report.life);
@@ -49,6 +59,25 @@
         }
     }
 
+    fn hear_timeliness(&self, process: (String, u64), told: &[ServiceTimeliness]) {
+        let before = self.timeliness.borrow_mut().insert(process, told.to_vec());
+        // The first report of a process tells of times long past.
+        let Some(before) = before else { return };
+        let mut fresh = self.fresh.borrow_mut();
+        for now in told {
+            let then = before.iter().find(|then| then.service == now.service);
+            let (answers, late) = then.map_or((0, 0), |then| (then.answers, then.late));
+            let counts = fresh.entry(now.service.clone()).or_default();
+            counts.0 += now.answers.saturating_sub(answers);
+            counts.1 += now.late.saturating_sub(late);
+        }
+    }
+
+    /// Answers and late ones of a service since the last time this was asked.
+    fn fresh_timeliness(&self, service: &str) -> (u64, u64) {
+        self.fresh.borrow_mut().remove(service).unwrap_or_default()
+    }
+
     /// The sum of a window.
     pub fn sum(&self, window: u64) -> Counts {
         let windows = self.windows.borrow();
@@ -132,3 +161,66 @@
         }
     }
 }
+
+/// Orders servers without end, while this machine is the head.
+pub async fn order_servers(core: Rc<Core>, collector: Rc<UsageCollector>) {
+    let Some(platform) = core.settings.cloud.addr else { return };
+    if !core.settings.cloud.duties.iter().any(|duty| duty == "autoscale") {
+        return;
+    }
+    let client = client();
+    let began = Instant::now();
+    let mut scalers: HashMap<String, Scaler> = HashMap::new();
+    loop {
+        sleep(LOOK_EVERY).await;
+        let Some(table) = core.known.table() else { continue };
+        if !core.is_head() || !core.is_confirmed() || core.in_view_for() < HOLDER_PATIENCE {
+            scalers.clear();
+            continue;
+        }
+        for service in &table.configuration.services {
+            let Some(bounds) = service.autoscale else { continue };
+            let seen = seen(&core, &collector, service);
+            let orders =
+                scalers.entry(service.name.clone()).or_default().orders(began.elapsed(), &seen, bounds);
+            for (zone, desired) in orders {
+                order(&core, &client, platform, &service.name, &zone, desired).await;
+            }
+        }
+    }
+}
+
+fn seen(core: &Core, collector: &UsageCollector, service: &Service) -> Seen {
+    let (answers, late) = collector.fresh_timeliness(&service.name);
+    let mut servers: BTreeMap<String, u32> = BTreeMap::new();
+    for server in &core.known.servers().servers {
+        if server.backend == service.name {
+            let count = servers.entry(server.zone.clone()).or_default();
+            *count += u32::from(server.state == ServerState::Ready);
+        }
+    }
+    Seen { answers, late, servers }
+}
+
+async fn order(
+    core: &Core,
+    client: &awc::Client,
+    platform: SocketAddr,
+    service: &str,
+    zone: &str,
+    desired: u32,
+) {
+    log::info!("{desired} servers of {service} are ordered in {zone}");
+    let fence = core.epoch().to_string();
+    let call = client
+        .post(format!("http://{platform}/scale"))
+        .timeout(CALL_TIMEOUT)
+        .insert_header((LEASE_HOLDER, core.me.identity.node.as_str()))
+        .insert_header((FENCING_TOKEN, fence.as_str()))
+        .send_json(&serde_json::json!({ "backend": service, "zone": zone, "desired": desired }));
+    match call.await {
+        Ok(answer) if answer.status().is_success() => {}
+        Ok(answer) => log::warn!("servers of {service} in {zone}: the platform answered {}", answer.status()),
+        Err(reason) => log::warn!("servers of {service} in {zone}: {reason}"),
+    }
+}
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod placement;
 pub mod platform_reader;
 pub mod process;
+pub mod scaling;
 pub mod state;
 pub mod store;
--- a/crates/control-plane/src/process.rs
+++ b/crates/control-plane/src/process.rs
@@ -12,7 +12,7 @@
 use tokio::task::spawn_local;
 
 use crate::core::Core;
-use crate::duties::{report_usage, UsageCollector};
+use crate::duties::{order_servers, report_usage, UsageCollector};
 use crate::identity::identity;
 use crate::operator::{routes, Operator, MAX_ORDER_BYTES};
 use crate::placement::{keep_placement, Presence};
@@ -45,7 +45,8 @@
     spawn_local(keep_list(core.clone()));
     spawn_local(follow_head(core.clone()));
     spawn_local(keep_placement(core.clone(), presence));
-    spawn_local(report_usage(core.clone(), collector));
+    spawn_local(report_usage(core.clone(), collector.clone()));
+    spawn_local(order_servers(core.clone(), collector));
     spawn_local(subscribe(known, caller, subscription(&settings)));
     serve_operator(&settings, core).await
 }
--- a/crates/control-plane/src/store/runner.rs
+++ b/crates/control-plane/src/store/runner.rs
@@ -10,8 +10,8 @@
 use fennelgauge_coordination::{GroupNumber, StoreView};
 use fennelgauge_model::{stable_hash, Route, RouteKind};
 use fennelgauge_upstream::{
-    is_hop_by_hop, Answer, Demand, EventReader, Outgoing, SendError, Ticket, LAST_EVENT_ID, PREFIX_HASH,
-    PRIORITY, TENANT,
+    is_hop_by_hop, Answer, Demand, EventOrder, EventReader, Outgoing, SendError, Ticket, LAST_EVENT_ID,
+    PREFIX_HASH, PRIORITY, TENANT,
 };
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
@@ -204,7 +204,7 @@
     /// Runs one item to its end; none if it need not run any more.
     async fn run_item(self: &Rc<Self>, key: &ItemKey) -> Option<ItemResult> {
         let mut text: Vec<String> = Vec::new();
-        let mut last_event = None;
+        let mut order = EventOrder::default();
         let mut failures = 0;
         let mut tried = Vec::new();
         if !self.is_committed(key).await {
@@ -229,8 +229,8 @@
                 sleep(TRY_AGAIN).await;
                 continue;
             };
-            let outgoing = outgoing(&item, &tenant, &host, last_event);
-            match self.attempt(&ticket, &outgoing, &mut text, &mut last_event).await {
+            let outgoing = outgoing(&item, &tenant, &host, order.last());
+            match self.attempt(&ticket, &outgoing, &mut text, &mut order).await {
                 Attempt::Finished(ItemOutcome::Succeeded) => {
                     let text = text.join("\n");
                     return Some(ItemResult { item: key.item, outcome: ItemOutcome::Succeeded, text });
@@ -281,7 +281,7 @@
         ticket: &Ticket,
         outgoing: &Outgoing,
         text: &mut Vec<String>,
-        last_event: &mut Option<u64>,
+        order: &mut EventOrder,
     ) -> Attempt {
         let answer = match self.sender.send(&ticket.server, outgoing, LONGEST_RUN, LONGEST_RUN).await {
             Ok(answer) => answer,
@@ -295,7 +295,7 @@
         };
         self.pool.learn(ticket, &answer);
         match answer.status() {
-            status if status.is_success() => read_events(answer, text, last_event).await,
+            status if status.is_success() => read_events(answer, text, order).await,
             StatusCode::UNPROCESSABLE_ENTITY => Attempt::Finished(ItemOutcome::DeadLettered),
             StatusCode::INTERNAL_SERVER_ERROR => Attempt::Failed,
             _ => Attempt::Again,
@@ -304,7 +304,7 @@
 }
 
 /// Collects the events of an answer; a break leaves what was whole.
-async fn read_events(mut answer: Answer, text: &mut Vec<String>, last_event: &mut Option<u64>) -> Attempt {
+async fn read_events(mut answer: Answer, text: &mut Vec<String>, order: &mut EventOrder) -> Attempt {
     let mut reader = EventReader::default();
     loop {
         let piece = match timeout(LONGEST_SILENCE, answer.next()).await {
@@ -314,7 +314,9 @@
         };
         reader.push(&piece);
         for event in reader.by_ref() {
-            *last_event = event.id.or(*last_event);
+            if !order.take(&event) {
+                return Attempt::Again;
+            }
             text.push(event.data);
         }
     }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,11 +3,13 @@
 
 mod identity;
 mod proposer;
+mod sampling;
 mod stores;
 mod view;
 
 pub use identity::{Identity, Member};
 pub use proposer::{Proposer, Step};
+pub use sampling::{PartialView, Peer, Sighting, Swap};
 pub use stores::{Group, GroupNumber, Planner, Store, StoreNumber, StoreView, GROUPS};
 pub use view::{
     next_view, AcceptReply, Acceptor, Ballot, PrepareReply, Promise, Proposal, StateVersion, View, ViewRules,
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod process;
 pub mod ready;
 pub mod resumed;
+pub mod timeliness;
 pub mod usage;
--- a/crates/data-plane/src/live.rs
+++ b/crates/data-plane/src/live.rs
@@ -20,6 +20,7 @@
 use crate::front::{close_if_stopping, finished, header_text, refused, Open};
 use crate::process::Plane;
 use crate::resumed;
+use crate::timeliness::Watched;
 
 /// Servers that may refuse one try, one after the other.
 const MOST_REFUSALS: u32 = 4;
@@ -42,6 +43,7 @@
     tried: Vec<String>,
     /// Servers that may have run it.
     pub runs: u32,
+    pub watched: Watched,
 }
 
 /// An answer with the place at its server.
@@ -71,7 +73,12 @@
     let Some(mut attempts) = Attempts::new(plane.clone(), request, access, body) else {
         return finished(&plane, HttpResponse::BadRequest());
     };
-    match attempts.next(None).await {
+    let attempted = attempts.next(None).await;
+    match attempted {
+        Ok(_) => attempts.watched.piece(),
+        Err(_) => attempts.watched.fail(),
+    }
+    match attempted {
         Ok(accepted) => {
             if let (Some(tenant), true) = (&attempts.access.tenant, accepted.answer.status().is_success()) {
                 plane.usage.borrow_mut().count(&tenant.name);
@@ -91,6 +98,7 @@
         let deadline = deadline.map_or(DEFAULT_DEADLINE, Duration::from_millis);
         let held = Duration::from_millis(access.route.timeout_ms);
         let chance = (stable_hash(&id) >> 11) as f64 / (1_u64 << 53) as f64;
+        let service = access.route.service(chance).to_owned();
         let outgoing = Outgoing {
             method: request.method().clone(),
             path_and_query: request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned(),
@@ -100,7 +108,8 @@
             body,
         };
         Some(Self {
-            service: access.route.service(chance).to_owned(),
+            watched: Watched::new(plane.clone(), &service, &access.route),
+            service,
             demand: Demand::of_prefix(header_text(request, &PREFIX_HASH)),
             until: Instant::now() + deadline.min(held),
             tried: Vec::new(),
@@ -201,19 +210,26 @@
         && answer.status().is_success();
     match length {
         _ if resumable => response.streaming(resumed::stream(attempts, open, accepted)),
-        Some(length) => response.body(SizedStream::new(length, plain(open, accepted))),
-        None => response.streaming(plain(open, accepted)),
+        Some(length) => response.body(SizedStream::new(length, plain(attempts, open, accepted))),
+        None => response.streaming(plain(attempts, open, accepted)),
     }
 }
 
 /// The bytes as they come; a break is passed on as a break.
-fn plain(open: Open, accepted: Accepted) -> impl Stream<Item = Result<Bytes, actix_web::Error>> {
+fn plain(
+    attempts: Attempts,
+    open: Open,
+    accepted: Accepted,
+) -> impl Stream<Item = Result<Bytes, actix_web::Error>> {
     let Accepted { answer, ticket } = accepted;
-    let parts = Box::new((answer, ticket, open));
+    let parts = Box::new((answer, attempts.watched, ticket, open));
     stream::unfold(Some(parts), |parts| async move {
         let mut parts = parts?;
         match parts.0.next().await? {
-            Ok(bytes) => Some((Ok(bytes), Some(parts))),
+            Ok(bytes) => {
+                parts.1.piece();
+                Some((Ok(bytes), Some(parts)))
+            }
             Err(broken) => Some((Err(ErrorBadGateway(broken)), None)),
         }
     })
--- a/crates/data-plane/src/process.rs
+++ b/crates/data-plane/src/process.rs
@@ -14,6 +14,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
+use crate::timeliness::TimelinessCounts;
 use crate::usage::{report_usage, UsageCounts};
 use crate::{front, ready};
 
@@ -37,6 +38,7 @@
     pub pool: Pool,
     pub sender: Sender,
     pub usage: RefCell<UsageCounts>,
+    pub timeliness: RefCell<TimelinessCounts>,
     /// Requests being answered.
     pub open: Cell<usize>,
     /// When the last of them ended.
@@ -52,6 +54,7 @@
             usage: RefCell::new(UsageCounts::new(settings.bounds.usage_window_s)),
             pool: Pool::new(&settings.zone),
             settings,
+            timeliness: RefCell::default(),
             known: Rc::new(Known::default()),
             caller: Caller::default(),
             sender: Sender::default(),
--- a/crates/data-plane/src/resumed.rs
+++ b/crates/data-plane/src/resumed.rs
@@ -2,7 +2,7 @@
 
 use actix_web::error::ErrorBadGateway;
 use actix_web::web::Bytes;
-use fennelgauge_upstream::EventReader;
+use fennelgauge_upstream::{EventOrder, EventReader};
 use futures_util::stream::{self, Stream};
 
 use crate::front::Open;
@@ -12,7 +12,9 @@
     attempts: Attempts,
     accepted: Option<Accepted>,
     reader: EventReader,
-    last_event: Option<u64>,
+    order: EventOrder,
+    /// An event came that is not the next one: nothing more of this run counts.
+    spoilt: bool,
     _open: Open,
 }
 
@@ -32,7 +34,8 @@
         attempts,
         accepted: Some(accepted),
         reader: EventReader::default(),
-        last_event: None,
+        order: EventOrder::default(),
+        spoilt: false,
         _open: open,
     };
     stream::unfold(Some(Box::new(resumed)), |resumed| async move {
@@ -48,12 +51,16 @@
 impl Resumed {
     async fn piece(&mut self) -> Piece {
         loop {
+            if std::mem::take(&mut self.spoilt) && !self.continue_elsewhere().await {
+                return Piece::Broken;
+            }
             let Some(accepted) = self.accepted.as_mut() else { return Piece::Broken };
             match accepted.answer.next().await {
                 Some(Ok(bytes)) => {
                     self.reader.push(&bytes);
                     let events = self.whole_events();
                     if !events.is_empty() {
+                        self.attempts.watched.piece();
                         return Piece::Events(events);
                     }
                 }
@@ -70,7 +77,10 @@
     fn whole_events(&mut self) -> Bytes {
         let mut bytes = Vec::new();
         for event in self.reader.by_ref() {
-            self.last_event = event.id.or(self.last_event);
+            if !self.order.take(&event) {
+                self.spoilt = true;
+                break;
+            }
             bytes.extend_from_slice(&event.bytes);
         }
         Bytes::from(bytes)
@@ -84,7 +94,7 @@
         if self.attempts.runs >= self.attempts.most_runs() {
             return false;
         }
-        match self.attempts.next(self.last_event).await {
+        match self.attempts.next(self.order.last()).await {
             Ok(accepted) if accepted.answer.status().is_success() => {
                 self.accepted = Some(accepted);
                 true
--- a/crates/data-plane/src/usage.rs
+++ b/crates/data-plane/src/usage.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use fennelgauge_wire::{Request, UsageReport, WindowCounts};
+use fennelgauge_wire::{Request, ServiceTimeliness, UsageReport, WindowCounts};
 use tokio::time::sleep;
 
 use crate::process::Plane;
@@ -37,12 +37,12 @@
         }
     }
 
-    fn report(&self, node: &str) -> UsageReport {
+    fn report(&self, node: &str, timeliness: Vec<ServiceTimeliness>) -> UsageReport {
         let windows = self.windows.iter().map(|(window, counts)| WindowCounts {
             window: *window,
             counts: counts.iter().map(|(tenant, count)| (tenant.clone(), *count)).collect(),
         });
-        UsageReport { node: node.to_owned(), life: self.life, windows: windows.collect() }
+        UsageReport { node: node.to_owned(), life: self.life, windows: windows.collect(), timeliness }
     }
 }
 
@@ -52,8 +52,9 @@
         sleep(REPORT_EVERY).await;
         let Some(view) = plane.known.view() else { continue };
         let Some(head) = view.head() else { continue };
-        let report = plane.usage.borrow().report(&plane.settings.node);
-        if report.windows.is_empty() {
+        let timeliness = plane.timeliness.borrow().report();
+        let report = plane.usage.borrow().report(&plane.settings.node, timeliness);
+        if report.windows.is_empty() && report.timeliness.is_empty() {
             continue;
         }
         if let Err(reason) = plane.caller.call(head.peer, Request::Usage(report), REPORT_TIMEOUT).await {
--- a/crates/upstream/src/events.rs
+++ b/crates/upstream/src/events.rs
@@ -45,6 +45,29 @@
     }
 }
 
+/// Holds a stream to its order: a server in trouble may send events that are spoilt or come twice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EventOrder {
+    last: Option<u64>,
+}
+
+impl EventOrder {
+    /// The newest event taken; a stream is continued after it.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Takes an event if it is the next one. After one that is not, nothing of its stream counts any more.
+    pub fn take(&mut self, event: &Event) -> bool {
+        let Some(id) = event.id else { return false };
+        let next = self.last.is_none_or(|last| id == last + 1);
+        if next {
+            self.last = Some(id);
+        }
+        next
+    }
+}
+
 fn end_of_event(bytes: &[u8], from: usize) -> Option<usize> {
     (from..bytes.len()).find_map(|at| {
         let rest = &bytes[at..];
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use connection::{Answer, BrokenOff};
 pub use demand::{Demand, Kind};
-pub use events::{Event, EventReader};
+pub use events::{Event, EventOrder, EventReader};
 pub use headers::*;
 pub use known::Known;
 pub use platform::{read_list, ListError, Reader};
--- a/crates/upstream/src/tests.rs
+++ b/crates/upstream/src/tests.rs
@@ -19,6 +19,25 @@
     }
 }
 
+#[test]
+fn events_count_only_in_their_order() {
+    let cases: [(&str, &[Option<u64>], usize, Option<u64>); 7] = [
+        ("in order", &[Some(1), Some(2), Some(3)], 3, Some(3)),
+        ("from another place", &[Some(7), Some(8)], 2, Some(8)),
+        ("twice", &[Some(1), Some(2), Some(2), Some(3)], 2, Some(2)),
+        ("a gap", &[Some(1), Some(3)], 1, Some(1)),
+        ("back", &[Some(4), Some(1)], 1, Some(4)),
+        ("without an id", &[Some(1), None, Some(2)], 1, Some(1)),
+        ("nothing", &[], 0, None),
+    ];
+    for (name, ids, taken, last) in cases {
+        let mut order = EventOrder::default();
+        let event = |id: &Option<u64>| Event { bytes: vec![], id: *id, data: String::new() };
+        assert_eq!(ids.iter().map(event).take_while(|event| order.take(event)).count(), taken, "{name}");
+        assert_eq!(order.last(), last, "{name}");
+    }
+}
+
 fn server(id: &str, state: ServerState) -> Server {
     Server {
         id: id.to_owned(),
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -190,6 +190,15 @@
     /// Drawn at the process's start.
     pub life: u64,
     pub windows: Vec<WindowCounts>,
+    pub timeliness: Vec<ServiceTimeliness>,
+}
+
+/// Answers of one service since the process's start, and how many of them were late.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceTimeliness {
+    pub service: String,
+    pub answers: u64,
+    pub late: u64,
 }
 
 /// Counts of one window.
