--- a/crates/upstream/src/tests.rs
+++ b/crates/upstream/src/tests.rs
@@ -21,7 +21,8 @@
 
 #[test]
 fn events_count_only_in_their_order() {
-    let cases: [(&str, &[Option<u64>], usize, Option<u64>); 7] = [
+    type Case = (&'static str, &'static [Option<u64>], usize, Option<u64>);
+    let cases: [Case; 7] = [
         ("in order", &[Some(1), Some(2), Some(3)], 3, Some(3)),
         ("from another place", &[Some(7), Some(8)], 2, Some(8)),
         ("twice", &[Some(1), Some(2), Some(2), Some(3)], 2, Some(2)),
