Leave members and stores whose disk fails or stalls for others

Such a process keeps silent now, so that it is put out, and writes everything anew once its disk takes it; until then nothing counts as written there.

--- a/crates/control-plane/src/core/membership.rs
+++ b/crates/control-plane/src/core/membership.rs
@@ -50,7 +50,7 @@
         let began = Instant::now();
         let others = view.members.iter().filter(|member| member.identity != self.me.identity);
         let replies = join_all(others.map(|member| self.heartbeat(member, view.epoch))).await;
-        let own = !self.acceptor.borrow().sealed();
+        let own = !self.acceptor.borrow().sealed() && !self.is_disk_in_trouble();
         let agreeing = replies.into_iter().filter(|agrees| *agrees).count() + usize::from(own);
         if agreeing >= view.majority() && self.epoch() == view.epoch {
             self.known.take_confirmed(began.elapsed());
@@ -81,7 +81,8 @@
         let joiners = self.fresh_joiners();
         let asked = joiners.iter().map(|joiner| async {
             let request = CoreRequest::Heartbeat { epoch: self.epoch() };
-            if self.ask(joiner.peer, request, HEARTBEAT_TIMEOUT).await.is_some() {
+            let reply = self.ask(joiner.peer, request, HEARTBEAT_TIMEOUT).await;
+            if matches!(reply, Some(CoreReply::Epoch { .. })) {
                 self.heard.borrow_mut().insert(joiner.identity.clone(), Instant::now());
             }
         });
@@ -104,7 +105,7 @@
         let known = self.known.view();
         let current = known.as_ref().map_or(0, |view| view.epoch).max(self.epoch());
         let in_current = self.epoch() == current && self.is_member() && current > 0;
-        if !self.eligible || in_current {
+        if !self.eligible || in_current || self.is_disk_in_trouble() {
             return;
         }
         let mut peers = match known {
--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -24,6 +24,7 @@
 pub use chain::WriteError;
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+const TRY_DISK_EVERY: Duration = Duration::from_millis(500);
 
 /// The core as this machine sees it.
 pub struct Core {
@@ -149,6 +150,10 @@
     /// Answers one of the core's messages.
     pub async fn answer(self: &Rc<Self>, request: CoreRequest) -> CoreReply {
         match request {
+            // Who cannot write is no use as a member: it keeps silent, and the others go on without it.
+            CoreRequest::Heartbeat { .. } if self.is_disk_in_trouble() => {
+                CoreReply::Refused { epoch: self.epoch() }
+            }
             CoreRequest::Heartbeat { .. } | CoreRequest::Confirm { .. } => self.epoch_reply(),
             CoreRequest::Join { member } => {
                 self.joiners.borrow_mut().insert(member.identity.clone(), (member, Instant::now()));
@@ -172,6 +177,26 @@
         }
     }
 
+    fn is_disk_in_trouble(&self) -> bool {
+        self.record_disk.health().is_in_trouble() || self.state_disk.health().is_in_trouble()
+    }
+
+    /// After a failed write, tries the disk until it writes again, without end.
+    pub async fn try_failed_disk(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(TRY_DISK_EVERY).await;
+            if self.record_disk.health().has_failed() {
+                let _durable = self.durable.lock().await;
+                self.persist_record().await;
+            }
+            if self.state_disk.health().has_failed() {
+                let _durable = self.durable.lock().await;
+                let state = self.state.borrow().clone();
+                self.persist_state(&state).await;
+            }
+        }
+    }
+
     fn epoch_reply(&self) -> CoreReply {
         let acceptor = self.acceptor.borrow();
         CoreReply::Epoch { epoch: acceptor.view.epoch, sealed: acceptor.sealed() }
--- a/crates/control-plane/src/disk.rs
+++ b/crates/control-plane/src/disk.rs
@@ -1,10 +1,15 @@
 //! The disk of a process, written by a thread of its own so that nothing else waits for it.
 
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::path::Path;
+use std::rc::Rc;
 use std::sync::mpsc;
+use std::time::Duration;
 
 use fennelgauge_versions::{Folder, VersionName, VersionsError};
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 /// Versions that are kept beside the newest, for the on-call.
 const KEPT: usize = 3;
@@ -15,16 +20,52 @@
     done: oneshot::Sender<Result<(), VersionsError>>,
 }
 
+/// A write that takes longer than this is a sign of a disk in trouble.
+const SLOW_WRITE: Duration = Duration::from_millis(800);
+
 /// A folder of versions of which only the newest counts. Without a disk nothing is kept, and nothing fails.
 #[derive(Clone)]
 pub struct Disk {
     writes: Option<mpsc::Sender<Write>>,
+    health: Rc<DiskHealth>,
+}
+
+/// Whether a disk does its work.
+#[derive(Debug, Default)]
+pub struct DiskHealth {
+    /// When the oldest write that is not done was handed over.
+    waiting_since: RefCell<VecDeque<Instant>>,
+    failed: Cell<bool>,
+}
+
+impl DiskHealth {
+    /// A write is handed over.
+    pub fn begin(&self) {
+        self.waiting_since.borrow_mut().push_back(Instant::now());
+    }
+
+    /// The oldest write has ended.
+    pub fn end(&self, written: bool) {
+        self.waiting_since.borrow_mut().pop_front();
+        self.failed.set(!written);
+    }
+
+    /// Whether the last write failed.
+    pub fn has_failed(&self) -> bool {
+        self.failed.get()
+    }
+
+    /// Whether the last write failed, or one takes too long.
+    pub fn is_in_trouble(&self) -> bool {
+        let oldest = self.waiting_since.borrow().front().copied();
+        self.failed.get() || oldest.is_some_and(|since| since.elapsed() > SLOW_WRITE)
+    }
 }
 
 impl Disk {
     /// A process without a disk.
     pub fn none() -> Self {
-        Self { writes: None }
+        Self { writes: None, health: Rc::default() }
     }
 
     /// Opens a folder and reads its newest version.
@@ -39,7 +80,7 @@
                 let _ = write.done.send(written.and(pruned));
             }
         });
-        Ok((Self { writes: Some(writes) }, newest))
+        Ok((Self { writes: Some(writes), health: Rc::default() }, newest))
     }
 
     /// Writes a version; true once it outlives a loss of power.
@@ -49,13 +90,20 @@
         if writes.send(Write { name, body, done }).is_err() {
             return false;
         }
-        match written.await {
-            Ok(Ok(())) => true,
-            Ok(Err(error)) => {
-                log::error!("{error}");
-                false
-            }
-            Err(_) => false,
+        self.health.begin();
+        let written = written.await;
+        if let Ok(Err(error)) = &written {
+            log::error!("{error}");
         }
+        let written = matches!(written, Ok(Ok(())));
+        self.health.end(written);
+        written
+    }
+
+    pub fn health(&self) -> &DiskHealth {
+        &self.health
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/control-plane/src/process.rs
+++ b/crates/control-plane/src/process.rs
@@ -42,6 +42,7 @@
     spawn_local(serve(listener, move |request| answer(answering.clone(), request)));
     spawn_local(core.clone().keep_membership());
     spawn_local(core.clone().settle_doubts());
+    spawn_local(core.clone().try_failed_disk());
     spawn_local(keep_list(core.clone()));
     spawn_local(follow_head(core.clone()));
     spawn_local(keep_placement(core.clone(), presence));
--- a/crates/control-plane/src/store/journal.rs
+++ b/crates/control-plane/src/store/journal.rs
@@ -90,6 +90,8 @@
 
 fn write_all(folder: &Folder, mut sequence: u64, queue: &mpsc::Receiver<Write>) {
     let mut held: Option<Write> = None;
+    // After a failed write the disk lacks something: nothing counts as written until all was written anew.
+    let mut lacking = false;
     loop {
         let first = match held.take() {
             Some(write) => write,
@@ -114,13 +116,8 @@
             }
             break;
         }
-        let written = match folder.write(VersionName { epoch: 0, sequence }, &body) {
-            Ok(()) => true,
-            Err(error) => {
-                log::error!("{error}");
-                false
-            }
-        };
+        let written = (whole || !lacking) && write_one(folder, sequence, &body);
+        lacking = !written;
         if whole && written {
             remove_before(folder, sequence);
         }
@@ -131,6 +128,19 @@
     }
 }
 
+fn write_one(folder: &Folder, sequence: u64, body: &[u8]) -> bool {
+    if body.is_empty() {
+        return true;
+    }
+    match folder.write(VersionName { epoch: 0, sequence }, body) {
+        Ok(()) => true,
+        Err(error) => {
+            log::error!("{error}");
+            false
+        }
+    }
+}
+
 fn remove_before(folder: &Folder, sequence: u64) {
     let Ok(names) = folder.names() else { return };
     for name in names.into_iter().filter(|name| name.sequence < sequence) {
--- a/crates/control-plane/src/store/learner.rs
+++ b/crates/control-plane/src/store/learner.rs
@@ -25,6 +25,10 @@
     pub(super) async fn tell_presence(self: Rc<Self>) {
         loop {
             sleep(PRESENCE_EVERY).await;
+            // Who cannot write is no use in a chain: it keeps silent, and the others go on without it.
+            if self.disk_health.is_in_trouble() {
+                continue;
+            }
             let Some(view) = self.known.view() else { continue };
             let Some(head) = view.head() else { continue };
             let level = self.level.borrow().iter().copied().collect();
@@ -69,7 +73,7 @@
                     }
                 }
                 let position = self.held(group).borrow().position();
-                if !records.is_empty() && self.journal_records(records).await != Ok(true) {
+                if !records.is_empty() && !self.journal_records(records).await {
                     return false;
                 }
                 let mut held = self.held(group).borrow_mut();
--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -11,6 +11,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -23,8 +24,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
+use crate::disk::DiskHealth;
 use crate::identity::identity;
 use crate::process::subscription;
 use group::HeldGroup;
@@ -32,6 +34,7 @@
 
 /// A whole write is made once so much has been written since the last one, or twice its size.
 const WHOLE_WRITE_AFTER: usize = 24 << 20;
+const TRY_DISK_EVERY: Duration = Duration::from_millis(400);
 /// Work for the next view waits so long for the news of it.
 const NEWS_PATIENCE: Duration = Duration::from_millis(400);
 
@@ -55,6 +58,7 @@
     /// Groups that this store has copied as a learner.
     level: RefCell<BTreeSet<GroupNumber>>,
     running: RefCell<HashMap<runner::ItemKey, AbortHandle>>,
+    disk_health: Rc<DiskHealth>,
     /// Bytes handed to the journal since the last whole write, and the size of that.
     written: Cell<usize>,
     whole_size: Cell<usize>,
@@ -70,6 +74,7 @@
     spawn_local(subscribe(store.known.clone(), store.caller.clone(), subscription(&settings)));
     spawn_local(store.clone().flush_entries());
     spawn_local(store.clone().repair_successors());
+    spawn_local(store.clone().try_failed_disk());
     spawn_local(store.clone().tell_presence());
     spawn_local(store.clone().learn());
     spawn_local(store.clone().run_items());
@@ -113,6 +118,7 @@
             checked: RefCell::default(),
             level: RefCell::default(),
             running: RefCell::default(),
+            disk_health: Rc::default(),
             written: Cell::new(0),
             whole_size: Cell::new(0),
         }))
@@ -177,14 +183,26 @@
         Some((next.number, next.member.peer))
     }
 
-    /// Hands records to the journal; whole copies instead, once enough was written.
-    fn journal_records(&self, records: Vec<Record>) -> tokio::sync::oneshot::Receiver<bool> {
+    /// Hands records to the journal, and whole copies of all groups once enough was written. Handed over when called; true
+    /// once on disk.
+    fn journal_records(&self, records: Vec<Record>) -> impl Future<Output = bool> {
         let size: usize = records.iter().map(record_size).sum();
         self.written.set(self.written.get() + size);
         let written = self.journal.write(&records, false);
-        if self.written.get() < WHOLE_WRITE_AFTER.max(2 * self.whole_size.get()) {
-            return written;
+        self.disk_health.begin();
+        if self.written.get() >= WHOLE_WRITE_AFTER.max(2 * self.whole_size.get()) {
+            drop(self.journal_all());
         }
+        let health = self.disk_health.clone();
+        async move {
+            let written = written.await == Ok(true);
+            health.end(written);
+            written
+        }
+    }
+
+    /// Hands whole copies of all groups to the journal: what is older may go then.
+    fn journal_all(&self) -> tokio::sync::oneshot::Receiver<bool> {
         let whole: Vec<Record> = GroupNumber::all()
             .filter(|group| self.held(*group).borrow().position().sequence > 0)
             .map(|group| Record::Copy { group, copy: self.held(group).borrow().copy() })
@@ -193,6 +211,31 @@
         self.written.set(0);
         self.journal.write(&whole, true)
     }
+
+    /// After a failed write, tries to write everything anew until the disk takes it, without end.
+    async fn try_failed_disk(self: Rc<Self>) {
+        loop {
+            sleep(TRY_DISK_EVERY).await;
+            if !self.disk_health.has_failed() {
+                continue;
+            }
+            let positions: Vec<_> =
+                GroupNumber::all().map(|group| self.held(group).borrow().position()).collect();
+            self.disk_health.begin();
+            let written = self.journal_all().await == Ok(true);
+            self.disk_health.end(written);
+            if !written {
+                continue;
+            }
+            for (group, position) in GroupNumber::all().zip(positions) {
+                let mut held = self.held(group).borrow_mut();
+                if held.contains(position) {
+                    held.synced = held.synced.max(position.sequence);
+                }
+            }
+            self.changed.notify_waiters();
+        }
+    }
 }
 
 fn restore(groups: &[RefCell<HeldGroup>], record: Record) {
--- a/crates/control-plane/src/store/replication.rs
+++ b/crates/control-plane/src/store/replication.rs
@@ -1,6 +1,7 @@
 //! Entries along the chains: made at the head, on each link's disk before they go on, committed once the tail has them.
 
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,7 +12,6 @@
     Entry, EntryBatch, EntryPosition, GroupCopy, Reply, Request, StoreReply, StoreRequest,
 };
 use futures_util::future::join_all;
-use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use super::group::Offer;
@@ -62,9 +62,9 @@
         self: &Rc<Self>,
         epoch: u64,
         batches: Vec<EntryBatch>,
-        synced: oneshot::Receiver<bool>,
+        synced: impl Future<Output = bool>,
     ) -> Vec<GroupNumber> {
-        if synced.await != Ok(true) {
+        if !synced.await {
             return Vec::new();
         }
         for batch in &batches {
@@ -193,7 +193,7 @@
             return false;
         }
         let synced = self.journal_records(vec![Record::Copy { group, copy: copy.clone() }]);
-        if synced.await != Ok(true) {
+        if !synced.await {
             return false;
         }
         let mut held = self.held(group).borrow_mut();
--- a/crates/control-plane/src/store/tests.rs
+++ b/crates/control-plane/src/store/tests.rs
@@ -1,4 +1,5 @@
 use super::group::{HeldGroup, Offer};
+use super::journal::{Journal, Record};
 use fennelgauge_batch::{Command, Item, Job};
 use fennelgauge_coordination::GroupNumber;
 use fennelgauge_wire::EntryPosition;
@@ -70,3 +71,52 @@
         assert_eq!(group.contains(position), expected, "{position:?}");
     }
 }
+
+fn journal_folder(test: &str) -> std::path::PathBuf {
+    let path = std::env::temp_dir().join(format!("fennelgauge-journal-{test}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    path
+}
+
+fn entries(ids: &[&str]) -> (HeldGroup, Vec<Record>) {
+    let mut group = HeldGroup::default();
+    let records = ids.iter().map(|id| Record::Entry(group.create(GROUP, 1, accept(id)))).collect();
+    (group, records)
+}
+
+#[test]
+fn records_come_back_in_order_and_a_whole_write_replaces_the_earlier_ones() {
+    let path = journal_folder("order");
+    let (group, records) = entries(&["a", "b", "c"]);
+    let (journal, found) = Journal::open(Some(&path)).expect("a journal");
+    assert!(found.is_empty());
+    for record in &records {
+        assert_eq!(journal.write(std::slice::from_ref(record), false).blocking_recv(), Ok(true));
+    }
+    let (_, found) = Journal::open(Some(&path)).expect("a journal");
+    assert_eq!(found.len(), 3);
+    let whole = [Record::Copy { group: GROUP, copy: group.copy() }];
+    assert_eq!(journal.write(&whole, true).blocking_recv(), Ok(true));
+    let (_, found) = Journal::open(Some(&path)).expect("a journal");
+    let [Record::Copy { copy, .. }] = found.as_slice() else { panic!("only the whole copy is left") };
+    assert_eq!(copy.position, group.position());
+    std::fs::remove_dir_all(path).expect("removed");
+}
+
+#[test]
+fn after_a_failed_write_nothing_counts_until_all_is_written_anew() {
+    let path = journal_folder("failed");
+    let (group, records) = entries(&["a", "b", "c"]);
+    let (journal, _) = Journal::open(Some(&path)).expect("a journal");
+    assert_eq!(journal.write(&records[..1], false).blocking_recv(), Ok(true));
+    let moved = path.with_extension("moved");
+    std::fs::rename(path.join("journal"), &moved).expect("the folder is gone");
+    assert_eq!(journal.write(&records[1..2], false).blocking_recv(), Ok(false));
+    std::fs::rename(&moved, path.join("journal")).expect("the folder is back");
+    assert_eq!(journal.write(&records[2..], false).blocking_recv(), Ok(false), "one is missing before it");
+    assert_eq!(journal.write(&[], false).blocking_recv(), Ok(false));
+    let whole = [Record::Copy { group: GROUP, copy: group.copy() }];
+    assert_eq!(journal.write(&whole, true).blocking_recv(), Ok(true));
+    assert_eq!(journal.write(&[], false).blocking_recv(), Ok(true));
+    std::fs::remove_dir_all(path).expect("removed");
+}
