Leave silent servers early, try a failed one with one request at a time, begin items sooner

Requests waited for dark servers until their deadline, items for 20 s; a server back from its rest got everybody at once.

--- a/crates/control-plane/src/disk/tests.rs
+++ b/crates/control-plane/src/disk/tests.rs
@@ -6,7 +6,8 @@
         tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap();
     runtime.block_on(async {
         let health = DiskHealth::default();
-        let steps: [(&str, u64, fn(&DiskHealth), bool); 7] = [
+        type Case = (&'static str, u64, fn(&DiskHealth), bool);
+        let steps: [Case; 7] = [
             ("nothing written", 5_000, |_| (), false),
             ("a write begins", 0, DiskHealth::begin, false),
             ("another follows", 500, DiskHealth::begin, false),
--- a/crates/control-plane/src/store/runner.rs
+++ b/crates/control-plane/src/store/runner.rs
@@ -24,12 +24,13 @@
 const MOST_AT_ONCE: f64 = 6.0;
 const TRY_AGAIN: Duration = Duration::from_millis(120);
 const LONGEST_RUN: Duration = Duration::from_secs(20);
-/// After a silence of this length an item's stream is given up.
-const LONGEST_SILENCE: Duration = Duration::from_millis(4_000);
+/// After a silence of this length, before the head or between events, an item goes on at another server.
+const LONGEST_SILENCE: Duration = Duration::from_millis(2_500);
+const COMMIT_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// Items wait while their servers are fuller than this, as a part of their slots.
 const ENOUGH_LOAD: f64 = 0.8;
 /// Items are begun at a pace at which this part of the time until they are due would do.
-const PART_OF_DUE: f64 = 0.35;
+const PART_OF_DUE: f64 = 0.18;
 /// What is overdue is begun at the pace of so many seconds.
 const SHORTEST_PACE_S: f64 = 0.5;
 /// Behind all interactive requests.
@@ -253,7 +254,7 @@
     /// Waits until the acceptance of the item's batch job is committed.
     async fn is_committed(&self, key: &ItemKey) -> bool {
         let position = self.held(key.group).borrow().position();
-        self.committed(key.group, position, Instant::now() + LONGEST_SILENCE).await
+        self.committed(key.group, position, Instant::now() + COMMIT_TIMEOUT).await
     }
 
     /// The item as it stands now; none if it is over.
@@ -283,7 +284,7 @@
         text: &mut Vec<String>,
         order: &mut EventOrder,
     ) -> Attempt {
-        let answer = match self.sender.send(&ticket.server, outgoing, LONGEST_RUN, LONGEST_RUN).await {
+        let answer = match self.sender.send(&ticket.server, outgoing, LONGEST_RUN, LONGEST_SILENCE).await {
             Ok(answer) => answer,
             Err(error) => {
                 self.pool.learn_failure(&ticket.server, &error);
--- a/crates/data-plane/src/live.rs
+++ b/crates/data-plane/src/live.rs
@@ -29,6 +29,9 @@
 /// Where the client names no deadline.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 const RETRY_AFTER_S: f64 = 0.15;
+/// A server may be silent for so long, and for so many times a route's objective.
+const LEAST_PATIENCE: Duration = Duration::from_millis(700);
+const PATIENCE_PER_TARGET: u32 = 3;
 /// The least urgent rank that a request can have.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -140,7 +143,8 @@
                 return Err(self.given_up());
             };
             self.tried.push(ticket.server.id.clone());
-            let sent = self.plane.sender.send(&ticket.server, &outgoing, left, left).await;
+            let within = if self.may_run_again() { left.min(self.patience()) } else { left };
+            let sent = self.plane.sender.send(&ticket.server, &outgoing, left, within).await;
             let error = match sent {
                 Ok(answer) => {
                     self.plane.pool.learn(&ticket, &answer);
@@ -154,7 +158,8 @@
                 SendError::NotSent | SendError::NotExecuted(_) => refusals += 1,
                 SendError::MayHaveRun | SendError::TimeUp => self.runs += 1,
             }
-            if self.runs > 0 && (!self.access.route.repeatable() || self.runs >= self.most_runs()) {
+            let runs_left = self.access.route.repeatable() && self.runs < self.most_runs();
+            if self.runs > 0 && !runs_left {
                 return Err(self.given_up());
             }
             if refusals > MOST_REFUSALS {
@@ -167,6 +172,16 @@
         self.access.route.retries.max(1)
     }
 
+    /// Whether a further server may run the request after the next one.
+    fn may_run_again(&self) -> bool {
+        self.access.route.repeatable() && self.runs + 1 < self.most_runs()
+    }
+
+    /// After a silence of this length a request that may be repeated goes to another server.
+    pub(crate) fn patience(&self) -> Duration {
+        LEAST_PATIENCE.max(Duration::from_millis(self.access.route.target_ms) * PATIENCE_PER_TARGET)
+    }
+
     fn given_up(&self) -> Failure {
         match self.runs {
             0 => Failure::NotRun,
--- a/crates/data-plane/src/resumed.rs
+++ b/crates/data-plane/src/resumed.rs
@@ -1,9 +1,12 @@
 //! A stream that goes on at another server when one breaks off: whole events only, each once.
 
+use std::time::Duration;
+
 use actix_web::error::ErrorBadGateway;
 use actix_web::web::Bytes;
-use fennelgauge_upstream::{EventOrder, EventReader};
+use fennelgauge_upstream::{BrokenOff, EventOrder, EventReader};
 use futures_util::stream::{self, Stream};
+use tokio::time::{timeout, Instant};
 
 use crate::front::Open;
 use crate::live::{Accepted, Attempts};
@@ -54,8 +57,10 @@
             if std::mem::take(&mut self.spoilt) && !self.continue_elsewhere().await {
                 return Piece::Broken;
             }
+            let patience = self.patience();
             let Some(accepted) = self.accepted.as_mut() else { return Piece::Broken };
-            match accepted.answer.next().await {
+            let next = timeout(patience, accepted.answer.next()).await;
+            match next.unwrap_or(Some(Err(BrokenOff))) {
                 Some(Ok(bytes)) => {
                     self.reader.push(&bytes);
                     let events = self.whole_events();
@@ -74,6 +79,14 @@
         }
     }
 
+    /// How long this server may be silent; as long as the request has, where no other may go on.
+    fn patience(&self) -> Duration {
+        match self.attempts.runs < self.attempts.most_runs() {
+            true => self.attempts.patience(),
+            false => self.attempts.until.saturating_duration_since(Instant::now()),
+        }
+    }
+
     fn whole_events(&mut self) -> Bytes {
         let mut bytes = Vec::new();
         for event in self.reader.by_ref() {
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -20,7 +20,7 @@
 
 use crate::KEEP_ALIVE;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// An idle connection is used again for so long where the server says nothing.
 const IDLE_FOR: Duration = Duration::from_secs(15);
 /// Left of the time that a server keeps an idle connection.
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -81,10 +81,12 @@
         requests / self.slots() + self.unread_tokens as f64 / UNREAD_TOKENS
     }
 
+    /// Whether it may have requests; after a failure one at a time, until one is answered.
     fn usable(&self, now: Instant) -> bool {
         self.listed
             && self.server.state == ServerState::Ready
             && self.rests_until.is_none_or(|until| until <= now)
+            && (self.failures == 0 || self.in_flight == 0)
     }
 }
 
--- a/crates/upstream/src/send.rs
+++ b/crates/upstream/src/send.rs
@@ -135,10 +135,9 @@
     /// Learns from a failure.
     pub fn learn_failure(&self, server: &Server, error: &SendError) {
         match error {
-            SendError::NotSent | SendError::MayHaveRun => self.failed(&server.id),
+            SendError::NotSent | SendError::MayHaveRun | SendError::TimeUp => self.failed(&server.id),
             SendError::NotExecuted(StatusCode::MISDIRECTED_REQUEST) => self.failed(&server.id),
             SendError::NotExecuted(_) => self.full(&server.id),
-            SendError::TimeUp => {}
         }
     }
 }
--- a/crates/upstream/src/tests.rs
+++ b/crates/upstream/src/tests.rs
@@ -78,6 +78,25 @@
     assert_eq!(pool.choose("s", &[], &Demand::default()).expect("the one that does not rest").server.id, "a");
 }
 
+#[test]
+fn after_a_failure_a_server_gets_one_request_at_a_time() {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap();
+    runtime.block_on(async {
+        let pool = pool(vec![server("a", ServerState::Ready), server("b", ServerState::Ready)]);
+        pool.failed("a");
+        let choose = || pool.choose("s", &[], &Demand::default()).expect("a server");
+        let held: Vec<_> = (0..3).map(|_| choose()).collect();
+        assert!(held.iter().all(|ticket| ticket.server.id == "b"), "it rests");
+        tokio::time::advance(Duration::from_secs(1)).await;
+        let trial = choose();
+        assert_eq!(trial.server.id, "a");
+        assert_eq!(choose().server.id, "b", "one at a time");
+        pool.answered(&trial, None);
+        assert_eq!(choose().server.id, "a", "it answers again");
+    });
+}
+
 fn same() -> Demand {
     Demand { affinity: Some(7), prompt_tokens: 0, kind: Kind::Short }
 }
