--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -2,6 +2,8 @@
 
 mod chain;
 mod membership;
+#[cfg(test)]
+mod tests;
 mod view_change;
 
 use std::cell::{Cell, RefCell};
