--- a/crates/data-plane/src/usage.rs
+++ b/crates/data-plane/src/usage.rs
@@ -9,7 +9,7 @@
 
 use crate::process::Plane;
 
-const REPORT_EVERY: Duration = Duration::from_millis(400);
+const REPORT_EVERY: Duration = Duration::from_millis(250);
 const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Windows that are told again, in case the head has changed.
 const WINDOWS_TOLD: usize = 4;
