Share the command line, the following of news and the callers' groups; end a member in the test for good

Found on a second reading. Three programs answered help and errors alike, each for itself; the test of a lost member ended only its main task. A batch job on a public route belongs to the tenant whose key came with it: it was taken under no name and could not be read.

--- a/crates/control-plane/src/main.rs
+++ b/crates/control-plane/src/main.rs
@@ -1,10 +1,9 @@
 //! The control plane of the serving tier.
 
-use std::path::Path;
 use std::process::ExitCode;
 
 use fennelgauge_model::Document;
-use fennelgauge_settings::{start_logging, Settings};
+use fennelgauge_settings::{check_settings, start_logging, Program, Settings};
 use tokio::task::LocalSet;
 
 const HELP: &str = "\
@@ -21,24 +20,12 @@
 ";
 
 fn main() -> ExitCode {
-    match command(pico_args::Arguments::from_env()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(reason) => {
-            eprintln!("fennelgauge-control-plane: {reason:#}");
-            ExitCode::from(2)
-        }
-    }
+    let program =
+        Program { name: "fennelgauge-control-plane", version: env!("CARGO_PKG_VERSION"), help: HELP };
+    program.main(command)
 }
 
 fn command(mut arguments: pico_args::Arguments) -> anyhow::Result<()> {
-    if arguments.contains(["-h", "--help"]) {
-        print!("{HELP}");
-        return Ok(());
-    }
-    if arguments.contains(["-V", "--version"]) {
-        println!("fennelgauge-control-plane {}", env!("CARGO_PKG_VERSION"));
-        return Ok(());
-    }
     let level = arguments.opt_value_from_str("--log")?;
     let subcommand = arguments.subcommand()?.unwrap_or_else(|| "run".to_owned());
     match subcommand.as_str() {
@@ -56,12 +43,6 @@
     LocalSet::new().block_on(&runtime, fennelgauge_control_plane::process::run(settings))
 }
 
-fn check_settings(file: &str) -> anyhow::Result<()> {
-    let settings = Settings::read(Path::new(file))?;
-    println!("{file}: settings of {} are in order", settings.node);
-    Ok(())
-}
-
 fn check_configuration(file: &str) -> anyhow::Result<()> {
     let json = std::fs::read(file).map_err(|reason| anyhow::anyhow!("{file}: {reason}"))?;
     let document = Document::parse(&json, 0).map_err(|reason| anyhow::anyhow!("{file}: {reason}"))?;
--- a/crates/control-plane/src/process.rs
+++ b/crates/control-plane/src/process.rs
@@ -48,23 +48,10 @@
     spawn_local(keep_placement(core.clone(), presence));
     spawn_local(report_usage(core.clone(), collector.clone()));
     spawn_local(order_servers(core.clone(), collector));
-    spawn_local(subscribe(known, caller, subscription(&settings)));
+    spawn_local(subscribe(known, caller, Subscription::new(&settings)));
     serve_operator(&settings, core).await
 }
 
-/// How this process follows the control plane's news.
-pub fn subscription(settings: &Settings) -> Subscription {
-    let fallback = settings.seed_peers();
-    Subscription {
-        node: settings.node.clone(),
-        zone: settings.zone.clone(),
-        seeds: Box::new(move || match Settings::from_environment() {
-            Ok(settings) => settings.seed_peers(),
-            Err(_) => fallback.clone(),
-        }),
-    }
-}
-
 async fn answer(
     (core, presence, collector): (Rc<Core>, Rc<Presence>, Rc<UsageCollector>),
     request: Request,
--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -19,7 +19,7 @@
 use fennelgauge_coordination::{GroupNumber, Identity, Member, StoreNumber, StoreView, GROUPS};
 use fennelgauge_http::until_stopped;
 use fennelgauge_settings::Settings;
-use fennelgauge_upstream::{subscribe, Known, Pool, Sender};
+use fennelgauge_upstream::{subscribe, Known, Pool, Sender, Subscription};
 use fennelgauge_wire::{serve, Caller, Entry, Reply, Request, StoreReply, StoreRequest};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -28,7 +28,6 @@
 
 use crate::disk::DiskHealth;
 use crate::identity::identity;
-use crate::process::subscription;
 use group::HeldGroup;
 use journal::{Journal, Record};
 
@@ -71,7 +70,7 @@
     let listener = TcpListener::bind(settings.control_peer_address()).await?;
     let answering = store.clone();
     spawn_local(serve(listener, move |request| answer(answering.clone(), request)));
-    spawn_local(subscribe(store.known.clone(), store.caller.clone(), subscription(&settings)));
+    spawn_local(subscribe(store.known.clone(), store.caller.clone(), Subscription::new(&settings)));
     spawn_local(store.clone().flush_entries());
     spawn_local(store.clone().repair_successors());
     spawn_local(store.clone().try_failed_disk());
--- a/crates/data-plane/src/batch.rs
+++ b/crates/data-plane/src/batch.rs
@@ -46,7 +46,7 @@
 
 /// Takes a batch job to its store.
 pub async fn submit(plane: &Rc<Plane>, request: &HttpRequest, access: &Access, body: Bytes) -> HttpResponse {
-    let job = match read_job(request, access, &body) {
+    let job = match read_job(plane, request, access, &body) {
         Ok(job) => job,
         Err(reason) => return HttpResponse::BadRequest().json(serde_json::json!({ "error": reason })),
     };
@@ -66,13 +66,13 @@
     }
 }
 
-fn read_job(request: &HttpRequest, access: &Access, body: &[u8]) -> Result<Job, String> {
+fn read_job(plane: &Plane, request: &HttpRequest, access: &Access, body: &[u8]) -> Result<Job, String> {
     let submitted: Submitted = serde_json::from_slice(body).map_err(|reason| reason.to_string())?;
     let items = submitted.requests.into_iter().map(read_item).collect::<Result<Vec<Item>, String>>()?;
     let received = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let job = Job {
         id: header_text(request, &REQUEST_ID).unwrap_or("").to_owned(),
-        tenant: tenant_name(access),
+        tenant: tenant_name(plane, request, access),
         route: access.route.name.clone(),
         host: front::host(request).to_owned(),
         received_ms: received.as_millis() as u64,
@@ -94,8 +94,12 @@
     })
 }
 
-fn tenant_name(access: &Access) -> String {
-    access.tenant.as_ref().map(|tenant| tenant.name.clone()).unwrap_or_default()
+/// On a public route, too, a batch job belongs to the tenant whose key came with it.
+fn tenant_name(plane: &Plane, request: &HttpRequest, access: &Access) -> String {
+    match &access.tenant {
+        Some(tenant) => tenant.name.clone(),
+        None => caller_tenant(plane, request).unwrap_or_default(),
+    }
 }
 
 fn group_of(tenant: &str) -> GroupNumber {
@@ -151,6 +155,17 @@
     }
 }
 
+/// Whose call it is, and where its batch jobs are.
+struct Owner {
+    tenant: String,
+    group: GroupNumber,
+}
+
+fn caller(plane: &Plane, request: &HttpRequest) -> Result<Owner, Denial> {
+    let tenant = caller_tenant(plane, request)?;
+    Ok(Owner { group: group_of(&tenant), tenant })
+}
+
 fn denied(plane: &Plane, denial: Denial) -> HttpResponse {
     match denial {
         // A host without routes may be one whose configuration is still on its way.
@@ -174,13 +189,12 @@
 ) -> HttpResponse {
     let plane = plane.get_ref().clone();
     let _open = Open::new(&plane);
-    let tenant = match caller_tenant(&plane, &request) {
-        Ok(tenant) => tenant,
+    let Owner { tenant, group } = match caller(&plane, &request) {
+        Ok(owner) => owner,
         Err(denial) => return denied(&plane, denial),
     };
     let wait = header_text(&request, &POLL_WAIT).and_then(|value| value.parse().ok());
     let wait = wait.map_or(Duration::ZERO, Duration::from_millis).min(LONGEST_POLL);
-    let group = group_of(&tenant);
     let until = Instant::now() + wait + READ_MARGIN;
     let ask = |view: &StoreView| StoreRequest::Read {
         epoch: view.epoch,
@@ -225,11 +239,10 @@
 ) -> HttpResponse {
     let plane = plane.get_ref().clone();
     let _open = Open::new(&plane);
-    let tenant = match caller_tenant(&plane, &request) {
-        Ok(tenant) => tenant,
+    let Owner { tenant, group } = match caller(&plane, &request) {
+        Ok(owner) => owner,
         Err(denial) => return denied(&plane, denial),
     };
-    let group = group_of(&tenant);
     let ask = |view: &StoreView| StoreRequest::Body {
         epoch: view.epoch,
         group,
@@ -250,11 +263,10 @@
 pub async fn end(request: HttpRequest, job: web::Path<String>, plane: Data<Rc<Plane>>) -> HttpResponse {
     let plane = plane.get_ref().clone();
     let _open = Open::new(&plane);
-    let tenant = match caller_tenant(&plane, &request) {
-        Ok(tenant) => tenant,
+    let Owner { tenant, group } = match caller(&plane, &request) {
+        Ok(owner) => owner,
         Err(denial) => return denied(&plane, denial),
     };
-    let group = group_of(&tenant);
     let ask = |view: &StoreView| StoreRequest::End {
         epoch: view.epoch,
         group,
--- a/crates/data-plane/src/main.rs
+++ b/crates/data-plane/src/main.rs
@@ -1,9 +1,8 @@
 //! The data plane of the serving tier.
 
-use std::path::Path;
 use std::process::ExitCode;
 
-use fennelgauge_settings::{start_logging, Settings};
+use fennelgauge_settings::{check_settings, start_logging, Program, Settings};
 use tokio::task::LocalSet;
 
 const HELP: &str = "\
@@ -19,24 +18,11 @@
 ";
 
 fn main() -> ExitCode {
-    match command(pico_args::Arguments::from_env()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(reason) => {
-            eprintln!("fennelgauge-data-plane: {reason:#}");
-            ExitCode::from(2)
-        }
-    }
+    let program = Program { name: "fennelgauge-data-plane", version: env!("CARGO_PKG_VERSION"), help: HELP };
+    program.main(command)
 }
 
 fn command(mut arguments: pico_args::Arguments) -> anyhow::Result<()> {
-    if arguments.contains(["-h", "--help"]) {
-        print!("{HELP}");
-        return Ok(());
-    }
-    if arguments.contains(["-V", "--version"]) {
-        println!("fennelgauge-data-plane {}", env!("CARGO_PKG_VERSION"));
-        return Ok(());
-    }
     let level = arguments.opt_value_from_str("--log")?;
     let subcommand = arguments.subcommand()?.unwrap_or_else(|| "run".to_owned());
     match subcommand.as_str() {
@@ -52,9 +38,3 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, fennelgauge_data_plane::process::run(settings))
 }
-
-fn check_settings(file: &str) -> anyhow::Result<()> {
-    let settings = Settings::read(Path::new(file))?;
-    println!("{file}: settings of {} are in order", settings.node);
-    Ok(())
-}
--- a/crates/data-plane/src/process.rs
+++ b/crates/data-plane/src/process.rs
@@ -89,7 +89,7 @@
     let peers = TcpListener::bind(plane.settings.data_peer_address()).await?;
     let known = plane.known.clone();
     spawn_local(serve(peers, move |request| answer(known.clone(), request)));
-    spawn_local(subscribe(plane.known.clone(), plane.caller.clone(), subscription(&plane.settings)));
+    spawn_local(subscribe(plane.known.clone(), plane.caller.clone(), Subscription::new(&plane.settings)));
     spawn_local(keep_pool(plane.clone()));
     spawn_local(report_usage(plane.clone()));
     if let Some(address) = plane.settings.listen.ready {
@@ -121,19 +121,6 @@
     }
 }
 
-/// How this process follows the control plane's news.
-fn subscription(settings: &Settings) -> Subscription {
-    let fallback = settings.seed_peers();
-    Subscription {
-        node: settings.node.clone(),
-        zone: settings.zone.clone(),
-        seeds: Box::new(move || match Settings::from_environment() {
-            Ok(settings) => settings.seed_peers(),
-            Err(_) => fallback.clone(),
-        }),
-    }
-}
-
 async fn answer(known: Rc<Known>, request: Request) -> Reply {
     match request {
         Request::Watch(watch) => Reply::News(Box::new(known.answer(&watch).await)),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,5 +1,6 @@
 //! The settings file of a process (TOML), read by serde and checked by garde. Unknown keys are ignored: new ones may come.
 
+mod command_line;
 mod logging;
 
 use std::collections::BTreeMap;
@@ -10,6 +11,7 @@
 use garde::Validate;
 use serde::Deserialize;
 
+pub use command_line::{check_settings, Program};
 pub use logging::start_logging;
 
 /// The variable that names the settings file.
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -7,7 +7,7 @@
 
 use anyhow::Context;
 use fennelgauge_http::until_stopped;
-use fennelgauge_settings::SETTINGS_VARIABLE;
+use fennelgauge_settings::{Program, SETTINGS_VARIABLE};
 use fennelgauge_standins::{
     configuration, listing, start_platform, start_server, Platform, Ports, Tier, KEY,
 };
@@ -32,24 +32,11 @@
 const DATA_PLANES: u8 = 2;
 
 fn main() -> ExitCode {
-    match command(pico_args::Arguments::from_env()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(reason) => {
-            eprintln!("fennelgauge-system: {reason:#}");
-            ExitCode::from(2)
-        }
-    }
+    let program = Program { name: "fennelgauge-system", version: env!("CARGO_PKG_VERSION"), help: HELP };
+    program.main(command)
 }
 
 fn command(mut arguments: pico_args::Arguments) -> anyhow::Result<()> {
-    if arguments.contains(["-h", "--help"]) {
-        print!("{HELP}");
-        return Ok(());
-    }
-    if arguments.contains(["-V", "--version"]) {
-        println!("fennelgauge-system {}", env!("CARGO_PKG_VERSION"));
-        return Ok(());
-    }
     let programs: PathBuf = arguments.opt_value_from_str("--programs")?.unwrap_or("target/system".into());
     let folder: PathBuf = arguments.opt_value_from_str("--folder")?.unwrap_or("target/tier".into());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
--- a/crates/standins/tests/whole.rs
+++ b/crates/standins/tests/whole.rs
@@ -156,14 +156,19 @@
     format!("Bearer {KEY}")
 }
 
+/// Runs a process with a set of tasks of its own: aborting the handle ends all of them at once, as a kill does.
+fn process<F: Future<Output = anyhow::Result<()>> + 'static>(run: F) -> JoinHandle<()> {
+    let tasks = LocalSet::new();
+    tasks.spawn_local(async move { run.await.expect("runs") });
+    spawn_local(tasks)
+}
+
 fn control(settings: String) -> JoinHandle<()> {
-    let settings = Tier::read(&settings).expect("settings");
-    spawn_local(async move { fennelgauge_control_plane::process::run(settings).await.expect("runs") })
+    process(fennelgauge_control_plane::process::run(Tier::read(&settings).expect("settings")))
 }
 
 fn data(settings: String) -> JoinHandle<()> {
-    let settings = Tier::read(&settings).expect("settings");
-    spawn_local(async move { fennelgauge_data_plane::process::run(settings).await.expect("runs") })
+    process(fennelgauge_data_plane::process::run(Tier::read(&settings).expect("settings")))
 }
 
 async fn read<E: std::fmt::Debug>(
@@ -223,6 +228,9 @@
         assert_eq!(whole.refused_order(3, &configuration(3)).await, 400, "its number is not above");
 
         whole.core[0].abort();
+        whole
+            .until("lost", || async { tokio::net::TcpStream::connect(whole.tier.control(0)).await.is_err() })
+            .await;
         let again = json!({ "generation": 4, "upsert": {}, "remove": { "routes": ["added"] } });
         whole.order("Patch", 3, &again).await;
         whole.until("removed", || async { whole.post("/added/a", "p-3", vec![]).await.0 == 404 }).await;
--- a/crates/upstream/src/subscriber.rs
+++ b/crates/upstream/src/subscriber.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fennelgauge_model::stable_hash;
+use fennelgauge_settings::Settings;
 use fennelgauge_wire::{Caller, Reply, Request, Watch};
 use tokio::time::{sleep, Instant};
 
@@ -24,6 +25,21 @@
     pub seeds: Box<dyn Fn() -> Vec<SocketAddr>>,
 }
 
+impl Subscription {
+    /// As the settings say. The seeds are read anew from the settings file: it may change while the process runs.
+    pub fn new(settings: &Settings) -> Self {
+        let fallback = settings.seed_peers();
+        Self {
+            node: settings.node.clone(),
+            zone: settings.zone.clone(),
+            seeds: Box::new(move || match Settings::from_environment() {
+                Ok(settings) => settings.seed_peers(),
+                Err(_) => fallback.clone(),
+            }),
+        }
+    }
+}
+
 /// Follows without end.
 pub async fn subscribe(known: Rc<Known>, caller: Caller, subscription: Subscription) {
     let mut source = 0;
