--- a/crates/data-plane/src/process.rs
+++ b/crates/data-plane/src/process.rs
@@ -150,3 +150,6 @@
         let _ = tokio::time::timeout(POOL_EVERY, plane.known.changed()).await;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/data-plane/tests/process.rs
+++ b/crates/data-plane/tests/process.rs
@@ -83,6 +83,50 @@
     assert!(started.process.wait().expect("ends").success());
 }
 
+/// What comes back for raw bytes until the connection ends.
+fn raw(front: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(front).expect("connected");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+    let _ = stream.write_all(bytes);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).to_ascii_lowercase()
+}
+
+#[test]
+fn what_is_no_clear_request_is_refused_and_its_connection_closed() {
+    let started = Started::new("unclear");
+    let large = format!("GET /a HTTP/1.1\r\nHost: h\r\nX-Large: {}\r\n\r\n", "x".repeat(400_000));
+    let cases: [(&str, &[u8]); 7] = [
+        ("no HTTP", b"hello\r\n\r\n"),
+        ("two lengths", b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc"),
+        (
+            "a length and chunks",
+            b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+        ),
+        ("no such coding", b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: zipped\r\n\r\nabc"),
+        ("a length that is no number", b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: two\r\n\r\nab"),
+        ("a wrong chunk", b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"),
+        ("too large a head", large.as_bytes()),
+    ];
+    for (name, bytes) in cases {
+        let answer = raw(started.front, bytes);
+        let answers = answer.matches("http/1.1 ").count();
+        let refused = answer.is_empty() || answer.starts_with("http/1.1 4");
+        assert!(refused && answers <= 1, "{name}: {answer}");
+    }
+    assert!(started.ask().starts_with("http/1.1 503"), "others are served on");
+}
+
+#[test]
+fn a_head_that_does_not_end_is_not_waited_for() {
+    let started = Started::new("slow");
+    let began = Instant::now();
+    let answer = raw(started.front, b"POST /a HTTP/1.1\r\nHost:");
+    assert!(answer.is_empty() || answer.starts_with("http/1.1 408"), "{answer}");
+    assert!(began.elapsed() < PATIENCE / 2);
+}
+
 fn run(arguments: &[&str], settings: Option<&str>) -> Output {
     let mut command = Command::new(PROGRAM);
     command.args(arguments).env_remove("FENNELGAUGE_BOOT");
