Write the clock, the draw by id and the duty's call once; spare copies and rereading on hot paths

Found on a second reading. Four places read the time of day, two drew a chance from an id, two made the same call of the platform. The head decoded each state that it had just encoded, every commit copied a configuration that was known already, and a store looked over its idle connections and old jobs fifty times a second.

--- a/crates/control-plane/src/core/chain.rs
+++ b/crates/control-plane/src/core/chain.rs
@@ -39,7 +39,7 @@
                 if !self.persist_state(&state).await {
                     return CoreReply::Refused { epoch };
                 }
-                self.set_state(state.clone());
+                self.take_state(state.clone());
             }
         }
         match self.forward(epoch, state).await {
@@ -116,7 +116,7 @@
             if !self.persist_state(&state).await {
                 return Err(WriteError::Unknown);
             }
-            self.set_state(state.clone());
+            self.set_state(state.clone(), next);
             state
         };
         match self.forward(epoch, state).await {
--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -37,7 +37,7 @@
     pub(crate) rules: ViewRules,
     /// Whether this machine may be a member, or only votes on the first view and passes orders on.
     eligible: bool,
-    /// Whether it may vote: it has its disk since the very first start, or was installed in a view.
+    /// Its part in the decisions about views.
     acceptor: RefCell<Acceptor>,
     state: RefCell<StateVersion>,
     decoded: RefCell<Rc<ControlState>>,
@@ -83,7 +83,7 @@
         let losses = settings.tolerate.losses();
         let core = Self {
             eligible: settings.counts_for_quorum,
-            committed: Cell::new(state.order()),
+            committed: Cell::new((0, 0)),
             state: RefCell::new(state),
             decoded: RefCell::new(Rc::new(decoded)),
             sealed_at: Cell::new(acceptor.sealed().then(Instant::now)),
@@ -104,7 +104,6 @@
             known,
             caller,
         };
-        core.committed.set((0, 0));
         if core.view().epoch > 0 {
             core.known.take_view(&core.view());
         }
@@ -224,8 +223,13 @@
         self.state_disk.write(name, encode(state)).await
     }
 
-    fn set_state(&self, state: StateVersion) {
-        let decoded: ControlState = readable(&state.body).unwrap_or_default();
+    /// Takes up a version that came from another machine.
+    fn take_state(&self, state: StateVersion) {
+        let decoded = readable(&state.body).unwrap_or_default();
+        self.set_state(state, decoded);
+    }
+
+    fn set_state(&self, state: StateVersion, decoded: ControlState) {
         *self.decoded.borrow_mut() = Rc::new(decoded);
         *self.state.borrow_mut() = state;
     }
@@ -234,10 +238,12 @@
     fn publish(&self) {
         let state = self.state();
         self.known.take_view(&self.view());
-        if state.generation > 0 {
+        if state.generation > self.known.generation() {
             self.known.take_configuration(state.generation, state.configuration.clone());
         }
-        self.known.take_stores(state.stores.clone());
+        if state.stores.epoch > self.known.stores().epoch {
+            self.known.take_stores(state.stores.clone());
+        }
     }
 }
 
--- a/crates/control-plane/src/core/view_change.rs
+++ b/crates/control-plane/src/core/view_change.rs
@@ -67,7 +67,7 @@
         }
         log::info!("view {} with {} members", view.epoch, view.members.len());
         self.committed.set(state.order());
-        self.set_state(state);
+        self.take_state(state);
         self.sealed_at.set(None);
         self.installed_at.set(Instant::now());
         let mut heard = self.heard.borrow_mut();
--- a/crates/control-plane/src/duties.rs
+++ b/crates/control-plane/src/duties.rs
@@ -5,10 +5,11 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
+use awc::http::StatusCode;
 use fennelgauge_model::{ServerState, Service};
-use fennelgauge_upstream::{client, FENCING_TOKEN, LEASE_HOLDER};
+use fennelgauge_upstream::{client, wall_clock, FENCING_TOKEN, LEASE_HOLDER};
 use fennelgauge_wire::{ServiceTimeliness, UsageReport};
 use tokio::time::{sleep, Instant};
 
@@ -91,11 +92,6 @@
     }
 }
 
-/// Seconds since 1970 on this machine's clock.
-pub fn wall_clock_s() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64()
-}
-
 /// Reports usage without end, while this machine is the head.
 pub async fn report_usage(core: Rc<Core>, collector: Rc<UsageCollector>) {
     let Some(platform) = core.settings.cloud.addr else { return };
@@ -110,7 +106,10 @@
             continue;
         }
         let width = core.settings.bounds.usage_window_s;
-        let Some(newest) = (((wall_clock_s() - FIX_AFTER_S) / width) as u64).checked_sub(1) else { continue };
+        let Some(newest) = (((wall_clock().as_secs_f64() - FIX_AFTER_S) / width) as u64).checked_sub(1)
+        else {
+            continue;
+        };
         let oldest = newest.saturating_sub(WINDOWS_BACK - 1);
         let first = reported.map_or(oldest, |reported| (reported + 1).max(oldest));
         for window in first..=newest {
@@ -142,22 +141,37 @@
     // Only what is committed is sent: what is not may be replaced by another head's counts.
     let Some(state) = core.committed_state() else { return false };
     let Some(counts) = state.usage.get(&window) else { return false };
-    let fence = core.epoch().to_string();
+    let report = serde_json::json!({ "window": window, "counts": counts });
+    match call_platform(core, client, platform, "usage", &report).await {
+        Some(status) => status.is_success() || status == StatusCode::CONFLICT,
+        None => false,
+    }
+}
+
+/// A call that falls to the holder of a duty, under its fence; none if there was no answer.
+async fn call_platform(
+    core: &Core,
+    client: &awc::Client,
+    platform: SocketAddr,
+    duty: &str,
+    body: &serde_json::Value,
+) -> Option<StatusCode> {
     let call = client
-        .post(format!("http://{platform}/usage"))
+        .post(format!("http://{platform}/{duty}"))
         .timeout(CALL_TIMEOUT)
         .insert_header((LEASE_HOLDER, core.me.identity.node.as_str()))
-        .insert_header((FENCING_TOKEN, fence.as_str()))
-        .send_json(&serde_json::json!({ "window": window, "counts": counts }));
+        .insert_header((FENCING_TOKEN, core.epoch().to_string()))
+        .send_json(body);
     match call.await {
-        Ok(answer) if answer.status().is_success() => true,
         Ok(answer) => {
-            log::warn!("usage of window {window}: the platform answered {}", answer.status());
-            answer.status() == awc::http::StatusCode::CONFLICT
+            if !answer.status().is_success() {
+                log::warn!("{duty} {body}: the platform answered {}", answer.status());
+            }
+            Some(answer.status())
         }
         Err(reason) => {
-            log::warn!("usage of window {window}: {reason}");
-            false
+            log::warn!("{duty} {body}: {reason}");
+            None
         }
     }
 }
@@ -184,7 +198,9 @@
             let orders =
                 scalers.entry(service.name.clone()).or_default().orders(began.elapsed(), &seen, bounds);
             for (zone, desired) in orders {
-                order(&core, &client, platform, &service.name, &zone, desired).await;
+                log::info!("{desired} servers of {} are ordered in {zone}", service.name);
+                let order = serde_json::json!({ "backend": service.name, "zone": zone, "desired": desired });
+                call_platform(&core, &client, platform, "scale", &order).await;
             }
         }
     }
@@ -201,26 +217,3 @@
     }
     Seen { answers, late, servers }
 }
-
-async fn order(
-    core: &Core,
-    client: &awc::Client,
-    platform: SocketAddr,
-    service: &str,
-    zone: &str,
-    desired: u32,
-) {
-    log::info!("{desired} servers of {service} are ordered in {zone}");
-    let fence = core.epoch().to_string();
-    let call = client
-        .post(format!("http://{platform}/scale"))
-        .timeout(CALL_TIMEOUT)
-        .insert_header((LEASE_HOLDER, core.me.identity.node.as_str()))
-        .insert_header((FENCING_TOKEN, fence.as_str()))
-        .send_json(&serde_json::json!({ "backend": service, "zone": zone, "desired": desired }));
-    match call.await {
-        Ok(answer) if answer.status().is_success() => {}
-        Ok(answer) => log::warn!("servers of {service} in {zone}: the platform answered {}", answer.status()),
-        Err(reason) => log::warn!("servers of {service} in {zone}: {reason}"),
-    }
-}
--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -14,12 +14,12 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use fennelgauge_coordination::{GroupNumber, Identity, Member, StoreNumber, StoreView, GROUPS};
 use fennelgauge_http::until_stopped;
 use fennelgauge_settings::Settings;
-use fennelgauge_upstream::{subscribe, Known, Pool, Sender, Subscription};
+use fennelgauge_upstream::{subscribe, wall_clock, Known, Pool, Sender, Subscription};
 use fennelgauge_wire::{serve, Caller, Entry, Reply, Request, StoreReply, StoreRequest};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -265,5 +265,5 @@
 
 /// Milliseconds since 1970 on this machine's clock.
 fn wall_clock_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    wall_clock().as_millis() as u64
 }
--- a/crates/control-plane/src/store/runner.rs
+++ b/crates/control-plane/src/store/runner.rs
@@ -8,7 +8,7 @@
 use actix_web::web::Bytes;
 use fennelgauge_batch::{Command, Item, ItemOutcome, ItemResult};
 use fennelgauge_coordination::{GroupNumber, StoreView};
-use fennelgauge_model::{stable_hash, Route, RouteKind};
+use fennelgauge_model::{fixed_chance, Route, RouteKind};
 use fennelgauge_upstream::{
     is_hop_by_hop, Answer, Demand, EventOrder, EventReader, Outgoing, SendError, Ticket, LAST_EVENT_ID,
     PREFIX_HASH, PRIORITY, TENANT,
@@ -85,6 +85,7 @@
     /// Starts items without end, evenly, at the pace that their due times need.
     pub(super) async fn run_items(self: Rc<Self>) {
         let mut looked = Instant::now();
+        let mut tidied = Instant::now();
         let mut credit: f64 = 0.0;
         loop {
             sleep(START_EVERY).await;
@@ -92,10 +93,13 @@
                 let _ = timeout(LOOK_EVERY, self.changed.notified()).await;
             }
             self.pool.update(&self.known.servers());
-            self.sender.keep_only(&self.known.servers().servers);
             let view = self.view();
             self.stop_foreign_items(&view);
-            self.remove_old_jobs(&view);
+            if tidied.elapsed() >= LOOK_EVERY {
+                tidied = Instant::now();
+                self.sender.keep_only(&self.known.servers().servers);
+                self.remove_old_jobs(&view);
+            }
             let mut candidates = self.candidates(&view);
             let now_ms = wall_clock_ms();
             let per_s: f64 = candidates.iter().map(|candidate| candidate.pace(now_ms)).sum();
@@ -219,13 +223,12 @@
             if route.retention_s > 0.0 && wall_clock_ms() > given_up_ms {
                 return Some(dead);
             }
-            let service =
-                route.service((stable_hash(&item.id) >> 11) as f64 / (1_u64 << 53) as f64).to_owned();
-            if self.pool.mean_load(&service).is_some_and(|load| load > ENOUGH_LOAD) {
+            let service = route.service(fixed_chance(&item.id));
+            if self.pool.mean_load(service).is_some_and(|load| load > ENOUGH_LOAD) {
                 sleep(TRY_AGAIN).await;
                 continue;
             }
-            let Some(ticket) = self.pool.choose(&service, &tried, &demand(&item)) else {
+            let Some(ticket) = self.pool.choose(service, &tried, &demand(&item)) else {
                 tried.clear();
                 sleep(TRY_AGAIN).await;
                 continue;
--- a/crates/data-plane/src/batch.rs
+++ b/crates/data-plane/src/batch.rs
@@ -1,7 +1,7 @@
 //! Batch calls: each goes to the store that answers for the tenant's group.
 
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use actix_web::http::StatusCode;
 use actix_web::web::{self, Bytes, Data};
@@ -10,7 +10,7 @@
 use fennelgauge_batch::{Item, ItemOutcome, Job, Page};
 use fennelgauge_coordination::{GroupNumber, Store, StoreView};
 use fennelgauge_model::{stable_hash, Access, Denial};
-use fennelgauge_upstream::{POLL_WAIT, REQUEST_ID};
+use fennelgauge_upstream::{wall_clock, POLL_WAIT, REQUEST_ID};
 use fennelgauge_wire::{CallError, Reply, Request, StoreReply, StoreRequest};
 use serde::Deserialize;
 use tokio::time::{sleep, Instant};
@@ -69,13 +69,12 @@
 fn read_job(plane: &Plane, request: &HttpRequest, access: &Access, body: &[u8]) -> Result<Job, String> {
     let submitted: Submitted = serde_json::from_slice(body).map_err(|reason| reason.to_string())?;
     let items = submitted.requests.into_iter().map(read_item).collect::<Result<Vec<Item>, String>>()?;
-    let received = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let job = Job {
         id: header_text(request, &REQUEST_ID).unwrap_or("").to_owned(),
         tenant: tenant_name(plane, request, access),
         route: access.route.name.clone(),
         host: front::host(request).to_owned(),
-        received_ms: received.as_millis() as u64,
+        received_ms: wall_clock().as_millis() as u64,
         items,
     };
     job.check(&access.route.path_prefix).map_err(|reason| reason.to_string())?;
--- a/crates/data-plane/src/live.rs
+++ b/crates/data-plane/src/live.rs
@@ -9,7 +9,7 @@
 use actix_web::http::StatusCode;
 use actix_web::web::Bytes;
 use actix_web::{HttpRequest, HttpResponse};
-use fennelgauge_model::{stable_hash, Access, RouteKind};
+use fennelgauge_model::{fixed_chance, Access, RouteKind};
 use fennelgauge_upstream::{
     is_hop_by_hop, Answer, Demand, Outgoing, SendError, Ticket, DEADLINE, PREFIX_HASH, PRIORITY, REQUEST_ID,
     TARGET_INSTANCE, TENANT,
@@ -100,8 +100,7 @@
         let deadline = header_text(request, &DEADLINE).and_then(|value| value.parse().ok());
         let deadline = deadline.map_or(DEFAULT_DEADLINE, Duration::from_millis);
         let held = Duration::from_millis(access.route.timeout_ms);
-        let chance = (stable_hash(&id) >> 11) as f64 / (1_u64 << 53) as f64;
-        let service = access.route.service(chance).to_owned();
+        let service = access.route.service(fixed_chance(&id)).to_owned();
         let outgoing = Outgoing {
             method: request.method().clone(),
             path_and_query: request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned(),
--- a/crates/data-plane/src/usage.rs
+++ b/crates/data-plane/src/usage.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
+use fennelgauge_upstream::wall_clock;
 use fennelgauge_wire::{Request, ServiceTimeliness, UsageReport, WindowCounts};
 use tokio::time::sleep;
 
@@ -29,8 +30,7 @@
 
     /// A request of the tenant's began now.
     pub fn count(&mut self, tenant: &str) {
-        let now_s = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
-        let window = (now_s / self.width_s) as u64;
+        let window = (wall_clock().as_secs_f64() / self.width_s) as u64;
         *self.windows.entry(window).or_default().entry(tenant.to_owned()).or_default() += 1;
         while self.windows.len() > WINDOWS_TOLD {
             self.windows.pop_first();
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -22,6 +22,12 @@
     mixed(folded)
 }
 
+/// A fixed draw between 0 and 1 for a request, so that all its tries are divided alike.
+pub fn fixed_chance(id: &str) -> f64 {
+    const BITS: u32 = 53;
+    (stable_hash(id) >> (u64::BITS - BITS)) as f64 / (1_u64 << BITS) as f64
+}
+
 /// Spreads nearby numbers over all 64 bits (the finalizer of splitmix64).
 pub fn mixed(number: u64) -> u64 {
     let number = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -91,7 +91,6 @@
                 Err(_) => return Err(ExchangeError::Broken),
             }
             match stream.read_buf(&mut buffer).await {
-                Ok(read) if read > 0 && written.is_ok() => {}
                 Ok(read) if read > 0 => {}
                 _ => return Err(ExchangeError::Broken),
             }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,6 +1,7 @@
 //! What a process knows of the tier and how it uses the servers: news from the control plane, the pool of servers and the
 //! choice among them, sending a request, reading events.
 
+mod clock;
 mod connection;
 mod demand;
 mod events;
@@ -12,6 +13,7 @@
 mod send;
 mod subscriber;
 
+pub use clock::wall_clock;
 pub use connection::{Answer, BrokenOff};
 pub use demand::{Demand, Kind};
 pub use events::{Event, EventOrder, EventReader};
--- a/crates/upstream/src/send.rs
+++ b/crates/upstream/src/send.rs
@@ -122,7 +122,7 @@
 }
 
 /// The value of an answer's load header.
-pub(crate) fn told_load(answer: &Answer) -> Option<&str> {
+fn told_load(answer: &Answer) -> Option<&str> {
     answer.headers().get(SERVER_LOAD)?.to_str().ok()
 }
 
