--- /dev/null
+++ b/crates/control-plane/src/core/orders.rs
@@ -0,0 +1,158 @@
+//! Changes as the head, reads as the tail, and what operators ask.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use fennelgauge_coordination::Progress;
+use fennelgauge_wire::{encode, ConfigurationBytes, CoreReply, CoreRequest, Order, OrderReply, RetireReply};
+use tokio::time::{timeout_at, Instant};
+
+use super::Core;
+use crate::state::{ControlState, Decision, Retirement, StateChange};
+
+/// How long a change may wait for its turn.
+const TURN_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long it may be on its way along the chain.
+const COMMIT_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How long a majority may take to confirm a view.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Why a change was not made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum WriteError {
+    #[error("this machine takes no writes now: ask again")]
+    NotTaken,
+    #[error("the change may have been made: ask again with the same content")]
+    Unknown,
+}
+
+impl Core {
+    /// Answers what control processes ask.
+    pub async fn answer(self: &Rc<Self>, request: CoreRequest) -> CoreReply {
+        match request {
+            CoreRequest::Order(order) => CoreReply::Ordered(self.order_here(&order).await),
+            CoreRequest::Read => CoreReply::Configuration(self.read_here().await),
+            CoreRequest::RetireStart { node } => CoreReply::Retire(self.retire_here(&node).await),
+            CoreRequest::RetireState { node } => CoreReply::Retire(self.retire_state_here(&node).await),
+        }
+    }
+
+    /// Makes a change as the head. `change` sees the newest state, of which all is committed; it gives the change, or an
+    /// answer of its own.
+    pub async fn write<A>(
+        self: &Rc<Self>,
+        change: impl FnOnce(&ControlState) -> Result<StateChange, A>,
+    ) -> Result<Result<(), A>, WriteError> {
+        let until = Instant::now() + TURN_TIMEOUT;
+        let turn = timeout_at(until, self.writing.lock()).await;
+        let _turn = turn.map_err(|_| WriteError::NotTaken)?;
+        let settled = self.wait_for(until, |coordinator| match coordinator.replica().takes_writes() {
+            Ok(()) => Progress::Done,
+            Err(_) if coordinator.replica().is_head() => Progress::Waiting,
+            Err(_) => Progress::Overtaken,
+        });
+        if settled.await != Progress::Done {
+            return Err(WriteError::NotTaken);
+        }
+        let begun = self.take(|coordinator, now| {
+            let replica = coordinator.replica();
+            if replica.takes_writes().is_err() {
+                return (Err(WriteError::NotTaken), Default::default());
+            }
+            match change(replica.value()) {
+                Err(answer) => (Ok(Err(answer)), Default::default()),
+                Ok(change) => match coordinator.write(now, encode(&change)) {
+                    Ok((version, outcome)) => (Ok(Ok(version)), outcome),
+                    Err(reason) => {
+                        log::warn!("{reason}");
+                        (Err(WriteError::NotTaken), Default::default())
+                    }
+                },
+            }
+        });
+        let version = match begun.await? {
+            Ok(version) => version,
+            Err(answer) => return Ok(Err(answer)),
+        };
+        let until = Instant::now() + COMMIT_TIMEOUT;
+        match self.wait_for(until, |coordinator| coordinator.progress_of(version)).await {
+            Progress::Done => Ok(Ok(())),
+            Progress::Waiting | Progress::Overtaken => Err(WriteError::Unknown),
+        }
+    }
+
+    /// A refusal counts only while the view stands; a head that was put out may be out of date.
+    async fn stands(self: &Rc<Self>) -> bool {
+        self.confirm(Instant::now() + CONFIRM_TIMEOUT).await
+    }
+
+    /// An order of the operator's, at the head.
+    pub(super) async fn order_here(self: &Rc<Self>, order: &Order) -> OrderReply {
+        let written = self
+            .write(|state| match state.decide(order) {
+                Decision::New(_) => Ok(StateChange::Order(order.clone())),
+                Decision::Known => Err(OrderReply::Acknowledged),
+                Decision::Forgotten => Err(OrderReply::Unavailable),
+                Decision::Conflict { current } => Err(OrderReply::Conflict { current }),
+                Decision::Invalid(reason) => Err(OrderReply::Invalid(reason)),
+            })
+            .await;
+        match written {
+            Ok(Ok(())) => OrderReply::Acknowledged,
+            // What is known is committed: no later view can lose it.
+            Ok(Err(OrderReply::Acknowledged)) => OrderReply::Acknowledged,
+            Ok(Err(answer)) if self.stands().await => answer,
+            Ok(Err(_)) => OrderReply::Unavailable,
+            Err(WriteError::NotTaken) => OrderReply::Unavailable,
+            Err(WriteError::Unknown) => OrderReply::Unknown,
+        }
+    }
+
+    /// The newest committed configuration, at the tail.
+    pub(super) async fn read_here(self: &Rc<Self>) -> Option<ConfigurationBytes> {
+        if !self.stands().await {
+            return None;
+        }
+        let coordinator = self.coordinator.borrow();
+        let state = coordinator.value_for_reads().filter(|state| state.generation() > 0)?;
+        Some(ConfigurationBytes(state.configuration.json().to_vec()))
+    }
+
+    /// To empty a store, at the head.
+    pub(super) async fn retire_here(self: &Rc<Self>, node: &str) -> RetireReply {
+        let fewest = self.settings.tolerate.losses() + 1;
+        let written = self.write(|state| begin_retirement(state, node, fewest)).await;
+        match written {
+            Ok(Ok(())) => RetireReply::Running,
+            Ok(Err(answer)) if self.stands().await => answer,
+            _ => RetireReply::Unavailable,
+        }
+    }
+
+    /// How far the emptying of a store is, at the head.
+    pub(super) async fn retire_state_here(self: &Rc<Self>, node: &str) -> RetireReply {
+        if !self.is_head() || !self.stands().await {
+            return RetireReply::Unavailable;
+        }
+        let Some(state) = self.committed_state() else { return RetireReply::Unavailable };
+        match state.small.retirements.get(node) {
+            Some(Retirement::Running) => RetireReply::Running,
+            Some(Retirement::Succeeded) => RetireReply::Succeeded,
+            None => RetireReply::UnknownNode,
+        }
+    }
+}
+
+fn begin_retirement(state: &ControlState, node: &str, fewest: usize) -> Result<StateChange, RetireReply> {
+    if state.small.retirements.contains_key(node) {
+        return Err(RetireReply::Running);
+    }
+    let stores = &state.small.stores.stores;
+    if !stores.iter().any(|store| store.member.identity.node == node) {
+        return Err(RetireReply::UnknownNode);
+    }
+    if stores.iter().filter(|store| !store.retiring).count() <= fewest {
+        return Err(RetireReply::TooFew);
+    }
+    Ok(StateChange::Retire { node: node.to_owned() })
+}
--- a/crates/control-plane/src/core/tests.rs
+++ b/crates/control-plane/src/core/tests.rs
@@ -1,132 +1,147 @@
-use std::net::SocketAddr;
+//! The process around the state machines, over real connections on loopback.
+
 use std::path::Path;
-use std::rc::Rc;
 
-use fennelgauge_coordination::{Identity, Member, StateVersion, View};
-use fennelgauge_settings::Settings;
-use fennelgauge_wire::{encode, CoreReply, CoreRequest, Order, OrderKind, OrderReply};
-use tokio::task::LocalSet;
+use fennelgauge_wire::{serve, CoreReply, CoreRequest, Order, OrderKind, OrderReply, Reply, Watch};
+use tokio::net::TcpListener;
+use tokio::task::{spawn_local, JoinHandle, LocalSet};
 
 use super::*;
 
+const PATIENCE: Duration = Duration::from_secs(20);
+
 fn local<F: std::future::Future<Output = ()>>(test: F) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     LocalSet::new().block_on(&runtime, test);
 }
 
-fn core(node: &str, peer: SocketAddr) -> Rc<Core> {
-    let text = format!(
-        "node = \"{node}\"\nip = \"127.0.0.1\"\nzone = \"z\"\nport_range = [7000, 7010]\ncounts_for_quorum = true\n\
-         [tolerate]\nmachines = 1\n"
-    );
-    let settings = Rc::new(Settings::parse(&text, Path::new("test.toml")).expect("settings"));
-    let identity = Identity { node: node.to_owned(), disk: 1 };
-    Core::open(settings, Rc::default(), Caller::default(), identity, peer).expect("opened")
-}
-
-/// An address where nobody listens.
-fn nobody() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address")
-}
-
-fn view(epoch: u64, members: &[&Member]) -> View {
-    View { epoch, members: members.iter().map(|member| (*member).clone()).collect() }
+struct Machine {
+    core: Rc<Core>,
+    /// Nothing reaches it while this is set.
+    cut_off: Rc<Cell<bool>>,
+    keeping: JoinHandle<()>,
 }
 
-fn empty() -> StateVersion {
-    StateVersion { epoch: 1, sequence: 0, body: encode(&ControlState::default()) }
+impl Machine {
+    /// Cuts it off: it neither hears nor does anything of itself any more.
+    fn cut_off(&self) {
+        self.cut_off.set(true);
+        self.keeping.abort();
+    }
 }
 
-fn order() -> Order {
-    let body = br#"{"generation":7,"routes":[],"services":[]}"#.to_vec();
-    Order { kind: OrderKind::Put, base: 0, body }
+/// Three machines that are each other's seeds.
+async fn three(salt: u16) -> Vec<Machine> {
+    let first = 21_000 + (std::process::id() as u16 % 900) * 40 + salt * 4;
+    let mut machines = Vec::new();
+    for number in 0..3_u16 {
+        let ip = format!("127.0.0.{}", number + 1);
+        let text = format!(
+            "node = \"m{number}\"\nip = \"{ip}\"\nzone = \"z\"\nport_range = [{first}, {}]\nbootstrap = true\n\
+             counts_for_quorum = true\nseeds = [\"127.0.0.1:1\", \"127.0.0.2:1\", \"127.0.0.3:1\"]\n\
+             [tolerate]\nmachines = 1\n",
+            first + 3
+        );
+        let settings = Rc::new(Settings::parse(&text, Path::new("test.toml")).expect("settings"));
+        let peer = settings.control_peer_address();
+        let core = Core::open(settings, Rc::default(), Caller::default(), peer).expect("opened");
+        let listener = TcpListener::bind(peer).await.expect("a port");
+        let cut_off = Rc::new(Cell::new(false));
+        let answering = (core.clone(), cut_off.clone());
+        spawn_local(serve(listener, move |request| answer(answering.clone(), request)));
+        let keeping = spawn_local(core.clone().keep());
+        machines.push(Machine { core, cut_off, keeping });
+    }
+    machines
 }
 
-async fn listening(core: &Rc<Core>, listener: tokio::net::TcpListener) {
-    let core = core.clone();
-    tokio::task::spawn_local(fennelgauge_wire::serve(listener, move |request| {
-        let core = core.clone();
-        async move {
-            match request {
-                Request::Core(request) => Reply::Core(core.answer(request).await),
-                _ => Reply::NotHere,
-            }
+async fn answer((core, cut_off): (Rc<Core>, Rc<Cell<bool>>), request: Request) -> Reply {
+    match request {
+        _ if cut_off.get() => std::future::pending().await,
+        Request::Core(request) => Reply::Core(core.answer(request).await),
+        Request::Coordination(envelope) => {
+            spawn_local(core.hear(*envelope));
+            Reply::Noted
         }
-    }));
+        _ => Reply::NotHere,
+    }
 }
 
-async fn pair() -> (Rc<Core>, Rc<Core>) {
-    let listener = || async { tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port") };
-    let (first, second) = (listener().await, listener().await);
-    let head = core("a", first.local_addr().expect("an address"));
-    let tail = core("b", second.local_addr().expect("an address"));
-    listening(&head, first).await;
-    listening(&tail, second).await;
-    let view = view(1, &[&head.me, &tail.me]);
-    assert!(head.install(view.clone(), empty()).await && tail.install(view, empty()).await);
-    (head, tail)
+fn order(base: u64, generation: u64) -> Order {
+    let body = format!(r#"{{"generation":{generation},"routes":[],"services":[]}}"#).into_bytes();
+    Order { kind: OrderKind::Put, base, body }
 }
 
-#[test]
-fn a_write_is_committed_once_every_link_has_it() {
-    local(async {
-        let (head, tail) = pair().await;
-        assert_eq!(head.order_here(&order()).await, OrderReply::Acknowledged);
-        for member in [&head, &tail] {
-            assert_eq!(member.committed_state().expect("committed").generation, 7);
-            assert_eq!(member.known.generation(), 7);
+/// Waits for a machine of which something is true.
+async fn until(machines: &[Machine], what: &str, wanted: impl Fn(&Core) -> bool) -> Rc<Core> {
+    let began = Instant::now();
+    loop {
+        if let Some(found) = machines.iter().find(|machine| wanted(&machine.core)) {
+            return found.core.clone();
         }
-        assert!(tail.read_here().await.is_some());
-        assert!(head.read_here().await.is_none(), "only the tail answers reads");
-        assert_eq!(head.order_here(&order()).await, OrderReply::Acknowledged, "known by its content");
-        assert_eq!(tail.order_here(&order()).await, OrderReply::Unavailable, "only the head takes orders");
-    });
+        assert!(began.elapsed() < PATIENCE, "{what} takes too long");
+        let _ = timeout_at(Instant::now() + TICK_EVERY, machines[0].core.moved.notified()).await;
+    }
 }
 
-#[test]
-fn what_the_successor_has_not_is_in_doubt_and_told_to_nobody() {
-    local(async {
-        let head = core("a", nobody());
-        let gone = Member {
-            identity: Identity { node: "b".to_owned(), disk: 1 },
-            peer: nobody(),
-            ..head.me.clone()
-        };
-        assert!(head.install(view(1, &[&head.me, &gone]), empty()).await);
-        assert_eq!(head.order_here(&order()).await, OrderReply::Unknown);
-        assert!(head.committed_state().is_none(), "nothing may be sent from a state in doubt");
-        assert_eq!(head.known.generation(), 0);
-        let other = Order { base: 3, ..order() };
-        assert_eq!(
-            head.order_here(&other).await,
-            OrderReply::Unavailable,
-            "no refusal from a state in doubt"
-        );
-    });
+async fn acknowledged(core: &Rc<Core>, order: &Order) {
+    let began = Instant::now();
+    loop {
+        match core.order_here(order).await {
+            OrderReply::Acknowledged => return,
+            OrderReply::Unavailable | OrderReply::Unknown => {}
+            other => panic!("{other:?}"),
+        }
+        assert!(began.elapsed() < PATIENCE, "an order takes too long");
+    }
 }
 
 #[test]
-fn a_sealed_or_deposed_member_takes_and_refuses_nothing() {
+fn an_order_is_taken_once_by_the_head_and_read_at_the_tail() {
     local(async {
-        let (head, tail) = pair().await;
-        let ballot = fennelgauge_coordination::Ballot { round: 1, proposer: tail.me.identity.clone() };
-        tail.prepare_here(1, &ballot).await;
-        assert_eq!(head.order_here(&order()).await, OrderReply::Unknown);
-        let append = CoreRequest::Append { epoch: 1, state: empty() };
-        assert!(matches!(tail.answer(append).await, CoreReply::Refused { epoch: 1 }));
-        assert!(tail.install(view(2, &[&tail.me, &head.me]), empty()).await);
-        assert!(!tail.install(view(1, &[&head.me, &tail.me]), empty()).await, "no way back");
-        let stale = Order { base: 9, ..order() };
-        assert_eq!(head.order_here(&stale).await, OrderReply::Unavailable, "a deposed head refuses nobody");
-        assert!(!head.confirm().await);
+        let machines = three(0).await;
+        let head = until(&machines, "a head", |core| core.is_head()).await;
+        acknowledged(&head, &order(0, 7)).await;
+        assert_eq!(head.order_here(&order(0, 7)).await, OrderReply::Acknowledged, "known by its content");
+        assert_eq!(head.order_here(&order(0, 9)).await, OrderReply::Conflict { current: 7 });
+        for machine in &machines {
+            until(std::slice::from_ref(machine), "news", |core| core.known.generation() >= 7).await;
+            let is_tail = machine.core.view().tail() == Some(&machine.core.me);
+            assert_eq!(machine.core.read_here().await.is_some(), is_tail, "only the tail answers reads");
+            let other = machine.core.order_here(&order(7, 8)).await;
+            assert_eq!(other == OrderReply::Unavailable, !machine.core.is_head());
+            if machine.core.is_head() {
+                assert_eq!(other, OrderReply::Acknowledged);
+            }
+        }
     });
 }
 
 #[test]
-fn a_chain_below_the_fewest_links_takes_nothing() {
+fn a_machine_that_is_cut_off_acknowledges_refuses_and_tells_nothing() {
     local(async {
-        let alone = core("a", nobody());
-        assert!(alone.install(view(1, &[&alone.me]), empty()).await);
-        assert_eq!(alone.order_here(&order()).await, OrderReply::Unavailable);
+        let mut machines = three(1).await;
+        let head = until(&machines, "a head", |core| core.is_head()).await;
+        acknowledged(&head, &order(0, 7)).await;
+        let cut_off = machines.iter().position(|machine| Rc::ptr_eq(&machine.core, &head)).expect("the head");
+        let old = machines.remove(cut_off);
+        old.cut_off();
+        let next = until(&machines, "another head", |core| core.is_head()).await;
+        acknowledged(&next, &order(7, 8)).await;
+        // What the machine that was cut off says of anything.
+        for asked in [order(7, 8), order(7, 9), order(0, 9), order(8, 9)] {
+            let said = old.core.order_here(&asked).await;
+            assert!(matches!(said, OrderReply::Unavailable | OrderReply::Unknown), "{asked:?}: {said:?}");
+        }
+        let retire = old.core.answer(CoreRequest::RetireState { node: "x".to_owned() }).await;
+        assert!(matches!(retire, CoreReply::Retire(fennelgauge_wire::RetireReply::Unavailable)));
+        assert!(matches!(old.core.answer(CoreRequest::Read).await, CoreReply::Configuration(None)));
+        let watch = Watch { have: Default::default(), wait_ms: 0 };
+        let began = Instant::now();
+        while old.core.known.answer_in_touch(&watch).await.configuration.is_some() {
+            assert!(began.elapsed() < PATIENCE, "it hands out an old configuration");
+            sleep(TICK_EVERY).await;
+        }
+        assert!(!old.core.is_confirmed());
     });
 }
--- a/crates/control-plane/src/duties.rs
+++ b/crates/control-plane/src/duties.rs
@@ -129,18 +129,18 @@
     window: u64,
 ) -> bool {
     let Some(state) = core.committed_state() else { return false };
-    if !state.usage.contains_key(&window) {
+    if !state.small.usage.contains_key(&window) {
         let counts = collector.sum(window);
         if counts.is_empty() {
             return true;
         }
-        if core.write(|state| state.with_usage(window, counts).ok_or(())).await.is_err() {
+        if core.write(|state| state.usage_change(window, counts).ok_or(())).await.is_err() {
             return false;
         }
     }
     // Only what is committed is sent: what is not may be replaced by another head's counts.
     let Some(state) = core.committed_state() else { return false };
-    let Some(counts) = state.usage.get(&window) else { return false };
+    let Some(counts) = state.small.usage.get(&window) else { return false };
     let report = serde_json::json!({ "window": window, "counts": counts });
     match call_platform(core, client, platform, "usage", &report).await {
         Some(status) => status.is_success() || status == StatusCode::CONFLICT,
--- a/crates/control-plane/src/placement.rs
+++ b/crates/control-plane/src/placement.rs
@@ -10,7 +10,7 @@
 use tokio::time::{sleep, Instant};
 
 use crate::core::Core;
-use crate::state::{ControlState, Retirement};
+use crate::state::{ControlState, Retirement, StateChange};
 
 const PLAN_EVERY: Duration = Duration::from_millis(250);
 /// A store not heard for so long is taken for lost.
@@ -59,8 +59,8 @@
         }
         let may_begin = first_heard.is_some_and(|at| at.elapsed() > FIRST_WAIT);
         let losses = core.settings.tolerate.losses();
-        let wanted = planned(&core.state(), &fresh, losses, may_begin);
-        if wanted.is_none() {
+        let Some(state) = core.committed_state() else { continue };
+        if planned(&state, &fresh, losses, may_begin).is_none() {
             continue;
         }
         let written = core.write(|state| planned(state, &fresh, losses, may_begin).ok_or(())).await;
@@ -70,29 +70,26 @@
     }
 }
 
-/// The next state, or none if the placement and the retirements are as they should be.
+/// The change to make, or none if the placement and the retirements are as they should be.
 fn planned(
     state: &ControlState,
     fresh: &[StorePresence],
     losses: usize,
     may_begin: bool,
-) -> Option<ControlState> {
+) -> Option<StateChange> {
+    let view = &state.small.stores;
     let mut present: Vec<Member> = fresh.iter().map(|presence| presence.member.clone()).collect();
     present.sort_by(|left, right| left.identity.cmp(&right.identity));
     let alive = |member: &Member| present.iter().any(|there| there.identity == member.identity);
-    let level = level_learners(&state.stores, fresh);
+    let level = level_learners(view, fresh);
     let planner = Planner { losses, alive: &alive, present: &present, level: &level, may_begin };
-    let mut next = state.clone();
-    if let Some(stores) = planner.plan(&state.stores) {
-        next.stores = stores;
-    }
-    for (node, retirement) in &mut next.retirements {
-        let emptied = state.stores.by_node(node).is_none_or(|store| !state.stores.holds_data(store.number));
-        if *retirement == Retirement::Running && emptied {
-            *retirement = Retirement::Succeeded;
-        }
-    }
-    (next != *state).then_some(next)
+    let stores = planner.plan(view);
+    let running =
+        state.small.retirements.iter().filter(|(_, retirement)| **retirement == Retirement::Running);
+    let is_empty = |node: &str| view.by_node(node).is_none_or(|store| !view.holds_data(store.number));
+    let emptied: Vec<String> = running.map(|(node, _)| node.clone()).filter(|node| is_empty(node)).collect();
+    let changed = stores.is_some() || !emptied.is_empty();
+    changed.then_some(StateChange::Placement { stores, emptied })
 }
 
 fn level_learners(view: &StoreView, fresh: &[StorePresence]) -> BTreeSet<(StoreNumber, GroupNumber)> {
--- a/crates/control-plane/src/platform_reader.rs
+++ b/crates/control-plane/src/platform_reader.rs
@@ -24,7 +24,7 @@
     loop {
         let began = Instant::now();
         let stale = core.known.servers_age().is_none_or(|age| age > FOLLOWER_PATIENCE);
-        if core.is_head() || (stale && core.is_member()) {
+        if core.is_head() || (stale && core.is_link()) {
             match read_list(&client, platform).await {
                 Ok(servers) => core.known.take_servers(Some(reader.numbered(servers)), began.elapsed()),
                 Err(reason) => log::warn!("{reason}"),
@@ -38,7 +38,7 @@
 pub async fn follow_head(core: Rc<Core>) {
     loop {
         let view = core.view();
-        let head = view.head().filter(|head| head.identity != core.me.identity && core.is_member());
+        let head = view.head().filter(|head| head.identity != core.me.identity && core.is_link());
         let Some(head) = head else {
             sleep(FOLLOW_WAIT).await;
             continue;
--- a/crates/control-plane/src/process.rs
+++ b/crates/control-plane/src/process.rs
@@ -13,7 +13,6 @@
 
 use crate::core::Core;
 use crate::duties::{order_servers, report_usage, UsageCollector};
-use crate::identity::identity;
 use crate::operator::{routes, Operator, MAX_ORDER_BYTES};
 use crate::placement::{keep_placement, Presence};
 use crate::platform_reader::{follow_head, keep_list};
@@ -32,17 +31,14 @@
     let known = Rc::new(Known::default());
     let caller = Caller::default();
     let peer = settings.control_peer_address();
-    let identity = identity(&settings)?;
-    let core = Core::open(settings.clone(), known.clone(), caller.clone(), identity, peer)?;
+    let core = Core::open(settings.clone(), known.clone(), caller.clone(), peer)?;
     let presence = Rc::new(Presence::default());
     let collector = Rc::new(UsageCollector::default());
 
     let listener = TcpListener::bind(peer).await?;
     let answering = (core.clone(), presence.clone(), collector.clone());
     spawn_local(serve(listener, move |request| answer(answering.clone(), request)));
-    spawn_local(core.clone().keep_membership());
-    spawn_local(core.clone().settle_doubts());
-    spawn_local(core.clone().try_failed_disk());
+    spawn_local(core.clone().keep());
     spawn_local(keep_list(core.clone()));
     spawn_local(follow_head(core.clone()));
     spawn_local(keep_placement(core.clone(), presence));
@@ -57,8 +53,12 @@
     request: Request,
 ) -> Reply {
     match request {
-        Request::Watch(watch) => Reply::News(Box::new(core.known.answer(&watch).await)),
+        Request::Watch(watch) => Reply::News(Box::new(core.known.answer_in_touch(&watch).await)),
         Request::Core(request) => Reply::Core(core.answer(request).await),
+        Request::Coordination(envelope) => {
+            spawn_local(core.hear(*envelope));
+            Reply::Noted
+        }
         Request::StorePresence(told) => {
             presence.hear(told);
             Reply::Noted
--- a/crates/control-plane/src/state.rs
+++ b/crates/control-plane/src/state.rs
@@ -1,10 +1,11 @@
-//! The control state and how orders change it. Pure.
+//! The control state and how changes change it. Pure.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
-use fennelgauge_coordination::StoreView;
-use fennelgauge_model::{patched, stable_hash, Document};
-use fennelgauge_wire::{Order, OrderKind};
+use fennelgauge_coordination::{content_digest, Replicated, StoreView};
+use fennelgauge_model::{patched, Document};
+use fennelgauge_wire::{decode, encode, Order, OrderKind};
 use serde::{Deserialize, Serialize};
 
 /// Orders whose content is remembered, so that one sent again is known.
@@ -12,15 +13,49 @@
 /// Usage windows whose counts are kept after they were fixed.
 const WINDOWS_KEPT: usize = 16;
 
+/// A configuration as the operator wrote it, shared by all versions that have it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SharedConfiguration {
+    json: Arc<[u8]>,
+    digest: u128,
+}
+
+impl SharedConfiguration {
+    pub fn new(json: Vec<u8>) -> Self {
+        Self { digest: content_digest(&json), json: json.into() }
+    }
+
+    pub fn json(&self) -> &[u8] {
+        &self.json
+    }
+
+    pub fn digest(&self) -> u128 {
+        self.digest
+    }
+}
+
+impl Default for SharedConfiguration {
+    fn default() -> Self {
+        Self::new(Vec::new())
+    }
+}
+
 /// All that the core agrees on.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ControlState {
+    /// Empty before the first.
+    pub configuration: SharedConfiguration,
+    pub small: SmallState,
+}
+
+/// All but the configuration: what changes without it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SmallState {
     pub generation: u64,
-    /// The configuration as JSON; empty before the first.
-    #[serde(with = "serde_bytes")]
-    pub configuration: Vec<u8>,
     /// Oldest first.
-    pub orders: Vec<OrderDigest>,
+    orders: Vec<TakenOrder>,
+    /// The highest base among the orders that are remembered no more.
+    forgotten_base: Option<u64>,
     pub stores: StoreView,
     /// Nodes that were asked to be emptied, and whether they are.
     pub retirements: BTreeMap<String, Retirement>,
@@ -28,19 +63,21 @@
     pub usage: BTreeMap<u64, BTreeMap<String, u64>>,
 }
 
-/// The content of an order, shortened.
+/// An order that was taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OrderDigest(u64, u64);
-
-impl OrderDigest {
-    pub fn of(order: &Order) -> Self {
-        let mut keyed = order.base.to_le_bytes().to_vec();
-        keyed.push(order.kind as u8);
-        keyed.extend_from_slice(&order.body);
-        let first = stable_hash(&keyed);
-        keyed.extend_from_slice(&first.to_le_bytes());
-        keyed.reverse();
-        Self(first, stable_hash(&keyed))
+struct TakenOrder {
+    /// The generation that it built on.
+    base: u64,
+    /// Of all that it said.
+    digest: u128,
+}
+
+impl TakenOrder {
+    fn of(order: &Order) -> Self {
+        let mut whole = order.base.to_le_bytes().to_vec();
+        whole.push(order.kind as u8);
+        whole.extend_from_slice(&order.body);
+        Self { base: order.base, digest: content_digest(&whole) }
     }
 }
 
@@ -51,11 +88,33 @@
     Succeeded,
 }
 
+/// One change of the control state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StateChange {
+    Order(Order),
+    /// Fixes the counts of a window.
+    Usage {
+        window: u64,
+        counts: BTreeMap<String, u64>,
+    },
+    /// Another placement, and nodes that are empty now.
+    Placement {
+        stores: Option<StoreView>,
+        emptied: Vec<String>,
+    },
+    /// A node is to be emptied.
+    Retire {
+        node: String,
+    },
+}
+
 /// What an order comes to.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
     /// Taken before.
     Known,
+    /// It builds on so old a generation that it may have been taken and forgotten: no clear answer.
+    Forgotten,
     /// Builds on another generation than the current one.
     Conflict {
         current: u64,
@@ -65,46 +124,104 @@
 }
 
 impl ControlState {
+    pub fn generation(&self) -> u64 {
+        self.small.generation
+    }
+
     /// Decides about an order.
     pub fn decide(&self, order: &Order) -> Decision {
-        let digest = OrderDigest::of(order);
-        if self.orders.contains(&digest) {
+        let taken = TakenOrder::of(order);
+        if self.small.orders.contains(&taken) {
             return Decision::Known;
         }
-        if order.base != self.generation {
-            return Decision::Conflict { current: self.generation };
+        if order.base != self.small.generation {
+            return match self.small.forgotten_base >= Some(order.base) {
+                true => Decision::Forgotten,
+                false => Decision::Conflict { current: self.small.generation },
+            };
         }
         let document = match order.kind {
-            OrderKind::Put => Document::parse(&order.body, self.generation),
-            OrderKind::Patch => patched(&self.configuration, &order.body)
-                .and_then(|json| Document::parse(&json, self.generation)),
+            OrderKind::Put => Document::parse(&order.body, self.small.generation),
+            OrderKind::Patch => patched(self.configuration.json(), &order.body)
+                .and_then(|json| Document::parse(&json, self.small.generation)),
         };
         match document {
-            Ok(document) => Decision::New(self.with_configuration(document, digest)),
+            Ok(document) => Decision::New(self.with_configuration(document, taken)),
             Err(reason) => Decision::Invalid(reason.to_string()),
         }
     }
 
-    fn with_configuration(&self, document: Document, digest: OrderDigest) -> Self {
-        let mut next = self.clone();
-        next.generation = document.configuration.generation;
-        next.configuration = document.json;
-        next.orders.push(digest);
-        let surplus = next.orders.len().saturating_sub(ORDERS_KEPT);
-        next.orders.drain(..surplus);
-        next
+    fn with_configuration(&self, document: Document, taken: TakenOrder) -> Self {
+        let mut small = self.small.clone();
+        small.generation = document.configuration.generation;
+        small.orders.push(taken);
+        let surplus = small.orders.len().saturating_sub(ORDERS_KEPT);
+        for forgotten in small.orders.drain(..surplus) {
+            small.forgotten_base = small.forgotten_base.max(Some(forgotten.base));
+        }
+        Self { configuration: SharedConfiguration::new(document.json), small }
     }
 
-    /// Fixes the counts of a window; none if they are fixed.
-    pub fn with_usage(&self, window: u64, counts: BTreeMap<String, u64>) -> Option<Self> {
-        if self.usage.contains_key(&window) {
-            return None;
-        }
+    /// The change that fixes the counts of a window; none if they are fixed.
+    pub fn usage_change(&self, window: u64, counts: BTreeMap<String, u64>) -> Option<StateChange> {
+        let fixed = self.small.usage.contains_key(&window);
+        (!fixed).then_some(StateChange::Usage { window, counts })
+    }
+
+    fn changed(&self, change: StateChange) -> Option<Self> {
         let mut next = self.clone();
-        next.usage.insert(window, counts);
-        while next.usage.len() > WINDOWS_KEPT {
-            next.usage.pop_first();
+        match change {
+            StateChange::Order(order) => match self.decide(&order) {
+                Decision::New(next) => return Some(next),
+                _ => return None,
+            },
+            StateChange::Usage { window, counts } => {
+                next.small.usage.insert(window, counts);
+                while next.small.usage.len() > WINDOWS_KEPT {
+                    next.small.usage.pop_first();
+                }
+            }
+            StateChange::Placement { stores, emptied } => {
+                if let Some(stores) = stores {
+                    next.small.stores = stores;
+                }
+                for node in emptied {
+                    next.small.retirements.insert(node, Retirement::Succeeded);
+                }
+            }
+            StateChange::Retire { node } => {
+                let stores = &mut next.small.stores;
+                let store = stores.stores.iter_mut().find(|store| store.member.identity.node == node)?;
+                store.retiring = true;
+                stores.epoch += 1;
+                next.small.retirements.insert(node, Retirement::Running);
+            }
         }
         Some(next)
     }
 }
+
+impl Replicated for ControlState {
+    fn apply(&self, change: &[u8]) -> Option<Self> {
+        let change = decode(change).map_err(|reason| log::error!("a change cannot be read: {reason}"));
+        self.changed(change.ok()?)
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        encode(&(serde_bytes::Bytes::new(self.configuration.json()), &self.small))
+    }
+
+    fn decode(bytes: &[u8]) -> Option<Self> {
+        let decoded: Result<(serde_bytes::ByteBuf, SmallState), _> = decode(bytes);
+        let (json, small) = decoded.map_err(|reason| log::error!("a copy cannot be read: {reason}")).ok()?;
+        Some(Self { configuration: SharedConfiguration::new(json.into_vec()), small })
+    }
+
+    /// Of the configuration's digest and all else: a small change does not read the configuration again.
+    fn digest(&self) -> u128 {
+        content_digest(&encode(&(self.configuration.digest, &self.small)))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/coordination/src/identity.rs
+++ b/crates/coordination/src/identity.rs
@@ -13,7 +13,7 @@
 }
 
 /// An identity and how it is reached.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Member {
     pub identity: Identity,
     /// For calls among our own processes.
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,19 +1,24 @@
-//! Coordination among the processes of a fleet, as pure state machines: views of a chain agreed step by step, and the
-//! placement of groups of data on stores. No I/O, no clock, no chance: callers hand these in.
+//! Coordination among the processes of a fleet, as pure state machines: views of a chain agreed step by step, the chain
+//! itself, learning, and the placement of groups of data on stores. No I/O, no clock, no chance: callers hand these in.
 
+mod acceptor;
+mod coordinator;
 mod identity;
-mod proposer;
+mod message;
+mod replica;
 mod sampling;
 mod stores;
+mod version;
 mod view;
 
+pub use acceptor::{Acceptor, Ballot};
+pub use coordinator::{Coordinator, Progress, Question, Timing};
 pub use identity::{Identity, Member};
-pub use proposer::{Proposer, Step};
+pub use message::{Copying, Envelope, Message};
+#[cfg(feature = "planted-bugs")]
+pub use replica::PlantedBug;
+pub use replica::{NotTaken, Outcome, Record, Replica, Stored};
 pub use sampling::{PartialView, Peer, Sighting, Swap};
 pub use stores::{Group, GroupNumber, Planner, Store, StoreNumber, StoreView, GROUPS};
-pub use view::{
-    next_view, AcceptReply, Acceptor, Ballot, PrepareReply, Promise, Proposal, StateVersion, View, ViewRules,
-};
-
-#[cfg(test)]
-mod tests;
+pub use version::{content_digest, Replicated, Step, Version};
+pub use view::{next_view, Judgement, View, ViewRules};
--- a/crates/coordination/src/view.rs
+++ b/crates/coordination/src/view.rs
@@ -1,218 +1,161 @@
-//! Views of the chain. View e + 1 is a single decision among a majority of view e (one Paxos instance for each epoch).
-//! A promise seals view e at its member: from then on the member takes no writes of e.
+//! Views: who votes on the next view, and the chain that takes the writes of this one.
+//!
+//! Voters are apart from the chain. The number of voters does not change with who is silent: 2 x losses + 1 of them. The chain is those
+//! of them that take writes, never fewer than any majority of voters must meet one of. So a majority of voters always
+//! includes a link of the chain, and every link has all that was acknowledged.
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Identity, Member};
+use crate::{Identity, Member, Version};
 
-/// The chain's members, head first.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// A view: decided by a majority of the voters of the one before.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct View {
     pub epoch: u64,
-    pub members: Vec<Member>,
+    pub voters: Vec<Member>,
+    /// Head first; all of them voters.
+    pub chain: Vec<Member>,
+    /// The version with which the view begins, as it was named in the view before.
+    pub start: Version,
 }
 
 impl View {
-    /// The acceptors of the very first decision: the seeds, known by address only.
-    pub fn of_seeds(peers: &[std::net::SocketAddr]) -> Self {
+    /// The voters on the very first view: the seeds, known by address only.
+    pub fn of_seeds(peers: &[std::net::SocketAddr], start: Version) -> Self {
         let seed = |peer: &std::net::SocketAddr| Member {
             identity: Identity { node: String::new(), disk: 0 },
             peer: *peer,
             zone: String::new(),
             region: String::new(),
         };
-        Self { epoch: 0, members: peers.iter().map(seed).collect() }
+        Self { epoch: 0, voters: peers.iter().map(seed).collect(), chain: Vec::new(), start }
     }
 
-    /// How many members decide.
+    /// How many voters decide.
     pub fn majority(&self) -> usize {
-        self.members.len() / 2 + 1
+        self.voters.len() / 2 + 1
     }
 
     pub fn head(&self) -> Option<&Member> {
-        self.members.first()
+        self.chain.first()
     }
 
     pub fn tail(&self) -> Option<&Member> {
-        self.members.last()
+        self.chain.last()
     }
 
-    pub fn position(&self, identity: &Identity) -> Option<usize> {
-        self.members.iter().position(|member| member.identity == *identity)
+    /// The place of a voter; before the first view voters are known by address only.
+    pub fn seat(&self, member: &Member) -> Option<usize> {
+        self.voters.iter().position(|voter| match self.epoch {
+            0 => voter.peer == member.peer,
+            _ => voter.identity == member.identity,
+        })
     }
 
-    pub fn successor(&self, identity: &Identity) -> Option<&Member> {
-        self.members.get(self.position(identity)? + 1)
+    /// The place of a link of the chain.
+    pub fn link(&self, identity: &Identity) -> Option<usize> {
+        self.chain.iter().position(|link| link.identity == *identity)
     }
-}
-
-/// One version of the replicated state. Versions order by the epoch in which a member took them, then by sequence.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StateVersion {
-    pub epoch: u64,
-    pub sequence: u64,
-    #[serde(with = "serde_bytes")]
-    pub body: Vec<u8>,
-}
 
-impl StateVersion {
-    pub fn order(&self) -> (u64, u64) {
-        (self.epoch, self.sequence)
+    pub fn successor(&self, identity: &Identity) -> Option<&Member> {
+        self.chain.get(self.link(identity)? + 1)
     }
-}
-
-/// The number of an attempt to decide; unique by its proposer.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Ballot {
-    pub round: u64,
-    pub proposer: Identity,
-}
 
-/// What is decided: the next view and the state it begins with.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Proposal {
-    pub view: View,
-    pub state: StateVersion,
-}
-
-/// A member's part in the decisions. All of it must be on disk before an answer that follows from a change is sent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Acceptor {
-    pub view: View,
-    pub promised: Option<Ballot>,
-    pub accepted: Option<(Ballot, Proposal)>,
-}
-
-/// A promise to take no earlier ballot and no more writes of the present view.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Promise {
-    pub accepted: Option<(Ballot, Proposal)>,
-    pub state: StateVersion,
-    /// Who promises, where that may be a member of the next view.
-    pub candidate: Option<Member>,
-}
-
-/// The answer to the first question of an attempt.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PrepareReply {
-    Promised(Box<Promise>),
-    /// A higher ballot was promised.
-    Refused(Ballot),
-    /// This member is in a later view already.
-    Ahead(u64),
-    /// This member has not installed the proposer's view.
-    Behind(u64),
+    /// Voters in the order in which they take over: the chain's links first.
+    pub fn succession(&self) -> impl Iterator<Item = &Member> {
+        let others = self.voters.iter().filter(|voter| self.link(&voter.identity).is_none());
+        self.chain.iter().chain(others)
+    }
 }
 
-/// The answer to the second question.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum AcceptReply {
-    Accepted,
-    Refused(Ballot),
-    Ahead(u64),
-    Behind(u64),
+/// How large views are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ViewRules {
+    /// Losses of disks at once that must be outlived.
+    pub losses: usize,
 }
 
-impl Acceptor {
-    pub fn new(view: View) -> Self {
-        Self { view, promised: None, accepted: None }
-    }
-
-    /// Whether the present view takes no more writes here.
-    pub fn sealed(&self) -> bool {
-        self.promised.is_some()
+impl ViewRules {
+    pub fn for_losses(losses: usize) -> Self {
+        Self { losses }
     }
 
-    /// Asked to promise for the view after `epoch`.
-    pub fn prepare(
-        &mut self,
-        epoch: u64,
-        ballot: &Ballot,
-        state: &StateVersion,
-        candidate: Option<Member>,
-    ) -> PrepareReply {
-        match self.view.epoch.cmp(&epoch) {
-            std::cmp::Ordering::Greater => return PrepareReply::Ahead(self.view.epoch),
-            std::cmp::Ordering::Less => return PrepareReply::Behind(self.view.epoch),
-            std::cmp::Ordering::Equal => {}
-        }
-        match &self.promised {
-            Some(promised) if promised > ballot => PrepareReply::Refused(promised.clone()),
-            _ => {
-                self.promised = Some(ballot.clone());
-                let accepted = self.accepted.clone();
-                PrepareReply::Promised(Box::new(Promise { accepted, state: state.clone(), candidate }))
-            }
-        }
+    /// Voters that a view should have.
+    pub fn voters(&self) -> usize {
+        (2 * self.losses + 1).max(3)
     }
 
-    /// Asked to accept a proposal for the view after `epoch`.
-    pub fn accept(&mut self, epoch: u64, ballot: &Ballot, proposal: &Proposal) -> AcceptReply {
-        match self.view.epoch.cmp(&epoch) {
-            std::cmp::Ordering::Greater => return AcceptReply::Ahead(self.view.epoch),
-            std::cmp::Ordering::Less => return AcceptReply::Behind(self.view.epoch),
-            std::cmp::Ordering::Equal => {}
-        }
-        match &self.promised {
-            Some(promised) if promised > ballot => AcceptReply::Refused(promised.clone()),
-            _ => {
-                self.promised = Some(ballot.clone());
-                self.accepted = Some((ballot.clone(), proposal.clone()));
-                AcceptReply::Accepted
-            }
-        }
+    /// Links without which a chain takes no writes: more than may be lost, and enough to meet every majority of the voters.
+    pub fn fewest_links(&self, voters: usize) -> usize {
+        (self.losses + 1).max(voters - voters / 2)
     }
+}
 
-    /// Takes up a decided view; earlier ones are left alone. Tells whether it was new.
-    pub fn install(&mut self, view: &View) -> bool {
-        if view.epoch <= self.view.epoch {
-            return false;
-        }
-        *self = Self::new(view.clone());
-        true
-    }
+/// What is known of the machines when the next view is worked out.
+pub struct Judgement<'a> {
+    /// Answered lately.
+    pub alive: &'a dyn Fn(&Member) -> bool,
+    /// Has been silent for so long that another may take its place.
+    pub lost: &'a dyn Fn(&Member) -> bool,
+    /// Has all but the newest changes.
+    pub level: &'a dyn Fn(&Member) -> bool,
+    /// Machines that are no voters, alive and level.
+    pub joiners: &'a [Member],
 }
 
-/// How large a chain is.
-#[derive(Clone, Copy, Debug)]
-pub struct ViewRules {
-    /// A chain of fewer takes no writes.
-    pub fewest: usize,
-    /// More stand by.
-    pub most: usize,
+/// The view that should follow, if not the present one. At most one voter changes: one whose disk was lost or that is lost gives its
+/// place to a machine that is level. The chain is the voters that are alive and level, in their present order, new ones at the end.
+pub fn next_view(view: &View, judged: &Judgement, rules: ViewRules) -> Option<View> {
+    let voters = next_voters(view, judged, rules);
+    let chain = next_chain(view, &voters, judged, rules);
+    let changed = voters != view.voters || chain != view.chain;
+    let enough = chain.len() >= rules.fewest_links(voters.len());
+    (changed && enough).then(|| View { epoch: view.epoch + 1, voters, chain, start: Version::default() })
 }
 
-impl ViewRules {
-    /// For `losses` members lost at once.
-    pub fn for_losses(losses: usize) -> Self {
-        Self { fewest: losses + 1, most: (2 * losses + 1).max(3) }
+fn next_voters(view: &View, judged: &Judgement, rules: ViewRules) -> Vec<Member> {
+    let mut voters = view.voters.clone();
+    let joiners = |voters: &[Member]| -> Vec<Member> {
+        let mut joiners: Vec<Member> =
+            judged.joiners.iter().filter(|joiner| !voters.contains(joiner)).cloned().collect();
+        let in_zone = |zone: &str| voters.iter().filter(|voter| voter.zone == zone).count();
+        joiners.sort_by_key(|joiner| (in_zone(&joiner.zone), joiner.identity.clone()));
+        joiners
+    };
+    let free = joiners(&voters);
+    let disk_lost = voters.iter().enumerate().find_map(|(seat, voter)| {
+        let another = |joiner: &&Member| {
+            joiner.identity.node == voter.identity.node && joiner.identity.disk != voter.identity.disk
+        };
+        Some((seat, free.iter().find(another)?.clone()))
+    });
+    if let Some((seat, joiner)) = disk_lost {
+        voters[seat] = joiner;
+        return voters;
     }
+    let Some(joiner) = free.first() else { return voters };
+    if voters.len() < rules.voters() {
+        voters.push(joiner.clone());
+    } else if let Some(seat) = voters.iter().position(|voter| (judged.lost)(voter)) {
+        voters[seat] = joiner.clone();
+    }
+    voters
 }
 
-/// The members that the next view should have, if not those of the present one: who lives keeps the order, the lost
-/// go, those standing by fill up at the end, first from zones that have no member.
-pub fn next_view(
-    view: &View,
-    alive: impl Fn(&Member) -> bool,
-    joiners: &[Member],
-    rules: ViewRules,
-) -> Option<View> {
-    let replaced = |member: &Member| {
-        joiners.iter().any(|joiner| {
-            joiner.identity.node == member.identity.node && joiner.identity.disk != member.identity.disk
-        })
-    };
-    let mut members: Vec<Member> =
-        view.members.iter().filter(|member| alive(member) && !replaced(member)).cloned().collect();
-    let mut joiners: Vec<&Member> =
-        joiners.iter().filter(|joiner| view.position(&joiner.identity).is_none()).collect();
-    joiners.sort_by(|left, right| left.identity.cmp(&right.identity));
-    while members.len() < rules.most && !joiners.is_empty() {
-        let in_zone = |zone: &str| members.iter().filter(|member| member.zone == zone).count();
-        let best = (0..joiners.len()).min_by_key(|at| (in_zone(&joiners[*at].zone), *at)).unwrap_or(0);
-        members.push(joiners.remove(best).clone());
+fn next_chain(view: &View, voters: &[Member], judged: &Judgement, rules: ViewRules) -> Vec<Member> {
+    let fewest = rules.fewest_links(voters.len());
+    let stays = |link: &&Member| voters.contains(link) && (judged.alive)(link);
+    let mut chain: Vec<Member> = view.chain.iter().filter(stays).cloned().collect();
+    let alive = |voter: &&Member| (judged.alive)(voter) || judged.joiners.contains(voter);
+    let mut others: Vec<&Member> =
+        voters.iter().filter(|voter| !view.chain.contains(voter)).filter(alive).collect();
+    others.sort_by_key(|voter| !((judged.level)(voter) || judged.joiners.contains(voter)));
+    for voter in others {
+        let level = (judged.level)(voter) || judged.joiners.contains(voter);
+        // One that is not level holds writes up until it is; it is taken only where there would be too few links.
+        if level || chain.len() < fewest {
+            chain.push(voter.clone());
+        }
     }
-    let enough = members.len() >= rules.fewest;
-    let changed = members != view.members;
-    (enough && changed).then(|| View { epoch: view.epoch + 1, members })
+    chain
 }
--- /dev/null
+++ b/crates/coordination/tests/stores.rs
@@ -0,0 +1,131 @@
+//! The placement of groups on stores: losses, repair, retirement.
+
+use std::collections::BTreeSet;
+
+use fennelgauge_coordination::{GroupNumber, Identity, Member, Planner, StoreNumber, StoreView};
+
+fn member(node: &str, disk: u64, zone: &str) -> Member {
+    let port = 1_000 + node.bytes().map(u16::from).sum::<u16>();
+    Member {
+        identity: Identity { node: node.to_owned(), disk },
+        peer: std::net::SocketAddr::from(([10, 0, 0, 1], port)),
+        zone: zone.to_owned(),
+        region: "r".to_owned(),
+    }
+}
+
+struct Fleet {
+    view: StoreView,
+    present: Vec<Member>,
+    level: BTreeSet<(StoreNumber, GroupNumber)>,
+    losses: usize,
+}
+
+impl Fleet {
+    fn new(nodes: &[&str], losses: usize) -> Self {
+        let present = nodes.iter().map(|node| member(node, 1, &node[..1])).collect();
+        let mut fleet = Self { view: StoreView::default(), present, level: BTreeSet::new(), losses };
+        fleet.plan();
+        fleet
+    }
+
+    fn plan(&mut self) -> bool {
+        let present = self.present.clone();
+        let alive = |member: &Member| present.iter().any(|there| there.identity == member.identity);
+        let planner = Planner {
+            losses: self.losses,
+            alive: &alive,
+            present: &present,
+            level: &self.level,
+            may_begin: true,
+        };
+        match planner.plan(&self.view) {
+            Some(next) => {
+                assert!(next.epoch == self.view.epoch + 1);
+                self.view = next;
+                true
+            }
+            None => false,
+        }
+    }
+
+    fn settle(&mut self) {
+        for _ in 0..8 {
+            let learners = self.view.groups.iter().enumerate().filter_map(|(number, group)| {
+                group.learner.map(|learner| (learner, GroupNumber(number as u16)))
+            });
+            self.level = learners.collect();
+            if !self.plan() && self.level.is_empty() {
+                return;
+            }
+        }
+        panic!("placement does not settle");
+    }
+
+    fn lengths(&self) -> BTreeSet<usize> {
+        self.view.groups.iter().map(|group| group.chain.len()).collect()
+    }
+
+    fn leave(&mut self, node: &str) {
+        self.present.retain(|member| member.identity.node != node);
+    }
+}
+
+#[test]
+fn chains_lie_in_different_zones_and_have_one_link_to_spare() {
+    let fleet = Fleet::new(&["a1", "a2", "b1", "c1"], 1);
+    assert_eq!(fleet.lengths(), BTreeSet::from([3]));
+    for group in &fleet.view.groups {
+        let zones: BTreeSet<&str> =
+            group.chain.iter().map(|store| fleet.view.store(*store).unwrap().member.zone.as_str()).collect();
+        assert_eq!(zones.len(), 3);
+    }
+    assert!(Fleet::new(&["a1"], 1).view.groups.is_empty(), "one store is too few");
+}
+
+#[test]
+fn survivors_keep_their_order_and_a_learner_joins_the_end() {
+    let mut fleet = Fleet::new(&["a1", "b1", "c1", "d1"], 1);
+    let before = fleet.view.clone();
+    fleet.leave("b1");
+    assert!(fleet.plan());
+    for (was, is) in before.groups.iter().zip(&fleet.view.groups) {
+        let kept: Vec<StoreNumber> =
+            was.chain.iter().copied().filter(|store| is.chain.contains(store)).collect();
+        assert_eq!(is.chain, kept, "nobody is in a chain before it has copied");
+        assert_eq!(is.learner.is_some(), is.chain.len() == 2);
+    }
+    fleet.settle();
+    assert_eq!(fleet.lengths(), BTreeSet::from([3]));
+}
+
+#[test]
+fn a_chain_never_goes_below_the_fewest_links() {
+    let mut fleet = Fleet::new(&["a1", "b1", "c1"], 1);
+    fleet.leave("a1");
+    fleet.plan();
+    assert_eq!(fleet.lengths(), BTreeSet::from([2]));
+    fleet.leave("b1");
+    fleet.plan();
+    assert_eq!(fleet.lengths(), BTreeSet::from([2]), "the lost one stays named: no writes");
+    fleet.present.push(member("b1", 2, "b"));
+    fleet.plan();
+    assert_eq!(fleet.lengths(), BTreeSet::from([2]), "an empty one takes its place at the end");
+    let c = fleet.view.by_node("c1").unwrap().number;
+    assert!(fleet.view.groups.iter().all(|group| group.chain[0] == c));
+}
+
+#[test]
+fn a_retiring_store_is_emptied_before_it_is_out() {
+    let mut fleet = Fleet::new(&["a1", "b1", "c1", "d1"], 1);
+    let number = fleet.view.by_node("a1").unwrap().number;
+    fleet.view.stores.iter_mut().find(|store| store.number == number).unwrap().retiring = true;
+    fleet.plan();
+    assert!(fleet.view.holds_data(number), "what it holds stands nowhere else yet");
+    fleet.settle();
+    assert!(!fleet.view.holds_data(number));
+    assert_eq!(fleet.lengths(), BTreeSet::from([3]));
+    fleet.leave("a1");
+    fleet.plan();
+    assert!(fleet.view.by_node("a1").is_none());
+}
--- /dev/null
+++ b/crates/simulation/src/lib.rs
@@ -0,0 +1,22 @@
+//! Simulated days of the core: the very state machines that the control plane runs, on a simulated clock, with links that
+//! lose, double, delay and cut, disks that are slow or lost, freezes, replacements and operators that race. A judge looks at what
+//! comes out. The same seed gives the same day, to the byte.
+
+mod chance;
+mod day;
+mod judge;
+mod ledger;
+mod machine;
+mod network;
+mod operator;
+mod plant;
+mod shrink;
+mod world;
+
+pub use chance::Chance;
+pub use day::{Day, Family, Micros, Strike, Trouble, MILLISECOND, SECOND};
+pub use judge::{Broken, Rule};
+pub use ledger::{Decision, Ledger, Order};
+pub use plant::Plant;
+pub use shrink::shrunk;
+pub use world::{play, play_and_print, Played};
--- /dev/null
+++ b/crates/simulation/src/main.rs
@@ -0,0 +1,200 @@
+//! The command line: plays drawn days, one day again, or days with a planted mistake.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::Instant;
+
+use anyhow::{bail, Context};
+use fennelgauge_simulation::{play, play_and_print, shrunk, Day, Family, Plant, Played};
+
+const HELP: &str = "fennelgauge-simulate days [--from N] [--count N] [--family NAME] [--threads N]
+                    plays drawn days; the first broken ones are shrunk and shown
+fennelgauge-simulate day SEED [--family NAME] [--print]
+                    one day, with what came of it; with each message
+fennelgauge-simulate planted [--most N] [--threads N]
+                    each planted mistake: how many days until the judge finds it
+families: cut-off, races, second-loss, many-changes, duels, mixed (they take turns where none is named)";
+
+const SHOWN: usize = 3;
+const DAYS: u64 = 1_000;
+
+fn main() -> anyhow::Result<()> {
+    let mut arguments = pico_args::Arguments::from_env();
+    let verb = arguments.subcommand()?;
+    let family: Option<Family> = arguments.opt_value_from_str("--family")?;
+    let threads: u64 = arguments.opt_value_from_str("--threads")?.unwrap_or(4);
+    let prints = arguments.contains("--print");
+    match verb.as_deref() {
+        Some("days") => {
+            let from = arguments.opt_value_from_str("--from")?.unwrap_or(1);
+            let count = arguments.opt_value_from_str("--count")?.unwrap_or(DAYS);
+            play_days(from, count, family, threads)
+        }
+        Some("day") => {
+            let seed = arguments.free_from_str().context("which day: give its seed")?;
+            let day = drawn(seed, family);
+            if prints {
+                play_and_print(&day, None);
+            }
+            show(&day);
+            Ok(())
+        }
+        Some("planted") => {
+            let most = arguments.opt_value_from_str("--most")?.unwrap_or(DAYS);
+            find_planted(most, threads)
+        }
+        _ => {
+            println!("{HELP}");
+            Ok(())
+        }
+    }
+}
+
+fn drawn(seed: u64, family: Option<Family>) -> Day {
+    family.map_or_else(|| Day::drawn(seed), |family| Day::of_family(seed, family))
+}
+
+/// Plays days on several threads; `found` is handed each broken one and says whether to go on.
+fn on_threads(
+    from: u64,
+    count: u64,
+    threads: u64,
+    day: impl Fn(u64) -> Day + Sync,
+    plant: Option<Plant>,
+    look: impl Fn(&Day, Played) -> bool + Sync,
+) {
+    let next = AtomicU64::new(from);
+    std::thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= from + count {
+                    return;
+                }
+                let day = day(seed);
+                if !look(&day, play(&day, plant)) {
+                    next.store(from + count, Ordering::Relaxed);
+                }
+            });
+        }
+    });
+}
+
+#[derive(Default)]
+struct Sums {
+    days: u64,
+    acknowledgements: u64,
+    refusals: u64,
+    reads: u64,
+    views: u64,
+    recovered_ms: Vec<u64>,
+    broken: Vec<Day>,
+    rules: BTreeMap<String, u64>,
+}
+
+fn play_days(from: u64, count: u64, family: Option<Family>, threads: u64) -> anyhow::Result<()> {
+    let began = Instant::now();
+    let sums = Mutex::new(Sums::default());
+    on_threads(
+        from,
+        count,
+        threads,
+        |seed| drawn(seed, family),
+        None,
+        |day, played| {
+            let Ok(mut sums) = sums.lock() else { return false };
+            sums.days += 1;
+            sums.acknowledgements += played.acknowledgements;
+            sums.refusals += played.refusals;
+            sums.reads += played.reads;
+            sums.views += played.views;
+            sums.recovered_ms.extend(played.recovered_after.map(|micros| micros / 1_000));
+            if let Some(first) = played.broken.first() {
+                *sums.rules.entry(first.rule.to_string()).or_default() += 1;
+                sums.broken.push(day.clone());
+            }
+            true
+        },
+    );
+    let Ok(mut sums) = sums.into_inner() else { bail!("a thread of the simulation has failed") };
+    let seconds = began.elapsed().as_secs_f64();
+    println!(
+        "{} days in {seconds:.1} s: {} orders acknowledged, {} refused, {} reads, {} views; {} days broken",
+        sums.days,
+        sums.acknowledgements,
+        sums.refusals,
+        sums.reads,
+        sums.views,
+        sums.broken.len()
+    );
+    sums.recovered_ms.sort_unstable();
+    if let (Some(middle), Some(most)) =
+        (sums.recovered_ms.get(sums.recovered_ms.len() / 2), sums.recovered_ms.last())
+    {
+        println!("first order after the last trouble: {middle} ms in the middle, {most} ms at most");
+    }
+    for (rule, days) in &sums.rules {
+        println!("  {rule}: {days}");
+    }
+    sums.broken.sort_by_key(|day| day.seed);
+    for day in sums.broken.iter().take(SHOWN) {
+        let rule = play(day, None).broken[0].rule;
+        show(&shrunk(day, rule, None));
+    }
+    match sums.broken.is_empty() {
+        true => Ok(()),
+        false => bail!("rules were broken on {} days", sums.broken.len()),
+    }
+}
+
+fn show(day: &Day) {
+    println!(
+        "day {} ({}): {} machines, {} losses borne, closing at {} ms with {:?} wiped",
+        day.seed,
+        day.family,
+        day.machines,
+        day.losses,
+        day.closing / 1_000,
+        day.closing_wipes
+    );
+    for strike in &day.strikes {
+        println!("  {:>6} ms  {:?}", strike.at / 1_000, strike.trouble);
+    }
+    let played = play(day, None);
+    println!(
+        "  {} acknowledged, {} refused, {} reads, {} views, trace {:016x}",
+        played.acknowledgements, played.refusals, played.reads, played.views, played.trace
+    );
+    for broken in played.broken.iter().take(8) {
+        println!("  BROKEN {} at {} ms: {}", broken.rule, broken.at / 1_000, broken.what);
+    }
+}
+
+fn find_planted(most: u64, threads: u64) -> anyhow::Result<()> {
+    let mut missed = Vec::new();
+    for plant in Plant::all() {
+        let found = Mutex::new(None);
+        on_threads(1, most, threads, Day::drawn, Some(plant), |day, played| {
+            let Some(first) = played.broken.first() else { return true };
+            if let Ok(mut found) = found.lock() {
+                let earlier = found.as_ref().is_none_or(|(seed, _)| day.seed < *seed);
+                if earlier {
+                    *found = Some((day.seed, first.rule));
+                }
+            }
+            false
+        });
+        match found.into_inner().ok().flatten() {
+            Some((seed, rule)) => println!("{plant:?}: found on day {seed} ({rule})"),
+            None => {
+                println!("{plant:?}: not found in {most} days");
+                missed.push(plant);
+            }
+        }
+    }
+    match missed.is_empty() {
+        true => Ok(()),
+        false => bail!("{} planted mistakes were not found: {missed:?}", missed.len()),
+    }
+}
--- /dev/null
+++ b/crates/simulation/tests/days.rs
@@ -0,0 +1,138 @@
+//! Drawn days with no rule broken, the same each time; planted mistakes that are found.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+use fennelgauge_simulation::{play, shrunk, Day, Family, Plant, Rule, Strike, Trouble, MILLISECOND, SECOND};
+
+const DAYS: u64 = 2_000;
+const THREADS: usize = 4;
+/// A planted mistake is looked for on so many days.
+const DAYS_A_PLANT: u64 = 1_000;
+/// A mistake that only an exhaustive search finds; see tests of `fennelgauge-coordination`.
+const FOUND_EXHAUSTIVELY: &str = "PromiseIsIgnored";
+
+/// Plays days from 1 on until `look` has seen enough.
+fn on_threads(days: u64, plant: Option<Plant>, look: impl Fn(u64, Vec<Rule>) -> bool + Sync) {
+    let next = AtomicU64::new(1);
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed > days {
+                    return;
+                }
+                let broken = play(&Day::drawn(seed), plant).broken;
+                if !look(seed, broken.into_iter().map(|broken| broken.rule).collect()) {
+                    next.store(days + 1, Ordering::Relaxed);
+                }
+            });
+        }
+    });
+}
+
+#[test]
+fn no_rule_is_broken_on_drawn_days() {
+    let broken = Mutex::new(Vec::new());
+    on_threads(DAYS, None, |seed, rules| {
+        if !rules.is_empty() {
+            broken.lock().expect("a lock").push((seed, rules));
+        }
+        true
+    });
+    let broken = broken.into_inner().expect("a lock");
+    assert!(broken.is_empty(), "play these with fennelgauge-simulate day SEED: {broken:?}");
+}
+
+#[test]
+fn the_same_seed_plays_the_same_day() {
+    for seed in [3, 17, 404] {
+        assert_eq!(play(&Day::drawn(seed), None), play(&Day::drawn(seed), None));
+    }
+    assert_ne!(play(&Day::drawn(3), None).trace, play(&Day::drawn(4), None).trace);
+}
+
+#[test]
+fn planted_mistakes_are_found() {
+    let mut missed = Vec::new();
+    for plant in Plant::all() {
+        let found = AtomicU64::new(0);
+        on_threads(DAYS_A_PLANT, Some(plant), |_, rules| {
+            found.fetch_add(u64::from(!rules.is_empty()), Ordering::Relaxed);
+            rules.is_empty()
+        });
+        if found.into_inner() == 0 {
+            missed.push(format!("{plant:?}"));
+        }
+    }
+    missed.retain(|plant| !plant.contains(FOUND_EXHAUSTIVELY));
+    assert!(missed.is_empty(), "not found in {DAYS_A_PLANT} days: {missed:?}");
+}
+
+#[test]
+fn a_broken_day_is_made_smaller() {
+    let plant = Some(Plant::AnyLinkAnswersReads);
+    let day = (1..200).map(Day::drawn).find(|day| {
+        let broken = play(day, plant).broken;
+        day.strikes.len() > 3 && broken.iter().any(|broken| broken.rule == Rule::OldRead)
+    });
+    let day = day.expect("a broken day");
+    let small = shrunk(&day, Rule::OldRead, plant);
+    assert!(small.strikes.len() < day.strikes.len());
+    assert!(play(&small, plant).broken.iter().any(|broken| broken.rule == Rule::OldRead));
+}
+
+/// A quiet day but for what is given.
+fn day(machines: usize, strikes: Vec<Strike>) -> Day {
+    Day {
+        seed: 7,
+        family: Family::Mixed,
+        losses: 1,
+        machines,
+        operators: 2,
+        pause: 80 * MILLISECOND,
+        closing: strikes.iter().map(|strike| strike.at + strike.trouble.lasts()).max().unwrap_or(0) + SECOND,
+        strikes,
+        closing_wipes: Vec::new(),
+    }
+}
+
+#[test]
+fn a_member_that_missed_changes_and_a_disk_lost_while_the_rest_is_dark() {
+    // What left two whole disks and no majority before voters were apart from the chain.
+    for (cut, wiped) in [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)] {
+        let missed_for = 5 * SECOND;
+        let trouble = Trouble::Behind { cut, wiped, missed_for, dark_for: 3 * SECOND };
+        let played = play(&day(3, vec![Strike { at: 8 * SECOND, trouble }]), None);
+        assert_eq!(played.broken, [], "{cut} is cut off, {wiped} loses its disk");
+        assert!(played.acknowledgements > 50);
+    }
+}
+
+#[test]
+fn a_second_disk_is_lost_right_after_the_first_was_made_good() {
+    for first in 0..3 {
+        for second in 0..3 {
+            let wipe = |at, machine: usize, dark: bool| {
+                let dark = if dark { (0..3).filter(|other| *other != machine).collect() } else { Vec::new() };
+                let trouble =
+                    Trouble::Wipe { machines: vec![machine], for_: SECOND, dark, dark_for: SECOND };
+                Strike { at, trouble }
+            };
+            let strikes = vec![wipe(6 * SECOND, first, false), wipe(12_201 * MILLISECOND, second, true)];
+            let played = play(&day(3, strikes), None);
+            assert_eq!(played.broken, [], "{first}, then {second}");
+        }
+    }
+}
+
+#[test]
+fn a_machine_cut_off_for_twenty_seconds_says_nothing_that_counts() {
+    for machine in 0..3 {
+        for one_way in [false, true] {
+            let trouble = Trouble::Cut { inside: vec![machine], for_: 20 * SECOND, one_way };
+            let played = play(&day(4, vec![Strike { at: 5 * SECOND, trouble }]), None);
+            assert_eq!(played.broken, [], "{machine} is cut off");
+        }
+    }
+}
--- a/crates/upstream/src/known.rs
+++ b/crates/upstream/src/known.rs
@@ -10,6 +10,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// A source whose view was confirmed by a majority within this time is in touch.
+pub(crate) const IN_TOUCH: Duration = Duration::from_millis(1_500);
+
 /// Shared by all parts of a process.
 #[derive(Default)]
 pub struct Known {
@@ -155,6 +158,17 @@
         }
     }
 
+    /// As [`Known::answer`], but without the configuration and the stores where this process is out of touch with a majority:
+    /// there may be newer ones, and one that has just started could not tell.
+    pub async fn answer_in_touch(&self, watch: &Watch) -> News {
+        let mut news = self.answer(watch).await;
+        if news.confirmed_age_ms > IN_TOUCH.as_millis() as u64 {
+            news.configuration = None;
+            news.stores = None;
+        }
+        news
+    }
+
     fn is_newer_than(&self, have: &Have) -> bool {
         let own = self.have();
         own.generation > have.generation
--- a/crates/upstream/src/subscriber.rs
+++ b/crates/upstream/src/subscriber.rs
@@ -9,13 +9,12 @@
 use fennelgauge_wire::{Caller, Reply, Request, Watch};
 use tokio::time::{sleep, Instant};
 
+use crate::known::IN_TOUCH;
 use crate::Known;
 
 const WAIT: Duration = Duration::from_millis(400);
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 const RETRY: Duration = Duration::from_millis(100);
-/// A source whose view was not confirmed for so long is left for another.
-const STALE: Duration = Duration::from_millis(1_500);
 
 /// Who follows, and where to begin.
 pub struct Subscription {
@@ -54,7 +53,7 @@
         let began = Instant::now();
         match caller.call(peer, watch, ANSWER_TIMEOUT).await {
             Ok(Reply::News(news)) => {
-                let stale = news.confirmed_age_ms > STALE.as_millis() as u64;
+                let stale = news.confirmed_age_ms > IN_TOUCH.as_millis() as u64;
                 known.take(*news);
                 if stale {
                     source += 1;
@@ -71,20 +70,21 @@
     }
 }
 
-/// Members of the core, those of the own zone first, then by a ranking of the own node's; then the seeds.
+/// Links of the core's chain, those of the own zone first, then by a ranking of the own node's; then its other voters, then the seeds.
 fn sources(known: &Known, subscription: &Subscription) -> Vec<SocketAddr> {
     let mut sources = Vec::new();
     if let Some(view) = known.view() {
-        let mut members: Vec<_> = view.members.iter().collect();
-        members.sort_by_key(|member| {
+        let mut links: Vec<_> = view.chain.iter().collect();
+        links.sort_by_key(|member| {
             let pair = format!("{}/{}", subscription.node, member.identity.node);
             (member.zone != subscription.zone, stable_hash(&pair))
         });
-        sources.extend(members.iter().map(|member| member.peer));
+        sources.extend(links.iter().map(|member| member.peer));
     }
-    for seed in (subscription.seeds)() {
-        if !sources.contains(&seed) {
-            sources.push(seed);
+    let voters = known.view().map_or(Vec::new(), |view| view.voters.iter().map(|voter| voter.peer).collect());
+    for other in voters.into_iter().chain((subscription.seeds)()) {
+        if !sources.contains(&other) {
+            sources.push(other);
         }
     }
     sources
--- a/crates/versions/src/lib.rs
+++ b/crates/versions/src/lib.rs
@@ -26,6 +26,16 @@
     prefix: String,
 }
 
+/// What is found where the newest version should be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Newest {
+    /// The folder holds no version.
+    None,
+    Whole(VersionName, Vec<u8>),
+    /// The newest version is not whole: whatever it said is forgotten, and an older one must not be taken for it.
+    Damaged(VersionName),
+}
+
 /// The name of a version: files sort by it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct VersionName {
@@ -99,6 +109,27 @@
         Ok(None)
     }
 
+    /// The newest version, and nothing older in its place. A file that is not whole stays where it is.
+    pub fn strictly_newest(&self) -> Result<Newest, VersionsError> {
+        let Some(name) = self.names()?.pop() else { return Ok(Newest::None) };
+        let path = self.file(name);
+        let bytes = fs::read(&path).map_err(|reason| self.disk_error(&path, reason))?;
+        Ok(match body_of(&bytes) {
+            Some(body) => Newest::Whole(name, body.to_vec()),
+            None => Newest::Damaged(name),
+        })
+    }
+
+    /// Renames all versions, so that none is read again; for when what they say must not count any more.
+    pub fn set_all_aside(&self) -> Result<(), VersionsError> {
+        for name in self.names()? {
+            let path = self.file(name);
+            fs::rename(&path, path.with_extension(SET_ASIDE))
+                .map_err(|reason| self.disk_error(&path, reason))?;
+        }
+        sync_folder(&self.path).map_err(|reason| self.disk_error(&self.path, reason))
+    }
+
     /// Removes all but the newest `keep` versions. What cannot be removed is left for the next time.
     pub fn keep_newest(&self, keep: usize) -> Result<(), VersionsError> {
         let names = self.names()?;
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -3,9 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use fennelgauge_batch::{Job, Page};
-use fennelgauge_coordination::{
-    AcceptReply, Ballot, GroupNumber, Member, PrepareReply, Proposal, StateVersion, StoreView, View,
-};
+use fennelgauge_coordination::{Envelope, GroupNumber, Member, StoreView, View};
 use fennelgauge_model::ServerList;
 
 /// A message with the number of its call.
@@ -21,6 +19,8 @@
     /// To any process that has news: answered when there is something newer, or after a while.
     Watch(Watch),
     Core(CoreRequest),
+    /// Among the core's machines; what follows from it comes as messages of their own.
+    Coordination(Box<Envelope>),
     Store(StoreRequest),
     /// Requests that began, to the head of the core.
     Usage(UsageReport),
@@ -77,39 +77,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigurationBytes(#[serde(with = "serde_bytes")] pub Vec<u8>);
 
-/// Among the core's machines, and from any control process to the head.
+/// From any control process to the head or the tail of the core.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum CoreRequest {
-    /// Is there, in this view.
-    Heartbeat {
-        epoch: u64,
-    },
-    /// Wants to be a member.
-    Join {
-        member: Member,
-    },
-    Prepare {
-        epoch: u64,
-        ballot: Ballot,
-    },
-    Accept {
-        epoch: u64,
-        ballot: Ballot,
-        proposal: Proposal,
-    },
-    Install {
-        view: View,
-        state: StateVersion,
-    },
-    /// A write on its way along the chain.
-    Append {
-        epoch: u64,
-        state: StateVersion,
-    },
-    /// Whether the view still stands.
-    Confirm {
-        epoch: u64,
-    },
     Order(Order),
     /// The newest committed configuration, to the tail.
     Read,
@@ -141,19 +111,6 @@
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum CoreReply {
-    /// The view that the asked process is in, and whether it takes writes there.
-    Epoch {
-        epoch: u64,
-        sealed: bool,
-    },
-    Prepared(PrepareReply),
-    Accepted(AcceptReply),
-    /// All links from here on have synced the version.
-    Committed,
-    /// Not taken here: another view, or a gap.
-    Refused {
-        epoch: u64,
-    },
     Ordered(OrderReply),
     Configuration(Option<ConfigurationBytes>),
     Retire(RetireReply),
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -14,9 +14,9 @@
     let address = listener.local_addr().expect("an address");
     tokio::task::spawn_local(serve(listener, |request| async move {
         match request {
-            Request::Core(CoreRequest::Confirm { epoch: 0 }) => std::future::pending().await,
-            Request::Core(CoreRequest::Confirm { epoch }) => {
-                Reply::Core(CoreReply::Epoch { epoch, sealed: false })
+            Request::Core(CoreRequest::Order(Order { base: 0, .. })) => std::future::pending().await,
+            Request::Core(CoreRequest::Order(Order { base, .. })) => {
+                Reply::Core(CoreReply::Ordered(OrderReply::Conflict { current: base }))
             }
             _ => Reply::NotHere,
         }
@@ -24,8 +24,16 @@
     address
 }
 
-fn confirm(epoch: u64) -> Request {
-    Request::Core(CoreRequest::Confirm { epoch })
+/// Answered by its own number, but for 0, which is never answered.
+fn numbered(base: u64) -> Request {
+    Request::Core(CoreRequest::Order(Order { kind: OrderKind::Put, base, body: Vec::new() }))
+}
+
+fn number_of(reply: Result<Reply, CallError>) -> u64 {
+    match reply {
+        Ok(Reply::Core(CoreReply::Ordered(OrderReply::Conflict { current }))) => current,
+        other => panic!("{other:?}"),
+    }
 }
 
 #[test]
@@ -33,13 +41,11 @@
     local(async {
         let peer = listening().await;
         let caller = Caller::default();
-        let calls = (1..50).map(|epoch| {
+        let calls = (1..50).map(|number| {
             let caller = caller.clone();
             async move {
-                match caller.call(peer, confirm(epoch), Duration::from_secs(5)).await {
-                    Ok(Reply::Core(CoreReply::Epoch { epoch: answered, .. })) => assert_eq!(answered, epoch),
-                    other => panic!("{other:?}"),
-                }
+                let answered = caller.call(peer, numbered(number), Duration::from_secs(5)).await;
+                assert_eq!(number_of(answered), number);
             }
         });
         futures_util::future::join_all(calls).await;
@@ -51,11 +57,11 @@
     local(async {
         let peer = listening().await;
         let caller = Caller::default();
-        let silent = caller.call(peer, confirm(0), Duration::from_millis(30)).await;
+        let silent = caller.call(peer, numbered(0), Duration::from_millis(30)).await;
         assert_eq!(silent.expect_err("no answer"), CallError::NoAnswer(peer));
-        assert!(caller.call(peer, confirm(3), Duration::from_secs(5)).await.is_ok(), "a new connection");
+        assert!(caller.call(peer, numbered(3), Duration::from_secs(5)).await.is_ok(), "a new connection");
         let nobody = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
-        let unsent = caller.call(nobody, confirm(3), Duration::from_secs(5)).await;
+        let unsent = caller.call(nobody, numbered(3), Duration::from_secs(5)).await;
         assert_eq!(unsent.expect_err("not sent"), CallError::NotSent(nobody));
     });
 }
@@ -70,7 +76,7 @@
             let mut stranger = TcpStream::connect(peer).await.expect("connected");
             stranger.write_all(bytes).await.expect("written");
         }
-        assert!(Caller::default().call(peer, confirm(3), Duration::from_secs(5)).await.is_ok());
+        assert!(Caller::default().call(peer, numbered(3), Duration::from_secs(5)).await.is_ok());
     });
 }
 
