--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod chance;
 mod day;
+mod exhaustive;
 mod judge;
 mod ledger;
 mod machine;
@@ -15,6 +16,7 @@
 
 pub use chance::Chance;
 pub use day::{Day, Family, Micros, Strike, Trouble, MILLISECOND, SECOND};
+pub use exhaustive::{Exhaustive, Grain, Searched};
 pub use judge::{Broken, Rule};
 pub use ledger::{Decision, Ledger, Order};
 pub use plant::Plant;
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use anyhow::{bail, Context};
-use fennelgauge_simulation::{play, play_and_print, shrunk, Day, Family, Plant, Played};
+use fennelgauge_simulation::{play, play_and_print, shrunk, Day, Exhaustive, Family, Grain, Plant, Played};
 
 const HELP: &str = "fennelgauge-simulate days [--from N] [--count N] [--family NAME] [--threads N]
                     plays drawn days; the first broken ones are shrunk and shown
@@ -14,10 +14,13 @@
                     one day, with what came of it; with each message
 fennelgauge-simulate planted [--most N] [--threads N]
                     each planted mistake: how many days until the judge finds it
+fennelgauge-simulate exhaust [--depth N] [--threads N] [--planted]
+                    every order of fewer than N events at a small size; with each planted mistake
 families: cut-off, races, second-loss, many-changes, duels, mixed (they take turns where none is named)";
 
 const SHOWN: usize = 3;
 const DAYS: u64 = 1_000;
+const DEPTH: usize = 6;
 
 fn main() -> anyhow::Result<()> {
     let mut arguments = pico_args::Arguments::from_env();
@@ -44,6 +47,13 @@
             let most = arguments.opt_value_from_str("--most")?.unwrap_or(DAYS);
             find_planted(most, threads)
         }
+        Some("exhaust") => {
+            let depth = arguments.opt_value_from_str("--depth")?.unwrap_or(DEPTH);
+            match arguments.contains("--planted") {
+                true => exhaust_planted(depth, threads as usize),
+                false => exhaust(depth, threads as usize),
+            }
+        }
         _ => {
             println!("{HELP}");
             Ok(())
@@ -171,6 +181,33 @@
     }
 }
 
+fn exhaust(depth: usize, threads: usize) -> anyhow::Result<()> {
+    for grain in [Grain::Message, Grain::Partition] {
+        let began = Instant::now();
+        let searched = Exhaustive { planted: None, grain }.search(depth, threads);
+        let (states, seconds) = (searched.states, began.elapsed().as_secs_f64());
+        println!("{grain:?}: {states} states, {} on a path, in {seconds:.1} s", searched.depth);
+        if let Some(rule) = searched.broken {
+            bail!("broken: {rule}");
+        }
+    }
+    Ok(())
+}
+
+fn exhaust_planted(depth: usize, threads: usize) -> anyhow::Result<()> {
+    for plant in Plant::all() {
+        let Plant::Core(bug) = plant else { continue };
+        for grain in [Grain::Message, Grain::Partition] {
+            let searched = Exhaustive { planted: Some(bug), grain }.search(depth, threads);
+            match searched.broken {
+                Some(rule) => println!("{bug:?}, {grain:?}: {rule}, after {} states", searched.states),
+                None => println!("{bug:?}, {grain:?}: not found in {} states", searched.states),
+            }
+        }
+    }
+    Ok(())
+}
+
 fn find_planted(most: u64, threads: u64) -> anyhow::Result<()> {
     let mut missed = Vec::new();
     for plant in Plant::all() {
--- a/crates/simulation/tests/days.rs
+++ b/crates/simulation/tests/days.rs
@@ -115,8 +115,7 @@
         for second in 0..3 {
             let wipe = |at, machine: usize, dark: bool| {
                 let dark = if dark { (0..3).filter(|other| *other != machine).collect() } else { Vec::new() };
-                let trouble =
-                    Trouble::Wipe { machines: vec![machine], for_: SECOND, dark, dark_for: SECOND };
+                let trouble = Trouble::Wipe { machines: vec![machine], for_: SECOND, dark, dark_for: SECOND };
                 Strike { at, trouble }
             };
             let strikes = vec![wipe(6 * SECOND, first, false), wipe(12_201 * MILLISECOND, second, true)];
