--- a/crates/control-plane/src/duties.rs
+++ b/crates/control-plane/src/duties.rs
@@ -18,8 +18,14 @@
 
 const CHECK_EVERY: Duration = Duration::from_millis(300);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// So long after a window's end its counts are fixed; every process tells its own once a second.
+/// So long after a window's end its counts are fixed, if all processes have told theirs since; every one tells four times a second.
 const FIX_AFTER_S: f64 = 4.0;
+/// By then they are fixed without those that are silent: the platform takes reports for some seconds more.
+const FIX_AT_LAST_S: f64 = 6.5;
+/// A process counts what began in a window a moment after its end at the latest.
+const COUNTED_AFTER_S: f64 = 0.4;
+/// A process that has told nothing for so long is gone.
+const GONE_AFTER_S: f64 = 15.0;
 /// A new holder hears everybody for so long before it fixes anything.
 const HOLDER_PATIENCE: Duration = Duration::from_millis(2_200);
 /// Windows further back are not reported any more.
@@ -36,6 +42,8 @@
 #[derive(Default)]
 pub struct UsageCollector {
     windows: RefCell<BTreeMap<u64, ByProcess>>,
+    /// When each process, in each of its lives, told something last; in seconds on this machine's wall clock.
+    told_at: RefCell<HashMap<(String, u64), f64>>,
     /// By process and its life: what it told of its answers last.
     timeliness: RefCell<HashMap<(String, u64), Vec<ServiceTimeliness>>>,
     /// By service: answers and late ones since the last look.
@@ -46,6 +54,7 @@
     /// A process told its counts so far.
     pub fn hear(&self, report: UsageReport) {
         self.hear_timeliness((report.node.clone(), report.life), &report.timeliness);
+        self.told_at.borrow_mut().insert((report.node.clone(), report.life), wall_clock().as_secs_f64());
         let mut windows = self.windows.borrow_mut();
         for counted in report.windows {
             let process = (report.node.clone(), report.life);
@@ -79,6 +88,13 @@
         self.fresh.borrow_mut().remove(service).unwrap_or_default()
     }
 
+    /// Whether every process that lives has told its counts of a window that ended at `end_s`.
+    pub fn has_all_of(&self, end_s: f64, now_s: f64) -> bool {
+        let mut told_at = self.told_at.borrow_mut();
+        told_at.retain(|_, told_s| now_s - *told_s < GONE_AFTER_S);
+        told_at.values().all(|told_s| *told_s >= end_s + COUNTED_AFTER_S)
+    }
+
     /// The sum of a window.
     pub fn sum(&self, window: u64) -> Counts {
         let windows = self.windows.borrow();
@@ -106,13 +122,15 @@
             continue;
         }
         let width = core.settings.bounds.usage_window_s;
-        let Some(newest) = (((wall_clock().as_secs_f64() - FIX_AFTER_S) / width) as u64).checked_sub(1)
-        else {
-            continue;
-        };
+        let now_s = wall_clock().as_secs_f64();
+        let Some(newest) = (((now_s - FIX_AFTER_S) / width) as u64).checked_sub(1) else { continue };
         let oldest = newest.saturating_sub(WINDOWS_BACK - 1);
         let first = reported.map_or(oldest, |reported| (reported + 1).max(oldest));
         for window in first..=newest {
+            let end_s = (window + 1) as f64 * width;
+            if now_s < end_s + FIX_AT_LAST_S && !collector.has_all_of(end_s, now_s) {
+                break;
+            }
             if !report_window(&core, &collector, &client, platform, window).await {
                 break;
             }
@@ -217,3 +235,6 @@
     }
     Seen { answers, late, servers }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/data-plane/src/front.rs
+++ b/crates/data-plane/src/front.rs
@@ -17,6 +17,9 @@
 /// For clients that come before there is a configuration.
 const NOT_READY_RETRY_AFTER_S: f64 = 0.3;
 
+/// For clients on a connection to a process that is about to end: another one takes them at once.
+const STOPPING_RETRY_AFTER_S: f64 = 0.01;
+
 /// All paths.
 pub fn routes(service: &mut web::ServiceConfig) {
     service
@@ -46,6 +49,9 @@
 async fn request(request: HttpRequest, body: Bytes, plane: Data<Rc<Plane>>) -> HttpResponse {
     let plane: Rc<Plane> = plane.get_ref().clone();
     let open = Open::new(&plane);
+    if plane.takes_no_more() {
+        return refused(&plane, StatusCode::SERVICE_UNAVAILABLE, STOPPING_RETRY_AFTER_S);
+    }
     let Some(table) = plane.known.table() else {
         return refused(&plane, StatusCode::SERVICE_UNAVAILABLE, NOT_READY_RETRY_AFTER_S);
     };
@@ -102,7 +108,7 @@
 
 /// Asks the client to leave the connection once a stop was asked for.
 pub fn close_if_stopping(plane: &Plane, answer: &mut HttpResponseBuilder) {
-    if plane.stopping.get() {
+    if plane.is_stopping() {
         answer.force_close();
         answer.insert_header((header::CONNECTION, HeaderValue::from_static("close")));
     }
--- a/crates/data-plane/src/process.rs
+++ b/crates/data-plane/src/process.rs
@@ -20,6 +20,10 @@
 
 /// After a stop is asked for, new connections still come for so long.
 const LAST_CONNECTIONS: Duration = Duration::from_millis(2_600);
+/// A request that comes on a kept connection so long after a stop was asked for may not end in time: it is refused.
+const LAST_REQUESTS: Duration = Duration::from_millis(2_900);
+/// And no later than this part of the time that a stop may take.
+const LAST_REQUESTS_PART: f64 = 0.4;
 /// An answer's last bytes leave within so long.
 const ANSWER_LEAVES: Duration = Duration::from_millis(30);
 /// Left of the time for a stop when the last requests are given up.
@@ -27,9 +31,6 @@
 const POOL_EVERY: Duration = Duration::from_millis(500);
 /// The list is read here once what the control plane tells is so old.
 const OWN_LIST_AFTER: Duration = Duration::from_millis(2_500);
-/// Without a confirmed source a process is ready after so long with what it has.
-const UNCONFIRMED_READY: Duration = Duration::from_secs(4);
-
 /// All that the parts of a data plane share.
 pub struct Plane {
     pub settings: Settings,
@@ -43,7 +44,8 @@
     pub open: Cell<usize>,
     /// When the last of them ended.
     pub last_ended: Cell<Instant>,
-    pub stopping: Cell<bool>,
+    /// Since when a stop is asked for.
+    pub stopping: Cell<Option<Instant>>,
     ready: Cell<bool>,
     started: Instant,
 }
@@ -60,26 +62,35 @@
             sender: Sender::default(),
             open: Cell::new(0),
             last_ended: Cell::new(Instant::now()),
-            stopping: Cell::new(false),
+            stopping: Cell::new(None),
             ready: Cell::new(false),
             started: Instant::now(),
         }
     }
 
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get().is_some()
+    }
+
+    /// Whether a request that is read now could be cut off by this process's end.
+    pub fn takes_no_more(&self) -> bool {
+        let last = LAST_REQUESTS.min(self.settings.grace().mul_f64(LAST_REQUESTS_PART));
+        self.stopping.get().is_some_and(|since| since.elapsed() > last)
+    }
+
     /// Whether no request is open and the last answer has left.
     fn is_quiet(&self) -> bool {
         self.open.get() == 0 && self.last_ended.get().elapsed() >= ANSWER_LEAVES
     }
 
-    /// Whether clients may come: the configuration in force and some servers are known, and no stop was asked for.
+    /// Whether clients may come: a configuration and some servers are known, and no stop was asked for. Only a source that is
+    /// in touch with a majority gives out a configuration, so what is known was in force when it came.
     pub fn is_ready(&self) -> bool {
         if !self.ready.get() {
-            let confirmed = self.known.confirmed_age().is_some_and(|age| age < OWN_LIST_AFTER);
-            let long_enough = self.started.elapsed() > UNCONFIRMED_READY;
             let servers = !self.known.servers().servers.is_empty();
-            self.ready.set(self.known.table().is_some() && servers && (confirmed || long_enough));
+            self.ready.set(self.known.table().is_some() && servers);
         }
-        self.ready.get() && !self.stopping.get()
+        self.ready.get() && !self.is_stopping()
     }
 }
 
@@ -113,7 +124,7 @@
 async fn stop(plane: &Plane) {
     let began = Instant::now();
     let until = plane.settings.grace().saturating_sub(STOP_MARGIN);
-    plane.stopping.set(true);
+    plane.stopping.set(Some(began));
     sleep(LAST_CONNECTIONS.min(until)).await;
     // After the last check nothing is awaited: a request that is read after it has nobody to answer it.
     while !plane.is_quiet() && began.elapsed() < until {
--- a/crates/data-plane/src/usage.rs
+++ b/crates/data-plane/src/usage.rs
@@ -6,12 +6,15 @@
 
 use fennelgauge_upstream::wall_clock;
 use fennelgauge_wire::{Request, ServiceTimeliness, UsageReport, WindowCounts};
+use futures_util::future::join_all;
 use tokio::time::sleep;
 
 use crate::process::Plane;
 
 const REPORT_EVERY: Duration = Duration::from_millis(250);
 const REPORT_TIMEOUT: Duration = Duration::from_millis(700);
+/// The other links are told each so many rounds.
+const OTHERS_EACH: u64 = 3;
 /// Windows that are told again, in case the head has changed.
 const WINDOWS_TOLD: usize = 4;
 
@@ -46,19 +49,27 @@
     }
 }
 
-/// Tells the counts without end.
+/// Tells the counts without end: to the head each time, to the other links of the chain now and then, so that the next
+/// head knows those of processes that have ended since.
 pub async fn report_usage(plane: Rc<Plane>) {
-    loop {
+    for round in 0_u64.. {
         sleep(REPORT_EVERY).await;
         let Some(view) = plane.known.view() else { continue };
-        let Some(head) = view.head() else { continue };
         let timeliness = plane.timeliness.borrow().report();
         let report = plane.usage.borrow().report(&plane.settings.node, timeliness);
         if report.windows.is_empty() && report.timeliness.is_empty() {
             continue;
         }
-        if let Err(reason) = plane.caller.call(head.peer, Request::Usage(report), REPORT_TIMEOUT).await {
-            log::info!("usage is told again: {reason}");
+        let told = if round % OTHERS_EACH == 0 { view.chain.len() } else { 1 };
+        let calls = view
+            .chain
+            .iter()
+            .take(told)
+            .map(|link| plane.caller.call(link.peer, Request::Usage(report.clone()), REPORT_TIMEOUT));
+        for told in join_all(calls).await {
+            if let Err(reason) = told {
+                log::info!("usage is told again: {reason}");
+            }
         }
     }
 }
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -11,8 +11,8 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::{RequestHead, RequestHeadType, ResponseHead};
 use actix_web::web::{Bytes, BytesMut};
-use awc::http::header::HeaderMap;
-use awc::http::StatusCode;
+use awc::http::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
+use awc::http::{Method, StatusCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
@@ -51,11 +51,18 @@
     body: Body,
 }
 
+/// How the end of a body is known.
+enum Framing {
+    /// By a length or by chunks.
+    Told(ClientPayloadCodec),
+    /// By the end of the connection, in order; a reset is no end.
+    EndOfConnection,
+}
+
 struct Body {
     stream: Option<TcpStream>,
     buffer: BytesMut,
-    codec: ClientPayloadCodec,
-    framing: MessageType,
+    framing: Framing,
     keep_alive: bool,
     idle_for: Duration,
     peer: SocketAddr,
@@ -78,6 +85,7 @@
         let mut codec = ClientCodec::default();
         let mut request = BytesMut::new();
         let size = BodySize::Sized(body.len() as u64);
+        let method = head.method.clone();
         let head = RequestHeadType::Owned(head);
         codec.encode(Message::Item((head, size)), &mut request).map_err(|_| ExchangeError::NotSent)?;
         let mut stream = self.connection(peer).await.ok_or(ExchangeError::NotSent)?;
@@ -95,20 +103,24 @@
                 _ => return Err(ExchangeError::Broken),
             }
         };
-        let framing = codec.message_type();
-        let keep_alive = codec.keep_alive() && written.is_ok();
+        let has_body = codec.message_type() != MessageType::None;
+        // The library takes an answer without a length for one without a body.
+        let is_unframed = !has_body && is_unframed(&method, &head);
+        let keep_alive = codec.keep_alive() && written.is_ok() && !is_unframed;
         let idle_for = told_idle(head.headers()).unwrap_or(IDLE_FOR);
         let mut body = Body {
             stream: Some(stream),
             buffer,
-            codec: codec.into_payload_codec(),
-            framing,
+            framing: match is_unframed || codec.message_type() == MessageType::Stream {
+                true => Framing::EndOfConnection,
+                false => Framing::Told(codec.into_payload_codec()),
+            },
             keep_alive,
             idle_for,
             peer,
             connections: self.clone(),
         };
-        if framing == MessageType::None {
+        if !has_body && !is_unframed {
             body.finish();
         }
         Ok(Answer { head, body })
@@ -154,6 +166,14 @@
     matches!(stream.try_read(&mut byte), Err(reason) if reason.kind() == std::io::ErrorKind::WouldBlock)
 }
 
+/// Whether an answer has a body that ends with its connection: it tells neither a length nor chunks, and may have a body.
+fn is_unframed(method: &Method, head: &ResponseHead) -> bool {
+    let headers = head.headers();
+    let told = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status);
+    !told && !bodiless && !head.status.is_informational() && method != Method::HEAD
+}
+
 /// How long the server keeps an idle connection, by its `Keep-Alive`.
 fn told_idle(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
@@ -185,19 +205,25 @@
     async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
         loop {
             self.stream.as_ref()?;
-            match self.codec.decode(&mut self.buffer) {
-                Ok(Some(Some(bytes))) => return Some(Ok(bytes)),
-                Ok(Some(None)) => {
-                    self.finish();
-                    return None;
+            match &mut self.framing {
+                Framing::EndOfConnection if !self.buffer.is_empty() => {
+                    return Some(Ok(self.buffer.split().freeze()));
                 }
-                Ok(None) => {}
-                Err(_) => return self.broken(),
+                Framing::EndOfConnection => {}
+                Framing::Told(codec) => match codec.decode(&mut self.buffer) {
+                    Ok(Some(Some(bytes))) => return Some(Ok(bytes)),
+                    Ok(Some(None)) => {
+                        self.finish();
+                        return None;
+                    }
+                    Ok(None) => {}
+                    Err(_) => return self.broken(),
+                },
             }
             let stream = self.stream.as_mut()?;
             match stream.read_buf(&mut self.buffer).await {
                 Ok(read) if read > 0 => {}
-                Ok(_) if self.framing == MessageType::Stream => {
+                Ok(_) if matches!(self.framing, Framing::EndOfConnection) => {
                     self.stream = None;
                     return None;
                 }
@@ -214,7 +240,7 @@
     /// The body is complete: the connection can be used again if nothing is left on it.
     fn finish(&mut self) {
         let Some(stream) = self.stream.take() else { return };
-        if self.keep_alive && self.buffer.is_empty() && self.framing != MessageType::Stream {
+        if self.keep_alive && self.buffer.is_empty() && matches!(self.framing, Framing::Told(_)) {
             self.connections.keep(self.peer, stream, self.idle_for);
         }
     }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -13,7 +13,7 @@
 mod send;
 mod subscriber;
 
-pub use clock::wall_clock;
+pub use clock::{wall_clock, WallClock};
 pub use connection::{Answer, BrokenOff};
 pub use demand::{Demand, Kind};
 pub use events::{Event, EventOrder, EventReader};
--- a/crates/upstream/tests/exchange.rs
+++ b/crates/upstream/tests/exchange.rs
@@ -80,6 +80,39 @@
     Ok(body)
 }
 
+/// A server that answers once with these bytes and then resets the connection.
+async fn resetting(bytes: &'static [u8]) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    spawn_local(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            stream.write_all(bytes).await.expect("written");
+            // Closed while the request is unread: that is a reset.
+            stream.readable().await.expect("a request");
+            drop(stream);
+        }
+    });
+    server(addr)
+}
+
+#[test]
+fn a_body_without_a_length_ends_with_its_connection_and_not_with_a_reset() {
+    const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nX-Fennelgauge-Request-Id: r-1\r\n\r\nbody";
+    local(async {
+        let sender = Sender::default();
+        let (ending, connections) = answering(HEAD, true).await;
+        assert_eq!(body(&sender, &ending).await, Ok(b"body".to_vec()));
+        assert_eq!(body(&sender, &ending).await, Ok(b"body".to_vec()));
+        assert_eq!(connections.get(), 2, "such a connection is not used again");
+        let reset = resetting(HEAD).await;
+        assert!(body(&sender, &reset).await.is_err(), "a reset is no end");
+        let (empty, _) =
+            answering(b"HTTP/1.1 204 No Content\r\nX-Fennelgauge-Request-Id: r-1\r\n\r\n", false).await;
+        assert_eq!(body(&sender, &empty).await, Ok(Vec::new()), "an answer that has no body");
+    });
+}
+
 #[test]
 fn a_body_is_whole_only_when_its_framing_says_so() {
     let cases: [(&str, &'static [u8], bool); 6] = [
