--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -1,61 +1,15 @@
 //! Time around a replica: who answers, whether a majority confirms the view, when the view has to change, and whom a
 //! machine asks for what it lacks. `now` is the time on the machine's own steady clock.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::liveness::Liveness;
 use crate::replica::{Phase, PlantedBug};
-use crate::{next_view, Identity, Judgement, Member, Message, Outcome, Replica, Replicated, Version, View};
-
-/// How long things take and are waited for.
-#[derive(Clone, Copy, Debug)]
-pub struct Timing {
-    pub ping_every: Duration,
-    /// A voter that has not answered for so long is taken for down.
-    pub down_after: Duration,
-    /// And for so long, for lost: another may take its place.
-    pub lost_after: Duration,
-    pub ask_again_after: Duration,
-    /// A view that is sealed, with nothing heard for so long of an attempt to end it, is taken up by whoever waits.
-    pub sealed_too_long: Duration,
-    /// Links that do not hold the version by then are left out, if there are enough others.
-    pub hold_patience: Duration,
-    /// An attempt that has not come to an end by then is begun anew.
-    pub attempt_timeout: Duration,
-    /// The same while the links fetch what they lack.
-    pub hold_timeout: Duration,
-    /// Between the turns of those who may propose.
-    pub turn: Duration,
-    pub follow_every: Duration,
-    /// A machine that wants to join must have asked within this time.
-    pub joiner_holds: Duration,
-    /// The first view is formed of fewer voters than wanted once so much time has passed.
-    pub first_view_patience: Duration,
-    /// Bytes for copying are kept so long after the last question.
-    pub copy_idle: Duration,
-}
-
-impl Default for Timing {
-    fn default() -> Self {
-        let ms = Duration::from_millis;
-        Self {
-            ping_every: ms(200),
-            down_after: ms(1_000),
-            lost_after: ms(2_500),
-            ask_again_after: ms(250),
-            sealed_too_long: ms(900),
-            hold_patience: ms(500),
-            attempt_timeout: ms(1_200),
-            hold_timeout: ms(8_000),
-            turn: ms(200),
-            follow_every: ms(200),
-            joiner_holds: ms(1_500),
-            first_view_patience: ms(2_500),
-            copy_idle: ms(5_000),
-        }
-    }
-}
+use crate::{
+    next_view, Identity, Judgement, Member, Message, Outcome, Replica, Replicated, Timing, Version, View,
+};
 
 /// Whether the view stood, asked at a certain moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,24 +28,9 @@
     Overtaken,
 }
 
-/// Rounds of pings whose answers are still counted.
-const ROUNDS_KEPT: usize = 16;
 /// A machine that lacks no more than so many versions is level: the rest reaches it while the view changes.
 const LEVEL_WITHIN: u64 = 8;
 
-#[derive(Clone, Debug)]
-struct Round {
-    number: u64,
-    sent_at: Duration,
-    standing: BTreeSet<Identity>,
-}
-
-#[derive(Clone, Debug)]
-struct Heard {
-    at: Duration,
-    version: Version,
-}
-
 #[derive(Clone, Debug)]
 struct Joiner {
     member: Member,
@@ -111,14 +50,10 @@
     epoch: u64,
     /// When this machine last heard of an attempt to end its view, while it is sealed.
     attempt_heard: Option<Duration>,
-    heard: BTreeMap<Identity, Heard>,
+    liveness: Liveness,
     joiners: BTreeMap<Identity, Joiner>,
-    rounds: VecDeque<Round>,
-    next_round: u64,
-    confirmed_round: u64,
     confirmed_at: Option<Duration>,
     pinged_at: Option<Duration>,
-    attempt_began: Duration,
     phase_began: (Option<Phase>, Duration),
     asked_at: Duration,
     retry_at: Duration,
@@ -139,14 +74,10 @@
             seeds,
             started: now,
             installed_at: now,
-            heard: BTreeMap::new(),
+            liveness: Liveness::default(),
             joiners: BTreeMap::new(),
-            rounds: VecDeque::new(),
-            next_round: 1,
-            confirmed_round: 0,
             confirmed_at: None,
             pinged_at: None,
-            attempt_began: now,
             phase_began: (None, now),
             asked_at: now,
             retry_at: now,
@@ -184,8 +115,7 @@
 
     /// Asks a majority now whether the view stands.
     pub fn ask_majority(&mut self, now: Duration) -> (Question, Outcome) {
-        let round = self.next_round;
-        let sends = self.ping(now);
+        let (round, sends) = self.ping(now);
         (Question { epoch: self.epoch, round }, Outcome { sends, ..Outcome::default() })
     }
 
@@ -198,7 +128,7 @@
         if self.epoch != question.epoch || !self.replica.is_voter() || sealed {
             return Progress::Overtaken;
         }
-        match self.confirmed_round >= question.round {
+        match self.liveness.confirmed_round() >= question.round {
             true => Progress::Done,
             false => Progress::Waiting,
         }
@@ -225,7 +155,7 @@
     pub fn handle(&mut self, now: Duration, from: &Member, message: Message) -> Outcome {
         match &message {
             Message::Pong { epoch, number, sealed, version } => {
-                self.ponged(now, from, *epoch, *number, *sealed, *version)
+                self.ponged(from, *epoch, *number, *sealed, *version)
             }
             Message::Follow { have, eligible, copying, .. } => {
                 self.asked_to_join(now, from, *have, *eligible);
@@ -260,7 +190,7 @@
         }
         if self.pinged_at.is_none_or(|at| now >= at + self.timing.ping_every) {
             self.pinged_at = Some(now);
-            due.sends.extend(self.ping(now));
+            due.sends.extend(self.ping(now).1);
             merge(&mut due, self.replica.settle());
         }
         self.joiners.retain(|_, joiner| now < joiner.at + self.timing.joiner_holds);
@@ -279,12 +209,8 @@
         if epoch != self.epoch {
             self.epoch = epoch;
             self.installed_at = now;
-            self.rounds.clear();
             self.retry_at = now;
-            for voter in self.replica.view().voters.iter().map(|voter| voter.identity.clone()) {
-                let heard = Heard { at: now, version: Version::default() };
-                self.heard.entry(voter).or_insert(heard).at = now;
-            }
+            self.liveness.begin_view(now, &self.replica.view().voters);
         }
         match self.replica.is_sealed() {
             true => self.attempt_heard = self.attempt_heard.or(Some(now)),
@@ -296,15 +222,11 @@
         }
     }
 
-    fn ping(&mut self, now: Duration) -> Vec<(SocketAddr, Message)> {
-        let number = self.next_round;
-        self.next_round += 1;
+    /// Asks all voters; gives the number of the round.
+    fn ping(&mut self, now: Duration) -> (u64, Vec<(SocketAddr, Message)>) {
+        let number = self.liveness.begin_round(now);
         if !self.replica.is_voter() || self.epoch == 0 {
-            return Vec::new();
-        }
-        self.rounds.push_back(Round { number, sent_at: now, standing: BTreeSet::new() });
-        while self.rounds.len() > ROUNDS_KEPT {
-            self.rounds.pop_front();
+            return (number, Vec::new());
         }
         let own = self.replica.me().clone();
         if !self.replica.is_sealed() {
@@ -312,25 +234,12 @@
         }
         let ping = Message::Ping { epoch: self.epoch, number, committed: self.replica.committed() };
         let voters = self.replica.view().voters.iter().map(|voter| voter.peer);
-        voters.filter(|peer| *peer != own.peer).map(|peer| (peer, ping.clone())).collect()
+        (number, voters.filter(|peer| *peer != own.peer).map(|peer| (peer, ping.clone())).collect())
     }
 
-    fn ponged(
-        &mut self,
-        now: Duration,
-        from: &Member,
-        epoch: u64,
-        number: u64,
-        sealed: bool,
-        version: Version,
-    ) {
-        let Some(round) = self.rounds.iter().find(|round| round.number == number) else { return };
-        let heard = Heard { at: round.sent_at, version };
-        let known = self.heard.entry(from.identity.clone()).or_insert(heard.clone());
-        if known.at <= heard.at {
-            *known = heard;
-        }
-        if epoch == self.epoch && !sealed && now >= self.installed_at {
+    fn ponged(&mut self, from: &Member, epoch: u64, number: u64, sealed: bool, version: Version) {
+        let counts = self.liveness.hear(from, number, version);
+        if counts && epoch == self.epoch && !sealed {
             self.count_standing(from, number);
         }
     }
@@ -343,13 +252,9 @@
         }
         let minority = self.replica.has(PlantedBug::MinorityConfirms);
         let majority = if minority { 1 } else { view.majority() };
-        let Some(round) = self.rounds.iter_mut().find(|round| round.number == number) else { return };
-        round.standing.insert(voter.identity.clone());
-        if round.standing.len() >= majority {
-            self.confirmed_round = self.confirmed_round.max(number);
-            if self.replica.is_level() && self.replica.is_link() {
-                self.confirmed_at = self.confirmed_at.max(Some(round.sent_at));
-            }
+        let Some(sent_at) = self.liveness.count_standing(voter, number, majority) else { return };
+        if self.replica.is_level() && self.replica.is_link() {
+            self.confirmed_at = self.confirmed_at.max(Some(sent_at));
         }
     }
 
@@ -369,7 +274,7 @@
 
     fn heard_within(&self, now: Duration, member: &Member, within: Duration) -> bool {
         let own = member.identity == self.replica.me().identity;
-        own || self.heard.get(&member.identity).is_some_and(|heard| now < heard.at + within)
+        own || self.liveness.heard_at(&member.identity).is_some_and(|at| now < at + within)
     }
 
     fn is_near(&self, version: Version) -> bool {
@@ -380,7 +285,7 @@
 
     fn is_level(&self, member: &Member) -> bool {
         let own = member.identity == self.replica.me().identity;
-        own || self.heard.get(&member.identity).is_some_and(|heard| self.is_near(heard.version))
+        own || self.liveness.version_of(&member.identity).is_some_and(|version| self.is_near(version))
     }
 
     /// Machines that asked lately, may be voters, and lack next to nothing.
@@ -474,7 +379,6 @@
             _ => self.wished_view(now),
         };
         let Some(wished) = wished else { return Outcome::default() };
-        self.attempt_began = now;
         self.retry_at = now + self.timing.turn * self.own_turn();
         self.replica.propose(wished)
     }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,15 +4,17 @@
 mod acceptor;
 mod coordinator;
 mod identity;
+mod liveness;
 mod message;
 mod replica;
 mod sampling;
 mod stores;
+mod timing;
 mod version;
 mod view;
 
 pub use acceptor::{Acceptor, Ballot};
-pub use coordinator::{Coordinator, Progress, Question, Timing};
+pub use coordinator::{Coordinator, Progress, Question};
 pub use identity::{Identity, Member};
 pub use message::{Copying, Envelope, Message};
 #[cfg(feature = "planted-bugs")]
@@ -20,5 +22,6 @@
 pub use replica::{NotTaken, Outcome, Record, Replica, Stored};
 pub use sampling::{PartialView, Peer, Sighting, Swap};
 pub use stores::{Group, GroupNumber, Planner, Store, StoreNumber, StoreView, GROUPS};
+pub use timing::Timing;
 pub use version::{content_digest, Replicated, Step, Version};
 pub use view::{next_view, Judgement, View, ViewRules};
