Let a source out of touch answer at once, and follow the links of a later view first

A watcher of a machine that had lost its majority was kept for 0.4 s before it tried another, and with a later view it went on with whoever was next: at a core of eight machines after a loss of power that adds up to seconds. Tests in crates/upstream and, for answers to calls given up, in crates/wire.

--- a/crates/upstream/src/known.rs
+++ b/crates/upstream/src/known.rs
@@ -158,11 +158,20 @@
         }
     }
 
-    /// As [`Known::answer`], but without the configuration and the stores where this process is out of touch with a majority:
-    /// there may be newer ones, and one that has just started could not tell.
+    /// Whether this process, as a source, knew of a majority's agreement a moment ago.
+    fn is_in_touch(&self) -> bool {
+        self.confirmed_age().is_some_and(|age| age <= IN_TOUCH)
+    }
+
+    /// As [`Known::answer`]; but a process that is out of touch with a majority answers at once, so that the watcher can try
+    /// another, and gives out neither configuration nor stores: there may be newer ones, and a watcher that has just
+    /// started could not tell.
     pub async fn answer_in_touch(&self, watch: &Watch) -> News {
-        let mut news = self.answer(watch).await;
-        if news.confirmed_age_ms > IN_TOUCH.as_millis() as u64 {
+        let mut news = match self.is_in_touch() {
+            true => self.answer(watch).await,
+            false => self.news(&watch.have),
+        };
+        if !self.is_in_touch() {
             news.configuration = None;
             news.stores = None;
         }
--- a/crates/upstream/src/subscriber.rs
+++ b/crates/upstream/src/subscriber.rs
@@ -54,8 +54,12 @@
         match caller.call(peer, watch, ANSWER_TIMEOUT).await {
             Ok(Reply::News(news)) => {
                 let stale = news.confirmed_age_ms > IN_TOUCH.as_millis() as u64;
+                let before = known.have().view;
                 known.take(*news);
-                if stale {
+                if known.have().view > before {
+                    // The links of a later view are better sources than whoever is next.
+                    source = 0;
+                } else if stale {
                     source += 1;
                     sleep(RETRY).await;
                 }
--- a/crates/upstream/src/tests.rs
+++ b/crates/upstream/src/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use fennelgauge_model::{Server, ServerList, ServerState};
+use futures_util::FutureExt;
 use std::time::Duration;
 
 #[test]
@@ -177,3 +178,26 @@
         assert_eq!(known.servers().version, 3);
     });
 }
+
+#[test]
+fn a_source_out_of_touch_answers_at_once_and_gives_out_no_configuration() {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap();
+    runtime.block_on(async {
+        let known = Known::default();
+        assert!(known.take_configuration(7, br#"{"generation":7,"routes":[],"services":[]}"#.to_vec()));
+        let watch = fennelgauge_wire::Watch { have: Default::default(), wait_ms: 400 };
+        let up_to_date = fennelgauge_wire::Watch { have: known.have(), wait_ms: 400 };
+        let given =
+            |age_ms| known.answer_in_touch(&watch).map(move |news| (news.configuration.is_some(), age_ms));
+        assert_eq!(given(0).await, (false, 0), "nobody has confirmed its view yet");
+        for (age_ms, expected) in [(0, true), (1_400, true), (1_600, false), (60_000, false)] {
+            tokio::time::advance(Duration::from_secs(90)).await;
+            known.take_confirmed(Duration::from_millis(age_ms));
+            assert_eq!(given(age_ms).await, (expected, age_ms));
+            let began = tokio::time::Instant::now();
+            known.answer_in_touch(&up_to_date).await;
+            assert_eq!(began.elapsed().is_zero(), !expected, "a watcher is not kept from trying another");
+        }
+    });
+}
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -89,3 +89,35 @@
     assert!(decode::<Order>(&bytes).is_err());
     assert!(decode::<Order>(&bytes[..3]).is_err());
 }
+
+#[test]
+fn the_answer_to_a_call_given_up_reaches_nobody_else() {
+    local(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let peer = listener.local_addr().expect("an address");
+        // The first call is answered just before the second one, on the same connection.
+        let (release, released) = tokio::sync::watch::channel(false);
+        let release = std::rc::Rc::new(release);
+        tokio::task::spawn_local(serve(listener, move |request| {
+            let (release, mut released) = (release.clone(), released.clone());
+            async move {
+                let Request::Core(CoreRequest::Order(order)) = request else { return Reply::NotHere };
+                match order.base {
+                    1 => drop(released.wait_for(|released| *released).await),
+                    _ => drop(release.send(true)),
+                }
+                Reply::Core(CoreReply::Ordered(OrderReply::Conflict { current: order.base }))
+            }
+        }));
+        let caller = Caller::default();
+        let given_up = tokio::time::timeout(
+            Duration::from_millis(20),
+            caller.call(peer, numbered(1), Duration::from_secs(5)),
+        );
+        assert!(given_up.await.is_err());
+        for number in 2..6 {
+            let answered = caller.call(peer, numbered(number), Duration::from_secs(5)).await;
+            assert_eq!(number_of(answered), number);
+        }
+    });
+}
