Refuse lengths that a message cannot hold, found by a fuzzer of our own decoder

A spoilt length made the decoder take memory for it before it looked at the bytes: a panic (capacity overflow) or all of the memory. Frames are checked by a checksum, so only a peer of ours could send one.

--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -6,6 +6,10 @@
 
 const HEADER_BYTES: usize = 8;
 const MAX_FRAME_BYTES: usize = 96 << 20;
+/// Most messages are shorter, and hold no more than this once they are read.
+const SHORT_BYTES: usize = 64 << 10;
+const SHORT_DECODED_BYTES: usize = 1 << 20;
+const MAX_DECODED_BYTES: usize = 2 * MAX_FRAME_BYTES;
 
 /// Why bytes were no message of ours.
 #[derive(Debug, thiserror::Error)]
@@ -20,7 +24,7 @@
     Unknown(String),
 }
 
-fn configuration() -> impl bincode::config::Config {
+fn configuration() -> bincode::config::Configuration {
     bincode::config::standard()
 }
 
@@ -29,9 +33,15 @@
     bincode::serde::encode_to_vec(message, configuration()).unwrap_or_default()
 }
 
-/// The message that `bytes` hold, all of them.
+/// The message that `bytes` hold, all of them. Lengths in the message that its size cannot hold are refused before memory is taken for them.
 pub fn decode<M: DeserializeOwned>(bytes: &[u8]) -> Result<M, FrameError> {
-    match bincode::serde::decode_from_slice(bytes, configuration()) {
+    let decoded = match bytes.len() {
+        0..=SHORT_BYTES => {
+            bincode::serde::decode_from_slice(bytes, configuration().with_limit::<SHORT_DECODED_BYTES>())
+        }
+        _ => bincode::serde::decode_from_slice(bytes, configuration().with_limit::<MAX_DECODED_BYTES>()),
+    };
+    match decoded {
         Ok((message, used)) if used == bytes.len() => Ok(message),
         Ok(_) => Err(FrameError::Unknown("bytes are left over".to_owned())),
         Err(reason) => Err(FrameError::Unknown(reason.to_string())),
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -121,3 +121,19 @@
         }
     });
 }
+
+#[test]
+fn a_length_that_the_message_cannot_hold_is_refused() {
+    // A text of 2^63 bytes, of 2^40 and of 4 MB where a few bytes follow: found by the fuzzer, which ran out of memory on them.
+    for length in [1_u64 << 63, 1 << 40, 4 << 20] {
+        let mut bytes = vec![253];
+        bytes.extend_from_slice(&length.to_le_bytes());
+        bytes.extend_from_slice(b"abc");
+        assert!(decode::<String>(&bytes).is_err(), "{length}");
+        assert!(decode::<(ConfigurationBytes, u64)>(&bytes).is_err(), "{length}");
+    }
+    let long = ConfigurationBytes(vec![7; 5 << 20]);
+    assert_eq!(decode::<ConfigurationBytes>(&encode(&long)).expect("whole"), long);
+    let many: Vec<String> = (0..9_000).map(|number| number.to_string()).collect();
+    assert_eq!(decode::<Vec<String>>(&encode(&many)).expect("whole"), many);
+}
