--- a/crates/wire/examples/fuzz.rs
+++ b/crates/wire/examples/fuzz_messages.rs
@@ -1,6 +1,6 @@
 //! Feeds the decoder of messages among our processes with random and spoilt bytes: it must refuse or read them, and never panic.
 //!
-//!     cargo run --release -p fennelgauge-wire --example fuzz -- 10000000
+//!     cargo run --release -p fennelgauge-wire --example fuzz_messages -- 10000000
 
 use std::net::SocketAddr;
 
