--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -9,6 +9,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use fennelgauge_coordination::{
@@ -184,9 +185,8 @@
     }
 
     /// The newest state, if every link of the chain has it.
-    pub fn committed_state(&self) -> Option<Rc<ControlState>> {
-        let coordinator = self.coordinator.borrow();
-        coordinator.replica().committed_value().map(|state| Rc::new(ControlState::clone(state)))
+    pub fn committed_state(&self) -> Option<Arc<ControlState>> {
+        self.coordinator.borrow().replica().committed_value().cloned()
     }
 
     /// Since when this machine is in its view.
@@ -200,11 +200,6 @@
         confirmed.is_some_and(|at| self.started.elapsed().saturating_sub(at) < CONFIRMED_WITHIN)
     }
 
-    /// Whether the disk does its work.
-    pub fn is_disk_in_trouble(&self) -> bool {
-        self.storage.health().is_in_trouble()
-    }
-
     /// Whether a majority, asked now, is in this machine's view: what was committed here before is all there was.
     pub async fn confirm(self: &Rc<Self>, until: Instant) -> bool {
         let question = self.take(|coordinator, now| coordinator.ask_majority(now)).await;
--- a/crates/control-plane/src/core/storage.rs
+++ b/crates/control-plane/src/core/storage.rs
@@ -5,7 +5,6 @@
 
 use std::collections::VecDeque;
 use std::path::Path;
-use std::rc::Rc;
 use std::sync::mpsc;
 use std::sync::Arc;
 
@@ -16,7 +15,6 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
-use crate::disk::DiskHealth;
 use crate::identity::random_number;
 use crate::state::{ControlState, SharedConfiguration, SmallState};
 
@@ -55,7 +53,6 @@
 #[derive(Clone)]
 pub struct Storage {
     jobs: Option<mpsc::Sender<Job>>,
-    health: Rc<DiskHealth>,
 }
 
 /// A disk as it was found.
@@ -71,7 +68,7 @@
         let seeds = if settings.bootstrap { settings.seed_peers() } else { Vec::new() };
         let Some(path) = &settings.data_dir else {
             let identity = Identity { node: settings.node.clone(), disk: random_number() };
-            let storage = Self { jobs: None, health: Rc::default() };
+            let storage = Self { jobs: None };
             return Ok(Opened { identity, stored: Stored::first(&seeds), storage });
         };
         let mut writer = Writer::open(path)?;
@@ -91,7 +88,7 @@
                 let _ = job.done.send(writer.write(&job.writes));
             }
         });
-        Ok(Opened { identity, stored, storage: Self { jobs: Some(jobs), health: Rc::default() } })
+        Ok(Opened { identity, stored, storage: Self { jobs: Some(jobs) } })
     }
 
     /// Writes; true once all of it outlives a loss of power.
@@ -101,18 +98,11 @@
         if jobs.send(Job { writes, done }).is_err() {
             return false;
         }
-        self.health.begin();
         let written = written.await;
         if let Ok(Err(error)) = &written {
             log::error!("{error}");
         }
-        let written = matches!(written, Ok(Ok(())));
-        self.health.end(written);
-        written
-    }
-
-    pub fn health(&self) -> &DiskHealth {
-        &self.health
+        matches!(written, Ok(Ok(())))
     }
 }
 
@@ -178,7 +168,7 @@
     fn find_whole(&mut self) -> Result<Found, VersionsError> {
         let identity = match self.identity_folder.strictly_newest()? {
             Newest::Whole(_, body) => <[u8; 8]>::try_from(body.as_slice()).ok().map(u64::from_le_bytes),
-            Newest::Damaged(_) => None,
+            Newest::Damaged => None,
             Newest::None if self.records == 0 && self.values == 0 => return Ok(Found::Empty),
             Newest::None => None,
         };
@@ -186,7 +176,7 @@
         self.disk = identity;
         let record: Option<RecordFile> = match self.record_folder.strictly_newest()? {
             Newest::Whole(_, body) => readable(&body),
-            Newest::Damaged(_) => None,
+            Newest::Damaged => None,
             // Nothing was promised yet.
             Newest::None if self.values == 0 => return Ok(Found::Whole(Box::new(Stored::first(&[])))),
             Newest::None => None,
@@ -198,7 +188,7 @@
             Newest::Whole(name, body) => {
                 readable(&body).and_then(|file| self.whole_value(name.sequence, file))
             }
-            Newest::Damaged(_) => None,
+            Newest::Damaged => None,
             Newest::None => {
                 let first = Stored::first(&[]);
                 Some((first.version, first.value))
--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -91,11 +91,6 @@
         &self.replica
     }
 
-    /// The seeds may change while a process runs.
-    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
-        self.seeds = seeds;
-    }
-
     /// When this machine last knew that a majority was in its view, it being a link that has the value.
     pub fn confirmed_at(&self) -> Option<Duration> {
         self.confirmed_at
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -12,6 +12,7 @@
 mod operator;
 mod plant;
 mod shrink;
+mod threads;
 mod world;
 
 pub use chance::Chance;
@@ -21,4 +22,5 @@
 pub use ledger::{Decision, Ledger, Order};
 pub use plant::Plant;
 pub use shrink::shrunk;
+pub use threads::on_threads;
 pub use world::{play, play_and_print, Played};
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,12 +1,13 @@
 //! The command line: plays drawn days, one day again, or days with a planted mistake.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::time::Instant;
 
 use anyhow::{bail, Context};
-use fennelgauge_simulation::{play, play_and_print, shrunk, Day, Exhaustive, Family, Grain, Plant, Played};
+use fennelgauge_simulation::{
+    on_threads, play, play_and_print, shrunk, Day, Exhaustive, Family, Grain, Plant,
+};
 
 const HELP: &str = "fennelgauge-simulate days [--from N] [--count N] [--family NAME] [--threads N]
                     plays drawn days; the first broken ones are shrunk and shown
@@ -65,32 +66,6 @@
     family.map_or_else(|| Day::drawn(seed), |family| Day::of_family(seed, family))
 }
 
-/// Plays days on several threads; `found` is handed each broken one and says whether to go on.
-fn on_threads(
-    from: u64,
-    count: u64,
-    threads: u64,
-    day: impl Fn(u64) -> Day + Sync,
-    plant: Option<Plant>,
-    look: impl Fn(&Day, Played) -> bool + Sync,
-) {
-    let next = AtomicU64::new(from);
-    std::thread::scope(|scope| {
-        for _ in 0..threads.max(1) {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= from + count {
-                    return;
-                }
-                let day = day(seed);
-                if !look(&day, play(&day, plant)) {
-                    next.store(from + count, Ordering::Relaxed);
-                }
-            });
-        }
-    });
-}
-
 #[derive(Default)]
 struct Sums {
     days: u64,
--- a/crates/simulation/src/operator.rs
+++ b/crates/simulation/src/operator.rs
@@ -42,19 +42,21 @@
     /// What was acknowledged when the question was asked.
     pub floor: u64,
     tries: u64,
-    only_reads: bool,
+    /// After a refusal the base has to be read first.
+    knows_base: bool,
+    pub only_reads: bool,
 }
 
 impl Operator {
     pub fn new(only_reads: bool) -> Self {
-        Self { base: 0, order: None, attempt: 0, floor: 0, tries: 0, only_reads }
+        Self { base: 0, order: None, attempt: 0, floor: 0, tries: 0, knows_base: true, only_reads }
     }
 
     /// What it asks next.
-    pub fn ask(&mut self, chance: &mut Chance, knows_base: bool) -> Ask {
+    pub fn ask(&mut self, chance: &mut Chance) -> Ask {
         self.attempt += 1;
         self.tries += 1;
-        if self.only_reads || !knows_base {
+        if self.only_reads || !self.knows_base {
             return Ask::Read;
         }
         let base = self.base;
@@ -70,13 +72,12 @@
         self.order
     }
 
-    /// The order is over: taken, or refused.
+    /// The order is over, taken or refused, or a read was answered; the generation that is current now, where it is known.
     pub fn finish(&mut self, generation: Option<u64>) {
         self.order = None;
         self.tries = 0;
-        if let Some(generation) = generation {
-            self.base = generation;
-        }
+        self.knows_base = generation.is_some();
+        self.base = generation.unwrap_or(self.base);
     }
 
     /// A growing pause after an answer that was none.
--- a/crates/simulation/tests/days.rs
+++ b/crates/simulation/tests/days.rs
@@ -3,40 +3,23 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
-use fennelgauge_simulation::{play, shrunk, Day, Family, Plant, Rule, Strike, Trouble, MILLISECOND, SECOND};
+use fennelgauge_simulation::{
+    on_threads, play, shrunk, Day, Family, Plant, Rule, Strike, Trouble, MILLISECOND, SECOND,
+};
 
 const DAYS: u64 = 2_000;
-const THREADS: usize = 4;
+const THREADS: u64 = 4;
 /// A planted mistake is looked for on so many days.
 const DAYS_A_PLANT: u64 = 1_000;
 /// A mistake that only an exhaustive search finds; see tests of `fennelgauge-coordination`.
 const FOUND_EXHAUSTIVELY: &str = "PromiseIsIgnored";
 
-/// Plays days from 1 on until `look` has seen enough.
-fn on_threads(days: u64, plant: Option<Plant>, look: impl Fn(u64, Vec<Rule>) -> bool + Sync) {
-    let next = AtomicU64::new(1);
-    std::thread::scope(|scope| {
-        for _ in 0..THREADS {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed > days {
-                    return;
-                }
-                let broken = play(&Day::drawn(seed), plant).broken;
-                if !look(seed, broken.into_iter().map(|broken| broken.rule).collect()) {
-                    next.store(days + 1, Ordering::Relaxed);
-                }
-            });
-        }
-    });
-}
-
 #[test]
 fn no_rule_is_broken_on_drawn_days() {
     let broken = Mutex::new(Vec::new());
-    on_threads(DAYS, None, |seed, rules| {
-        if !rules.is_empty() {
-            broken.lock().expect("a lock").push((seed, rules));
+    on_threads(1, DAYS, THREADS, Day::drawn, None, |day, played| {
+        if !played.broken.is_empty() {
+            broken.lock().expect("a lock").push((day.seed, played.broken));
         }
         true
     });
@@ -57,9 +40,9 @@
     let mut missed = Vec::new();
     for plant in Plant::all() {
         let found = AtomicU64::new(0);
-        on_threads(DAYS_A_PLANT, Some(plant), |_, rules| {
-            found.fetch_add(u64::from(!rules.is_empty()), Ordering::Relaxed);
-            rules.is_empty()
+        on_threads(1, DAYS_A_PLANT, THREADS, Day::drawn, Some(plant), |_, played| {
+            found.fetch_add(u64::from(!played.broken.is_empty()), Ordering::Relaxed);
+            played.broken.is_empty()
         });
         if found.into_inner() == 0 {
             missed.push(format!("{plant:?}"));
--- a/crates/upstream/src/subscriber.rs
+++ b/crates/upstream/src/subscriber.rs
@@ -43,12 +43,10 @@
 pub async fn subscribe(known: Rc<Known>, caller: Caller, subscription: Subscription) {
     let mut source = 0;
     loop {
-        let sources = sources(&known, &subscription);
-        if sources.is_empty() {
+        let Some(peer) = source_at(source, &known, &subscription) else {
             sleep(RETRY).await;
             continue;
-        }
-        let peer = sources[source % sources.len()];
+        };
         let watch = Request::Watch(Watch { have: known.have(), wait_ms: WAIT.as_millis() as u64 });
         let began = Instant::now();
         match caller.call(peer, watch, ANSWER_TIMEOUT).await {
@@ -74,22 +72,30 @@
     }
 }
 
-/// Links of the core's chain, those of the own zone first, then by a ranking of the own node's; then its other voters, then the seeds.
-fn sources(known: &Known, subscription: &Subscription) -> Vec<SocketAddr> {
-    let mut sources = Vec::new();
-    if let Some(view) = known.view() {
-        let mut links: Vec<_> = view.chain.iter().collect();
-        links.sort_by_key(|member| {
-            let pair = format!("{}/{}", subscription.node, member.identity.node);
-            (member.zone != subscription.zone, stable_hash(&pair))
-        });
-        sources.extend(links.iter().map(|member| member.peer));
+/// The source to ask as number `number`; none if there is none.
+fn source_at(number: usize, known: &Known, subscription: &Subscription) -> Option<SocketAddr> {
+    let mut sources = core_sources(known, subscription);
+    if let Some(source) = sources.get(number) {
+        return Some(*source);
     }
-    let voters = known.view().map_or(Vec::new(), |view| view.voters.iter().map(|voter| voter.peer).collect());
-    for other in voters.into_iter().chain((subscription.seeds)()) {
-        if !sources.contains(&other) {
-            sources.push(other);
+    // Only when all others have failed the settings file is read.
+    for seed in (subscription.seeds)() {
+        if !sources.contains(&seed) {
+            sources.push(seed);
         }
     }
-    sources
+    sources.get(number.checked_rem(sources.len())?).copied()
+}
+
+/// Links of the core's chain, those of the own zone first, then by a ranking of the own node's; then its other voters.
+fn core_sources(known: &Known, subscription: &Subscription) -> Vec<SocketAddr> {
+    let Some(view) = known.view() else { return Vec::new() };
+    let mut links: Vec<_> = view.chain.iter().collect();
+    links.sort_by_key(|member| {
+        let pair = format!("{}/{}", subscription.node, member.identity.node);
+        (member.zone != subscription.zone, stable_hash(&pair))
+    });
+    let is_link = |peer| view.chain.iter().any(|link| link.peer == peer);
+    let others = view.voters.iter().filter(|voter| !is_link(voter.peer));
+    links.into_iter().chain(others).map(|member| member.peer).collect()
 }
--- a/crates/versions/src/lib.rs
+++ b/crates/versions/src/lib.rs
@@ -33,7 +33,7 @@
     None,
     Whole(VersionName, Vec<u8>),
     /// The newest version is not whole: whatever it said is forgotten, and an older one must not be taken for it.
-    Damaged(VersionName),
+    Damaged,
 }
 
 /// The name of a version: files sort by it.
@@ -116,7 +116,7 @@
         let bytes = fs::read(&path).map_err(|reason| self.disk_error(&path, reason))?;
         Ok(match body_of(&bytes) {
             Some(body) => Newest::Whole(name, body.to_vec()),
-            None => Newest::Damaged(name),
+            None => Newest::Damaged,
         })
     }
 
