--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -8,6 +8,7 @@
 mod serving;
 #[cfg(test)]
 mod tests;
+mod window;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
@@ -19,7 +20,7 @@
 use fennelgauge_coordination::{GroupNumber, Identity, Member, StoreNumber, StoreView, GROUPS};
 use fennelgauge_http::until_stopped;
 use fennelgauge_settings::Settings;
-use fennelgauge_upstream::{subscribe, wall_clock, Known, Pool, Sender, Subscription};
+use fennelgauge_upstream::{keep_reachable, subscribe, wall_clock, Known, Pool, Sender, Subscription};
 use fennelgauge_wire::{serve, Caller, Entry, Reply, Request, StoreReply, StoreRequest};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -57,6 +58,11 @@
     /// Groups that this store has copied as a learner.
     level: RefCell<BTreeSet<GroupNumber>>,
     running: RefCell<HashMap<runner::ItemKey, AbortHandle>>,
+    /// By service.
+    running_counts: RefCell<HashMap<String, runner::RunningCount>>,
+    windows: RefCell<HashMap<String, window::ItemWindow>>,
+    /// Of an item at one server, in seconds.
+    mean_run_s: Cell<f64>,
     disk_health: Rc<DiskHealth>,
     /// Bytes handed to the journal since the last whole write, and the size of that.
     written: Cell<usize>,
@@ -77,6 +83,7 @@
     spawn_local(store.clone().tell_presence());
     spawn_local(store.clone().learn());
     spawn_local(store.clone().run_items());
+    spawn_local(keep_reachable(store.pool.clone(), store.sender.clone()));
     until_stopped().await;
     Ok(())
 }
@@ -104,11 +111,11 @@
         let me = Member { identity, peer, zone: settings.zone.clone(), region: settings.region.clone() };
         Ok(Rc::new(Self {
             me,
-            pool: Pool::new(&settings.zone),
+            pool: Pool::new(&settings.zone, &settings.policy),
+            sender: Sender::new(&settings.policy),
             settings,
             known: Rc::default(),
             caller: Caller::default(),
-            sender: Sender::default(),
             journal,
             groups,
             pending: RefCell::default(),
@@ -117,6 +124,9 @@
             checked: RefCell::default(),
             level: RefCell::default(),
             running: RefCell::default(),
+            running_counts: RefCell::default(),
+            windows: RefCell::default(),
+            mean_run_s: Cell::default(),
             disk_health: Rc::default(),
             written: Cell::new(0),
             whole_size: Cell::new(0),
--- a/crates/control-plane/src/store/runner.rs
+++ b/crates/control-plane/src/store/runner.rs
@@ -1,5 +1,6 @@
 //! Runs the items of the batch jobs whose groups this store heads: behind interactive requests, the most urgent first.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
 
+use super::window::{ItemWindow, Offer};
 use super::{wall_clock_ms, Store};
 
 const LOOK_EVERY: Duration = Duration::from_millis(200);
@@ -33,6 +35,10 @@
 const PART_OF_DUE: f64 = 0.18;
 /// What is overdue is begun at the pace of so many seconds.
 const SHORTEST_PACE_S: f64 = 0.5;
+/// Items may wait for so long a part of the shortest objective of the interactive requests at the same servers.
+const BEARABLE_PART_OF_TARGET: f64 = 0.25;
+/// Weight of a new run in the mean time of runs.
+const RUN_WEIGHT: f64 = 1.0 / 16.0;
 /// Behind all interactive requests.
 const ITEM_PRIORITY: &str = "9";
 /// Kept beyond the time for which results are promised, as clocks differ.
@@ -50,6 +56,8 @@
 
 /// An item that may run, with what decides its turn.
 struct Candidate {
+    /// Whether it can no longer be done when it is due.
+    late: bool,
     due_ms: u64,
     key: ItemKey,
 }
@@ -62,6 +70,33 @@
     }
 }
 
+/// How many items of one service run here.
+#[derive(Clone, Debug, Default)]
+pub struct RunningCount(Rc<Cell<usize>>);
+
+impl RunningCount {
+    fn count(&self) -> usize {
+        self.0.get()
+    }
+}
+
+/// One running item; counted until dropped, however its run ends.
+struct Counted(RunningCount);
+
+impl Counted {
+    fn new(running: RunningCount) -> Self {
+        running.0.set(running.count() + 1);
+        Self(running)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let running = &self.0;
+        running.0.set(running.count().saturating_sub(1));
+    }
+}
+
 /// What a run needs of an item and its batch job.
 struct OpenItem {
     item: Item,
@@ -101,31 +136,85 @@
                 self.remove_old_jobs(&view);
             }
             let mut candidates = self.candidates(&view);
-            let now_ms = wall_clock_ms();
-            let per_s: f64 = candidates.iter().map(|candidate| candidate.pace(now_ms)).sum();
             let passed_s = looked.elapsed().as_secs_f64().min(LOOK_EVERY.as_secs_f64());
             looked = Instant::now();
-            credit = (credit + per_s * passed_s).min(MOST_AT_ONCE);
-            candidates.sort_by_key(|candidate| candidate.due_ms);
-            let room = (credit as usize).min(self.room());
-            for candidate in candidates.into_iter().take(room) {
-                credit -= 1.0;
-                self.start(candidate.key);
+            credit = (credit + self.pace(&candidates) * passed_s).min(MOST_AT_ONCE);
+            candidates.sort_by_key(|candidate| (candidate.late, candidate.due_ms));
+            for candidate in candidates {
+                if credit < 1.0 {
+                    break;
+                }
+                if self.start(candidate.key) {
+                    credit -= 1.0;
+                }
             }
         }
     }
 
-    /// How many more items this store's part of the servers has places for.
-    fn room(&self) -> usize {
+    /// Items to be begun in a second.
+    fn pace(&self, candidates: &[Candidate]) -> f64 {
+        if !self.settings.policy.paced_items {
+            return f64::MAX;
+        }
+        let now_ms = wall_clock_ms();
+        candidates.iter().map(|candidate| candidate.pace(now_ms)).sum()
+    }
+
+    /// What a service's servers offer to this store's items.
+    fn offer(&self, service: &str) -> Offer {
         let servers = self.known.servers();
-        let slots: usize = servers.servers.iter().map(|server| server.slots as usize).sum();
-        let most = (slots / self.view().stores.len().max(1)).max(4);
-        most.saturating_sub(self.running.borrow().len())
+        let of_service = servers.servers.iter().filter(|server| server.backend == service);
+        Offer {
+            slots: of_service.map(|server| server.slots as usize).sum(),
+            stores: self.view().stores.len(),
+        }
+    }
+
+    /// How many items of a service may run at once.
+    fn most_running(&self, service: &str) -> usize {
+        let offer = self.offer(service);
+        match self.windows.borrow().get(service) {
+            Some(window) if self.settings.policy.adaptive_items => window.size(offer),
+            _ => ItemWindow::default().size(offer),
+        }
+    }
+
+    /// An item's answer began, or a server refused it for want of room: the window follows.
+    fn learn_window(&self, service: &str, sent: &Result<Answer, SendError>, wait: Duration) {
+        let offer = self.offer(service);
+        let bearable = self.bearable_wait(service);
+        let mut windows = self.windows.borrow_mut();
+        let window = windows.entry(service.to_owned()).or_default();
+        match sent {
+            Ok(_) => window.answered(wait, bearable, offer, Instant::now()),
+            Err(SendError::NotExecuted(StatusCode::SERVICE_UNAVAILABLE)) => {
+                window.refused(offer, Instant::now());
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// How long items may wait at a service's servers: interactive requests wait there, too, and have to answer in time. Where
+    /// servers tell their load, items wait behind interactive requests, and the load is what is looked at.
+    fn bearable_wait(&self, service: &str) -> Duration {
+        if self.pool.tells_load(service) {
+            return Duration::MAX;
+        }
+        let Some(table) = self.known.table() else { return Duration::MAX };
+        let interactive = table.configuration.routes.iter().filter(|route| {
+            route.kind != RouteKind::Batch
+                && route.target_ms > 0
+                && route.services().any(|of_route| of_route == service)
+        });
+        let least_ms = interactive.map(|route| route.target_ms).min();
+        least_ms.map_or(Duration::MAX, |ms| Duration::from_millis(ms).mul_f64(BEARABLE_PART_OF_TARGET))
     }
 
     fn candidates(&self, view: &StoreView) -> Vec<Candidate> {
         let Some(table) = self.known.table() else { return Vec::new() };
         let running = self.running.borrow();
+        let now_ms = wall_clock_ms();
+        let run_ms = (self.mean_run_s.get() * 1_000.0) as u64;
         let mut candidates = Vec::new();
         for group in GroupNumber::all().filter(|group| self.is_head(view, *group)) {
             let held = self.held(group).borrow();
@@ -135,10 +224,11 @@
             for state in held.state().jobs().filter(|state| !state.is_over()) {
                 let route = table.configuration.routes.iter().find(|route| route.name == state.job.route);
                 let due_ms = state.job.received_ms + route.map_or(0, |route| route.batch_target_ms);
+                let late = self.settings.policy.late_items_last && now_ms + run_ms > due_ms;
                 for item in state.open_items() {
                     let key = ItemKey { group, job: state.job.id.clone(), item };
                     if !running.contains_key(&key) {
-                        candidates.push(Candidate { due_ms, key });
+                        candidates.push(Candidate { late, due_ms, key });
                     }
                 }
             }
@@ -146,10 +236,18 @@
         candidates
     }
 
-    fn start(self: &Rc<Self>, key: ItemKey) {
+    /// Starts an item if its service has room for it.
+    fn start(self: &Rc<Self>, key: ItemKey) -> bool {
+        let Some(service) = self.service_of(&key) else { return false };
+        let running = self.running_of(&service);
+        if running.count() >= self.most_running(&service) {
+            return false;
+        }
         let store = self.clone();
         let own = key.clone();
+        let counted = Counted::new(running);
         let task = spawn_local(async move {
+            let _counted = counted;
             if let Some(result) = store.run_item(&own).await {
                 store.finish_item(&own, result);
             }
@@ -157,6 +255,17 @@
             store.changed.notify_waiters();
         });
         self.running.borrow_mut().insert(key, task.abort_handle());
+        true
+    }
+
+    /// The service whose servers an item goes to; an empty name where it can only be given up; none if it is over.
+    fn service_of(&self, key: &ItemKey) -> Option<String> {
+        let OpenItem { item, route, .. } = self.item(key)?;
+        Some(route.map_or(String::new(), |route| route.service(fixed_chance(&item.id)).to_owned()))
+    }
+
+    fn running_of(&self, service: &str) -> RunningCount {
+        self.running_counts.borrow_mut().entry(service.to_owned()).or_default().clone()
     }
 
     fn finish_item(&self, key: &ItemKey, result: ItemResult) {
@@ -234,8 +343,10 @@
                 continue;
             };
             let outgoing = outgoing(&item, &tenant, &host, order.last());
-            match self.attempt(&ticket, &outgoing, &mut text, &mut order).await {
+            let began = Instant::now();
+            match self.attempt(service, &ticket, &outgoing, &mut text, &mut order).await {
                 Attempt::Finished(ItemOutcome::Succeeded) => {
+                    self.learn_run(began.elapsed());
                     let text = text.join("\n");
                     return Some(ItemResult { item: key.item, outcome: ItemOutcome::Succeeded, text });
                 }
@@ -254,6 +365,12 @@
         }
     }
 
+    /// An item was run to its end at one server.
+    fn learn_run(&self, took: Duration) {
+        let mean_s = self.mean_run_s.get();
+        self.mean_run_s.set(mean_s + RUN_WEIGHT * (took.as_secs_f64() - mean_s));
+    }
+
     /// Waits until the acceptance of the item's batch job is committed.
     async fn is_committed(&self, key: &ItemKey) -> bool {
         let position = self.held(key.group).borrow().position();
@@ -282,12 +399,16 @@
 
     async fn attempt(
         &self,
+        service: &str,
         ticket: &Ticket,
         outgoing: &Outgoing,
         text: &mut Vec<String>,
         order: &mut EventOrder,
     ) -> Attempt {
-        let answer = match self.sender.send(&ticket.server, outgoing, LONGEST_RUN, LONGEST_SILENCE).await {
+        let began = Instant::now();
+        let sent = self.sender.send(&ticket.server, outgoing, LONGEST_RUN, LONGEST_SILENCE).await;
+        self.learn_window(service, &sent, began.elapsed());
+        let answer = match sent {
             Ok(answer) => answer,
             Err(error) => {
                 self.pool.learn_failure(&ticket.server, &error);
--- a/crates/data-plane/src/main.rs
+++ b/crates/data-plane/src/main.rs
@@ -1,5 +1,6 @@
 //! The data plane of the serving tier.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use fennelgauge_settings::{check_settings, start_logging, Program, Settings};
@@ -9,11 +10,12 @@
 fennelgauge-data-plane: takes clients' requests to servers
 
 USAGE
-  fennelgauge-data-plane [run] [--log LEVEL]     run with the settings that FENNELGAUGE_BOOT names
+  fennelgauge-data-plane [run] [--log LEVEL] [--policy FILE]     run with the settings that FENNELGAUGE_BOOT names
   fennelgauge-data-plane check-settings FILE     check a settings file
 
 OPTIONS
-  --log LEVEL   error, warn, info, debug or trace
+  --log LEVEL     error, warn, info, debug or trace
+  --policy FILE   mechanisms of policy to be on or off (TOML); without it the table `policy` of the settings
   --help, --version
 ";
 
@@ -24,16 +26,17 @@
 
 fn command(mut arguments: pico_args::Arguments) -> anyhow::Result<()> {
     let level = arguments.opt_value_from_str("--log")?;
+    let policy = arguments.opt_value_from_str("--policy")?;
     let subcommand = arguments.subcommand()?.unwrap_or_else(|| "run".to_owned());
     match subcommand.as_str() {
-        "run" => run(level),
+        "run" => run(level, policy),
         "check-settings" => check_settings(&arguments.free_from_str::<String>()?),
         other => anyhow::bail!("{other} is no command: see --help"),
     }
 }
 
-fn run(level: Option<log::LevelFilter>) -> anyhow::Result<()> {
-    let settings = Settings::from_environment()?;
+fn run(level: Option<log::LevelFilter>, policy: Option<PathBuf>) -> anyhow::Result<()> {
+    let settings = Settings::with_policy(policy)?;
     start_logging(&settings, level)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, fennelgauge_data_plane::process::run(settings))
--- a/crates/data-plane/src/process.rs
+++ b/crates/data-plane/src/process.rs
@@ -8,7 +8,9 @@
 use actix_web::App;
 use fennelgauge_http::{serve_http, until_stopped, HttpTimes};
 use fennelgauge_settings::Settings;
-use fennelgauge_upstream::{client, read_list, subscribe, Known, Pool, Reader, Sender, Subscription};
+use fennelgauge_upstream::{
+    client, keep_reachable, read_list, subscribe, Known, Pool, Reader, Sender, Subscription,
+};
 use fennelgauge_wire::{serve, Caller, Reply, Request};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
@@ -54,12 +56,12 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             usage: RefCell::new(UsageCounts::new(settings.bounds.usage_window_s)),
-            pool: Pool::new(&settings.zone),
+            pool: Pool::new(&settings.zone, &settings.policy),
+            sender: Sender::new(&settings.policy),
             settings,
             timeliness: RefCell::default(),
             known: Rc::new(Known::default()),
             caller: Caller::default(),
-            sender: Sender::default(),
             open: Cell::new(0),
             last_ended: Cell::new(Instant::now()),
             stopping: Cell::new(None),
@@ -102,6 +104,7 @@
     spawn_local(serve(peers, move |request| answer(known.clone(), request)));
     spawn_local(subscribe(plane.known.clone(), plane.caller.clone(), Subscription::new(&plane.settings)));
     spawn_local(keep_pool(plane.clone()));
+    spawn_local(keep_reachable(plane.pool.clone(), plane.sender.clone()));
     spawn_local(report_usage(plane.clone()));
     if let Some(address) = plane.settings.listen.ready {
         let app = App::new().app_data(Data::new(plane.clone())).configure(ready::routes);
--- a/crates/rounds/src/compare.rs
+++ b/crates/rounds/src/compare.rs
@@ -22,17 +22,25 @@
     pub trial: DayReport,
 }
 
-/// Days that only one of the labels has are an error that names them.
+/// Pairs of the sites that the trial has; a day there that only one of the labels has is an error that names it.
 pub fn read_pairs(folder: &Path, base: &str, trial: &str) -> anyhow::Result<Vec<Pair>> {
     let mut pairs = Vec::new();
-    for site in folders(&folder.join(base))? {
-        for file in files(&folder.join(base).join(&site))? {
+    for site in folders(&folder.join(trial))? {
+        let mut played = files(&folder.join(base).join(&site))?;
+        played.extend(files(&folder.join(trial).join(&site))?);
+        played.sort();
+        played.dedup();
+        for file in played {
             let report = |label: &str| DayReport::read(&folder.join(label).join(&site).join(&file));
             let day = file.trim_end_matches(".json").to_owned();
             pairs.push(Pair { site: site.clone(), day, base: report(base)?, trial: report(trial)? });
         }
     }
-    anyhow::ensure!(!pairs.is_empty(), "{}: no day was played: play some first", folder.join(base).display());
+    anyhow::ensure!(
+        !pairs.is_empty(),
+        "{}: no day was played: play some first",
+        folder.join(trial).display()
+    );
     Ok(pairs)
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod command_line;
 mod logging;
+mod policy;
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -13,6 +14,7 @@
 
 pub use command_line::{check_settings, Program};
 pub use logging::start_logging;
+pub use policy::Policy;
 
 /// The variable that names the settings file.
 pub const SETTINGS_VARIABLE: &str = "FENNELGAUGE_BOOT";
@@ -55,6 +57,9 @@
     #[serde(default)]
     #[garde(dive)]
     pub cloud: Cloud,
+    /// Which mechanisms decide; another file may say so, too.
+    #[serde(default)]
+    pub policy: Policy,
     /// `error`, `warn`, `info`, `debug` or `trace`; `warn` where it is absent.
     #[serde(default)]
     pub log_level: Option<String>,
@@ -184,6 +189,15 @@
         Self::parse(&text, path)
     }
 
+    /// As [`Settings::from_environment`], with the policy of a file of its own where one is given.
+    pub fn with_policy(policy: Option<PathBuf>) -> Result<Self, SettingsError> {
+        let mut settings = Self::from_environment()?;
+        if let Some(path) = policy {
+            settings.policy = Policy::read(&path)?;
+        }
+        Ok(settings)
+    }
+
     /// Reads and checks a text; `path` is for messages only.
     pub fn parse(text: &str, path: &Path) -> Result<Self, SettingsError> {
         let settings: Self = toml::from_str(text)
--- /dev/null
+++ b/crates/upstream/src/choice.rs
@@ -0,0 +1,93 @@
+//! The choice among the servers that may have a request.
+
+use fennelgauge_model::{mixed, stable_hash};
+use fennelgauge_settings::Policy;
+use tokio::time::Instant;
+
+use crate::demand::{Demand, Kind};
+use crate::seen::Seen;
+
+/// A server keeps the prompts it has cached while its load is at most so much above the least loaded one's, in slots.
+const KEEP_WITHIN: f64 = 0.35;
+/// A server for the other kind of request is chosen when those for the own kind are fuller by so much, in slots.
+const OWN_KIND_WITHIN: f64 = 0.35;
+/// A server in another zone is chosen when those in the own zone are fuller by so much, in slots.
+const OWN_ZONE_WITHIN: f64 = 0.2;
+/// From this part of its slots on, a server is left in favour of one that is emptier.
+const CROWDED: f64 = 0.85;
+
+/// What the choice goes by, beside the servers.
+pub(crate) struct Wishes<'a> {
+    pub demand: &'a Demand,
+    /// The part of the servers that is for long prompts; none where nothing is kept apart.
+    pub long_part: Option<f64>,
+    /// The own zone.
+    pub zone: &'a str,
+    pub policy: &'a Policy,
+    pub now: Instant,
+}
+
+impl Wishes<'_> {
+    /// The best of the candidates: those for the request's kind unless they are much fuller than the others, then those near,
+    /// then the one that has its prompt, else the least loaded.
+    pub fn best<'s>(&self, candidates: &[&'s Seen]) -> Option<&'s Seen> {
+        let candidates = self.narrowed(candidates, |seen| self.is_of_kind(seen), OWN_KIND_WITHIN);
+        let candidates = self.narrowed(&candidates, |seen| self.is_near(seen), OWN_ZONE_WITHIN);
+        let least = self.least_load(&candidates)?;
+        match self.home(&candidates) {
+            Some(home) if home.load(self.now) <= least + KEEP_WITHIN && home.load(self.now) < CROWDED => {
+                Some(home)
+            }
+            _ => self.least_loaded(candidates),
+        }
+    }
+
+    fn is_of_kind(&self, seen: &Seen) -> bool {
+        let long_part = self.long_part.filter(|_| self.policy.kinds_apart);
+        match (long_part, self.demand.kind) {
+            (None, _) | (_, Kind::Item) => true,
+            (Some(part), Kind::Long) => seen.rank < part,
+            (Some(part), Kind::Short) => seen.rank >= part,
+        }
+    }
+
+    fn affinity(&self) -> Option<u64> {
+        self.demand.affinity.filter(|_| self.policy.cached_prompts)
+    }
+
+    fn is_near(&self, seen: &Seen) -> bool {
+        !self.policy.own_zone_first || self.affinity().is_some() || seen.server.zone == self.zone
+    }
+
+    /// The server that keeps the request's shared part.
+    fn home<'s>(&self, candidates: &[&'s Seen]) -> Option<&'s Seen> {
+        let affinity = self.affinity()?;
+        candidates.iter().copied().max_by_key(|seen| mixed(affinity ^ stable_hash(&seen.server.id)))
+    }
+
+    fn least_loaded<'s>(&self, mut candidates: Vec<&'s Seen>) -> Option<&'s Seen> {
+        if self.policy.random_ties {
+            fastrand::shuffle(&mut candidates);
+        }
+        let load = |seen: &&Seen| seen.load(self.now);
+        candidates.into_iter().min_by(|left, right| load(left).total_cmp(&load(right)))
+    }
+
+    /// Those that fulfil a wish, unless the least loaded of them is fuller by more than `within` than the least loaded of all.
+    fn narrowed<'s>(
+        &self,
+        candidates: &[&'s Seen],
+        wish: impl Fn(&Seen) -> bool,
+        within: f64,
+    ) -> Vec<&'s Seen> {
+        let wished: Vec<&Seen> = candidates.iter().copied().filter(|seen| wish(seen)).collect();
+        match (self.least_load(&wished), self.least_load(candidates)) {
+            (Some(least), Some(least_of_all)) if least <= least_of_all + within => wished,
+            _ => candidates.to_vec(),
+        }
+    }
+
+    fn least_load(&self, candidates: &[&Seen]) -> Option<f64> {
+        candidates.iter().map(|seen| seen.load(self.now)).min_by(f64::total_cmp)
+    }
+}
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -18,9 +18,9 @@
 use tokio::time::{timeout, Instant};
 use tokio_util::codec::{Decoder, Encoder};
 
+use crate::connect_times::ConnectTimes;
 use crate::KEEP_ALIVE;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// An idle connection is used again for so long where the server says nothing.
 const IDLE_FOR: Duration = Duration::from_secs(15);
 /// Left of the time that a server keeps an idle connection.
@@ -38,6 +38,7 @@
 #[derive(Clone, Default)]
 pub(crate) struct Connections {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<Idle>>>>,
+    times: Rc<RefCell<ConnectTimes>>,
 }
 
 struct Idle {
@@ -75,6 +76,11 @@
 pub struct BrokenOff;
 
 impl Connections {
+    /// `adaptive`: attempts are given up by what they usually take.
+    pub(crate) fn new(adaptive: bool) -> Self {
+        Self { idle: Rc::default(), times: Rc::new(RefCell::new(ConnectTimes::new(adaptive))) }
+    }
+
     /// Sends a request and reads the head of its answer.
     pub(crate) async fn exchange(
         &self,
@@ -132,11 +138,29 @@
                 return Some(stream);
             }
         }
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await.ok()?.ok()?;
+        self.open(peer).await
+    }
+
+    async fn open(&self, peer: SocketAddr) -> Option<TcpStream> {
+        let began = Instant::now();
+        let patience = self.times.borrow().patience();
+        let opened = timeout(patience, TcpStream::connect(peer)).await;
+        match &opened {
+            Ok(_) => self.times.borrow_mut().took(began.elapsed()),
+            Err(_) => self.times.borrow_mut().timed_out(),
+        }
+        let stream = opened.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         Some(stream)
     }
 
+    /// Opens a connection and keeps it idle.
+    pub(crate) async fn open_idle(&self, peer: SocketAddr) -> bool {
+        let Some(stream) = self.open(peer).await else { return false };
+        self.keep(peer, stream, IDLE_FOR);
+        true
+    }
+
     fn idle_connection(&self, peer: SocketAddr) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&peer)?;
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,7 +1,9 @@
 //! What a process knows of the tier and how it uses the servers: news from the control plane, the pool of servers and the
 //! choice among them, sending a request, reading events.
 
+mod choice;
 mod clock;
+mod connect_times;
 mod connection;
 mod demand;
 mod events;
@@ -10,6 +12,8 @@
 mod mix;
 mod platform;
 mod pool;
+mod reconnect;
+mod seen;
 mod send;
 mod subscriber;
 
@@ -21,6 +25,7 @@
 pub use known::Known;
 pub use platform::{read_list, ListError, Reader};
 pub use pool::{Pool, Ticket};
+pub use reconnect::keep_reachable;
 pub use send::{client, Outgoing, SendError, Sender};
 pub use subscriber::{subscribe, Subscription};
 
--- a/crates/upstream/src/send.rs
+++ b/crates/upstream/src/send.rs
@@ -12,6 +12,7 @@
 use crate::connection::{Answer, Connections, ExchangeError};
 use crate::{DEADLINE, NOT_EXECUTED, REQUEST_ID, SERVER_LOAD, TARGET_INSTANCE};
 use fennelgauge_model::Server;
+use fennelgauge_settings::Policy;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 const IDLE_FOR: Duration = Duration::from_secs(12);
@@ -65,6 +66,16 @@
 }
 
 impl Sender {
+    /// As the policy has it.
+    pub fn new(policy: &Policy) -> Self {
+        Self { connections: Connections::new(policy.adaptive_connect) }
+    }
+
+    /// Opens a connection for later use; false if none could be opened.
+    pub async fn connect(&self, server: &Server) -> bool {
+        self.connections.open_idle(server.addr).await
+    }
+
     /// Sends to `server` and waits for the head of its answer, `within` at most; `deadline` is what the server is told it has.
     pub async fn send(
         &self,
@@ -135,7 +146,8 @@
     /// Learns from a failure.
     pub fn learn_failure(&self, server: &Server, error: &SendError) {
         match error {
-            SendError::NotSent | SendError::MayHaveRun | SendError::TimeUp => self.failed(&server.id),
+            SendError::NotSent => self.not_reached(&server.id),
+            SendError::MayHaveRun | SendError::TimeUp => self.failed(&server.id),
             SendError::NotExecuted(StatusCode::MISDIRECTED_REQUEST) => self.failed(&server.id),
             SendError::NotExecuted(_) => self.full(&server.id),
         }
--- a/crates/upstream/src/tests.rs
+++ b/crates/upstream/src/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use fennelgauge_model::{Server, ServerList, ServerState};
+use fennelgauge_settings::Policy;
 use futures_util::FutureExt;
 use std::time::Duration;
 
@@ -53,7 +54,7 @@
 }
 
 fn pool(servers: Vec<Server>) -> Pool {
-    let pool = Pool::new("z");
+    let pool = Pool::new("z", &Policy::default());
     pool.update(&ServerList { version: 1, reader: 1, servers });
     pool
 }
