--- a/crates/control-plane/src/process.rs
+++ b/crates/control-plane/src/process.rs
@@ -1,15 +1,18 @@
 //! Runs a control process: its parts, its sockets, its end.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use actix_web::web::{Data, PayloadConfig};
 use actix_web::App;
 use fennelgauge_http::{serve_http, until_stopped, HttpTimes};
 use fennelgauge_settings::Settings;
+use fennelgauge_sharing::Home;
 use fennelgauge_upstream::{subscribe, Known, Subscription};
 use fennelgauge_wire::{serve, Caller, Reply, Request};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 use crate::core::Core;
 use crate::duties::{order_servers, report_usage, UsageCollector};
@@ -36,7 +39,13 @@
     let collector = Rc::new(UsageCollector::default());
 
     let listener = TcpListener::bind(peer).await?;
-    let answering = (core.clone(), presence.clone(), collector.clone());
+    let answering = Answering {
+        core: core.clone(),
+        presence: presence.clone(),
+        collector: collector.clone(),
+        home: Rc::default(),
+        began: Instant::now(),
+    };
     spawn_local(serve(listener, move |request| answer(answering.clone(), request)));
     spawn_local(core.clone().keep());
     spawn_local(keep_list(core.clone()));
@@ -48,11 +57,27 @@
     serve_operator(&settings, core).await
 }
 
-async fn answer(
-    (core, presence, collector): (Rc<Core>, Rc<Presence>, Rc<UsageCollector>),
-    request: Request,
-) -> Reply {
+/// What calls of our own processes are answered from.
+#[derive(Clone)]
+struct Answering {
+    core: Rc<Core>,
+    presence: Rc<Presence>,
+    collector: Rc<UsageCollector>,
+    /// Of the processes that report here what servers they use.
+    home: Rc<RefCell<Home>>,
+    began: Instant,
+}
+
+async fn answer(answering: Answering, request: Request) -> Reply {
+    let Answering { core, presence, collector, home, began } = answering;
     match request {
+        Request::Uses(report) => match home.borrow_mut().report(report, began.elapsed()) {
+            Ok(sums) => Reply::Uses(sums),
+            Err(reason) => {
+                log::warn!("{reason}");
+                Reply::NotHere
+            }
+        },
         Request::Watch(watch) => Reply::News(Box::new(core.known.answer_in_touch(&watch).await)),
         Request::Core(request) => Reply::Core(core.answer(request).await),
         Request::Coordination(envelope) => {
--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -4,6 +4,7 @@
 mod journal;
 mod learner;
 mod replication;
+mod run_times;
 mod runner;
 mod serving;
 #[cfg(test)]
@@ -20,7 +21,9 @@
 use fennelgauge_coordination::{GroupNumber, Identity, Member, StoreNumber, StoreView, GROUPS};
 use fennelgauge_http::until_stopped;
 use fennelgauge_settings::Settings;
-use fennelgauge_upstream::{keep_reachable, subscribe, wall_clock, Known, Pool, Sender, Subscription};
+use fennelgauge_upstream::{
+    keep_reachable, share_uses, subscribe, wall_clock, Known, Pool, Sender, Subscription,
+};
 use fennelgauge_wire::{serve, Caller, Entry, Reply, Request, StoreReply, StoreRequest};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -61,8 +64,9 @@
     /// By service.
     running_counts: RefCell<HashMap<String, runner::RunningCount>>,
     windows: RefCell<HashMap<String, window::ItemWindow>>,
-    /// Of an item at one server, in seconds.
-    mean_run_s: Cell<f64>,
+    /// Batch jobs that were taken while this store was the head, as it has been ever since.
+    taken_here: RefCell<HashMap<String, GroupNumber>>,
+    run_times: RefCell<run_times::RunTimes>,
     disk_health: Rc<DiskHealth>,
     /// Bytes handed to the journal since the last whole write, and the size of that.
     written: Cell<usize>,
@@ -83,6 +87,9 @@
     spawn_local(store.clone().tell_presence());
     spawn_local(store.clone().learn());
     spawn_local(store.clone().run_items());
+    let life = getrandom::u64().unwrap_or(1);
+    let sharing = Subscription::new(&settings);
+    spawn_local(share_uses(store.pool.clone(), store.known.clone(), store.caller.clone(), sharing, life));
     spawn_local(keep_reachable(store.pool.clone(), store.sender.clone()));
     until_stopped().await;
     Ok(())
@@ -126,7 +133,8 @@
             running: RefCell::default(),
             running_counts: RefCell::default(),
             windows: RefCell::default(),
-            mean_run_s: Cell::default(),
+            taken_here: RefCell::default(),
+            run_times: RefCell::default(),
             disk_health: Rc::default(),
             written: Cell::new(0),
             whole_size: Cell::new(0),
--- a/crates/control-plane/src/store/runner.rs
+++ b/crates/control-plane/src/store/runner.rs
@@ -35,10 +35,9 @@
 const PART_OF_DUE: f64 = 0.18;
 /// What is overdue is begun at the pace of so many seconds.
 const SHORTEST_PACE_S: f64 = 0.5;
-/// Items may wait for so long a part of the shortest objective of the interactive requests at the same servers.
-const BEARABLE_PART_OF_TARGET: f64 = 0.25;
-/// Weight of a new run in the mean time of runs.
-const RUN_WEIGHT: f64 = 1.0 / 16.0;
+/// An item whose failures all happened here is tried again after so many times the route's `retries`; three times may not be
+/// passed, whoever runs it, and a later head gives it `retries` at most.
+const PATIENCE_WITH_ITEMS: u32 = 2;
 /// Behind all interactive requests.
 const ITEM_PRIORITY: &str = "9";
 /// Kept beyond the time for which results are promised, as clocks differ.
@@ -207,14 +206,16 @@
                 && route.services().any(|of_route| of_route == service)
         });
         let least_ms = interactive.map(|route| route.target_ms).min();
-        least_ms.map_or(Duration::MAX, |ms| Duration::from_millis(ms).mul_f64(BEARABLE_PART_OF_TARGET))
+        least_ms.map_or(Duration::MAX, |ms| {
+            Duration::from_millis(ms).mul_f64(self.settings.policy.items_wait_part)
+        })
     }
 
     fn candidates(&self, view: &StoreView) -> Vec<Candidate> {
         let Some(table) = self.known.table() else { return Vec::new() };
         let running = self.running.borrow();
         let now_ms = wall_clock_ms();
-        let run_ms = (self.mean_run_s.get() * 1_000.0) as u64;
+        let run_times = self.run_times.borrow();
         let mut candidates = Vec::new();
         for group in GroupNumber::all().filter(|group| self.is_head(view, *group)) {
             let held = self.held(group).borrow();
@@ -224,10 +225,12 @@
             for state in held.state().jobs().filter(|state| !state.is_over()) {
                 let route = table.configuration.routes.iter().find(|route| route.name == state.job.route);
                 let due_ms = state.job.received_ms + route.map_or(0, |route| route.batch_target_ms);
-                let late = self.settings.policy.late_items_last && now_ms + run_ms > due_ms;
                 for item in state.open_items() {
                     let key = ItemKey { group, job: state.job.id.clone(), item };
                     if !running.contains_key(&key) {
+                        let tokens = state.job.items[item as usize].tokens;
+                        let late = self.settings.policy.late_items_last
+                            && now_ms + run_times.longest_usual_ms(tokens) > due_ms;
                         candidates.push(Candidate { late, due_ms, key });
                     }
                 }
@@ -288,6 +291,7 @@
 
     /// Ends the running items of groups that this store no longer heads.
     fn stop_foreign_items(&self, view: &StoreView) {
+        self.taken_here.borrow_mut().retain(|_, group| self.is_head(view, *group));
         self.running.borrow_mut().retain(|key, task| {
             let own = self.is_head(view, key.group);
             if !own {
@@ -310,6 +314,7 @@
                     .collect()
             };
             for job in old {
+                self.taken_here.borrow_mut().remove(&job);
                 self.change(view, group, Command::Remove { job });
             }
         }
@@ -346,14 +351,14 @@
             let began = Instant::now();
             match self.attempt(service, &ticket, &outgoing, &mut text, &mut order).await {
                 Attempt::Finished(ItemOutcome::Succeeded) => {
-                    self.learn_run(began.elapsed());
+                    self.run_times.borrow_mut().took(item.tokens, began.elapsed());
                     let text = text.join("\n");
                     return Some(ItemResult { item: key.item, outcome: ItemOutcome::Succeeded, text });
                 }
                 Attempt::Finished(ItemOutcome::DeadLettered) => return Some(dead),
                 Attempt::Failed => {
                     failures += 1;
-                    if failures >= route.retries.max(1) {
+                    if failures >= self.most_failures(key, &route) {
                         return Some(dead);
                     }
                 }
@@ -365,10 +370,13 @@
         }
     }
 
-    /// An item was run to its end at one server.
-    fn learn_run(&self, took: Duration) {
-        let mean_s = self.mean_run_s.get();
-        self.mean_run_s.set(mean_s + RUN_WEIGHT * (took.as_secs_f64() - mean_s));
+    /// After how many failures at servers an item is given up.
+    fn most_failures(&self, key: &ItemKey, route: &Route) -> u32 {
+        let retries = route.retries.max(1);
+        match self.settings.policy.patient_items && self.taken_here.borrow().contains_key(&key.job) {
+            true => retries * PATIENCE_WITH_ITEMS,
+            false => retries,
+        }
     }
 
     /// Waits until the acceptance of the item's batch job is committed.
--- a/crates/control-plane/src/store/serving.rs
+++ b/crates/control-plane/src/store/serving.rs
@@ -30,7 +30,10 @@
         let entry = match admission {
             Admission::OverQuota { .. } => return StoreReply::OverQuota,
             Admission::Known => self.held(group).borrow().position(),
-            Admission::Fits if self.has_room(&job) => self.change(&view, group, Command::Accept(job)),
+            Admission::Fits if self.has_room(&job) => {
+                self.taken_here.borrow_mut().insert(job.id.clone(), group);
+                self.change(&view, group, Command::Accept(job))
+            }
             Admission::Fits => return StoreReply::NotTaken,
         };
         match self.committed(group, entry, Instant::now() + COMMIT_TIMEOUT).await {
--- a/crates/control-plane/src/store/window.rs
+++ b/crates/control-plane/src/store/window.rs
@@ -10,14 +10,14 @@
 /// All items together leave the rest of the slots to interactive requests.
 const PART_OF_SLOTS: f64 = 0.8;
 /// Weight of a new waiting time in the running mean.
-const WAIT_WEIGHT: f64 = 1.0 / 8.0;
+const WAIT_WEIGHT: f64 = 1.0 / 32.0;
 /// Until the first time that items waited too long, each answer adds so many; after it, this.
 const FIRST_GROWTH: f64 = 1.0;
-const GROWTH: f64 = 0.2;
+const GROWTH: f64 = 0.4;
 /// What is left of the window after items waited too long.
-const SHRUNK: f64 = 0.8;
+const SHRUNK: f64 = 0.85;
 /// The window shrinks once in so long at most: what runs already is still in the means.
-const SHRINK_EVERY: Duration = Duration::from_millis(400);
+const SHRINK_EVERY: Duration = Duration::from_millis(500);
 
 /// What a service's servers offer to items of this store.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/data-plane/src/process.rs
+++ b/crates/data-plane/src/process.rs
@@ -9,7 +9,7 @@
 use fennelgauge_http::{serve_http, until_stopped, HttpTimes};
 use fennelgauge_settings::Settings;
 use fennelgauge_upstream::{
-    client, keep_reachable, read_list, subscribe, Known, Pool, Reader, Sender, Subscription,
+    client, keep_reachable, read_list, share_uses, subscribe, Known, Pool, Reader, Sender, Subscription,
 };
 use fennelgauge_wire::{serve, Caller, Reply, Request};
 use tokio::net::TcpListener;
@@ -104,6 +104,9 @@
     spawn_local(serve(peers, move |request| answer(known.clone(), request)));
     spawn_local(subscribe(plane.known.clone(), plane.caller.clone(), Subscription::new(&plane.settings)));
     spawn_local(keep_pool(plane.clone()));
+    let life = getrandom::u64().unwrap_or(1);
+    let sharing = Subscription::new(&plane.settings);
+    spawn_local(share_uses(plane.pool.clone(), plane.known.clone(), plane.caller.clone(), sharing, life));
     spawn_local(keep_reachable(plane.pool.clone(), plane.sender.clone()));
     spawn_local(report_usage(plane.clone()));
     if let Some(address) = plane.settings.listen.ready {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -59,6 +59,7 @@
     pub cloud: Cloud,
     /// Which mechanisms decide; another file may say so, too.
     #[serde(default)]
+    #[garde(dive)]
     pub policy: Policy,
     /// `error`, `warn`, `info`, `debug` or `trace`; `warn` where it is absent.
     #[serde(default)]
--- a/crates/upstream/src/choice.rs
+++ b/crates/upstream/src/choice.rs
@@ -16,6 +16,9 @@
 /// From this part of its slots on, a server is left in favour of one that is emptier.
 const CROWDED: f64 = 0.85;
 
+/// Among so many, drawn at random, the least loaded is taken where the load is known from others.
+const CHOICES: usize = 2;
+
 /// What the choice goes by, beside the servers.
 pub(crate) struct Wishes<'a> {
     pub demand: &'a Demand,
@@ -35,7 +38,7 @@
         let candidates = self.narrowed(&candidates, |seen| self.is_near(seen), OWN_ZONE_WITHIN);
         let least = self.least_load(&candidates)?;
         match self.home(&candidates) {
-            Some(home) if home.load(self.now) <= least + KEEP_WITHIN && home.load(self.now) < CROWDED => {
+            Some(home) if home.burden(self.now) <= least + KEEP_WITHIN && home.burden(self.now) < CROWDED => {
                 Some(home)
             }
             _ => self.least_loaded(candidates),
@@ -69,8 +72,14 @@
         if self.policy.random_ties {
             fastrand::shuffle(&mut candidates);
         }
-        let load = |seen: &&Seen| seen.load(self.now);
-        candidates.into_iter().min_by(|left, right| load(left).total_cmp(&load(right)))
+        // What others told is a moment old: all who go by it would go to the same one. Items come from few stores, which know
+        // their own best.
+        let from_others = candidates.iter().any(|seen| seen.knows_others(self.now));
+        if self.policy.two_choices && from_others && self.demand.kind != Kind::Item {
+            candidates.truncate(CHOICES);
+        }
+        let burden = |seen: &&Seen| seen.burden(self.now);
+        candidates.into_iter().min_by(|left, right| burden(left).total_cmp(&burden(right)))
     }
 
     /// Those that fulfil a wish, unless the least loaded of them is fuller by more than `within` than the least loaded of all.
@@ -88,6 +97,6 @@
     }
 
     fn least_load(&self, candidates: &[&Seen]) -> Option<f64> {
-        candidates.iter().map(|seen| seen.load(self.now)).min_by(f64::total_cmp)
+        candidates.iter().map(|seen| seen.burden(self.now)).min_by(f64::total_cmp)
     }
 }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -15,7 +15,9 @@
 mod reconnect;
 mod seen;
 mod send;
+mod share;
 mod subscriber;
+mod usual_time;
 
 pub use clock::{wall_clock, WallClock};
 pub use connection::{Answer, BrokenOff};
@@ -27,7 +29,9 @@
 pub use pool::{Pool, Ticket};
 pub use reconnect::keep_reachable;
 pub use send::{client, Outgoing, SendError, Sender};
+pub use share::share_uses;
 pub use subscriber::{subscribe, Subscription};
+pub use usual_time::UsualTime;
 
 #[cfg(test)]
 mod tests;
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -12,14 +12,18 @@
 use crate::demand::Demand;
 use crate::mix::Mix;
 use crate::seen::Seen;
+use crate::usual_time::UsualTime;
 
 /// All servers, by id.
 #[derive(Clone)]
 pub struct Pool {
-    servers: Rc<RefCell<HashMap<String, Seen>>>,
+    pub(crate) servers: Rc<RefCell<HashMap<String, Seen>>>,
     reader: Rc<RefCell<(u64, u64)>>,
     zone: Rc<str>,
-    policy: Rc<Policy>,
+    pub(crate) policy: Rc<Policy>,
+    next_ticket: Rc<Cell<u64>>,
+    /// How long answers take to begin.
+    pub(crate) heads: Rc<RefCell<UsualTime>>,
     mixes: Rc<RefCell<HashMap<String, Mix>>>,
 }
 
@@ -27,6 +31,8 @@
 pub struct Ticket {
     pool: Pool,
     pub server: Server,
+    number: u64,
+    began: Instant,
     unread_tokens: Cell<u64>,
 }
 
@@ -34,8 +40,7 @@
     /// The server answered: it has read the prompt.
     fn prompt_read(&self) {
         let tokens = self.unread_tokens.replace(0);
-        self.pool
-            .with(&self.server.id, |seen| seen.unread_tokens = seen.unread_tokens.saturating_sub(tokens));
+        self.pool.with(&self.server.id, |seen| seen.heard(self.number, tokens));
     }
 }
 
@@ -54,6 +59,8 @@
             reader: Rc::default(),
             zone: zone.into(),
             policy: Rc::new(policy.clone()),
+            next_ticket: Rc::default(),
+            heads: Rc::default(),
             mixes: Rc::default(),
         }
     }
@@ -104,11 +111,10 @@
             wishes.best(&candidates)?.server.clone()
         };
         let tokens = demand.prompt_tokens;
-        self.with(&server.id, |seen| {
-            seen.in_flight += 1;
-            seen.unread_tokens += tokens;
-        });
-        Some(Ticket { pool: self.clone(), server, unread_tokens: Cell::new(tokens) })
+        let number = self.next_ticket.replace(self.next_ticket.get() + 1);
+        self.with(&server.id, |seen| seen.sent(number, tokens));
+        let began = Instant::now();
+        Some(Ticket { pool: self.clone(), server, number, began, unread_tokens: Cell::new(tokens) })
     }
 
     fn long_part(&self, service: &str, demand: &Demand, now: Instant) -> Option<f64> {
@@ -133,9 +139,20 @@
         (!loads.is_empty()).then(|| loads.iter().sum::<f64>() / loads.len() as f64)
     }
 
+    /// A server answered, but with an error of its own.
+    pub fn errored(&self, ticket: &Ticket) {
+        ticket.prompt_read();
+        self.failed(&ticket.server.id);
+    }
+
+    pub(crate) fn learns_errors(&self) -> bool {
+        self.policy.learn_errors
+    }
+
     /// A server answered; `load` is the value of its load header, if it sent one.
     pub fn answered(&self, ticket: &Ticket, load: Option<&str>) {
         ticket.prompt_read();
+        self.heads.borrow_mut().took(ticket.began.elapsed());
         let told = load.filter(|_| self.policy.told_load).and_then(parse_load);
         self.with(&ticket.server.id, |seen| seen.answered(told));
     }
@@ -173,7 +190,7 @@
         self.servers.borrow().values().any(|seen| seen.server.backend == service && seen.tells_load(now))
     }
 
-    fn with(&self, id: &str, change: impl FnOnce(&mut Seen)) {
+    pub(crate) fn with(&self, id: &str, change: impl FnOnce(&mut Seen)) {
         if let Some(seen) = self.servers.borrow_mut().get_mut(id) {
             change(seen);
         }
--- a/crates/upstream/src/reconnect.rs
+++ b/crates/upstream/src/reconnect.rs
@@ -1,4 +1,4 @@
-//! Brings servers that could not be reached back: a connection first, requests after it.
+//! A connection first, requests after it: for servers that could not be reached, and for those that may be silent.
 
 use std::time::Duration;
 
@@ -7,12 +7,13 @@
 
 use crate::{Pool, Sender};
 
-const LOOK_EVERY: Duration = Duration::from_millis(100);
+const LOOK_EVERY: Duration = Duration::from_millis(50);
 
-/// Tries connections to the servers that could not be reached, without end.
+/// Tries connections to the servers that could not be reached or may be silent, without end.
 pub async fn keep_reachable(pool: Pool, sender: Sender) {
     loop {
         sleep(LOOK_EVERY).await;
+        pool.suspect_silent();
         let tries = pool.to_connect().into_iter().map(|server| {
             let (pool, sender) = (pool.clone(), sender.clone());
             async move {
--- a/crates/upstream/src/seen.rs
+++ b/crates/upstream/src/seen.rs
@@ -4,6 +4,7 @@
 
 use fennelgauge_model::{Server, ServerState};
 use fennelgauge_settings::Policy;
+use fennelgauge_sharing::{Outcomes, ServerKey, ServerUse};
 use tokio::time::Instant;
 
 /// What a server told of its load is trusted for so long.
@@ -18,6 +19,13 @@
 /// So many tokens of prompts still to be read weigh as much as a server full of requests.
 const UNREAD_TOKENS: f64 = 60_000.0;
 
+/// What others told counts for so long.
+const OTHERS_FOR: Duration = Duration::from_millis(500);
+/// A connection that stood shows for so long that the server can be reached.
+const CHECKED_FOR: Duration = Duration::from_secs(1);
+/// A server all of whose answers of late were failures counts as fuller by so many times its slots.
+const TROUBLE_WEIGHT: f64 = 2.0;
+
 /// A server, and what was seen of it from here.
 #[derive(Debug)]
 pub(crate) struct Seen {
@@ -33,6 +41,24 @@
     rests_until: Option<Instant>,
     /// No connection to it could be opened; it gets no request until one stands.
     unreachable: bool,
+    /// It may be silent: a connection is tried before it gets more requests.
+    suspected: bool,
+    /// When a connection to it was last opened on suspicion.
+    checked: Option<Instant>,
+    /// Requests without an answer yet, by the number of their ticket.
+    unanswered: Vec<(u64, Instant)>,
+    outcomes: Outcomes,
+    outcomes_at: Instant,
+    others: Option<Others>,
+}
+
+/// The use that other processes make of it.
+#[derive(Clone, Copy, Debug)]
+struct Others {
+    in_flight: u32,
+    outcomes: Outcomes,
+    suspected_by: u32,
+    at: Instant,
 }
 
 /// The load of all callers together, as the server told it.
@@ -56,19 +82,50 @@
             failures: 0,
             rests_until: None,
             unreachable: false,
+            suspected: false,
+            checked: None,
+            unanswered: Vec::new(),
+            outcomes: Outcomes::default(),
+            outcomes_at: Instant::now(),
+            others: None,
         }
     }
 
+    fn fresh_others(&self, now: Instant) -> Option<&Others> {
+        self.others.as_ref().filter(|others| now - others.at < OTHERS_FOR)
+    }
+
+    /// Whether others told of their use of late.
+    pub fn knows_others(&self, now: Instant) -> bool {
+        self.fresh_others(now).is_some()
+    }
+
     fn slots(&self) -> f64 {
         f64::from(self.server.slots.max(1))
     }
 
+    /// What the choice goes by: its load, with more for what has failed of late.
+    pub fn burden(&self, now: Instant) -> f64 {
+        self.load(now) + TROUBLE_WEIGHT * self.trouble(now)
+    }
+
+    /// The part of the answers of late that were failures, here and at others.
+    fn trouble(&self, now: Instant) -> f64 {
+        let mut own = self.outcomes;
+        own.fade(now - self.outcomes_at);
+        match self.fresh_others(now) {
+            Some(others) => own.with(&others.outcomes).trouble(),
+            None => own.trouble(),
+        }
+    }
+
     /// Requests there, running and waiting, as far as can be told, as a part of its slots.
     pub fn load(&self, now: Instant) -> f64 {
-        let own = f64::from(self.in_flight);
+        let in_flight = self.in_flight + self.fresh_others(now).map_or(0, |others| others.in_flight);
+        let own = f64::from(in_flight);
         let requests = match self.told.filter(|told| now - told.at < TOLD_FOR) {
             Some(told) => {
-                let since = own - f64::from(told.in_flight_then);
+                let since = f64::from(self.in_flight) - f64::from(told.in_flight_then);
                 (f64::from(told.running + told.waiting) + since).max(own)
             }
             None => own,
@@ -94,16 +151,80 @@
         self.is_ready()
             && !self.rests(now)
             && !self.unreachable
+            && !self.suspected
             && (self.failures == 0 || self.in_flight == 0 || !policy.one_at_a_time)
     }
 
     /// Whether a connection should be tried.
     pub fn wants_connection(&self, now: Instant) -> bool {
-        self.unreachable && self.is_ready() && !self.rests(now)
+        self.is_ready() && (self.suspected || (self.unreachable && !self.rests(now)))
+    }
+
+    /// A request goes there.
+    pub fn sent(&mut self, ticket: u64, tokens: u64) {
+        self.in_flight += 1;
+        self.unread_tokens += tokens;
+        self.unanswered.push((ticket, Instant::now()));
+    }
+
+    /// A request's answer began, or there will be none.
+    pub fn heard(&mut self, ticket: u64, tokens: u64) {
+        self.unread_tokens = self.unread_tokens.saturating_sub(tokens);
+        self.unanswered.retain(|(number, _)| *number != ticket);
+    }
+
+    /// Whether a request waits for its answer longer than `usual`.
+    fn is_silent(&self, usual: Duration, now: Instant) -> bool {
+        self.unanswered.iter().any(|(_, since)| now - *since > usual)
+    }
+
+    /// Suspects it if a request waits for longer than `usual`, here or at others, unless it was just found to be there.
+    pub fn suspect(&mut self, usual: Duration, now: Instant) {
+        let others = self.fresh_others(now).is_some_and(|others| others.suspected_by > 0);
+        let checked = self.checked.is_some_and(|checked| now - checked < CHECKED_FOR);
+        self.suspected |= (others || self.is_silent(usual, now)) && !checked && !self.unreachable;
+    }
+
+    /// Whether this process knows of itself that it cannot be reached.
+    pub fn is_unreachable(&self) -> bool {
+        self.unreachable
+    }
+
+    /// What this process has to tell of it.
+    pub fn own_use(&self, now: Instant) -> ServerUse {
+        let mut outcomes = self.outcomes;
+        outcomes.fade(now - self.outcomes_at);
+        let (good_tenths, bad_tenths) = outcomes.tenths();
+        ServerUse {
+            server: ServerKey::of(&self.server.id),
+            in_flight: self.in_flight,
+            good_tenths,
+            bad_tenths,
+            suspected_by: u32::from(self.unreachable),
+        }
+    }
+
+    /// What others told of it; none where they do not use it.
+    pub fn take_others(&mut self, told: Option<&ServerUse>, now: Instant) {
+        self.others = Some(Others {
+            in_flight: told.map_or(0, |told| told.in_flight),
+            outcomes: told
+                .map_or(Outcomes::default(), |told| Outcomes::from_tenths(told.good_tenths, told.bad_tenths)),
+            suspected_by: told.map_or(0, |told| told.suspected_by),
+            at: now,
+        });
+    }
+
+    fn count_outcome(&mut self, count: impl Fn(&mut Outcomes)) {
+        let now = Instant::now();
+        self.outcomes.fade(now - self.outcomes_at);
+        self.outcomes_at = now;
+        count(&mut self.outcomes);
     }
 
     /// A request was answered.
     pub fn answered(&mut self, load: Option<(u32, u32)>) {
+        self.count_outcome(Outcomes::add_good);
         self.failures = 0;
         self.rests_until = None;
         self.unreachable = false;
@@ -114,6 +235,11 @@
 
     /// It broke off, was silent or is another server by now.
     pub fn failed(&mut self, policy: &Policy) {
+        self.count_outcome(Outcomes::add_bad);
+        self.rest(policy);
+    }
+
+    fn rest(&mut self, policy: &Policy) {
         let rest = FIRST_REST * 2_u32.pow(self.failures.min(4));
         self.failures += 1;
         if policy.rest_after_failure {
@@ -123,7 +249,8 @@
 
     /// No connection could be opened.
     pub fn not_reached(&mut self, policy: &Policy) {
-        self.failed(policy);
+        self.rest(policy);
+        self.suspected = false;
         if policy.reconnect_first {
             self.unreachable = true;
             let longest = Instant::now() + LONGEST_REST_UNREACHABLE;
@@ -133,6 +260,11 @@
 
     /// A connection stands again.
     pub fn reached(&mut self) {
+        if self.suspected {
+            self.suspected = false;
+            self.checked = Some(Instant::now());
+            return;
+        }
         self.unreachable = false;
         self.rests_until = None;
     }
--- a/crates/upstream/src/send.rs
+++ b/crates/upstream/src/send.rs
@@ -132,6 +132,11 @@
     Ok(answer)
 }
 
+/// Whether the status tells of a server in trouble; a 504 tells of a request that had too little time.
+fn is_own_error(status: StatusCode) -> bool {
+    [StatusCode::INTERNAL_SERVER_ERROR, StatusCode::BAD_GATEWAY].contains(&status)
+}
+
 /// The value of an answer's load header.
 fn told_load(answer: &Answer) -> Option<&str> {
     answer.headers().get(SERVER_LOAD)?.to_str().ok()
@@ -140,7 +145,10 @@
 impl crate::Pool {
     /// Learns from the head of an answer.
     pub fn learn(&self, ticket: &crate::Ticket, answer: &Answer) {
-        self.answered(ticket, told_load(answer));
+        match self.learns_errors() && is_own_error(answer.status()) {
+            true => self.errored(ticket),
+            false => self.answered(ticket, told_load(answer)),
+        }
     }
 
     /// Learns from a failure.
--- a/crates/upstream/src/subscriber.rs
+++ b/crates/upstream/src/subscriber.rs
@@ -73,7 +73,7 @@
 }
 
 /// The source to ask as number `number`; none if there is none.
-fn source_at(number: usize, known: &Known, subscription: &Subscription) -> Option<SocketAddr> {
+pub(crate) fn source_at(number: usize, known: &Known, subscription: &Subscription) -> Option<SocketAddr> {
     let mut sources = core_sources(known, subscription);
     if let Some(source) = sources.get(number) {
         return Some(*source);
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -5,6 +5,7 @@
 use fennelgauge_batch::{Job, Page};
 use fennelgauge_coordination::{Envelope, GroupNumber, Member, StoreView, View};
 use fennelgauge_model::ServerList;
+use fennelgauge_sharing::{Report, Sums};
 
 /// A message with the number of its call.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -26,6 +27,8 @@
     Usage(UsageReport),
     /// A store is there.
     StorePresence(StorePresence),
+    /// The servers that a process uses, to its home.
+    Uses(Report),
 }
 
 /// What is answered.
@@ -34,6 +37,8 @@
     News(Box<News>),
     Core(CoreReply),
     Store(StoreReply),
+    /// The servers that the home's other reporters use.
+    Uses(Sums),
     /// Taken notice of.
     Noted,
     /// The asked process does not do that.
