Forget failures once they have nearly faded: a trace set a server behind all alike; tests of the pool

A server that failed once was never chosen again while others were idle, until the trace was exactly 0. Found by the test that a failing server's trouble fades; it fails without the mend.

--- a/crates/sharing/src/outcomes.rs
+++ b/crates/sharing/src/outcomes.rs
@@ -6,6 +6,8 @@
 const FADES_IN: Duration = Duration::from_secs(2);
 /// A server without any outcomes counts as if it had so many answers.
 const ASSUMED_GOOD: f64 = 1.0;
+/// A smaller part of failures is none.
+const LEAST_TROUBLE: f64 = 0.05;
 
 /// Fading counts.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -45,8 +47,13 @@
         Self { good: self.good + other.good, bad: self.bad + other.bad }
     }
 
-    /// The part of the outcomes that were failures, between 0 and 1; little is made of few.
+    /// The part of the outcomes that were failures, between 0 and 1; little is made of few, and nothing of what has nearly
+    /// faded, as even a trace would set a server behind all that are alike.
     pub fn trouble(&self) -> f64 {
-        self.bad / (self.good + self.bad + ASSUMED_GOOD)
+        let part = self.bad / (self.good + self.bad + ASSUMED_GOOD);
+        match part < LEAST_TROUBLE {
+            true => 0.0,
+            false => part,
+        }
     }
 }
--- a/crates/sharing/tests/home.rs
+++ b/crates/sharing/tests/home.rs
@@ -79,10 +79,11 @@
 #[test]
 fn trouble_is_the_part_of_failures_and_fades() {
     type Case = (&'static str, u32, u32, u64, [f64; 2]);
-    let cases: [Case; 6] = [
+    let cases: [Case; 7] = [
         ("nothing", 0, 0, 0, [0.0, 0.0]),
         ("one failure", 0, 1, 0, [0.49, 0.51]),
-        ("one among many answers", 30, 1, 0, [0.0, 0.04]),
+        ("one among many answers", 30, 1, 0, [0.0, 0.0]),
+        ("a trace of one", 0, 1, 9_000, [0.0, 0.0]),
         ("all fail", 0, 9, 0, [0.89, 0.91]),
         ("half fail", 10, 10, 0, [0.45, 0.5]),
         ("all failed a while ago", 0, 9, 8_000, [0.0, 0.15]),
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -219,3 +219,6 @@
         }
     }
 }
+
+#[cfg(test)]
+pub(crate) mod tests;
--- /dev/null
+++ b/crates/upstream/src/pool/tests.rs
@@ -0,0 +1,101 @@
+use std::time::Duration;
+
+use fennelgauge_model::ServerState;
+use tokio::time::advance;
+
+use super::*;
+
+fn server(id: &str) -> Server {
+    Server {
+        id: id.to_owned(),
+        backend: "s".to_owned(),
+        addr: "10.0.0.1:80".parse().expect("an address"),
+        zone: "z".to_owned(),
+        slots: 8,
+        state: ServerState::Ready,
+        cold_ms: 0,
+    }
+}
+
+/// Two servers, `a` and `b`.
+pub(crate) fn two_servers(policy: &Policy) -> Pool {
+    let pool = Pool::new("z", policy);
+    pool.update(&ServerList { version: 1, reader: 1, servers: vec![server("a"), server("b")] });
+    pool
+}
+
+pub(crate) fn on_paused_clock(test: impl std::future::Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    runtime.expect("a runtime").block_on(test);
+}
+
+/// How many of a hundred requests, one after the other, go to `a`.
+pub(crate) fn part_of_a(pool: &Pool) -> usize {
+    let demand = Demand::default();
+    (0..100).filter_map(|_| pool.choose("s", &[], &demand)).filter(|ticket| ticket.server.id == "a").count()
+}
+
+#[test]
+fn servers_that_are_alike_get_requests_alike() {
+    on_paused_clock(async {
+        let drawn = part_of_a(&two_servers(&Policy::default()));
+        assert!((20..=80).contains(&drawn), "{drawn}");
+        let fixed = part_of_a(&two_servers(&Policy { random_ties: false, ..Policy::default() }));
+        assert!(fixed == 0 || fixed == 100, "{fixed}");
+    });
+}
+
+#[test]
+fn a_server_that_fails_everything_draws_no_requests_for_being_quick() {
+    on_paused_clock(async {
+        // Without rests, which end before what failed is forgotten.
+        let pool = two_servers(&Policy { rest_after_failure: false, ..Policy::default() });
+        for _ in 0..5 {
+            let ticket = pool.choose("s", &["b".to_owned()], &Demand::default()).expect("a");
+            pool.errored(&ticket);
+        }
+        assert_eq!(part_of_a(&pool), 0, "what failed of late counts as fuller");
+        advance(Duration::from_secs(30)).await;
+        assert!(part_of_a(&pool) > 0, "that fades");
+    });
+}
+
+#[test]
+fn a_server_that_was_not_reached_gets_requests_once_a_connection_stands() {
+    on_paused_clock(async {
+        for (reconnect_first, unconnected) in [(true, 0), (false, 1)] {
+            let pool = two_servers(&Policy { reconnect_first, ..Policy::default() });
+            pool.not_reached("a");
+            assert!(pool.to_connect().is_empty(), "it rests first");
+            advance(Duration::from_secs(30)).await;
+            assert_eq!(part_of_a(&pool).min(1), unconnected, "without a connection, {reconnect_first}");
+            assert_eq!(pool.to_connect().len(), usize::from(reconnect_first));
+            pool.reached("a");
+            assert!(part_of_a(&pool) > 0, "with one");
+        }
+    });
+}
+
+#[test]
+fn a_silent_server_is_connected_to_before_it_gets_more() {
+    on_paused_clock(async {
+        let pool = two_servers(&Policy::default());
+        for _ in 0..20 {
+            let ticket = pool.choose("s", &[], &Demand::default()).expect("a server");
+            advance(Duration::from_millis(20)).await;
+            pool.answered(&ticket, None);
+        }
+        let waiting = pool.choose("s", &["b".to_owned()], &Demand::default()).expect("a");
+        pool.suspect_silent();
+        assert!(pool.to_connect().is_empty(), "not silent yet");
+        advance(Duration::from_millis(150)).await;
+        pool.suspect_silent();
+        assert_eq!(pool.to_connect()[0].id, "a");
+        assert_eq!(part_of_a(&pool), 0, "nothing until a connection stands");
+        pool.reached("a");
+        drop(waiting);
+        assert!(part_of_a(&pool) > 0, "it is there");
+        pool.suspect_silent();
+        assert!(pool.to_connect().is_empty(), "and was looked at a moment ago");
+    });
+}
--- a/crates/upstream/src/share.rs
+++ b/crates/upstream/src/share.rs
@@ -97,3 +97,6 @@
 fn pause_for(uses: usize) -> Duration {
     Duration::from_secs_f64(uses as f64 * USE_BYTES / MOST_BYTES_A_SECOND).max(REPORT_EVERY)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/upstream/src/share/tests.rs
@@ -0,0 +1,64 @@
+use tokio::time::advance;
+
+use super::*;
+use crate::pool::tests::{on_paused_clock, part_of_a, two_servers};
+use crate::Demand;
+use fennelgauge_settings::Policy;
+
+fn told(id: &str, change: impl Fn(&mut ServerUse)) -> Sums {
+    let mut told = ServerUse::none(ServerKey::of(id));
+    change(&mut told);
+    Sums { reporters: 3, uses: vec![told] }
+}
+
+#[test]
+fn what_others_use_counts_for_a_moment() {
+    on_paused_clock(async {
+        let pool = two_servers(&Policy::default());
+        pool.take_sums(&told("a", |told| told.in_flight = 6));
+        assert_eq!(part_of_a(&pool), 0, "others keep it busy");
+        advance(Duration::from_millis(600)).await;
+        assert!(part_of_a(&pool) > 0, "old news do not count");
+        pool.take_sums(&told("a", |told| told.bad_tenths = 90));
+        assert_eq!(part_of_a(&pool), 0, "it fails for others");
+        pool.take_sums(&Sums::default());
+        assert!(part_of_a(&pool) > 0, "nobody uses it any more");
+    });
+}
+
+#[test]
+fn a_server_that_others_cannot_reach_is_connected_to_first() {
+    on_paused_clock(async {
+        let pool = two_servers(&Policy::default());
+        pool.take_sums(&told("a", |told| told.suspected_by = 1));
+        pool.suspect_silent();
+        assert_eq!(pool.to_connect()[0].id, "a");
+        assert_eq!(part_of_a(&pool), 0);
+    });
+}
+
+#[test]
+fn a_process_tells_what_it_saw_and_no_suspicion_when_it_is_cut_off() {
+    on_paused_clock(async {
+        let pool = two_servers(&Policy::default());
+        assert!(pool.uses().is_empty());
+        let ticket = pool.choose("s", &["b".to_owned()], &Demand::default()).expect("a");
+        pool.answered(&ticket, None);
+        let uses = pool.uses();
+        assert_eq!((uses[0].server, uses[0].in_flight, uses[0].good_tenths), (ServerKey::of("a"), 1, 10));
+        drop(ticket);
+        pool.not_reached("b");
+        let suspected = |pool: &Pool| pool.uses().iter().map(|told| told.suspected_by).sum::<u32>();
+        assert_eq!(suspected(&pool), 1);
+        pool.not_reached("a");
+        assert_eq!(suspected(&pool), 0, "it cannot reach anybody");
+    });
+}
+
+#[test]
+fn reports_come_less_often_the_more_they_name() {
+    let cases = [(0, 100), (20, 100), (100, 350), (1_000, 3_500)];
+    for (uses, pause_ms) in cases {
+        assert_eq!(pause_for(uses), Duration::from_millis(pause_ms), "{uses}");
+    }
+}
