--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -31,7 +31,7 @@
     pub random_ties: bool,
     /// Processes tell one another of the servers they use, through a home.
     pub shared_uses: bool,
-    /// Where the load is known from others, the less loaded of two servers is taken, drawn at random.
+    /// Where the load is known from others and not told by servers, the less loaded of two is taken, drawn at random.
     pub two_choices: bool,
     /// A server at which a request waits unusually long is connected to before it gets more.
     pub suspect_silent: bool,
--- a/crates/upstream/src/choice.rs
+++ b/crates/upstream/src/choice.rs
@@ -74,14 +74,20 @@
         }
         // What others told is a moment old: all who go by it would go to the same one. Items come from few stores, which know
         // their own best.
-        let from_others = candidates.iter().any(|seen| seen.knows_others(self.now));
-        if self.policy.two_choices && from_others && self.demand.kind != Kind::Item {
+        if self.policy.two_choices && self.demand.kind != Kind::Item && self.only_from_others(&candidates) {
             candidates.truncate(CHOICES);
         }
         let burden = |seen: &&Seen| seen.burden(self.now);
         candidates.into_iter().min_by(|left, right| burden(left).total_cmp(&burden(right)))
     }
 
+    /// Whether the load is known from others and not from the servers. What others told is a moment old: all who go by the least
+    /// of it would go to the same server. Items come from few stores, which know their own best.
+    fn only_from_others(&self, candidates: &[&Seen]) -> bool {
+        candidates.iter().any(|seen| seen.knows_others(self.now))
+            && !candidates.iter().any(|seen| seen.tells_load(self.now))
+    }
+
     /// Those that fulfil a wish, unless the least loaded of them is fuller by more than `within` than the least loaded of all.
     fn narrowed<'s>(
         &self,
--- a/crates/upstream/src/pool/tests.rs
+++ b/crates/upstream/src/pool/tests.rs
@@ -17,13 +17,23 @@
     }
 }
 
-/// Two servers, `a` and `b`.
-pub(crate) fn two_servers(policy: &Policy) -> Pool {
+fn pool_of(ids: &[&str], policy: &Policy) -> Pool {
     let pool = Pool::new("z", policy);
-    pool.update(&ServerList { version: 1, reader: 1, servers: vec![server("a"), server("b")] });
+    let servers = ids.iter().map(|id| server(id)).collect();
+    pool.update(&ServerList { version: 1, reader: 1, servers });
     pool
 }
 
+/// Two servers, `a` and `b`.
+pub(crate) fn two_servers(policy: &Policy) -> Pool {
+    pool_of(&["a", "b"], policy)
+}
+
+/// Three servers, `a` to `c`.
+pub(crate) fn three_servers() -> Pool {
+    pool_of(&["a", "b", "c"], &Policy::default())
+}
+
 pub(crate) fn on_paused_clock(test: impl std::future::Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
     runtime.expect("a runtime").block_on(test);
--- a/crates/upstream/src/share/tests.rs
+++ b/crates/upstream/src/share/tests.rs
@@ -1,7 +1,7 @@
 use tokio::time::advance;
 
 use super::*;
-use crate::pool::tests::{on_paused_clock, part_of_a, two_servers};
+use crate::pool::tests::{on_paused_clock, part_of_a, three_servers, two_servers};
 use crate::Demand;
 use fennelgauge_settings::Policy;
 
@@ -62,3 +62,24 @@
         assert_eq!(pause_for(uses), Duration::from_millis(pause_ms), "{uses}");
     }
 }
+
+#[test]
+fn two_are_drawn_only_where_servers_do_not_tell_their_load() {
+    on_paused_clock(async {
+        for (load, drawn_alone) in [(None, true), (Some("0,0,8"), false)] {
+            let pool = three_servers();
+            for _ in 0..3 {
+                let ticket = pool.choose("s", &[], &Demand::default()).expect("a server");
+                pool.answered(&ticket, load);
+            }
+            let mut uses: Vec<ServerUse> = ["a", "b"].map(|id| ServerUse::none(ServerKey::of(id))).to_vec();
+            uses.iter_mut().for_each(|told| told.in_flight = 4);
+            pool.take_sums(&Sums { reporters: 3, uses });
+            let chosen: Vec<String> = (0..100)
+                .filter_map(|_| pool.choose("s", &[], &Demand::default()))
+                .map(|ticket| ticket.server.id.clone())
+                .collect();
+            assert_eq!(chosen.iter().any(|id| id != "c"), drawn_alone, "{load:?}");
+        }
+    });
+}
