Give the switch for silent servers its effect, and drop a comment that stood twice

leave_silent_servers was read by nothing: an ablation with it would have measured nothing. Live requests and resumed streams now ask one function, which also holds whether the request may be repeated (resumed streams always may). As it ships nothing changes. Ruled out: removing the switch, as the mechanism is one to be measured. Checked by clippy and tests of the three crates.

--- a/crates/data-plane/src/live.rs
+++ b/crates/data-plane/src/live.rs
@@ -142,7 +142,8 @@
                 return Err(self.given_up());
             };
             self.tried.push(ticket.server.id.clone());
-            let within = if self.may_run_again() { left.min(self.patience()) } else { left };
+            let within =
+                if self.leaves_silence_after(self.runs + 1) { left.min(self.patience()) } else { left };
             let sent = self.plane.sender.send(&ticket.server, &outgoing, left, within).await;
             let error = match sent {
                 Ok(answer) => {
@@ -171,9 +172,10 @@
         self.access.route.retries.max(1)
     }
 
-    /// Whether a further server may run the request after the next one.
-    fn may_run_again(&self) -> bool {
-        self.access.route.repeatable() && self.runs + 1 < self.most_runs()
+    /// Whether a server's silence is left for another one, which may run the request after `runs` others.
+    pub(crate) fn leaves_silence_after(&self, runs: u32) -> bool {
+        let leaves = self.plane.settings.policy.leave_silent_servers;
+        leaves && self.access.route.repeatable() && runs < self.most_runs()
     }
 
     /// After a silence of this length a request that may be repeated goes to another server.
--- a/crates/data-plane/src/resumed.rs
+++ b/crates/data-plane/src/resumed.rs
@@ -81,7 +81,7 @@
 
     /// How long this server may be silent; as long as the request has, where no other may go on.
     fn patience(&self) -> Duration {
-        match self.attempts.runs < self.attempts.most_runs() {
+        match self.attempts.leaves_silence_after(self.attempts.runs) {
             true => self.attempts.patience(),
             false => self.attempts.until.saturating_duration_since(Instant::now()),
         }
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -44,7 +44,7 @@
     pub items_wait_part: f64,
     /// Items that cannot be in time any more wait for those that can.
     pub late_items_last: bool,
-    /// An item that failed at a server is tried again as often as the rules allow.
+    /// An item whose failures all happened at one store is tried again twice as often as its route's `retries`.
     pub patient_items: bool,
     /// Answers that tell of a failing server count as its failures.
     pub learn_errors: bool,
--- a/crates/upstream/src/choice.rs
+++ b/crates/upstream/src/choice.rs
@@ -72,8 +72,6 @@
         if self.policy.random_ties {
             fastrand::shuffle(&mut candidates);
         }
-        // What others told is a moment old: all who go by it would go to the same one. Items come from few stores, which know
-        // their own best.
         if self.policy.two_choices && self.demand.kind != Kind::Item && self.only_from_others(&candidates) {
             candidates.truncate(CHOICES);
         }
