Look at a full service once a turn, and find an item's service without copying the item

While a window was full, each turn of 20 ms copied every waiting item with its body and summed the servers' slots for each, only to find no room. What starts, and in which order, is unchanged.

--- a/crates/control-plane/src/store/runner.rs
+++ b/crates/control-plane/src/store/runner.rs
@@ -1,15 +1,16 @@
 //! Runs the items of the batch jobs whose groups this store heads: behind interactive requests, the most urgent first.
 
 use std::cell::Cell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::http::{Method, StatusCode};
 use actix_web::web::Bytes;
-use fennelgauge_batch::{Command, Item, ItemOutcome, ItemResult};
+use fennelgauge_batch::{Command, Item, ItemOutcome, ItemResult, Job};
 use fennelgauge_coordination::{GroupNumber, StoreView};
-use fennelgauge_model::{fixed_chance, Route, RouteKind};
+use fennelgauge_model::{fixed_chance, Route, RouteKind, RoutingTable};
 use fennelgauge_upstream::{
     is_hop_by_hop, Answer, Demand, EventOrder, EventReader, Outgoing, SendError, Ticket, LAST_EVENT_ID,
     PREFIX_HASH, PRIORITY, TENANT,
@@ -139,12 +140,18 @@
             looked = Instant::now();
             credit = (credit + self.pace(&candidates) * passed_s).min(MOST_AT_ONCE);
             candidates.sort_by_key(|candidate| (candidate.late, candidate.due_ms));
+            let mut full = HashSet::new();
             for candidate in candidates {
                 if credit < 1.0 {
                     break;
                 }
-                if self.start(candidate.key) {
-                    credit -= 1.0;
+                let Some(service) = self.service_of(&candidate.key) else { continue };
+                if full.contains(&service) {
+                    continue;
+                }
+                match self.start(candidate.key, &service) {
+                    true => credit -= 1.0,
+                    false => drop(full.insert(service)),
                 }
             }
         }
@@ -240,10 +247,9 @@
     }
 
     /// Starts an item if its service has room for it.
-    fn start(self: &Rc<Self>, key: ItemKey) -> bool {
-        let Some(service) = self.service_of(&key) else { return false };
-        let running = self.running_of(&service);
-        if running.count() >= self.most_running(&service) {
+    fn start(self: &Rc<Self>, key: ItemKey, service: &str) -> bool {
+        let running = self.running_of(service);
+        if running.count() >= self.most_running(service) {
             return false;
         }
         let store = self.clone();
@@ -263,7 +269,13 @@
 
     /// The service whose servers an item goes to; an empty name where it can only be given up; none if it is over.
     fn service_of(&self, key: &ItemKey) -> Option<String> {
-        let OpenItem { item, route, .. } = self.item(key)?;
+        let held = self.held(key.group).borrow();
+        let state = held.state().job(&key.job).filter(|state| !state.ended)?;
+        let item = state.job.items.get(key.item as usize)?;
+        if state.finished[key.item as usize] {
+            return None;
+        }
+        let route = batch_route(&*self.known.table()?, &state.job, item);
         Some(route.map_or(String::new(), |route| route.service(fixed_chance(&item.id)).to_owned()))
     }
 
@@ -394,8 +406,7 @@
             return None;
         }
         let table = self.known.table()?;
-        let path = item.path.split('?').next().unwrap_or("");
-        let route = table.route(&state.job.host, path).filter(|route| route.kind == RouteKind::Batch);
+        let route = batch_route(&table, &state.job, &item);
         Some(OpenItem {
             item,
             route,
@@ -436,6 +447,12 @@
     }
 }
 
+/// The batch route of an item; none where the configuration has it no more.
+fn batch_route(table: &RoutingTable, job: &Job, item: &Item) -> Option<Rc<Route>> {
+    let path = item.path.split('?').next().unwrap_or("");
+    table.route(&job.host, path).filter(|route| route.kind == RouteKind::Batch)
+}
+
 /// Collects the events of an answer; a break leaves what was whole.
 async fn read_events(mut answer: Answer, text: &mut Vec<String>, order: &mut EventOrder) -> Attempt {
     let mut reader = EventReader::default();
