--- a/crates/control-plane/src/store/learner.rs
+++ b/crates/control-plane/src/store/learner.rs
@@ -59,7 +59,12 @@
     }
 
     /// One step towards the head's state of a group; true once level.
-    async fn learn_group(&self, epoch: u64, group: GroupNumber, head: std::net::SocketAddr) -> bool {
+    pub(super) async fn learn_group(
+        &self,
+        epoch: u64,
+        group: GroupNumber,
+        head: std::net::SocketAddr,
+    ) -> bool {
         let after = self.held(group).borrow().position();
         match self.ask(head, StoreRequest::Fetch { epoch, group, after }, FETCH_TIMEOUT).await {
             Some(StoreReply::Entries(entries)) => {
--- a/crates/control-plane/src/store/replication.rs
+++ b/crates/control-plane/src/store/replication.rs
@@ -269,7 +269,7 @@
     }
 
     /// Brings one successor level in one group; true once all links have what this store has.
-    async fn repair(self: &Rc<Self>, epoch: u64, group: GroupNumber, peer: SocketAddr) -> bool {
+    pub(super) async fn repair(self: &Rc<Self>, epoch: u64, group: GroupNumber, peer: SocketAddr) -> bool {
         let asked = StoreRequest::Position { epoch, group };
         let Some(StoreReply::Position(theirs)) = self.ask(peer, asked, POSITION_TIMEOUT).await else {
             return false;
--- a/crates/control-plane/src/store/tests.rs
+++ b/crates/control-plane/src/store/tests.rs
@@ -1,3 +1,5 @@
+mod shown;
+
 use super::group::{HeldGroup, Offer};
 use super::journal::{Journal, Record};
 use fennelgauge_batch::{Command, Item, Job};
--- /dev/null
+++ b/crates/control-plane/src/store/tests/shown.rs
@@ -0,0 +1,186 @@
+//! What a reader has been shown stays: stores on loopback, driven step by step (incident TWICE).
+
+use std::path::Path;
+
+use fennelgauge_batch::{Command, Item, ItemOutcome, ItemResult, Job, Page};
+use fennelgauge_coordination::{Group, StoreNumber};
+use fennelgauge_wire::EntryBatch;
+use tokio::task::LocalSet;
+
+use super::super::*;
+
+const TENANT: &str = "t";
+const JOB: &str = "job";
+const GROUP: GroupNumber = GroupNumber(3);
+const PATIENCE: Duration = Duration::from_secs(5);
+
+fn local<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// A store that answers others unless it is deaf.
+struct Running {
+    store: Rc<Store>,
+    deaf: Rc<Cell<bool>>,
+}
+
+/// Stores that bear the loss of two.
+async fn stores(count: u16, salt: u16) -> Vec<Running> {
+    let port = 30_000 + (std::process::id() as u16 % 2_000) * 8 + salt;
+    let mut stores = Vec::new();
+    for number in 0..count {
+        let text = format!(
+            "node = \"s{number}\"\nip = \"127.0.0.{}\"\nzone = \"z{number}\"\nport_range = [{port}, {}]\n\
+             [tolerate]\nmachines = 2\n",
+            number + 1,
+            port + 1
+        );
+        let settings = Rc::new(Settings::parse(&text, Path::new("test.toml")).expect("settings"));
+        let identity = Identity { node: settings.node.clone(), disk: u64::from(number) + 1 };
+        let listener = TcpListener::bind(settings.control_peer_address()).await.expect("a port");
+        let store = Store::open(settings, identity).expect("opened");
+        let deaf = Rc::new(Cell::new(false));
+        let answering = (store.clone(), deaf.clone());
+        spawn_local(serve(listener, move |request| hear(answering.clone(), request)));
+        spawn_local(store.clone().flush_entries());
+        stores.push(Running { store, deaf });
+    }
+    stores
+}
+
+async fn hear((store, deaf): (Rc<Store>, Rc<Cell<bool>>), request: Request) -> Reply {
+    match deaf.get() {
+        true => std::future::pending().await,
+        false => answer(store, request).await,
+    }
+}
+
+/// A view in which all groups are placed alike.
+fn view(stores: &[Running], epoch: u64, chain: &[u32], learner: Option<u32>) -> StoreView {
+    let number = |number: &u32| StoreNumber(*number);
+    let group = Group { chain: chain.iter().map(number).collect(), learner: learner.as_ref().map(number) };
+    let mut view = StoreView::default();
+    view.epoch = epoch;
+    for (place, running) in stores.iter().enumerate() {
+        let member = running.store.me.clone();
+        view.stores.push(fennelgauge_coordination::Store {
+            number: StoreNumber(place as u32),
+            member,
+            retiring: false,
+        });
+    }
+    view.groups = vec![group; usize::from(GROUPS)];
+    view
+}
+
+fn tell(stores: &[Running], to: &[usize], view: &StoreView) {
+    for place in to {
+        stores[*place].store.known.take_stores(view.clone());
+    }
+}
+
+fn job() -> Job {
+    let item = |place: u32| Item {
+        id: format!("item-{place}"),
+        path: "/p/".into(),
+        headers: vec![],
+        body: vec![1],
+        tokens: 5,
+    };
+    Job {
+        id: JOB.into(),
+        tenant: TENANT.into(),
+        route: "r".into(),
+        host: "h".into(),
+        received_ms: 0,
+        items: (0..2).map(item).collect(),
+    }
+}
+
+fn finish(text: &str) -> Command {
+    let result = ItemResult { item: 0, outcome: ItemOutcome::Succeeded, text: text.to_owned() };
+    Command::Finish { job: JOB.into(), results: vec![result] }
+}
+
+async fn read(running: &Running, epoch: u64) -> Option<Page> {
+    let read = StoreRequest::Read {
+        epoch,
+        group: GROUP,
+        tenant: TENANT.into(),
+        job: JOB.into(),
+        start: 0,
+        wait_ms: 0,
+    };
+    match running.store.answer(read).await {
+        StoreReply::Page(page) => Some(page),
+        _ => None,
+    }
+}
+
+fn text(page: &Page, position: usize) -> Option<String> {
+    page.results.get(position).map(|(_, result)| result.text.clone())
+}
+
+/// A learner copies from the head what no other link has; the head falls silent; the learner is the tail of the rest.
+#[test]
+fn what_a_tail_shows_is_on_every_link_of_its_chain() {
+    local(async {
+        let stores = stores(4, 0).await;
+        let first = view(&stores, 1, &[0, 1, 2], Some(3));
+        tell(&stores, &[0, 1, 2, 3], &first);
+        let head = &stores[0].store;
+        assert!(matches!(head.submit(1, GROUP, job(), 0).await, StoreReply::Accepted));
+        stores[1].deaf.set(true);
+        let place = head.change(&first, GROUP, finish("by the first head"));
+        assert!(head.synced(GROUP, place, Instant::now() + PATIENCE).await);
+        let learner = &stores[3].store;
+        let source = head.me.peer;
+        for _ in 0..2 {
+            learner.learn_group(1, GROUP, source).await;
+        }
+
+        stores[0].deaf.set(true);
+        stores[1].deaf.set(false);
+        let second = view(&stores, 2, &[1, 2, 3], None);
+        tell(&stores, &[1, 2, 3], &second);
+        let shown = read(&stores[3], 2).await.and_then(|page| text(&page, 0));
+
+        let head = &stores[1].store;
+        for (from, to) in [(1, 2), (2, 3)] {
+            let peer = stores[to].store.me.peer;
+            assert!(stores[from].store.repair(2, GROUP, peer).await, "{from} brings {to} level");
+        }
+        let place = head.change(&second, GROUP, finish("by the second head"));
+        assert!(head.committed(GROUP, place, Instant::now() + PATIENCE).await);
+        let later = read(&stores[3], 2).await.and_then(|page| text(&page, 0));
+        assert_eq!(later.as_deref(), Some("by the second head"));
+        assert!(shown.is_none() || shown == later, "position 0 held {shown:?}, then {later:?}");
+    });
+}
+
+/// A link has another entry at the place before the one that it is sent.
+#[test]
+fn an_entry_is_taken_only_after_the_one_it_was_made_after() {
+    local(async {
+        let stores = stores(2, 2).await;
+        let view = view(&stores, 2, &[0, 1], None);
+        tell(&stores, &[1], &view);
+        let link = &stores[1].store;
+        let shared = Command::Accept(job());
+        let mut heads = group::HeldGroup::default();
+        for held in [&mut heads, &mut *link.held(GROUP).borrow_mut()] {
+            held.create(GROUP, 1, shared.clone());
+        }
+        link.held(GROUP).borrow_mut().create(GROUP, 1, finish("made alone"));
+        heads.create(GROUP, 2, finish("of the chain"));
+        let last = heads.create(GROUP, 2, Command::End { job: JOB.into() });
+        let batch = EntryBatch { group: GROUP, end: last.position, entries: vec![last] };
+        let answer = link.answer(StoreRequest::Append { epoch: 2, batches: vec![batch] }).await;
+        let StoreReply::Appended { committed } = answer else { panic!("{answer:?}") };
+        assert!(
+            committed.is_empty(),
+            "a link that has another entry at the place before says that it has all"
+        );
+    });
+}
--- a/crates/coordination/tests/stores.rs
+++ b/crates/coordination/tests/stores.rs
@@ -14,8 +14,10 @@
     }
 }
 
+#[derive(Clone)]
 struct Fleet {
     view: StoreView,
+    everybody: Vec<Member>,
     present: Vec<Member>,
     level: BTreeSet<(StoreNumber, GroupNumber)>,
     losses: usize,
@@ -23,8 +25,10 @@
 
 impl Fleet {
     fn new(nodes: &[&str], losses: usize) -> Self {
-        let present = nodes.iter().map(|node| member(node, 1, &node[..1])).collect();
-        let mut fleet = Self { view: StoreView::default(), present, level: BTreeSet::new(), losses };
+        let present: Vec<Member> = nodes.iter().map(|node| member(node, 1, &node[..1])).collect();
+        let everybody = present.clone();
+        let mut fleet =
+            Self { view: StoreView::default(), everybody, present, level: BTreeSet::new(), losses };
         fleet.plan();
         fleet
     }
@@ -66,6 +70,20 @@
         self.view.groups.iter().map(|group| group.chain.len()).collect()
     }
 
+    /// All are there but the nodes at these places.
+    fn only_silent(&mut self, nodes: &[&str], silent: &[usize]) {
+        self.present = self.everybody.clone();
+        for place in silent {
+            self.leave(nodes[*place]);
+        }
+    }
+
+    /// The head of each group.
+    fn heads(&self) -> impl Iterator<Item = (StoreNumber, GroupNumber)> + '_ {
+        let groups = self.view.groups.iter().enumerate();
+        groups.filter_map(|(number, group)| Some((*group.chain.first()?, GroupNumber(number as u16))))
+    }
+
     fn leave(&mut self, node: &str) {
         self.present.retain(|member| member.identity.node != node);
     }
@@ -129,3 +147,46 @@
     fleet.plan();
     assert!(fleet.view.by_node("a1").is_none());
 }
+
+/// Silent stores come back with all that they had: whoever leads a group then has what was kept in it. Every four of eight
+/// stores are silent, then every three.
+#[test]
+fn a_head_holds_what_was_kept_however_the_silences_overlap() {
+    let nodes = ["a1", "a2", "b1", "b2", "c1", "c2", "d1", "d2"];
+    let fleet = Fleet::new(&nodes, 2);
+    let kept = holders(&fleet.view);
+    let mut wrong = Vec::new();
+    for first in subsets(nodes.len(), 4) {
+        for second in subsets(nodes.len(), 3) {
+            let mut fleet = fleet.clone();
+            for silent in [first.as_slice(), second.as_slice(), &[]] {
+                fleet.only_silent(&nodes, silent);
+                while fleet.plan() {}
+            }
+            let empty = fleet.heads().filter(|place| !kept.contains(place)).count();
+            if empty > 0 {
+                wrong.push((first.clone(), second.clone(), empty));
+            }
+        }
+    }
+    let most = wrong.iter().max_by_key(|(_, _, empty)| *empty);
+    assert!(
+        wrong.is_empty(),
+        "{} cases; in the worst, heads that have copied nothing: {most:?}",
+        wrong.len()
+    );
+}
+
+fn subsets(of: usize, size: u32) -> Vec<Vec<usize>> {
+    let sets = (0..1_usize << of).filter(|set| set.count_ones() == size);
+    sets.map(|set| (0..of).filter(|place| set >> place & 1 == 1).collect()).collect()
+}
+
+/// Every link of every chain: nobody has copied anything yet.
+fn holders(view: &StoreView) -> BTreeSet<(StoreNumber, GroupNumber)> {
+    let of_group = |(number, group): (usize, &fennelgauge_coordination::Group)| {
+        let number = GroupNumber(number as u16);
+        group.chain.iter().map(move |store| (*store, number)).collect::<Vec<_>>()
+    };
+    view.groups.iter().enumerate().flat_map(of_group).collect()
+}
