Sight for TWICE: an install that drops what was shown, places of reads, changes of chains

A store tells at error level when a copy takes away an entry that a reader was shown there; at info which place in which view a read was answered at, what else a copy drops, and for each group how its chain changed and who was heard.

--- a/crates/control-plane/src/placement.rs
+++ b/crates/control-plane/src/placement.rs
@@ -63,6 +63,11 @@
         if planned(&state, &fresh, losses, may_begin).is_none() {
             continue;
         }
+        if let Some(StateChange::Placement { stores: Some(next), .. }) =
+            planned(&state, &fresh, losses, may_begin)
+        {
+            log_changes(&state.small.stores, &next, &fresh);
+        }
         let written = core.write(|state| planned(state, &fresh, losses, may_begin).ok_or(())).await;
         if let Err(reason) = written {
             log::warn!("the stores' view is not changed: {reason}");
@@ -103,3 +108,14 @@
         .flat_map(|(number, groups)| groups.into_iter().map(move |group| (number, group)))
         .collect()
 }
+
+/// One line for each group whose stores change, and who was heard.
+fn log_changes(view: &StoreView, next: &StoreView, fresh: &[StorePresence]) {
+    let heard: Vec<&str> = fresh.iter().map(|presence| presence.member.identity.node.as_str()).collect();
+    for number in GroupNumber::all() {
+        let (was, is) = (view.group(number), next.group(number));
+        if was != is {
+            log::info!("view {}: group {} was {was:?}, is {is:?}; heard: {heard:?}", next.epoch, number.0);
+        }
+    }
+}
--- a/crates/control-plane/src/store/group.rs
+++ b/crates/control-plane/src/store/group.rs
@@ -37,6 +37,8 @@
     pub synced: u64,
     /// Up to here every link has it.
     pub committed: u64,
+    /// The newest place that a reader was shown here.
+    pub shown: EntryPosition,
 }
 
 impl HeldGroup {
@@ -89,14 +91,7 @@
 
     /// Whether the entry of that place and epoch is among this group's.
     pub fn contains(&self, position: EntryPosition) -> bool {
-        if position.sequence > self.position.sequence {
-            return false;
-        }
-        if position.sequence == 0 {
-            return true;
-        }
-        let run = self.history.iter().rev().find(|first| first.sequence <= position.sequence);
-        run.is_some_and(|first| first.epoch == position.epoch)
+        is_among(position, self.position, &self.history)
     }
 
     /// The entries after a place that this group contains; none if they are no longer all kept.
@@ -117,7 +112,24 @@
     /// Becomes a copy of another store's group; false, and nothing changed, if it cannot be read.
     pub fn install(&mut self, copy: &GroupCopy) -> bool {
         let Ok(state) = decode::<GroupState>(&copy.state) else { return false };
+        if !is_among(self.shown, copy.position, &copy.history) {
+            log::error!("a copy up to {:?} drops {:?}, which was shown here", copy.position, self.shown);
+        } else if !is_among(self.position, copy.position, &copy.history) {
+            log::info!("a copy up to {:?} drops entries up to {:?}", copy.position, self.position);
+        }
         *self = Self { position: copy.position, history: copy.history.clone(), state, ..Self::default() };
         true
     }
 }
+
+/// Whether a place is among the entries up to `last` with that history.
+fn is_among(position: EntryPosition, last: EntryPosition, history: &[EntryPosition]) -> bool {
+    if position.sequence > last.sequence {
+        return false;
+    }
+    if position.sequence == 0 {
+        return true;
+    }
+    let run = history.iter().rev().find(|first| first.sequence <= position.sequence);
+    run.is_some_and(|first| first.epoch == position.epoch)
+}
--- a/crates/control-plane/src/store/serving.rs
+++ b/crates/control-plane/src/store/serving.rs
@@ -109,7 +109,15 @@
         match self.view().epoch == view.epoch
             && self.synced(group, position, Instant::now() + COMMIT_TIMEOUT).await
         {
-            true => StoreReply::Page(page),
+            true => {
+                self.held(group).borrow_mut().shown = position;
+                log::info!(
+                    "group {}: {job} from {start} is read at {position:?} in view {}",
+                    group.0,
+                    view.epoch
+                );
+                StoreReply::Page(page)
+            }
             false => StoreReply::Unsure,
         }
     }
