--- a/crates/control-plane/src/placement.rs
+++ b/crates/control-plane/src/placement.rs
@@ -1,18 +1,20 @@
 //! The head keeps the placement of groups on stores as it should be.
 
 use std::cell::RefCell;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use fennelgauge_coordination::{GroupNumber, Identity, Member, Planner, StoreNumber, StoreView};
-use fennelgauge_wire::StorePresence;
-use tokio::time::{sleep, Instant};
+use fennelgauge_coordination::{GroupNumber, Heard, Identity, Planner, StoreView};
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout, Instant};
 
 use crate::core::Core;
 use crate::state::{ControlState, Retirement, StateChange};
 
 const PLAN_EVERY: Duration = Duration::from_millis(250);
+/// News of several stores that come within so short a time go into one plan.
+const GATHER_FOR: Duration = Duration::from_millis(60);
 /// A store not heard for so long is taken for lost.
 const LOST_AFTER: Duration = Duration::from_millis(1_100);
 /// A new head hears the stores for so long before it judges any.
@@ -23,25 +25,34 @@
 /// The stores that have told of themselves.
 #[derive(Default)]
 pub struct Presence {
-    heard: RefCell<HashMap<Identity, Heard>>,
+    heard: RefCell<HashMap<Identity, HeardAt>>,
+    /// A store told something new of its groups, or is new.
+    news: Notify,
 }
 
-struct Heard {
-    presence: StorePresence,
+struct HeardAt {
+    heard: Heard,
     at: Instant,
 }
 
 impl Presence {
     /// A store told of itself.
-    pub fn hear(&self, presence: StorePresence) {
-        let heard = Heard { presence, at: Instant::now() };
-        self.heard.borrow_mut().insert(heard.presence.member.identity.clone(), heard);
+    pub fn hear(&self, heard: Heard) {
+        let at = Instant::now();
+        let identity = heard.member.identity.clone();
+        let before = self.heard.borrow_mut().insert(identity, HeardAt { heard: heard.clone(), at });
+        if before.is_none_or(|before| before.heard != heard) {
+            self.news.notify_one();
+        }
     }
 
-    fn fresh(&self) -> Vec<StorePresence> {
-        let mut heard = self.heard.borrow_mut();
-        heard.retain(|_, heard| heard.at.elapsed() < LOST_AFTER);
-        heard.values().map(|heard| heard.presence.clone()).collect()
+    /// The stores heard of late, in a fixed order.
+    fn fresh(&self) -> Vec<Heard> {
+        let mut stores = self.heard.borrow_mut();
+        stores.retain(|_, heard| heard.at.elapsed() < LOST_AFTER);
+        let mut fresh: Vec<Heard> = stores.values().map(|heard| heard.heard.clone()).collect();
+        fresh.sort_by(|left, right| left.member.identity.cmp(&right.member.identity));
+        fresh
     }
 }
 
@@ -49,7 +60,9 @@
 pub async fn keep_placement(core: Rc<Core>, presence: Rc<Presence>) {
     let mut first_heard: Option<Instant> = None;
     loop {
-        sleep(PLAN_EVERY).await;
+        if timeout(PLAN_EVERY, presence.news.notified()).await.is_ok() {
+            sleep(GATHER_FOR).await;
+        }
         if !core.is_head() || !core.is_confirmed() || core.in_view_for() < HEAD_PATIENCE && core.epoch() > 1 {
             continue;
         }
@@ -60,13 +73,9 @@
         let may_begin = first_heard.is_some_and(|at| at.elapsed() > FIRST_WAIT);
         let losses = core.settings.tolerate.losses();
         let Some(state) = core.committed_state() else { continue };
-        if planned(&state, &fresh, losses, may_begin).is_none() {
-            continue;
-        }
-        if let Some(StateChange::Placement { stores: Some(next), .. }) =
-            planned(&state, &fresh, losses, may_begin)
-        {
-            log_changes(&state.small.stores, &next, &fresh);
+        let Some(change) = planned(&state, &fresh, losses, may_begin) else { continue };
+        if let StateChange::Placement { stores: Some(next), .. } = &change {
+            log_changes(&state.small.stores, next, &fresh);
         }
         let written = core.write(|state| planned(state, &fresh, losses, may_begin).ok_or(())).await;
         if let Err(reason) = written {
@@ -76,19 +85,9 @@
 }
 
 /// The change to make, or none if the placement and the retirements are as they should be.
-fn planned(
-    state: &ControlState,
-    fresh: &[StorePresence],
-    losses: usize,
-    may_begin: bool,
-) -> Option<StateChange> {
+fn planned(state: &ControlState, heard: &[Heard], losses: usize, may_begin: bool) -> Option<StateChange> {
     let view = &state.small.stores;
-    let mut present: Vec<Member> = fresh.iter().map(|presence| presence.member.clone()).collect();
-    present.sort_by(|left, right| left.identity.cmp(&right.identity));
-    let alive = |member: &Member| present.iter().any(|there| there.identity == member.identity);
-    let level = level_learners(view, fresh);
-    let planner = Planner { losses, alive: &alive, present: &present, level: &level, may_begin };
-    let stores = planner.plan(view);
+    let stores = Planner::new(losses, heard, may_begin).plan(view);
     let running =
         state.small.retirements.iter().filter(|(_, retirement)| **retirement == Retirement::Running);
     let is_empty = |node: &str| view.by_node(node).is_none_or(|store| !view.holds_data(store.number));
@@ -97,25 +96,16 @@
     changed.then_some(StateChange::Placement { stores, emptied })
 }
 
-fn level_learners(view: &StoreView, fresh: &[StorePresence]) -> BTreeSet<(StoreNumber, GroupNumber)> {
-    let of_store = |presence: &StorePresence| {
-        let store = view.stores.iter().find(|store| store.member.identity == presence.member.identity)?;
-        Some((store.number, presence.level.clone()))
-    };
-    fresh
-        .iter()
-        .filter_map(of_store)
-        .flat_map(|(number, groups)| groups.into_iter().map(move |group| (number, group)))
-        .collect()
-}
-
 /// One line for each group whose stores change, and who was heard.
-fn log_changes(view: &StoreView, next: &StoreView, fresh: &[StorePresence]) {
-    let heard: Vec<&str> = fresh.iter().map(|presence| presence.member.identity.node.as_str()).collect();
+fn log_changes(view: &StoreView, next: &StoreView, heard: &[Heard]) {
+    if !log::log_enabled!(log::Level::Info) {
+        return;
+    }
+    let nodes: Vec<&str> = heard.iter().map(|heard| heard.member.identity.node.as_str()).collect();
     for number in GroupNumber::all() {
         let (was, is) = (view.group(number), next.group(number));
         if was != is {
-            log::info!("view {}: group {} was {was:?}, is {is:?}; heard: {heard:?}", next.epoch, number.0);
+            log::info!("view {}: group {} was {was:?}, is {is:?}; heard: {nodes:?}", next.epoch, number.0);
         }
     }
 }
--- a/crates/control-plane/src/store/learner.rs
+++ b/crates/control-plane/src/store/learner.rs
@@ -1,44 +1,28 @@
-//! Copies groups that this store is to hold, before it is counted as one that holds them; tells the head of the core
-//! that it is there.
+//! Copies groups that this store is to hold, before it joins their chains.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use fennelgauge_coordination::GroupNumber;
-use fennelgauge_wire::{EntryPosition, Request, StorePresence, StoreReply, StoreRequest};
-use tokio::time::{sleep, timeout, Instant};
+use fennelgauge_replication::{EntryPosition, Missing};
+use fennelgauge_wire::{StoreReply, StoreRequest};
+use futures_util::future::join_all;
+use tokio::time::{timeout, Instant};
 
-use super::group::Offer;
 use super::journal::Record;
 use super::Store;
 
-const PRESENCE_EVERY: Duration = Duration::from_millis(250);
-const PRESENCE_TIMEOUT: Duration = Duration::from_millis(600);
 const LEARN_EVERY: Duration = Duration::from_millis(250);
 const FETCH_TIMEOUT: Duration = Duration::from_secs(6);
 const COPY_TIMEOUT: Duration = Duration::from_secs(2);
-/// A learner that lacked so few entries at its last look is level: its predecessor sends the rest.
-const LEVEL_WITHIN: usize = 24;
+/// Groups that are copied at a time.
+const AT_ONCE: usize = 8;
+/// A learner that lacked so few entries at its last look may join the chain: as a link it gets the rest, and does not count as
+/// a holder before.
+const JOINS_WITHIN: usize = 24;
 
 impl Store {
-    /// Tells the head of the core that this store is there, without end.
-    pub(super) async fn tell_presence(self: Rc<Self>) {
-        loop {
-            sleep(PRESENCE_EVERY).await;
-            // Who cannot write is no use in a chain: it keeps silent, and the others go on without it.
-            if self.disk_health.is_in_trouble() {
-                continue;
-            }
-            let Some(view) = self.known.view() else { continue };
-            let Some(head) = view.head() else { continue };
-            let level = self.level.borrow().iter().copied().collect();
-            let told = Request::StorePresence(StorePresence { member: self.me.clone(), level });
-            if let Err(reason) = self.caller.call(head.peer, told, PRESENCE_TIMEOUT).await {
-                log::info!("presence is told again: {reason}");
-            }
-        }
-    }
-
     /// Copies the groups that this store learns, without end.
     pub(super) async fn learn(self: Rc<Self>) {
         loop {
@@ -46,47 +30,44 @@
             let view = self.view();
             let own = self.number(&view);
             let learns = |group: &GroupNumber| {
-                own.is_some() && view.group(*group).is_some_and(|held| held.learner == own)
+                let learner = view.group(*group).and_then(|held| held.learner);
+                own.is_some() && learner.map(|learner| learner.store) == own
             };
-            self.level.borrow_mut().retain(|group| learns(group));
-            for group in GroupNumber::all().filter(learns) {
-                let Some(head) = view.head(group) else { continue };
-                if self.learn_group(view.epoch, group, head.member.peer).await {
-                    self.level.borrow_mut().insert(group);
+            self.copied.borrow_mut().retain(|group, _| learns(group));
+            let groups: Vec<GroupNumber> = GroupNumber::all().filter(learns).collect();
+            for groups in groups.chunks(AT_ONCE) {
+                let copied = groups.iter().map(|group| async {
+                    let head = view.head(*group)?.member.peer;
+                    self.learn_group(view.epoch, *group, head).await.then_some(*group)
+                });
+                for group in join_all(copied).await.into_iter().flatten() {
+                    let before = self.copied.borrow_mut().insert(group, view.epoch);
+                    if before.is_none() {
+                        self.presence_due.notify_one();
+                    }
                 }
             }
         }
     }
 
-    /// One step towards the head's state of a group; true once level.
-    pub(super) async fn learn_group(
-        &self,
-        epoch: u64,
-        group: GroupNumber,
-        head: std::net::SocketAddr,
-    ) -> bool {
-        let after = self.held(group).borrow().position();
+    /// One step towards the head's state of a group; true once little is missing.
+    pub(super) async fn learn_group(&self, epoch: u64, group: GroupNumber, head: SocketAddr) -> bool {
+        let after = self.replica(group).borrow().position();
         match self.ask(head, StoreRequest::Fetch { epoch, group, after }, FETCH_TIMEOUT).await {
-            Some(StoreReply::Entries(entries)) => {
-                let lacked = entries.len();
-                let mut records = Vec::new();
-                for entry in entries {
-                    match self.held(group).borrow_mut().offer(&entry) {
-                        Offer::Taken => records.push(Record::Entry(entry)),
-                        Offer::Had => {}
-                        Offer::Gap | Offer::Conflict => return false,
-                    }
-                }
-                let position = self.held(group).borrow().position();
-                if !records.is_empty() && !self.journal_records(records).await {
+            Some(StoreReply::Entries(batch)) => {
+                let lacked = batch.entries.len();
+                let taken = self.replica(group).borrow_mut().learn(epoch, &batch);
+                if !taken.is_empty()
+                    && !self.journal_records(taken.into_iter().map(Record::Entry).collect()).await
+                {
                     return false;
                 }
-                let mut held = self.held(group).borrow_mut();
-                held.synced = held.synced.max(position.sequence);
-                lacked <= LEVEL_WITHIN
+                let mut replica = self.replica(group).borrow_mut();
+                replica.mark_synced(batch.end);
+                replica.contains(batch.end) && lacked <= JOINS_WITHIN
             }
             Some(StoreReply::Copy(copy)) => {
-                self.install_copy(group, &copy).await;
+                self.install_copy(epoch, group, &copy).await;
                 false
             }
             _ => false,
@@ -95,23 +76,22 @@
 
     /// What follows a place, for a learner.
     pub(super) async fn fetch(&self, epoch: u64, group: GroupNumber, after: EntryPosition) -> StoreReply {
-        match self.view_of(epoch).await {
-            Some(view) if self.is_head(&view, group) => {}
-            _ => return StoreReply::OtherEpoch(self.view().epoch),
+        let view = self.view_of(epoch).await;
+        let role = view.and_then(|view| self.role(&view, group));
+        if !role.is_some_and(|role| role.is_head()) {
+            return StoreReply::OtherEpoch(self.view().epoch);
         }
         let until = Instant::now() + COPY_TIMEOUT;
-        let entries = self.held(group).borrow().after(after);
-        let Some(entries) = entries else {
-            return match self.copy_on_disk(group, until).await {
+        let missing = self.replica(group).borrow().missing_at(group, after);
+        match missing {
+            Missing::Entries(batch) => match self.synced(group, batch.end, until).await {
+                true => StoreReply::Entries(batch),
+                false => StoreReply::Unsure,
+            },
+            Missing::Copy => match self.copy_on_disk(group, until).await {
                 Some(copy) => StoreReply::Copy(copy),
                 None => StoreReply::Unsure,
-            };
-        };
-        if let Some(last) = entries.last() {
-            if !self.synced(group, last.position, until).await {
-                return StoreReply::Unsure;
-            }
+            },
         }
-        StoreReply::Entries(entries)
     }
 }
--- /dev/null
+++ b/crates/control-plane/src/store/level.rs
@@ -0,0 +1,112 @@
+//! Whether a link stands where the chain stands: it asks its predecessor to look after it where it does not, asks all other
+//! links whether the view still stands, and tells once it has everything.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fennelgauge_coordination::{GroupNumber, StoreView};
+use fennelgauge_replication::{Confirmation, Outcome, Role};
+use fennelgauge_wire::{StoreReply, StoreRequest};
+use futures_util::future::join_all;
+use tokio::time::{timeout, Instant};
+
+use super::Store;
+
+const LOOK_EVERY: Duration = Duration::from_millis(150);
+/// In a new view the predecessor looks after its successor of itself.
+const ASK_AFTER: Duration = Duration::from_millis(300);
+const ASK_TIMEOUT: Duration = Duration::from_millis(600);
+const CONFIRM_WITHIN: Duration = Duration::from_millis(900);
+
+impl Store {
+    /// Keeps this store level in the groups of which it is a link, without end.
+    pub(super) async fn keep_level(self: Rc<Self>) {
+        let mut behind_since: BTreeMap<GroupNumber, Instant> = BTreeMap::new();
+        loop {
+            let _ = timeout(LOOK_EVERY, self.known.changed()).await;
+            let view = self.view();
+            let roles: Vec<(GroupNumber, Role)> =
+                GroupNumber::all().filter_map(|group| Some((group, self.role(&view, group)?))).collect();
+            let is_behind = |group: GroupNumber| !self.replica(group).borrow().is_level_in(view.epoch);
+            behind_since.retain(|group, _| is_behind(*group));
+            let mut asked: BTreeMap<SocketAddr, Vec<GroupNumber>> = BTreeMap::new();
+            for (group, role) in &roles {
+                let Some(predecessor) = role.predecessor.filter(|_| is_behind(*group)) else { continue };
+                let since = *behind_since.entry(*group).or_insert_with(Instant::now);
+                let Some(peer) = self.peer(&view, predecessor) else { continue };
+                if since.elapsed() >= ASK_AFTER {
+                    asked.entry(peer).or_default().push(*group);
+                }
+            }
+            let checks = asked.into_iter().map(|(peer, groups)| {
+                let check = StoreRequest::Check { epoch: view.epoch, groups };
+                self.ask(peer, check, ASK_TIMEOUT)
+            });
+            join_all(checks).await;
+            self.tell_what_it_holds(&view, &roles).await;
+        }
+    }
+
+    /// Finds out of which groups this store, as a joining link, has everything.
+    async fn tell_what_it_holds(&self, view: &StoreView, roles: &[(GroupNumber, Role)]) {
+        let joining = roles.iter().filter_map(|(group, role)| Some((*group, role.joining_since?)));
+        self.holds.borrow_mut().retain(|group, epoch| {
+            joining.clone().any(|(joined, since)| joined == *group && *epoch >= since)
+        });
+        let untold: Vec<&(GroupNumber, Role)> = roles
+            .iter()
+            .filter(|(group, role)| role.joining_since.is_some() && !self.holds.borrow().contains_key(group))
+            .filter(|(group, _)| self.replica(*group).borrow().is_level_in(view.epoch))
+            .collect();
+        let confirmed = untold
+            .into_iter()
+            .map(|(group, role)| async move { self.is_certain(view, *group, role).await.then_some(*group) });
+        for group in join_all(confirmed).await.into_iter().flatten() {
+            log::info!("group {}: has everything in view {}", group.0, view.epoch);
+            self.holds.borrow_mut().insert(group, view.epoch);
+            self.presence_due.notify_one();
+        }
+    }
+
+    /// A successor is not level in some groups: it is looked after.
+    pub(super) fn check_again(&self, epoch: u64, groups: &[GroupNumber]) -> StoreReply {
+        if self.view().epoch != epoch {
+            return StoreReply::OtherEpoch(self.view().epoch);
+        }
+        let mut checked = self.checked.borrow_mut();
+        for group in groups {
+            checked.remove(group);
+        }
+        StoreReply::Noted
+    }
+
+    /// A head stands where its chain stands.
+    pub(super) fn lead_if_head(&self, role: &Role, group: GroupNumber) {
+        if role.is_head() {
+            self.replica(group).borrow_mut().lead(role.epoch);
+        }
+    }
+
+    /// Asks all other links whether the view still stands, and waits until this store is level and has on its disk what the
+    /// head had then.
+    pub(super) async fn is_certain(&self, view: &StoreView, group: GroupNumber, role: &Role) -> bool {
+        let until = Instant::now() + CONFIRM_WITHIN;
+        self.lead_if_head(role, group);
+        let mut confirmation = Confirmation::new(role);
+        let asked = role.others.iter().map(|link| async move {
+            let request = StoreRequest::Position { epoch: view.epoch, group };
+            match self.ask(self.peer(view, *link)?, request, CONFIRM_WITHIN).await {
+                Some(StoreReply::Position(position)) => Some(position),
+                _ => None,
+            }
+        });
+        for (link, position) in role.others.iter().zip(join_all(asked).await) {
+            confirmation.hear(*link, position);
+        }
+        let outcome = || confirmation.outcome(&self.replica(group).borrow());
+        self.reached(until, || outcome() != Outcome::Waits).await;
+        outcome() == Outcome::Certain
+    }
+}
--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -1,8 +1,10 @@
 //! A store: keeps groups of batch jobs with other stores, runs their items, answers what becomes of them.
 
-mod group;
+mod item_run;
 mod journal;
 mod learner;
+mod level;
+mod presence;
 mod replication;
 mod run_times;
 mod runner;
@@ -12,7 +14,7 @@
 mod window;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,6 +22,7 @@
 
 use fennelgauge_coordination::{GroupNumber, Identity, Member, StoreNumber, StoreView, GROUPS};
 use fennelgauge_http::until_stopped;
+use fennelgauge_replication::{Installed, Replica, Role};
 use fennelgauge_settings::Settings;
 use fennelgauge_upstream::{
     keep_reachable, share_uses, subscribe, wall_clock, Known, Pool, Sender, Subscription,
@@ -32,7 +35,6 @@
 
 use crate::disk::DiskHealth;
 use crate::identity::identity;
-use group::HeldGroup;
 use journal::{Journal, Record};
 
 /// A whole write is made once so much has been written since the last one, or twice its size.
@@ -50,7 +52,9 @@
     pool: Pool,
     sender: Sender,
     journal: Journal,
-    groups: Vec<RefCell<HeldGroup>>,
+    groups: Vec<RefCell<Replica>>,
+    /// The newest view in which an entry on the disk was made when this store began: it takes part in no earlier one.
+    earliest_view: u64,
     /// Entries made here that are not handed to the journal yet.
     pending: RefCell<Vec<Entry>>,
     flush: Notify,
@@ -58,8 +62,12 @@
     changed: Notify,
     /// The view in which a group's successor was last found level.
     checked: RefCell<HashMap<GroupNumber, u64>>,
-    /// Groups that this store has copied as a learner.
-    level: RefCell<BTreeSet<GroupNumber>>,
+    /// Groups that this store has copied as a learner, and the view of that.
+    copied: RefCell<BTreeMap<GroupNumber, u64>>,
+    /// Groups of which this store has everything, as a joining link, and the view of that.
+    holds: RefCell<BTreeMap<GroupNumber, u64>>,
+    /// There is something new to tell the head of the core.
+    presence_due: Notify,
     running: RefCell<HashMap<runner::ItemKey, AbortHandle>>,
     /// By service.
     running_counts: RefCell<HashMap<String, runner::RunningCount>>,
@@ -83,6 +91,7 @@
     spawn_local(subscribe(store.known.clone(), store.caller.clone(), Subscription::new(&settings)));
     spawn_local(store.clone().flush_entries());
     spawn_local(store.clone().repair_successors());
+    spawn_local(store.clone().keep_level());
     spawn_local(store.clone().try_failed_disk());
     spawn_local(store.clone().tell_presence());
     spawn_local(store.clone().learn());
@@ -106,14 +115,15 @@
 impl Store {
     fn open(settings: Rc<Settings>, identity: Identity) -> anyhow::Result<Rc<Self>> {
         let (journal, records) = Journal::open(settings.data_dir.as_deref())?;
-        let groups: Vec<RefCell<HeldGroup>> = (0..GROUPS).map(|_| RefCell::default()).collect();
+        let mut groups: Vec<Replica> = (0..GROUPS).map(|_| Replica::default()).collect();
         for record in records {
-            restore(&groups, record);
+            restore(&mut groups, record);
         }
-        for group in &groups {
-            let mut group = group.borrow_mut();
-            group.synced = group.position().sequence;
+        for replica in &mut groups {
+            replica.mark_synced(replica.position());
         }
+        let earliest_view = groups.iter().map(Replica::newest_epoch).max().unwrap_or(0);
+        let groups = groups.into_iter().map(RefCell::new).collect();
         let peer = settings.control_peer_address();
         let me = Member { identity, peer, zone: settings.zone.clone(), region: settings.region.clone() };
         Ok(Rc::new(Self {
@@ -125,11 +135,14 @@
             caller: Caller::default(),
             journal,
             groups,
+            earliest_view,
             pending: RefCell::default(),
             flush: Notify::new(),
             changed: Notify::new(),
             checked: RefCell::default(),
-            level: RefCell::default(),
+            copied: RefCell::default(),
+            holds: RefCell::default(),
+            presence_due: Notify::new(),
             running: RefCell::default(),
             running_counts: RefCell::default(),
             windows: RefCell::default(),
@@ -155,17 +168,23 @@
             }
             StoreRequest::Append { epoch, batches } => self.append(epoch, batches).await,
             StoreRequest::Position { epoch, group } => self.position(epoch, group).await,
+            StoreRequest::Check { epoch, groups } => self.check_again(epoch, &groups),
             StoreRequest::Fetch { epoch, group, after } => self.fetch(epoch, group, after).await,
             StoreRequest::Install { epoch, group, copy } => self.install(epoch, group, &copy).await,
         }
     }
 
-    fn held(&self, group: GroupNumber) -> &RefCell<HeldGroup> {
+    fn replica(&self, group: GroupNumber) -> &RefCell<Replica> {
         &self.groups[usize::from(group.0) % self.groups.len()]
     }
 
+    /// The newest view known here; an empty one while only earlier ones are known than this store took part in.
     fn view(&self) -> Rc<StoreView> {
-        self.known.stores()
+        let view = self.known.stores();
+        match view.epoch < self.earliest_view {
+            true => Rc::default(),
+            false => view,
+        }
     }
 
     /// This store's number in a view.
@@ -174,6 +193,11 @@
         own.map(|store| store.number)
     }
 
+    /// This store's part in a group; none if it is no link of the chain.
+    fn role(&self, view: &StoreView, group: GroupNumber) -> Option<Role> {
+        Role::of(view, group, self.number(view)?)
+    }
+
     /// The view of that epoch, waiting a little for the news of it; none if it is not the newest here.
     async fn view_of(&self, epoch: u64) -> Option<Rc<StoreView>> {
         let until = Instant::now() + NEWS_PATIENCE;
@@ -183,21 +207,18 @@
         Some(self.view()).filter(|view| view.epoch == epoch)
     }
 
-    fn is_head(&self, view: &StoreView, group: GroupNumber) -> bool {
-        view.head(group).is_some_and(|head| head.member.identity == self.me.identity)
-    }
-
-    fn is_tail(&self, view: &StoreView, group: GroupNumber) -> bool {
-        view.tail(group).is_some_and(|tail| tail.member.identity == self.me.identity)
+    /// The groups that this store heads, and of these only the open ones if they are to be changed.
+    fn headed(&self, view: &StoreView, to_change: bool) -> Vec<GroupNumber> {
+        let Some(own) = self.number(view) else { return Vec::new() };
+        let is_headed = |group: &GroupNumber| {
+            let held = view.group(*group);
+            held.is_some_and(|held| held.chain.first() == Some(&own) && (held.is_open() || !to_change))
+        };
+        GroupNumber::all().filter(is_headed).collect()
     }
 
-    /// The next link of a group's chain after this store.
-    fn successor(&self, view: &StoreView, group: GroupNumber) -> Option<(StoreNumber, SocketAddr)> {
-        let own = self.number(view)?;
-        let chain = &view.group(group)?.chain;
-        let place = chain.iter().position(|number| *number == own)?;
-        let next = view.store(*chain.get(place + 1)?)?;
-        Some((next.number, next.member.peer))
+    fn peer(&self, view: &StoreView, store: StoreNumber) -> Option<SocketAddr> {
+        view.store(store).map(|store| store.member.peer)
     }
 
     /// Hands records to the journal, and whole copies of all groups once enough was written. Handed over when called; true
@@ -221,8 +242,8 @@
     /// Hands whole copies of all groups to the journal: what is older may go then.
     fn journal_all(&self) -> tokio::sync::oneshot::Receiver<bool> {
         let whole: Vec<Record> = GroupNumber::all()
-            .filter(|group| self.held(*group).borrow().position().sequence > 0)
-            .map(|group| Record::Copy { group, copy: self.held(group).borrow().copy() })
+            .filter(|group| self.replica(*group).borrow().position().sequence > 0)
+            .map(|group| Record::Copy { group, copy: self.replica(group).borrow().copy() })
             .collect();
         self.whole_size.set(whole.iter().map(record_size).sum());
         self.written.set(0);
@@ -237,7 +258,7 @@
                 continue;
             }
             let positions: Vec<_> =
-                GroupNumber::all().map(|group| self.held(group).borrow().position()).collect();
+                GroupNumber::all().map(|group| self.replica(group).borrow().position()).collect();
             self.disk_health.begin();
             let written = self.journal_all().await == Ok(true);
             self.disk_health.end(written);
@@ -245,30 +266,25 @@
                 continue;
             }
             for (group, position) in GroupNumber::all().zip(positions) {
-                let mut held = self.held(group).borrow_mut();
-                if held.contains(position) {
-                    held.synced = held.synced.max(position.sequence);
-                }
+                self.replica(group).borrow_mut().mark_synced(position);
             }
             self.changed.notify_waiters();
         }
     }
 }
 
-fn restore(groups: &[RefCell<HeldGroup>], record: Record) {
-    let held = |group: GroupNumber| groups.get(usize::from(group.0));
+fn restore(groups: &mut [Replica], record: Record) {
     match record {
         Record::Entry(entry) => {
-            if let Some(group) = held(entry.group) {
-                let offered = group.borrow_mut().offer(&entry);
-                if !matches!(offered, group::Offer::Taken | group::Offer::Had) {
-                    log::error!("group {}: entry {:?} does not fit", entry.group.0, entry.position);
-                }
+            let Some(replica) = groups.get_mut(usize::from(entry.group.0)) else { return };
+            if !replica.restore(&entry) {
+                log::error!("group {}: entry {:?} does not fit", entry.group.0, entry.position);
             }
         }
         Record::Copy { group, copy } => {
-            if let Some(group) = held(group) {
-                group.borrow_mut().install(&copy);
+            let Some(replica) = groups.get_mut(usize::from(group.0)) else { return };
+            if !matches!(replica.install(0, &copy), Installed::Yes { .. }) {
+                log::error!("group {}: its copy up to {:?} cannot be read", group.0, copy.position);
             }
         }
     }
--- a/crates/control-plane/src/store/replication.rs
+++ b/crates/control-plane/src/store/replication.rs
@@ -1,4 +1,5 @@
-//! Entries along the chains: made at the head, on each link's disk before they go on, committed once the tail has them.
+//! Entries along the chains: made at the head, on each link's disk before they go on, committed once the tail has them. What
+//! a link guarantees stands at the head of `fennelgauge_replication`.
 
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -8,13 +9,13 @@
 
 use fennelgauge_batch::Command;
 use fennelgauge_coordination::{GroupNumber, StoreView};
+use fennelgauge_replication::{Installed, Missing};
 use fennelgauge_wire::{
     Entry, EntryBatch, EntryPosition, GroupCopy, Reply, Request, StoreReply, StoreRequest,
 };
 use futures_util::future::join_all;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
-use super::group::Offer;
 use super::journal::Record;
 use super::Store;
 
@@ -30,7 +31,7 @@
 impl Store {
     /// Makes a change as the head of a group in `view`; gives the place of its entry.
     pub(super) fn change(&self, view: &StoreView, group: GroupNumber, command: Command) -> EntryPosition {
-        let entry = self.held(group).borrow_mut().create(group, view.epoch, command);
+        let entry = self.replica(group).borrow_mut().create(group, view.epoch, command);
         let position = entry.position;
         self.pending.borrow_mut().push(entry);
         self.flush.notify_one();
@@ -47,17 +48,29 @@
             if entries.is_empty() {
                 continue;
             }
-            let synced = self.journal_records(entries.iter().cloned().map(Record::Entry).collect());
+            let mut batches = self.batched(entries);
+            let records = batches.iter().flat_map(|batch| &batch.entries).cloned().map(Record::Entry);
+            let synced = self.journal_records(records.collect());
             let view = self.view();
-            let mut batches = batched(entries);
             // What was made here before another became the head goes nowhere: the new head's entries replace it.
-            batches.retain(|batch| self.is_head(&view, batch.group));
+            batches.retain(|batch| self.role(&view, batch.group).is_some_and(|role| role.is_head()));
             let store = self.clone();
             tokio::task::spawn_local(async move { store.replicate(view.epoch, batches, synced).await });
         }
     }
 
-    /// Waits until entries are on this disk, passes them on, and tells which groups are committed.
+    /// Entries by group, each group's in order, without those that a copy has taken away since they were made.
+    fn batched(&self, entries: Vec<Entry>) -> Vec<EntryBatch> {
+        let mut groups: BTreeMap<GroupNumber, Vec<Entry>> = BTreeMap::new();
+        for entry in entries {
+            groups.entry(entry.group).or_default().push(entry);
+        }
+        let batch =
+            |(group, entries): (GroupNumber, _)| self.replica(group).borrow().batch_of(group, entries);
+        groups.into_iter().filter_map(batch).collect()
+    }
+
+    /// Waits until entries are on this disk, passes them on, and tells in which groups every further link has them.
     async fn replicate(
         self: &Rc<Self>,
         epoch: u64,
@@ -68,31 +81,44 @@
             return Vec::new();
         }
         for batch in &batches {
-            let mut held = self.held(batch.group).borrow_mut();
-            held.synced = held.synced.max(batch.end.sequence);
+            self.replica(batch.group).borrow_mut().mark_synced(batch.end);
         }
         self.changed.notify_waiters();
         let view = self.view();
         if view.epoch != epoch {
             return Vec::new();
         }
-        let mut committed = Vec::new();
+        let mut reached = Vec::new();
         let mut onward: BTreeMap<SocketAddr, Vec<EntryBatch>> = BTreeMap::new();
         for batch in batches {
-            match self.successor(&view, batch.group) {
-                Some((_, peer)) => onward.entry(peer).or_default().push(batch),
-                None if self.is_tail(&view, batch.group) => committed.push((batch.group, batch.end)),
-                None => {}
+            let Some(role) = self.role(&view, batch.group) else { continue };
+            let may_pass = {
+                let replica = self.replica(batch.group).borrow();
+                replica.passes_on_in(epoch) && replica.has_on_disk(batch.end)
+            };
+            match role.successor {
+                _ if !may_pass => {}
+                None => reached.push((batch.group, batch.end)),
+                Some(successor) => {
+                    let Some(peer) = self.peer(&view, successor) else { continue };
+                    onward.entry(peer).or_default().push(batch);
+                }
             }
         }
         let calls = onward.into_iter().map(|(peer, batches)| self.pass_on(peer, epoch, batches));
-        committed.extend(join_all(calls).await.into_iter().flatten());
-        for (group, end) in &committed {
-            let mut held = self.held(*group).borrow_mut();
-            held.committed = held.committed.max(end.sequence);
+        reached.extend(join_all(calls).await.into_iter().flatten());
+        for (group, end) in &reached {
+            self.mark_reached(&view, *group, *end);
         }
         self.changed.notify_waiters();
-        committed.into_iter().map(|(group, _)| group).collect()
+        reached.into_iter().map(|(group, _)| group).collect()
+    }
+
+    /// Every link has an entry: committed, if enough of them hold the group.
+    fn mark_reached(&self, view: &StoreView, group: GroupNumber, end: EntryPosition) {
+        if view.group(group).is_some_and(|held| held.is_open()) {
+            self.replica(group).borrow_mut().mark_committed(end);
+        }
     }
 
     async fn pass_on(
@@ -104,8 +130,8 @@
         let ends: Vec<(GroupNumber, EntryPosition)> =
             batches.iter().map(|batch| (batch.group, batch.end)).collect();
         match self.ask(peer, StoreRequest::Append { epoch, batches }, APPEND_TIMEOUT).await {
-            Some(StoreReply::Appended { committed }) => {
-                ends.into_iter().filter(|(group, _)| committed.contains(group)).collect()
+            Some(StoreReply::Appended { reached }) => {
+                ends.into_iter().filter(|(group, _)| reached.contains(group)).collect()
             }
             _ => Vec::new(),
         }
@@ -128,39 +154,28 @@
         let Some(view) = self.view_of(epoch).await else {
             return StoreReply::OtherEpoch(self.view().epoch);
         };
-        let own = self.number(&view);
-        let mut taken = Vec::new();
+        let mut level = Vec::new();
         let mut records = Vec::new();
         for batch in batches {
-            let in_chain = view
-                .group(batch.group)
-                .is_some_and(|group| group.chain.iter().skip(1).any(|number| Some(*number) == own));
-            if in_chain && self.take(&batch, &mut records) {
-                taken.push(batch);
+            let role = self.role(&view, batch.group);
+            if role.is_none_or(|role| role.is_head()) {
+                continue;
+            }
+            let followed = self.replica(batch.group).borrow_mut().follow(epoch, &batch);
+            records.extend(followed.taken.into_iter().map(Record::Entry));
+            if followed.is_level {
+                level.push(batch);
             }
         }
         let synced = self.journal_records(records);
         self.changed.notify_waiters();
-        StoreReply::Appended { committed: self.replicate(epoch, taken, synced).await }
-    }
-
-    /// Takes a batch's entries; false if this store is not at the batch's end then.
-    fn take(&self, batch: &EntryBatch, records: &mut Vec<Record>) -> bool {
-        let mut held = self.held(batch.group).borrow_mut();
-        for entry in &batch.entries {
-            match held.offer(entry) {
-                Offer::Taken => records.push(Record::Entry(entry.clone())),
-                Offer::Had => {}
-                Offer::Gap | Offer::Conflict => return false,
-            }
-        }
-        held.contains(batch.end)
+        StoreReply::Appended { reached: self.replicate(epoch, level, synced).await }
     }
 
     /// How far this store is in a group, in the view of `epoch`.
     pub(super) async fn position(&self, epoch: u64, group: GroupNumber) -> StoreReply {
         match self.view_of(epoch).await {
-            Some(_) => StoreReply::Position(self.held(group).borrow().position()),
+            Some(_) => StoreReply::Position(self.replica(group).borrow().position()),
             None => StoreReply::OtherEpoch(self.view().epoch),
         }
     }
@@ -175,30 +190,41 @@
         let Some(view) = self.view_of(epoch).await else {
             return StoreReply::OtherEpoch(self.view().epoch);
         };
-        if self.is_head(&view, group) || !self.install_copy(group, copy).await {
-            return StoreReply::Unsure;
+        let is_link = self.role(&view, group).is_some_and(|role| !role.is_head());
+        match is_link && self.install_copy(epoch, group, copy).await {
+            true => StoreReply::Installed,
+            false => StoreReply::Unsure,
         }
-        StoreReply::Installed
     }
 
     /// A whole copy of a group, of which all is on this disk.
     pub(super) async fn copy_on_disk(&self, group: GroupNumber, until: Instant) -> Option<GroupCopy> {
-        let copy = self.held(group).borrow().copy();
+        let copy = self.replica(group).borrow().copy();
         self.synced(group, copy.position, until).await.then_some(copy)
     }
 
-    /// Becomes a copy, on disk when this returns true.
-    pub(super) async fn install_copy(&self, group: GroupNumber, copy: &GroupCopy) -> bool {
-        if !self.held(group).borrow_mut().install(copy) {
-            return false;
+    /// Becomes a copy that was sent in the view of `epoch`, on disk when this returns true.
+    pub(super) async fn install_copy(&self, epoch: u64, group: GroupNumber, copy: &GroupCopy) -> bool {
+        let before = self.replica(group).borrow().position();
+        let installed = self.replica(group).borrow_mut().install(epoch, copy);
+        let number = group.0;
+        match installed {
+            Installed::Yes { drops_shown: Some(shown) } => log::error!(
+                "group {number}: a copy up to {:?} drops {shown:?}, which was shown here: report this with all stores' logs",
+                copy.position
+            ),
+            Installed::Yes { drops_shown: None } => {
+                log::info!("group {number}: from {before:?} to a copy up to {:?}", copy.position);
+            }
+            Installed::Unreadable | Installed::Outdated => {
+                log::info!("group {number}: a copy up to {:?} is not taken: {installed:?}", copy.position);
+                return false;
+            }
         }
-        let synced = self.journal_records(vec![Record::Copy { group, copy: copy.clone() }]);
-        if !synced.await {
+        if !self.journal_records(vec![Record::Copy { group, copy: copy.clone() }]).await {
             return false;
         }
-        let mut held = self.held(group).borrow_mut();
-        held.synced = held.synced.max(copy.position.sequence);
-        drop(held);
+        self.replica(group).borrow_mut().mark_synced(copy.position);
         self.changed.notify_waiters();
         true
     }
@@ -206,19 +232,15 @@
     /// Waits until an entry is committed; false when the time is up, or another entry stands in its place.
     pub(super) async fn committed(&self, group: GroupNumber, entry: EntryPosition, until: Instant) -> bool {
         let settled = || {
-            let held = self.held(group).borrow();
-            held.committed >= entry.sequence || !held.contains(entry)
+            let replica = self.replica(group).borrow();
+            replica.is_committed(entry) || !replica.contains(entry)
         };
-        self.reached(until, settled).await && self.held(group).borrow().contains(entry)
+        self.reached(until, settled).await && self.replica(group).borrow().contains(entry)
     }
 
     /// Waits until an entry is on this disk; false when the time is up.
     pub(super) async fn synced(&self, group: GroupNumber, entry: EntryPosition, until: Instant) -> bool {
-        let on_disk = || {
-            let held = self.held(group).borrow();
-            held.synced >= entry.sequence && held.contains(entry)
-        };
-        self.reached(until, on_disk).await
+        self.reached(until, || self.replica(group).borrow().has_on_disk(entry)).await
     }
 
     /// Waits for a condition that changes of groups can make true.
@@ -242,13 +264,17 @@
             let view = self.view();
             let mut repairs = Vec::new();
             for group in GroupNumber::all() {
-                let Some((_, peer)) = self.successor(&view, group) else { continue };
+                let Some(role) = self.role(&view, group) else { continue };
+                self.lead_if_head(&role, group);
+                let Some(peer) = role.successor.and_then(|successor| self.peer(&view, successor)) else {
+                    continue;
+                };
                 let unchecked = self.checked.borrow().get(&group) != Some(&view.epoch);
-                let in_doubt = {
-                    let held = self.held(group).borrow();
-                    held.committed < held.position().sequence
+                let (may_pass, in_doubt) = {
+                    let replica = self.replica(group).borrow();
+                    (replica.passes_on_in(view.epoch), replica.is_in_doubt())
                 };
-                if !in_doubt && !unchecked {
+                if !may_pass || (!in_doubt && !unchecked) {
                     doubtful.remove(&group);
                     continue;
                 }
@@ -274,52 +300,43 @@
         let Some(StoreReply::Position(theirs)) = self.ask(peer, asked, POSITION_TIMEOUT).await else {
             return false;
         };
-        let (synced, own) = {
-            let held = self.held(group).borrow();
-            (held.synced, held.position())
-        };
         let until = Instant::now() + APPEND_TIMEOUT;
-        if synced < own.sequence && !self.synced(group, own, until).await {
-            return false;
-        }
-        let missing = self.held(group).borrow().after(theirs);
-        let entries = match missing {
-            Some(entries) => entries,
-            None => {
-                let Some(copy) = self.copy_on_disk(group, until).await else { return false };
-                log::info!("group {}: a whole copy of {} bytes goes to {peer}", group.0, copy.state.len());
-                let install = StoreRequest::Install { epoch, group, copy };
-                match self.ask(peer, install, INSTALL_TIMEOUT).await {
-                    Some(StoreReply::Installed) => Vec::new(),
-                    _ => return false,
-                }
-            }
+        let missing = self.replica(group).borrow().missing_at(group, theirs);
+        let batch = match missing {
+            Missing::Entries(batch) => batch,
+            Missing::Copy => match self.send_copy(epoch, group, peer, until).await {
+                Some(end) => EntryBatch { group, after: end, entries: Vec::new(), end },
+                None => return false,
+            },
         };
-        let end = entries.last().map_or(own, |last| last.position);
-        if !self.synced(group, end, until).await {
+        let view = self.view();
+        if !self.synced(group, batch.end, until).await || view.epoch != epoch {
             return false;
         }
-        let batch = EntryBatch { group, entries, end };
-        let committed = !self.pass_on(peer, epoch, vec![batch]).await.is_empty();
-        if committed && self.view().epoch == epoch {
-            let mut held = self.held(group).borrow_mut();
-            held.committed = held.committed.max(end.sequence);
-            drop(held);
+        let end = batch.end;
+        let reached = !self.pass_on(peer, epoch, vec![batch]).await.is_empty();
+        if reached {
+            self.mark_reached(&view, group, end);
             self.changed.notify_waiters();
         }
-        committed
+        reached
     }
-}
 
-/// Entries by group, each group's in order.
-fn batched(entries: Vec<Entry>) -> Vec<EntryBatch> {
-    let mut batches: BTreeMap<GroupNumber, Vec<Entry>> = BTreeMap::new();
-    for entry in entries {
-        batches.entry(entry.group).or_default().push(entry);
+    /// Sends a whole copy; gives its place once the peer has it on its disk.
+    async fn send_copy(
+        &self,
+        epoch: u64,
+        group: GroupNumber,
+        peer: SocketAddr,
+        until: Instant,
+    ) -> Option<EntryPosition> {
+        let copy = self.copy_on_disk(group, until).await?;
+        log::info!("group {}: a whole copy of {} bytes goes to {peer}", group.0, copy.state.len());
+        let end = copy.position;
+        let install = StoreRequest::Install { epoch, group, copy };
+        match self.ask(peer, install, INSTALL_TIMEOUT).await {
+            Some(StoreReply::Installed) => Some(end),
+            _ => None,
+        }
     }
-    let batch = |(group, entries): (GroupNumber, Vec<Entry>)| {
-        let end = entries.last().map(|last| last.position).unwrap_or_default();
-        EntryBatch { group, entries, end }
-    };
-    batches.into_iter().map(batch).collect()
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -21,7 +21,9 @@
 pub use replica::PlantedBug;
 pub use replica::{NotTaken, Outcome, Record, Replica, Stored};
 pub use sampling::{PartialView, Peer, Sighting, Swap};
-pub use stores::{Group, GroupNumber, Planner, Store, StoreNumber, StoreView, GROUPS};
+#[cfg(feature = "planted-bugs")]
+pub use stores::PlannerBug;
+pub use stores::{Group, GroupNumber, Heard, Newcomer, Planner, Store, StoreNumber, StoreView, Told, GROUPS};
 pub use timing::Timing;
 pub use version::{content_digest, Replicated, Step, Version};
 pub use view::{next_view, Judgement, View, ViewRules};
--- a/crates/coordination/src/stores.rs
+++ b/crates/coordination/src/stores.rs
@@ -1,9 +1,14 @@
-//! The stores' view: which stores there are and, for each group of data, the chain of stores that holds it. A chain's
-//! survivors keep their order, so the first of them has all that any other has; new members stand at the end.
+//! The stores' view: which stores there are and, for each group of data, the chain of stores that holds it.
+//!
+//! A link *holds* a group if it has, on its disk, all that was ever committed. A store that joins a chain does not count as a
+//! holder until it has told, as a link, that it has everything. While fewer than `losses` + 1 holders are heard, the group is
+//! *closed*: nobody changes or reads it, and the holders that are silent stay on record as *absent*. So one of the stores on
+//! record outlives the loss of `losses` disks, whoever else is silent meanwhile, and only a holder ever heads a chain.
 
 use std::collections::BTreeSet;
 
 use serde::{Deserialize, Serialize};
+use strum::EnumIter;
 
 use crate::Member;
 
@@ -38,13 +43,53 @@
     pub retiring: bool,
 }
 
+/// A store that is given a part in a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Newcomer {
+    pub store: StoreNumber,
+    /// The first view in which it has that part: what it told of earlier ones does not count.
+    pub since: u64,
+}
+
 /// Where a group is held.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Group {
-    /// Head first.
+    /// Head first; holders before those that are joining.
     pub chain: Vec<StoreNumber>,
+    /// Links that have not told yet that they have everything.
+    pub joining: Vec<Newcomer>,
+    /// Silent holders, while the chain has too few.
+    pub absent: Vec<StoreNumber>,
     /// Copies the group before it joins the chain's end.
-    pub learner: Option<StoreNumber>,
+    pub learner: Option<Newcomer>,
+}
+
+impl Group {
+    /// Since which view a store is a link that has still to tell that it has everything; none if it is not such a link.
+    pub fn joining_since(&self, store: StoreNumber) -> Option<u64> {
+        self.joining.iter().find(|newcomer| newcomer.store == store).map(|newcomer| newcomer.since)
+    }
+
+    /// Whether enough links hold the group for it to be changed and read.
+    pub fn is_open(&self) -> bool {
+        self.absent.is_empty()
+    }
+
+    /// Links that have everything, head first.
+    pub fn holders(&self) -> Vec<StoreNumber> {
+        self.chain.iter().copied().filter(|link| self.joining_since(*link).is_none()).collect()
+    }
+
+    /// All stores that have a part in the group.
+    pub fn all_stores(&self) -> Vec<StoreNumber> {
+        let learner = self.learner.map(|learner| learner.store);
+        self.chain.iter().chain(&self.absent).copied().chain(learner).collect()
+    }
+
+    /// Whether a store has any part of the group that must not be lost.
+    pub fn names(&self, store: StoreNumber) -> bool {
+        self.chain.contains(&store) || self.absent.contains(&store)
+    }
 }
 
 /// The placement of all groups.
@@ -82,24 +127,49 @@
 
     /// Whether the store holds a part of any group.
     pub fn holds_data(&self, number: StoreNumber) -> bool {
-        self.groups.iter().any(|group| group.chain.contains(&number))
+        self.groups.iter().any(|group| group.names(number))
     }
 }
 
+/// What a store told of its part in a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Told {
+    pub group: GroupNumber,
+    /// The newest view in which it is so.
+    pub epoch: u64,
+}
+
+/// A store that was heard of late.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    pub member: Member,
+    /// Groups of which it has a copy, as a learner.
+    pub copied: Vec<Told>,
+    /// Groups of which it has everything, as a link.
+    pub holds: Vec<Told>,
+}
+
 /// Works out the next placement from what is known of the stores.
 pub struct Planner<'a> {
-    /// Losses at once that each chain must outlive.
-    pub losses: usize,
-    pub alive: &'a dyn Fn(&Member) -> bool,
-    /// Stores that have told of themselves.
-    pub present: &'a [Member],
-    /// Learners that have copied their group.
-    pub level: &'a BTreeSet<(StoreNumber, GroupNumber)>,
-    /// Whether the first placement may be made with the stores that are there.
-    pub may_begin: bool,
+    losses: usize,
+    heard: &'a [Heard],
+    may_begin: bool,
+    planted: Option<PlannerBug>,
 }
 
-impl Planner<'_> {
+impl<'a> Planner<'a> {
+    /// `losses` at once must be outlived by each chain; the first placement is made with the stores that are there if it `may_begin`.
+    pub fn new(losses: usize, heard: &'a [Heard], may_begin: bool) -> Self {
+        Self { losses, heard, may_begin, planted: None }
+    }
+
+    /// Plants a mistake, to see that it is found.
+    #[cfg(feature = "planted-bugs")]
+    pub fn with_planted(mut self, bug: Option<PlannerBug>) -> Self {
+        self.planted = bug;
+        self
+    }
+
     /// The next placement, or none if the present one is as it should be.
     pub fn plan(&self, view: &StoreView) -> Option<StoreView> {
         let mut next = view.clone();
@@ -117,7 +187,7 @@
     }
 
     fn register(&self, view: &mut StoreView) {
-        for member in self.present {
+        for member in self.heard.iter().map(|heard| &heard.member) {
             match view.stores.iter_mut().find(|store| store.member.identity == member.identity) {
                 Some(store) => store.member = member.clone(),
                 None => {
@@ -139,8 +209,36 @@
         (self.losses + 2).min(usable.max(self.fewest()))
     }
 
+    fn has(&self, bug: PlannerBug) -> bool {
+        self.planted == Some(bug)
+    }
+
+    fn heard(&self, store: &Store) -> Option<&Heard> {
+        self.heard.iter().find(|heard| heard.member.identity == store.member.identity)
+    }
+
     fn usable(&self, store: &Store) -> bool {
-        !store.retiring && (self.alive)(&store.member)
+        !store.retiring && self.heard(store).is_some()
+    }
+
+    fn lives(&self, view: &StoreView, number: StoreNumber) -> bool {
+        view.store(number).is_some_and(|store| self.heard(store).is_some())
+    }
+
+    /// Whether a store told, of a view in which it had its part already, what `told` picks.
+    fn has_told(
+        &self,
+        view: &StoreView,
+        newcomer: Newcomer,
+        group: GroupNumber,
+        told: impl Fn(&Heard) -> &[Told],
+    ) -> bool {
+        let heard = view.store(newcomer.store).and_then(|store| self.heard(store));
+        let since = match self.has(PlannerBug::WordOfAnEarlierStay) {
+            true => 0,
+            false => newcomer.since,
+        };
+        heard.is_some_and(|heard| told(heard).iter().any(|told| told.group == group && told.epoch >= since))
     }
 
     fn begin(&self, view: &mut StoreView) {
@@ -156,7 +254,7 @@
                 let Some(next) = self.best_new(view, group, &chain) else { break };
                 chain.push(next);
             }
-            groups.push(Group { chain, learner: None });
+            groups.push(Group { chain, ..Group::default() });
         }
         view.groups = groups;
     }
@@ -179,51 +277,105 @@
     fn repair(&self, view: &mut StoreView) {
         let wanted = self.wanted(view);
         for number in GroupNumber::all() {
-            let Some(group) = view.group(number).cloned() else { continue };
-            view.groups[usize::from(number.0)] = self.repaired(view, number, group, wanted);
+            let Some(mut group) = view.group(number).cloned() else { continue };
+            self.admit(view, number, &mut group);
+            self.put_silent_out(view, &mut group);
+            self.put_retiring_out(view, &mut group, wanted);
+            self.find_learner(view, number, &mut group, wanted);
+            view.groups[usize::from(number.0)] = group;
         }
     }
 
-    fn repaired(&self, view: &StoreView, number: GroupNumber, group: Group, wanted: usize) -> Group {
-        let Group { mut chain, mut learner } = group;
-        let lives =
-            |number: &StoreNumber| view.store(*number).is_some_and(|store| (self.alive)(&store.member));
-        learner = learner.filter(|store| lives(store) && !chain.contains(store));
-        if let Some(store) = learner.filter(|store| self.level.contains(&(*store, number))) {
-            chain.push(store);
-            learner = None;
-        }
-        let survivors: Vec<StoreNumber> = chain.iter().copied().filter(lives).collect();
-        if !survivors.is_empty() {
-            let mut shorter = survivors;
-            while shorter.len() < self.fewest() {
-                let Some(new) = learner.take().or_else(|| self.best_new(view, number, &shorter)) else {
-                    break;
-                };
-                shorter.push(new);
-            }
-            if shorter.len() >= self.fewest() {
-                chain = shorter;
+    /// Joining links that have everything are holders; a learner that has a copy joins the chain.
+    fn admit(&self, view: &StoreView, number: GroupNumber, group: &mut Group) {
+        group.joining.retain(|newcomer| !self.has_told(view, *newcomer, number, |heard| &heard.holds));
+        let lives = |newcomer: &Newcomer| self.lives(view, newcomer.store);
+        group.learner = group.learner.filter(lives).filter(|learner| !group.names(learner.store));
+        let Some(learner) = group.learner else { return };
+        if self.has_told(view, learner, number, |heard| &heard.copied) {
+            group.learner = None;
+            group.chain.push(learner.store);
+            if !self.has(PlannerBug::JoiningCountsAsHolder) {
+                group.joining.push(Newcomer { store: learner.store, since: view.epoch + 1 });
             }
         }
-        let staying = |number: &StoreNumber| view.store(*number).is_some_and(|store| !store.retiring);
-        if chain.iter().filter(|store| staying(store)).count() >= wanted {
-            chain.retain(staying);
+    }
+
+    /// Silent links leave the chain; absent holders that are heard again come back. Where nobody who holds the group is heard,
+    /// it stays as it is.
+    fn put_silent_out(&self, view: &StoreView, group: &mut Group) {
+        let lives = |store: &StoreNumber| self.lives(view, *store);
+        let (mut holders, silent): (Vec<StoreNumber>, Vec<StoreNumber>) =
+            group.holders().into_iter().partition(lives);
+        let (back, still_absent): (Vec<StoreNumber>, Vec<StoreNumber>) =
+            group.absent.iter().copied().partition(lives);
+        holders.extend(back);
+        if holders.is_empty() {
+            return;
+        }
+        group.joining.retain(|newcomer| lives(&newcomer.store));
+        let enough = holders.len() >= self.fewest() || self.has(PlannerBug::SilentHoldersAreDropped);
+        group.absent = match enough {
+            true => Vec::new(),
+            false => still_absent.into_iter().chain(silent).collect(),
+        };
+        holders.extend(group.joining.iter().map(|newcomer| newcomer.store));
+        group.chain = holders;
+        if self.has(PlannerBug::ShortChainsAreFilled) {
+            self.fill(view, group);
+        }
+    }
+
+    /// A planted mistake: stores that have copied nothing are links at once.
+    fn fill(&self, view: &StoreView, group: &mut Group) {
+        while group.chain.len() < self.fewest() {
+            let free = view.stores.iter().find(|store| self.usable(store) && !group.names(store.number));
+            let Some(free) = free else { return };
+            group.chain.push(free.number);
         }
-        if learner.is_none() && chain.iter().filter(|store| staying(store)).count() < wanted {
-            learner = self.best_new(view, number, &chain);
+        group.absent.clear();
+    }
+
+    /// Retiring links leave once enough others hold the group; so do newcomers that are not needed any more.
+    fn put_retiring_out(&self, view: &StoreView, group: &mut Group, wanted: usize) {
+        let stays = |number: &StoreNumber| view.store(*number).is_some_and(|store| !store.retiring);
+        if group.holders().iter().filter(|store| stays(store)).count() < wanted {
+            return;
         }
-        Group { chain, learner }
+        group.chain = group.holders().into_iter().filter(stays).collect();
+        group.joining.clear();
+        group.learner = None;
+    }
+
+    fn find_learner(&self, view: &StoreView, number: GroupNumber, group: &mut Group, wanted: usize) {
+        let stays = |number: &&StoreNumber| view.store(**number).is_some_and(|store| !store.retiring);
+        if group.learner.is_some() || group.chain.iter().filter(stays).count() >= wanted {
+            return;
+        }
+        let learner = self.best_new(view, number, &group.chain);
+        group.learner = learner.map(|store| Newcomer { store, since: view.epoch + 1 });
     }
 
     /// Stores that are gone and hold nothing are no longer listed.
     fn forget_lost(&self, view: &mut StoreView) {
-        let used: BTreeSet<StoreNumber> =
-            view.groups.iter().flat_map(|group| group.chain.iter().copied().chain(group.learner)).collect();
-        view.stores.retain(|store| used.contains(&store.number) || (self.alive)(&store.member));
+        let used: BTreeSet<StoreNumber> = view.groups.iter().flat_map(Group::all_stores).collect();
+        view.stores.retain(|store| used.contains(&store.number) || self.heard(store).is_some());
     }
 }
 
+/// A mistake that a test plants, to see that the judge finds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter)]
+pub enum PlannerBug {
+    /// A learner counts as a holder as soon as it joins.
+    JoiningCountsAsHolder,
+    /// Silent holders are forgotten though too few are left.
+    SilentHoldersAreDropped,
+    /// A short chain is filled with stores that have copied nothing.
+    ShortChainsAreFilled,
+    /// What a store told of an earlier stay counts.
+    WordOfAnEarlierStay,
+}
+
 /// A ranking of the stores that differs from group to group.
 fn ranked(group: GroupNumber, store: StoreNumber) -> u64 {
     let mut hash = (u64::from(group.0) << 32) | u64::from(store.0);
--- /dev/null
+++ b/crates/replication/src/replica.rs
@@ -0,0 +1,258 @@
+//! One group as a store holds it: its entries in order, its state, how far it is on disk and along the chain, and the view
+//! in which it is level.
+
+use fennelgauge_batch::{Command, GroupState};
+use fennelgauge_coordination::GroupNumber;
+use fennelgauge_encoding::{decode, encode};
+
+use crate::planted::ReplicaBug;
+use crate::{Entry, EntryBatch, EntryLog, EntryPosition, GroupCopy};
+
+/// A group on one store.
+#[derive(Clone, Debug, Default)]
+pub struct Replica {
+    log: EntryLog,
+    state: GroupState,
+    /// Up to this place it is on this disk.
+    synced: u64,
+    /// Up to this place every link had it in some view.
+    committed: u64,
+    /// The newest view in which this store stood exactly where its predecessor stood; 0 where there is none in this life.
+    level_in: u64,
+    /// The newest place that a reader was shown here.
+    shown: EntryPosition,
+    planted: Option<ReplicaBug>,
+}
+
+/// What became of a batch from the predecessor.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Followed {
+    /// New here: to be written to the disk.
+    pub taken: Vec<Entry>,
+    /// This store is level in the view and has the batch's end.
+    pub is_level: bool,
+}
+
+/// What another store lacks.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Missing {
+    /// It takes these entries.
+    Entries(EntryBatch),
+    /// It has others, or lacks too many: it becomes a copy.
+    Copy,
+}
+
+/// What became of a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Installed {
+    /// The group is that copy now, from memory on: to be written to the disk.
+    Yes {
+        /// A place that a reader was shown here and that the copy lacks: a fault.
+        drops_shown: Option<EntryPosition>,
+    },
+    /// It cannot be read: run one version of the programs everywhere.
+    Unreadable,
+    /// It comes from an earlier view than what is here: this store is level in that view or a later one, or has an entry of a later one.
+    Outdated,
+}
+
+impl Replica {
+    /// Plants a mistake, to see that it is found.
+    #[cfg(feature = "planted-bugs")]
+    pub fn plant(&mut self, bug: ReplicaBug) {
+        self.planted = Some(bug);
+    }
+
+    fn has(&self, bug: ReplicaBug) -> bool {
+        self.planted == Some(bug)
+    }
+
+    /// The place of the newest entry.
+    pub fn position(&self) -> EntryPosition {
+        self.log.position()
+    }
+
+    /// The batch jobs of the group.
+    pub fn state(&self) -> &GroupState {
+        &self.state
+    }
+
+    /// Whether the entry of that place and epoch is here.
+    pub fn contains(&self, position: EntryPosition) -> bool {
+        self.log.contains(position)
+    }
+
+    /// Whether the entry of that place and epoch is here, on the disk.
+    pub fn has_on_disk(&self, position: EntryPosition) -> bool {
+        let on_disk = self.synced >= position.sequence || self.has(ReplicaBug::AnswersUnsynced);
+        on_disk && self.contains(position)
+    }
+
+    /// Whether the entry of that place and epoch is here and was committed in some view.
+    pub fn is_committed(&self, position: EntryPosition) -> bool {
+        self.committed >= position.sequence && self.contains(position)
+    }
+
+    /// Whether entries are here that are not known to be committed.
+    pub fn is_in_doubt(&self) -> bool {
+        self.committed < self.position().sequence
+    }
+
+    /// The newest view in which an entry was made that is here: a store must not take part in an earlier one again.
+    pub fn newest_epoch(&self) -> u64 {
+        self.position().epoch
+    }
+
+    /// Whether nothing is known of what is committed, as after a restart.
+    pub fn knows_nothing_committed(&self) -> bool {
+        self.committed == 0 && self.position().sequence > 0
+    }
+
+    /// Whether this store stood exactly where its predecessor stood, in that view, or is its head.
+    pub fn is_level_in(&self, epoch: u64) -> bool {
+        (epoch > 0 && self.level_in == epoch) || self.has(ReplicaBug::AnswersWithoutLevel)
+    }
+
+    /// Whether this store may pass entries on and bring its successor level in that view.
+    pub fn passes_on_in(&self, epoch: u64) -> bool {
+        self.is_level_in(epoch) || self.has(ReplicaBug::PassesOnUnlevel)
+    }
+
+    /// This store is the head in the view of `epoch`: it stands where the chain stands.
+    pub fn lead(&mut self, epoch: u64) {
+        self.level_in = epoch;
+    }
+
+    /// Makes a new entry as the head, in the view of `epoch`.
+    pub fn create(&mut self, group: GroupNumber, epoch: u64, command: Command) -> Entry {
+        self.lead(epoch);
+        let position = EntryPosition { sequence: self.position().sequence + 1, epoch };
+        let entry = Entry { group, position, command: encode(&command) };
+        self.state.apply(command);
+        self.log.push(entry.clone());
+        entry
+    }
+
+    /// Takes an entry that follows on the newest one here, as from the own disk; false if it does not, or cannot be read.
+    pub fn restore(&mut self, entry: &Entry) -> bool {
+        if self.contains(entry.position) {
+            return true;
+        }
+        entry.position.sequence == self.position().sequence + 1 && self.take(entry)
+    }
+
+    fn take(&mut self, entry: &Entry) -> bool {
+        let Ok(command) = decode::<Command>(&entry.command) else { return false };
+        self.state.apply(command);
+        self.log.push(entry.clone());
+        true
+    }
+
+    /// Whether this store was level in the view of `epoch` or a later one: what others sent it as a learner before is outdated.
+    fn was_level_since(&self, epoch: u64) -> bool {
+        self.level_in >= epoch && !self.has(ReplicaBug::CopyReplacesLevel)
+    }
+
+    /// Takes a batch as a learner that asked in the view of `epoch`; gives what is new here, to be written to the disk.
+    pub fn learn(&mut self, epoch: u64, batch: &EntryBatch) -> Vec<Entry> {
+        match self.was_level_since(epoch) {
+            true => Vec::new(),
+            false => self.take_batch(batch),
+        }
+    }
+
+    /// Takes what this store lacks of a batch, from wherever it has the batch's beginning; nothing if it has other entries there.
+    fn take_batch(&mut self, batch: &EntryBatch) -> Vec<Entry> {
+        let mut taken = Vec::new();
+        if !self.contains(batch.after) && !self.has(ReplicaBug::TakesAfterAnything) {
+            return taken;
+        }
+        for entry in &batch.entries {
+            if self.contains(entry.position) {
+                continue;
+            }
+            if entry.position.sequence != self.position().sequence + 1 || !self.take(entry) {
+                break;
+            }
+            taken.push(entry.clone());
+        }
+        taken
+    }
+
+    /// Takes a batch from the predecessor, which is level in the view of `epoch`. Whoever then stands exactly at the batch's end is
+    /// level; whoever has more is not, and stays so until a copy takes that away.
+    pub fn follow(&mut self, epoch: u64, batch: &EntryBatch) -> Followed {
+        let taken = self.take_batch(batch);
+        if self.position() == batch.end {
+            self.level_in = epoch;
+        }
+        Followed { taken, is_level: self.is_level_in(epoch) && self.contains(batch.end) }
+    }
+
+    /// What a store at that place lacks.
+    pub fn missing_at(&self, group: GroupNumber, theirs: EntryPosition) -> Missing {
+        match self.log.after(theirs) {
+            Some(entries) => {
+                Missing::Entries(EntryBatch { group, after: theirs, entries, end: self.position() })
+            }
+            None => Missing::Copy,
+        }
+    }
+
+    /// A batch of entries that were made here one after the other, without those that a copy has taken away since.
+    pub fn batch_of(&self, group: GroupNumber, mut entries: Vec<Entry>) -> Option<EntryBatch> {
+        entries.retain(|entry| self.contains(entry.position) || self.has(ReplicaBug::JournalsWhatIsGone));
+        let (first, last) = (entries.first()?.position, entries.last()?.position);
+        let after = self.log.place(first.sequence.checked_sub(1)?)?;
+        Some(EntryBatch { group, after, entries, end: last })
+    }
+
+    /// The whole group.
+    pub fn copy(&self) -> GroupCopy {
+        GroupCopy {
+            history: self.log.history().to_vec(),
+            position: self.position(),
+            state: encode(&self.state),
+        }
+    }
+
+    /// Becomes a copy of another store's group, sent in the view of `epoch` (0: read from the own disk).
+    pub fn install(&mut self, epoch: u64, copy: &GroupCopy) -> Installed {
+        if epoch > 0 && (self.was_level_since(epoch) || self.newest_epoch() > epoch) {
+            return Installed::Outdated;
+        }
+        let Ok(state) = decode::<GroupState>(&copy.state) else { return Installed::Unreadable };
+        let log = EntryLog::of_copy(copy.position, copy.history.clone());
+        let drops_shown = log.lacks(self.shown).then_some(self.shown);
+        let marks = match self.has(ReplicaBug::MarksOutliveCopy) {
+            true => (self.synced, self.committed, self.level_in),
+            false => (0, 0, 0),
+        };
+        let (synced, committed, level_in) = marks;
+        let shown = match drops_shown {
+            Some(_) => EntryPosition::default(),
+            None => self.shown,
+        };
+        *self = Self { log, state, synced, committed, level_in, shown, planted: self.planted };
+        Installed::Yes { drops_shown }
+    }
+
+    /// The entry at that place is on the disk, with all before it; of no effect if a copy has taken it away meanwhile.
+    pub fn mark_synced(&mut self, position: EntryPosition) {
+        if self.contains(position) || self.has(ReplicaBug::MarksOutliveCopy) {
+            self.synced = self.synced.max(position.sequence);
+        }
+    }
+
+    /// Every link has the entry at that place; of no effect if a copy has taken it away meanwhile.
+    pub fn mark_committed(&mut self, position: EntryPosition) {
+        if self.contains(position) || self.has(ReplicaBug::MarksOutliveCopy) {
+            self.committed = self.committed.max(position.sequence);
+        }
+    }
+
+    /// A reader is shown the group as it was at that place.
+    pub fn mark_shown(&mut self, position: EntryPosition) {
+        self.shown = self.shown.max(position);
+    }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,15 +1,12 @@
 //! Frames: length, checksum, then a message in bincode.
 
+use fennelgauge_encoding::{decode, encode, DecodeError};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use tokio::io::{AsyncRead, AsyncReadExt};
 
 const HEADER_BYTES: usize = 8;
 const MAX_FRAME_BYTES: usize = 96 << 20;
-/// Most messages are shorter, and hold no more than this once they are read.
-const SHORT_BYTES: usize = 64 << 10;
-const SHORT_DECODED_BYTES: usize = 1 << 20;
-const MAX_DECODED_BYTES: usize = 2 * MAX_FRAME_BYTES;
 
 /// Why bytes were no message of ours.
 #[derive(Debug, thiserror::Error)]
@@ -20,32 +17,8 @@
     TooLarge(usize),
     #[error("a frame's checksum is wrong: the connection is given up")]
     Garbled,
-    #[error("a frame holds no known message ({0}): run one version everywhere")]
-    Unknown(String),
-}
-
-fn configuration() -> bincode::config::Configuration {
-    bincode::config::standard()
-}
-
-/// A message in bincode, without a frame.
-pub fn encode<M: Serialize>(message: &M) -> Vec<u8> {
-    bincode::serde::encode_to_vec(message, configuration()).unwrap_or_default()
-}
-
-/// The message that `bytes` hold, all of them. Lengths in the message that its size cannot hold are refused before memory is taken for them.
-pub fn decode<M: DeserializeOwned>(bytes: &[u8]) -> Result<M, FrameError> {
-    let decoded = match bytes.len() {
-        0..=SHORT_BYTES => {
-            bincode::serde::decode_from_slice(bytes, configuration().with_limit::<SHORT_DECODED_BYTES>())
-        }
-        _ => bincode::serde::decode_from_slice(bytes, configuration().with_limit::<MAX_DECODED_BYTES>()),
-    };
-    match decoded {
-        Ok((message, used)) if used == bytes.len() => Ok(message),
-        Ok(_) => Err(FrameError::Unknown("bytes are left over".to_owned())),
-        Err(reason) => Err(FrameError::Unknown(reason.to_string())),
-    }
+    #[error("a frame holds no known message: {0}")]
+    Unknown(#[from] DecodeError),
 }
 
 pub(crate) fn framed<M: Serialize>(message: &M) -> Vec<u8> {
@@ -71,7 +44,7 @@
         return Err(FrameError::Ended(std::io::ErrorKind::UnexpectedEof.into()));
     }
     match crc32fast::hash(&body) == checksum {
-        true => decode(&body),
+        true => Ok(decode(&body)?),
         false => Err(FrameError::Garbled),
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,7 +7,9 @@
 mod server;
 
 pub use calls::{CallError, Caller};
-pub use frame::{decode, encode, FrameError};
+pub use fennelgauge_encoding::{decode, encode};
+pub use fennelgauge_replication::{Entry, EntryBatch, EntryPosition, GroupCopy};
+pub use frame::FrameError;
 pub use messages::*;
 pub use server::serve;
 
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -3,8 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 use fennelgauge_batch::{Job, Page};
-use fennelgauge_coordination::{Envelope, GroupNumber, Member, StoreView, View};
+use fennelgauge_coordination::{Envelope, GroupNumber, Heard, StoreView, View};
 use fennelgauge_model::ServerList;
+use fennelgauge_replication::{EntryBatch, EntryPosition, GroupCopy};
 use fennelgauge_sharing::{Report, Sums};
 
 /// A message with the number of its call.
@@ -25,8 +26,8 @@
     Store(StoreRequest),
     /// Requests that began, to the head of the core.
     Usage(UsageReport),
-    /// A store is there.
-    StorePresence(StorePresence),
+    /// A store is there, and what it tells of its groups; to the head of the core.
+    StorePresence(Heard),
     /// The servers that a process uses, to its home.
     Uses(Report),
 }
@@ -170,14 +171,6 @@
     pub counts: Vec<(String, u64)>,
 }
 
-/// A store tells the head of the core that it is there.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct StorePresence {
-    pub member: Member,
-    /// Groups that it has copied as a learner.
-    pub level: Vec<GroupNumber>,
-}
-
 /// To stores. `epoch` is that of the stores' view.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum StoreRequest {
@@ -218,6 +211,11 @@
         epoch: u64,
         group: GroupNumber,
     },
+    /// A link that is not level in the view, to its predecessor: look after these groups.
+    Check {
+        epoch: u64,
+        groups: Vec<GroupNumber>,
+    },
     /// What follows a position, for a learner.
     Fetch {
         epoch: u64,
@@ -232,43 +230,6 @@
     },
 }
 
-/// A place in the sequence of a group's entries.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct EntryPosition {
-    pub sequence: u64,
-    /// Of the stores' view in which the head made the entry.
-    pub epoch: u64,
-}
-
-/// One change of a group.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    pub group: GroupNumber,
-    pub position: EntryPosition,
-    /// A batch command in bincode.
-    #[serde(with = "serde_bytes")]
-    pub command: Vec<u8>,
-}
-
-/// Entries of one group in order; whoever has taken them is at `end`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EntryBatch {
-    pub group: GroupNumber,
-    pub entries: Vec<Entry>,
-    pub end: EntryPosition,
-}
-
-/// A group as a whole.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GroupCopy {
-    /// The first place of each epoch, oldest first, and the last place.
-    pub history: Vec<EntryPosition>,
-    pub position: EntryPosition,
-    /// The group's state in bincode.
-    #[serde(with = "serde_bytes")]
-    pub state: Vec<u8>,
-}
-
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum StoreReply {
     Accepted,
@@ -282,15 +243,17 @@
     NotFound,
     /// Nobody here can be sure.
     Unsure,
-    /// Groups whose entries every further link has, too.
+    /// Groups in which every further link is level and has the entries, too.
     Appended {
-        committed: Vec<GroupNumber>,
+        reached: Vec<GroupNumber>,
     },
+    /// Taken notice of.
+    Noted,
     /// The asked store is in that view.
     OtherEpoch(u64),
     Position(EntryPosition),
     /// The copy is on the disk.
     Installed,
-    Entries(Vec<Entry>),
+    Entries(EntryBatch),
     Copy(GroupCopy),
 }
