--- /dev/null
+++ b/crates/batch-judge/src/lib.rs
@@ -0,0 +1,181 @@
+//! The users' rules of batch jobs, judged by what clients and servers saw. It knows nothing of how the tier works; the simulator
+//! and the soak hand it the same events. Times are microseconds of whatever clock the caller has.
+
+mod seen;
+
+use std::collections::BTreeMap;
+use std::fmt::Debug;
+
+use seen::JobSeen;
+pub use seen::{Listed, Outcome, SentItem, SentJob};
+use strum::Display;
+
+/// Microseconds.
+pub type Micros = u64;
+
+/// A rule that was broken; the names are the users'.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
+#[strum(serialize_all = "SCREAMING_SNAKE_CASE")]
+pub enum Rule {
+    /// What was accepted or read is not there.
+    Lost,
+    /// A position holds another result than before, or an item stands at two.
+    Twice,
+    /// A wrong total, a foreign item, a text that no run gave.
+    Mixed,
+    /// More tokens are queued than allowed at a 202.
+    Quota,
+    /// An item runs though its batch job was ended.
+    Unasked,
+    /// An item of an open batch job is not listed in the end.
+    Unfinished,
+}
+
+/// A broken rule with what was seen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    pub rule: Rule,
+    pub at: Micros,
+    pub what: String,
+}
+
+/// Bounds that the rules name.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// After so long what was accepted or read is there for everybody.
+    pub settle: Micros,
+    /// After the acknowledgement of an end nothing runs any more after so long.
+    pub cancel: Micros,
+    /// Tokens of a tenant that may be queued (0: any number), overage included.
+    pub most_queued: u64,
+}
+
+/// What a reader got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PageSeen {
+    pub start: usize,
+    pub total: usize,
+    pub results: Vec<Listed>,
+}
+
+/// The judge.
+#[derive(Clone, Debug)]
+pub struct BatchJudge {
+    bounds: Bounds,
+    jobs: BTreeMap<String, JobSeen>,
+    /// By item, the batch job that it belongs to.
+    items: BTreeMap<String, String>,
+    pub broken: Vec<Broken>,
+    pub reads: u64,
+}
+
+impl BatchJudge {
+    pub fn new(bounds: Bounds) -> Self {
+        Self { bounds, jobs: BTreeMap::new(), items: BTreeMap::new(), broken: Vec::new(), reads: 0 }
+    }
+
+    fn blame(&mut self, rule: Rule, at: Micros, what: impl Into<String>) {
+        self.broken.push(Broken { rule, at, what: what.into() });
+    }
+
+    /// A batch job is sent, perhaps once more.
+    pub fn sent(&mut self, job: &SentJob) {
+        for item in &job.items {
+            self.items.insert(item.id.clone(), job.id.clone());
+        }
+        self.jobs.entry(job.id.clone()).or_insert_with(|| JobSeen::new(job.clone()));
+    }
+
+    /// A client got the 202 of a batch job.
+    pub fn accepted(&mut self, at: Micros, job: &str) {
+        let Some(seen) = self.jobs.get_mut(job) else { return };
+        let again = seen.accepted.replace(seen.accepted.unwrap_or(at)).is_some();
+        let tenant = seen.sent.tenant.clone();
+        let queued: u64 =
+            self.jobs.values().filter(|seen| seen.sent.tenant == tenant).map(JobSeen::queued).sum();
+        let most = self.bounds.most_queued;
+        if !again && most > 0 && queued > most {
+            self.blame(
+                Rule::Quota,
+                at,
+                format!("{job}: {queued} tokens of {tenant} are queued, {most} may be"),
+            );
+        }
+    }
+
+    /// A client asks for the end of a batch job.
+    pub fn end_asked(&mut self, job: &str) {
+        if let Some(seen) = self.jobs.get_mut(job) {
+            seen.end_asked = true;
+        }
+    }
+
+    /// The end of a batch job is acknowledged.
+    pub fn ended(&mut self, at: Micros, job: &str) {
+        if let Some(seen) = self.jobs.get_mut(job) {
+            seen.ended = seen.ended.or(Some(at));
+        }
+    }
+
+    /// A server begins an item.
+    pub fn began(&mut self, at: Micros, item: &str) {
+        let Some(seen) = self.items.get(item).and_then(|job| self.jobs.get(job)) else {
+            return self.blame(Rule::Unasked, at, format!("{item} was never sent"));
+        };
+        if seen.ended.is_some_and(|ended| at > ended + self.bounds.cancel) {
+            self.blame(Rule::Unasked, at, format!("{item} runs, its batch job was ended"));
+        }
+    }
+
+    /// A server has done an item whole, with this text.
+    pub fn done(&mut self, item: &str, text: &str) {
+        if let Some(seen) = self.items.get(item).and_then(|job| self.jobs.get_mut(job)) {
+            seen.outputs.entry(item.to_owned()).or_default().push(text.to_owned());
+        }
+    }
+
+    /// A reader that asked at `asked` got a page.
+    pub fn read(&mut self, asked: Micros, at: Micros, job: &str, page: &PageSeen, reader: &str) {
+        self.reads += 1;
+        let Some(seen) = self.jobs.get_mut(job) else { return };
+        let settle = self.bounds.settle;
+        let broken = seen.take_page(asked, at, page, settle);
+        for (rule, what) in broken {
+            self.blame(rule, at, format!("{job}: {what} (through {reader})"));
+        }
+    }
+
+    /// A reader that asked at `asked` got 404 for a batch job.
+    pub fn not_found(&mut self, asked: Micros, at: Micros, job: &str, reader: &str) {
+        let Some(seen) = self.jobs.get(job) else { return };
+        if seen.accepted.is_some_and(|accepted| asked > accepted + self.bounds.settle) {
+            self.blame(Rule::Lost, at, format!("{job} is not found (through {reader})"));
+        }
+    }
+
+    /// Batch jobs that were accepted.
+    pub fn accepted_jobs(&self) -> Vec<String> {
+        self.jobs.iter().filter(|(_, seen)| seen.accepted.is_some()).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Of an accepted batch job: how many items it has, whether its end was asked for.
+    pub fn is_finished(&self, job: &str) -> bool {
+        self.jobs.get(job).is_some_and(|seen| seen.end_asked || seen.listed.len() == seen.sent.items.len())
+    }
+
+    /// Nothing may be asked of the tier any more: what is open must be finished.
+    pub fn close(&mut self, at: Micros) {
+        let unfinished: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|(_, seen)| seen.accepted.is_some() && !seen.end_asked)
+            .filter(|(_, seen)| seen.listed.len() < seen.sent.items.len())
+            .map(|(id, seen)| {
+                format!("{id}: {} of {} items are listed", seen.listed.len(), seen.sent.items.len())
+            })
+            .collect();
+        for what in unfinished {
+            self.blame(Rule::Unfinished, at, what);
+        }
+    }
+}
--- a/crates/control-plane/src/store/replication.rs
+++ b/crates/control-plane/src/store/replication.rs
@@ -172,11 +172,13 @@
         StoreReply::Appended { reached: self.replicate(epoch, level, synced).await }
     }
 
-    /// How far this store is in a group, in the view of `epoch`.
+    /// How far this store, as a link, is in a group in the view of `epoch`.
     pub(super) async fn position(&self, epoch: u64, group: GroupNumber) -> StoreReply {
         match self.view_of(epoch).await {
-            Some(_) => StoreReply::Position(self.replica(group).borrow().position()),
-            None => StoreReply::OtherEpoch(self.view().epoch),
+            Some(view) if self.role(&view, group).is_some() => {
+                StoreReply::Position(self.replica(group).borrow().position())
+            }
+            _ => StoreReply::OtherEpoch(self.view().epoch),
         }
     }
 
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -12,6 +12,7 @@
 mod operator;
 mod plant;
 mod shrink;
+mod stores;
 mod threads;
 mod world;
 
@@ -22,5 +23,9 @@
 pub use ledger::{Decision, Ledger, Order};
 pub use plant::Plant;
 pub use shrink::shrunk;
+pub use stores::{
+    play_stores, play_stores_and_print, shrunk_stores, StoreDay, StoreFamily, StorePlant, StoreStrike,
+    StoreTrouble, StoresPlayed,
+};
 pub use threads::on_threads;
 pub use world::{play, play_and_print, Played};
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -1,5 +1,7 @@
 //! The command line: plays drawn days, one day again, or days with a planted mistake.
 
+mod stores_command;
+
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::time::Instant;
@@ -17,6 +19,10 @@
                     each planted mistake: how many days until the judge finds it
 fennelgauge-simulate exhaust [--depth N] [--threads N] [--planted]
                     every order of fewer than N events at a small size; with each planted mistake
+fennelgauge-simulate stores [--from N] [--count N] [--family NAME] [--threads N]
+fennelgauge-simulate stores-day SEED [--family NAME] [--print] [--planted NAME]
+fennelgauge-simulate stores-planted [--most N] [--threads N]
+                    the same for days of the stores; families of these: overlap, all-dark, halves, flap, repair, head-freeze, mixed
 families: cut-off, races, second-loss, many-changes, duels, mixed (they take turns where none is named)";
 
 const SHOWN: usize = 3;
@@ -26,6 +32,9 @@
 fn main() -> anyhow::Result<()> {
     let mut arguments = pico_args::Arguments::from_env();
     let verb = arguments.subcommand()?;
+    if verb.as_deref().is_some_and(|verb| verb.starts_with("stores")) {
+        return stores_command::command(verb.as_deref().unwrap_or(""), arguments);
+    }
     let family: Option<Family> = arguments.opt_value_from_str("--family")?;
     let threads: u64 = arguments.opt_value_from_str("--threads")?.unwrap_or(4);
     let prints = arguments.contains("--print");
--- /dev/null
+++ b/crates/simulation/src/stores/day.rs
@@ -0,0 +1,278 @@
+//! Days of the stores: what strikes them when. A seed draws a day; a family leans it towards one kind of trouble.
+
+use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
+
+use crate::chance::Chance;
+use crate::day::{Micros, MILLISECOND, SECOND};
+
+const FIRST_TROUBLE: Micros = 4 * SECOND;
+
+/// What a day leans towards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum StoreFamily {
+    /// More stores than may be lost are dark at once, again and again; no disk is lost.
+    Overlap,
+    /// All are dark and come back one by one.
+    AllDark,
+    /// Two halves, one-way cuts.
+    Halves,
+    /// The same stores go down and up.
+    Flap,
+    /// Disks are lost and stores replaced while others are being repaired.
+    Repair,
+    /// Heads freeze between their sync and what they send; views that are old.
+    HeadFreeze,
+    Mixed,
+}
+
+/// What happens to a store at the moment at which a view is decided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter)]
+pub enum AtView {
+    Kill,
+    Freeze,
+    SlowLink,
+    Cut,
+    Unheard,
+}
+
+/// Stores are named by rank: the links of one group first, head to tail, then the others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreTrouble {
+    /// Processes end; the disks stay.
+    Kill {
+        stores: Vec<usize>,
+        for_: Micros,
+    },
+    Freeze {
+        store: usize,
+        for_: Micros,
+    },
+    /// The next store that heads a group and has something on its disk freezes before it sends it.
+    FreezeHead {
+        for_: Micros,
+    },
+    /// The next store that answers a reader is killed, or cut off from the core.
+    StrikeReader {
+        for_: Micros,
+        kill: bool,
+    },
+    /// The store of that rank, when the next view is decided.
+    StrikeAtView {
+        for_: Micros,
+        how: AtView,
+        rank: usize,
+    },
+    Cut {
+        inside: Vec<usize>,
+        for_: Micros,
+        one_way: bool,
+    },
+    /// Not heard by the core, and without its news.
+    CutFromCore {
+        stores: Vec<usize>,
+        for_: Micros,
+    },
+    Lossy {
+        for_: Micros,
+        lost: u64,
+    },
+    SlowLink {
+        store: usize,
+        for_: Micros,
+        delay: Micros,
+    },
+    SlowDisk {
+        store: usize,
+        for_: Micros,
+        times: u64,
+    },
+    CoreDark {
+        for_: Micros,
+    },
+    /// All lose power; each is back after its own time.
+    AllDark {
+        back: Vec<Micros>,
+    },
+    /// The disk is lost; the store comes back empty.
+    Wipe {
+        store: usize,
+        for_: Micros,
+    },
+    /// Gone for good; an empty one comes at another address.
+    Replace {
+        store: usize,
+        gap: Micros,
+    },
+    Retire {
+        store: usize,
+    },
+    Add,
+    /// A data plane gets no news.
+    StalePlane {
+        plane: usize,
+        for_: Micros,
+    },
+}
+
+impl StoreTrouble {
+    /// With the stores that have these ranks at the time.
+    pub fn at(self, of_rank: &impl Fn(usize) -> usize) -> Self {
+        let all = |ranks: Vec<usize>| ranks.into_iter().map(of_rank).collect();
+        match self {
+            Self::Kill { stores, for_ } => Self::Kill { stores: all(stores), for_ },
+            Self::Freeze { store, for_ } => Self::Freeze { store: of_rank(store), for_ },
+            Self::Cut { inside, for_, one_way } => Self::Cut { inside: all(inside), for_, one_way },
+            Self::CutFromCore { stores, for_ } => Self::CutFromCore { stores: all(stores), for_ },
+            Self::SlowLink { store, for_, delay } => Self::SlowLink { store: of_rank(store), for_, delay },
+            Self::SlowDisk { store, for_, times } => Self::SlowDisk { store: of_rank(store), for_, times },
+            Self::Wipe { store, for_ } => Self::Wipe { store: of_rank(store), for_ },
+            Self::Replace { store, gap } => Self::Replace { store: of_rank(store), gap },
+            Self::Retire { store } => Self::Retire { store: of_rank(store) },
+            other => other,
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreStrike {
+    pub at: Micros,
+    pub trouble: StoreTrouble,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreDay {
+    pub seed: u64,
+    pub family: StoreFamily,
+    pub losses: usize,
+    pub stores: usize,
+    pub zones: usize,
+    pub tenants: usize,
+    /// Between a tenant's batch jobs.
+    pub pause: Micros,
+    pub strikes: Vec<StoreStrike>,
+    /// When all lose power at last, and so many disks are lost.
+    pub closing: Micros,
+    pub closing_wipes: usize,
+}
+
+impl StoreDay {
+    /// The day of a seed; families take turns.
+    pub fn drawn(seed: u64) -> Self {
+        let families: Vec<StoreFamily> = StoreFamily::iter().collect();
+        Self::of_family(seed, families[(seed % families.len() as u64) as usize])
+    }
+
+    pub fn of_family(seed: u64, family: StoreFamily) -> Self {
+        let mut chance = Chance::new(seed ^ 0x7374_6f72);
+        let losses = 1 + chance.below(2);
+        let stores = losses + 3 + chance.below(7 - losses);
+        let zones = 2 + chance.below(3);
+        let length = chance.between(6 * SECOND, 16 * SECOND);
+        let mut day = Self {
+            seed,
+            family,
+            losses,
+            stores,
+            zones,
+            tenants: 1 + chance.below(3),
+            pause: chance.between(80 * MILLISECOND, 900 * MILLISECOND),
+            strikes: Vec::new(),
+            closing: FIRST_TROUBLE + length,
+            closing_wipes: chance.below(losses + 1),
+        };
+        let count = 3 + chance.below(14);
+        for _ in 0..count {
+            let at = FIRST_TROUBLE + chance.between(0, length);
+            let trouble = day.trouble(&mut chance);
+            day.strikes.push(StoreStrike { at, trouble });
+        }
+        day.strikes.sort_by_key(|strike| strike.at);
+        day
+    }
+
+    fn trouble(&self, chance: &mut Chance) -> StoreTrouble {
+        let kind = match self.family {
+            StoreFamily::Mixed => chance.below(100),
+            _ if chance.in_thousand(250) => chance.below(100),
+            _ if chance.in_thousand(200) => return self.at_view(chance),
+            StoreFamily::Overlap => return self.kill(chance, self.losses + 2),
+            StoreFamily::AllDark if chance.in_thousand(350) => return self.all_dark(chance),
+            StoreFamily::AllDark => return self.kill(chance, self.losses),
+            StoreFamily::Halves => 30 + chance.below(25),
+            StoreFamily::Flap => {
+                let store = chance.below(2);
+                return match chance.in_thousand(600) {
+                    true => StoreTrouble::Kill { stores: vec![store], for_: short(chance) },
+                    false => StoreTrouble::Freeze { store, for_: short(chance) },
+                };
+            }
+            StoreFamily::Repair if chance.in_thousand(500) => 80 + chance.below(20),
+            StoreFamily::Repair => return self.kill(chance, self.losses),
+            StoreFamily::HeadFreeze => 15 + chance.below(15),
+        };
+        let store = chance.below(self.stores);
+        match kind {
+            0..=9 => self.kill(chance, self.losses + 1),
+            10..=14 => StoreTrouble::Freeze { store, for_: short(chance) },
+            15..=21 => StoreTrouble::FreezeHead { for_: short(chance) },
+            22..=25 => StoreTrouble::StrikeReader { for_: short(chance), kill: chance.in_thousand(500) },
+            26..=29 => StoreTrouble::StalePlane { plane: chance.below(3), for_: 2 * short(chance) },
+            30..=40 => {
+                let size = 1 + chance.below(self.stores / 2 + 1);
+                let inside = self.some(chance, size);
+                StoreTrouble::Cut { inside, for_: short(chance), one_way: chance.in_thousand(350) }
+            }
+            41..=48 => {
+                let stores = self.some(chance, self.losses + 1);
+                StoreTrouble::CutFromCore { stores, for_: short(chance) }
+            }
+            49..=54 => StoreTrouble::CoreDark { for_: short(chance) },
+            55..=59 => StoreTrouble::Lossy { for_: short(chance), lost: chance.between(50, 400) },
+            60..=64 => {
+                let delay = chance.between(20 * MILLISECOND, 2 * SECOND);
+                StoreTrouble::SlowLink { store, for_: short(chance), delay }
+            }
+            65..=69 => StoreTrouble::SlowDisk { store, for_: short(chance), times: chance.between(5, 200) },
+            70..=74 => self.all_dark(chance),
+            75..=79 => StoreTrouble::Add,
+            80..=89 => StoreTrouble::Wipe { store, for_: short(chance) },
+            90..=95 => StoreTrouble::Replace { store, gap: short(chance) },
+            _ => StoreTrouble::Retire { store },
+        }
+    }
+
+    fn kill(&self, chance: &mut Chance, most: usize) -> StoreTrouble {
+        let size = 1 + chance.below(most);
+        StoreTrouble::Kill { stores: self.some(chance, size), for_: short(chance) }
+    }
+
+    fn at_view(&self, chance: &mut Chance) -> StoreTrouble {
+        let ways: Vec<AtView> = AtView::iter().collect();
+        let how = chance.pick(&ways).copied().unwrap_or(AtView::Kill);
+        StoreTrouble::StrikeAtView { for_: short(chance), how, rank: chance.below(self.losses + 3) }
+    }
+
+    fn all_dark(&self, chance: &mut Chance) -> StoreTrouble {
+        let apart = chance.between(0, 1_500 * MILLISECOND);
+        let back = (0..self.stores).map(|_| chance.between(0, 1 + apart * self.stores as u64 / 2));
+        StoreTrouble::AllDark { back: back.map(|more| 300 * MILLISECOND + more).collect() }
+    }
+
+    fn some(&self, chance: &mut Chance, size: usize) -> Vec<usize> {
+        let mut all: Vec<usize> = (0..self.stores).collect();
+        let mut some = Vec::new();
+        for _ in 0..size.min(self.stores) {
+            some.push(all.swap_remove(chance.below(all.len())));
+        }
+        some
+    }
+}
+
+/// Around the time after which a silent store is put out.
+fn short(chance: &mut Chance) -> Micros {
+    match chance.in_thousand(700) {
+        true => chance.between(200 * MILLISECOND, 2_000 * MILLISECOND),
+        false => chance.between(1_000 * MILLISECOND, 4_000 * MILLISECOND),
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/stores/mod.rs
@@ -0,0 +1,44 @@
+//! Simulated days of the stores: the very state machines that stores and the placement run (`fennelgauge-replication`, the planner of
+//! `fennelgauge-coordination`), with clients that submit, end and read batch jobs through data planes whose views are old, while stores are
+//! killed, frozen, cut off, wiped and replaced. The judge is `fennelgauge-batch-judge`, which the soak uses, too.
+
+mod client;
+mod core;
+mod day;
+mod disk;
+mod handling;
+mod plant;
+mod protocol;
+mod store;
+mod strikes;
+mod task;
+mod world;
+
+pub use day::{StoreDay, StoreFamily, StoreStrike, StoreTrouble};
+pub use plant::StorePlant;
+pub use world::{play_stores, play_stores_and_print, StoresPlayed};
+
+/// The day without the troubles that the broken rule does not need.
+pub fn shrunk_stores(
+    day: &StoreDay,
+    rule: fennelgauge_batch_judge::Rule,
+    plant: Option<StorePlant>,
+) -> StoreDay {
+    let breaks = |day: &StoreDay| play_stores(day, plant).broken.iter().any(|broken| broken.rule == rule);
+    let mut smallest = day.clone();
+    let mut at = smallest.strikes.len();
+    while at > 0 {
+        at -= 1;
+        let mut smaller = smallest.clone();
+        smaller.strikes.remove(at);
+        if breaks(&smaller) {
+            smallest = smaller;
+        }
+    }
+    let mut without_wipes = smallest.clone();
+    without_wipes.closing_wipes = 0;
+    match breaks(&without_wipes) {
+        true => without_wipes,
+        false => smallest,
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/stores/plant.rs
@@ -0,0 +1,49 @@
+//! Mistakes that are switched on to see that the judge finds them.
+
+use fennelgauge_coordination::PlannerBug;
+use fennelgauge_replication::ReplicaBug;
+use strum::IntoEnumIterator;
+
+/// A mistake: of one group on one store, of the placement, or of the process around them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StorePlant {
+    Replica(ReplicaBug),
+    Planner(PlannerBug),
+    /// After a restart a store takes part in a view that is earlier than what it has.
+    GoesBack,
+    /// Reads are answered while too few links hold the group.
+    AnswersWhileClosed,
+    /// Changes are taken while too few links hold the group.
+    ChangesWhileClosed,
+    /// A tail answers without asking the other links.
+    AnswersWithoutAsking,
+    /// Entries go on before they are on the disk.
+    PassesOnUnsynced,
+    /// The head counts an entry as committed when it is on its own disk.
+    CommitsAlone,
+    /// Any link answers reads.
+    AnyLinkAnswers,
+    /// What a wiped store was is not forgotten: it comes back under the same identity.
+    WipedKeepsIdentity,
+    /// Entries of an earlier view are taken.
+    OldViewsAreServed,
+}
+
+impl StorePlant {
+    pub fn all() -> Vec<Self> {
+        let replica = ReplicaBug::iter().map(Self::Replica);
+        let planner = PlannerBug::iter().map(Self::Planner);
+        let around = [
+            Self::GoesBack,
+            Self::AnswersWhileClosed,
+            Self::ChangesWhileClosed,
+            Self::AnswersWithoutAsking,
+            Self::PassesOnUnsynced,
+            Self::CommitsAlone,
+            Self::AnyLinkAnswers,
+            Self::WipedKeepsIdentity,
+            Self::OldViewsAreServed,
+        ];
+        replica.chain(planner).chain(around).collect()
+    }
+}
--- /dev/null
+++ b/crates/simulation/src/stores/world.rs
@@ -0,0 +1,491 @@
+//! Plays a day of the stores: one queue of events in the order of simulated time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use fennelgauge_batch_judge::{BatchJudge, Bounds, Broken, Rule};
+use fennelgauge_coordination::{Heard, StoreView};
+
+use super::client::{group_of, Client, Duty, CLIENT_PATIENCE, MOST_QUEUED_WITH_OVERAGE};
+use super::core::{SimCore, GATHER_FOR, PLAN_EVERY};
+use super::day::{AtView, StoreDay};
+use super::plant::StorePlant;
+use super::protocol::{Answer, Ask, Call, Caller};
+use super::store::{Effect, SimStore, Step};
+use crate::chance::Chance;
+use crate::day::{Micros, MILLISECOND, SECOND};
+use crate::network::Network;
+
+const LOOK_EVERY: Micros = 100 * MILLISECOND;
+const PRESENCE_EVERY: Micros = 250 * MILLISECOND;
+const PRESENCE_LEAST: Micros = 60 * MILLISECOND;
+const CLIENTS_BEGIN: Micros = 2_500 * MILLISECOND;
+/// After the closing, all is open and level by then.
+const RECOVER: Micros = 15 * SECOND;
+/// All that is open is finished then, and is read once more.
+const FINISH: Micros = 10 * SECOND;
+const SWEEP: Micros = 5 * SECOND;
+pub(super) const CLOSING_DARK: (Micros, Micros) = (300 * MILLISECOND, 900 * MILLISECOND);
+const PLANES: usize = 3;
+const READERS: usize = 4;
+const CLIENT_DELAY: (Micros, Micros) = (MILLISECOND, 5 * MILLISECOND);
+const NEWS_DELAY: (Micros, Micros) = (2 * MILLISECOND, 90 * MILLISECOND);
+const SETTLE: Micros = SECOND;
+const CANCEL: Micros = 3 * SECOND;
+/// More broken rules are not kept.
+const ENOUGH: usize = 20;
+
+/// What came of a day.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoresPlayed {
+    pub broken: Vec<Broken>,
+    pub acceptances: u64,
+    pub reads: u64,
+    pub views: u64,
+    /// Copies that took away what a reader had been shown.
+    pub shown_dropped: Vec<String>,
+    /// Mixes all that happened: the same for the same day.
+    pub trace: u64,
+}
+
+/// Plays one day.
+pub fn play_stores(day: &StoreDay, plant: Option<StorePlant>) -> StoresPlayed {
+    World::new(day, plant, false).run()
+}
+
+/// Plays one day and prints what happens as it comes.
+pub fn play_stores_and_print(day: &StoreDay, plant: Option<StorePlant>) -> StoresPlayed {
+    World::new(day, plant, true).run()
+}
+
+#[derive(Debug)]
+pub(super) enum Event {
+    Start(usize),
+    Ask { to: usize, call: Call, ask: Ask },
+    Answer { call: Call, answer: Option<Answer> },
+    Written { store: usize, life: u64, write: u64 },
+    Flush { store: usize, life: u64 },
+    Look { store: usize, life: u64 },
+    LookOnce { store: usize, life: u64 },
+    Presence { store: usize, life: u64 },
+    Hear(Heard),
+    Plan { again: bool },
+    News { store: usize, view: Rc<StoreView> },
+    PlaneNews { plane: usize, view: Rc<StoreView> },
+    Client(usize),
+    Strike(usize),
+    Thaw(usize),
+    Close,
+}
+
+/// A data plane: only its view of the stores matters here.
+#[derive(Debug, Default)]
+pub(super) struct Plane {
+    pub view: Rc<StoreView>,
+    pub stale_until: Micros,
+}
+
+/// What waits for the next occasion.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Trap {
+    FreezeHead { for_: Micros },
+    StrikeReader { for_: Micros, kill: bool },
+    StrikeAtView { for_: Micros, how: AtView, rank: usize },
+}
+
+pub(super) struct World<'a> {
+    pub day: &'a StoreDay,
+    pub plant: Option<StorePlant>,
+    pub prints: bool,
+    pub now: Micros,
+    pub chance: Chance,
+    queue: BTreeMap<(Micros, u64), Event>,
+    queued: u64,
+    pub stores: Vec<SimStore>,
+    /// Events that came while a store was frozen.
+    pub held: BTreeMap<usize, Vec<Event>>,
+    pub network: Network,
+    /// Stores that the core does not hear, until when.
+    pub unheard: BTreeMap<usize, Micros>,
+    pub core: SimCore,
+    pub planes: Vec<Plane>,
+    pub clients: Vec<Client>,
+    pub judge: BatchJudge,
+    pub traps: Vec<Trap>,
+    pub to_end: Vec<String>,
+    pub swept: BTreeSet<String>,
+    pub acceptances: u64,
+    pub views: u64,
+    pub wipes: usize,
+    pub troubled_until: Micros,
+    pub closed: bool,
+    told: BTreeMap<usize, Heard>,
+    next_call: u64,
+    shown_dropped: Vec<String>,
+    trace: u64,
+}
+
+impl<'a> World<'a> {
+    fn new(day: &'a StoreDay, plant: Option<StorePlant>, prints: bool) -> Self {
+        let planted = match plant {
+            Some(StorePlant::Planner(bug)) => Some(bug),
+            _ => None,
+        };
+        let bounds = Bounds { settle: SETTLE, cancel: CANCEL, most_queued: MOST_QUEUED_WITH_OVERAGE };
+        let mut world = Self {
+            day,
+            plant,
+            prints,
+            now: 0,
+            chance: Chance::new(day.seed),
+            queue: BTreeMap::new(),
+            queued: 0,
+            stores: Vec::new(),
+            held: BTreeMap::new(),
+            network: Network::default(),
+            unheard: BTreeMap::new(),
+            core: SimCore::new(day.losses, planted),
+            planes: (0..PLANES).map(|_| Plane::default()).collect(),
+            clients: Vec::new(),
+            judge: BatchJudge::new(bounds),
+            traps: Vec::new(),
+            to_end: Vec::new(),
+            swept: BTreeSet::new(),
+            acceptances: 0,
+            views: 0,
+            wipes: 0,
+            troubled_until: 0,
+            closed: false,
+            told: BTreeMap::new(),
+            next_call: 0,
+            shown_dropped: Vec::new(),
+            trace: 0,
+        };
+        for _ in 0..day.stores {
+            world.add_store();
+        }
+        let submitters = (0..day.tenants).map(|tenant| Duty::Submit { tenant, job: None, tries: 0 });
+        let readers = (0..READERS).map(|_| Duty::Read { job: None });
+        world.clients = submitters.chain(readers).chain([Duty::End { job: None }]).map(Client::new).collect();
+        for client in 0..world.clients.len() {
+            let at = CLIENTS_BEGIN + world.chance.between(0, SECOND);
+            world.at(at, Event::Client(client));
+        }
+        for (place, strike) in day.strikes.iter().enumerate() {
+            world.at(strike.at, Event::Strike(place));
+        }
+        world.at(day.closing, Event::Close);
+        world.at(PLAN_EVERY, Event::Plan { again: true });
+        world
+    }
+
+    pub fn add_store(&mut self) {
+        let place = self.stores.len();
+        let groups = (0..self.day.tenants).map(group_of).collect();
+        self.stores.push(SimStore::new(place, place % self.day.zones, groups, self.plant));
+        let at = self.now + self.chance.between(0, 300 * MILLISECOND);
+        self.at(at, Event::Start(place));
+    }
+
+    pub fn at(&mut self, at: Micros, event: Event) {
+        self.queued += 1;
+        self.queue.insert((at.max(self.now), self.queued), event);
+    }
+
+    pub fn print(&self, what: impl FnOnce() -> String) {
+        if self.prints {
+            println!("{:>9.3} {}", self.now as f64 / 1_000_000.0, what());
+        }
+    }
+
+    fn ends_at(&self) -> Micros {
+        self.day.closing + RECOVER + FINISH + SWEEP
+    }
+
+    pub fn is_sweeping(&self) -> bool {
+        self.now > self.day.closing + RECOVER + FINISH
+    }
+
+    /// New batch jobs come until all is to be finished.
+    pub fn may_submit(&self) -> bool {
+        self.now < self.day.closing + RECOVER
+    }
+
+    fn run(mut self) -> StoresPlayed {
+        while let Some(((at, _), event)) = self.queue.pop_first() {
+            if at > self.ends_at() || self.judge.broken.len() >= ENOUGH {
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+        self.finish();
+        StoresPlayed {
+            broken: self.judge.broken,
+            acceptances: self.acceptances,
+            reads: self.judge.reads,
+            views: self.views,
+            shown_dropped: self.shown_dropped,
+            trace: self.trace,
+        }
+    }
+
+    fn finish(&mut self) {
+        let now = self.now;
+        for job in self.judge.accepted_jobs() {
+            if !self.swept.contains(&job) && now >= self.ends_at().saturating_sub(SECOND) {
+                let what = format!("{job} cannot be read in the end");
+                self.judge.broken.push(Broken { rule: Rule::Lost, at: now, what });
+            }
+        }
+        self.judge.close(now);
+    }
+
+    fn mix(&mut self, value: u64) {
+        self.trace = (self.trace ^ value).wrapping_mul(0x0100_0000_01b3).rotate_left(23) ^ self.now;
+    }
+
+    /// The store that an event is for, if it is for one.
+    fn store_of(event: &Event) -> Option<usize> {
+        match event {
+            Event::Ask { to: store, .. }
+            | Event::Flush { store, .. }
+            | Event::Look { store, .. }
+            | Event::LookOnce { store, .. }
+            | Event::Presence { store, .. }
+            | Event::Written { store, .. }
+            | Event::News { store, .. } => Some(*store),
+            Event::Answer { call: Call { caller: Caller::Store { store, .. }, .. }, .. } => Some(*store),
+            _ => None,
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        if let Some(store) = Self::store_of(&event) {
+            if self.now < self.stores[store].frozen_until {
+                return self.held.entry(store).or_default().push(event);
+            }
+        }
+        self.mix(self.queued);
+        match event {
+            Event::Start(store) => self.start(store),
+            Event::Ask { to, call, ask } => {
+                if self.stores[to].is_up {
+                    self.print(|| format!("s{to} is asked by {:?}: {}", call.caller, brief(&ask)));
+                    self.step(to, |store, step| store.ask(call, ask, step));
+                }
+            }
+            Event::Answer { call, answer } => self.answer(call, answer),
+            Event::Written { store, life, write } => {
+                self.step_in(store, life, |store, step| store.written(write, step));
+            }
+            Event::Flush { store, life } => self.step_in(store, life, SimStore::flush),
+            Event::LookOnce { store, life } => self.step_in(store, life, SimStore::look),
+            Event::Look { store, life } => self.look(store, life),
+            Event::Presence { store, life } => self.presence(store, life),
+            Event::Hear(heard) => {
+                if self.core.hear(self.now, heard) {
+                    self.at(self.now + GATHER_FOR, Event::Plan { again: false });
+                }
+            }
+            Event::Plan { again } => self.plan(again),
+            Event::News { store, view } => {
+                if self.stores[store].is_up && !self.is_unheard(store) {
+                    self.step(store, |store, step| store.take_view(&view, step));
+                }
+            }
+            Event::PlaneNews { plane, view } => {
+                let plane = &mut self.planes[plane];
+                if self.now >= plane.stale_until && view.epoch > plane.view.epoch {
+                    plane.view = view;
+                }
+            }
+            Event::Client(client) => self.client_turn(client),
+            Event::Strike(place) => self.strike(place),
+            Event::Thaw(store) => self.thaw(store),
+            Event::Close => self.close(),
+        }
+    }
+
+    fn start(&mut self, store: usize) {
+        if self.stores[store].is_up || self.stores[store].is_gone {
+            return;
+        }
+        self.print(|| format!("s{store} starts"));
+        self.step(store, SimStore::begin);
+        let life = self.stores[store].life;
+        self.told.remove(&store);
+        let age = self.chance.between(0, 1_500 * MILLISECOND);
+        let view = self.core.view_as_of(self.now, age);
+        if !self.core.is_dark(self.now) && !self.is_unheard(store) {
+            self.step(store, |store, step| store.take_view(&view, step));
+        }
+        self.at(self.now + MILLISECOND, Event::Look { store, life });
+        self.at(self.now + MILLISECOND, Event::Presence { store, life });
+    }
+
+    /// One step of a store, and what follows from it.
+    pub fn step(&mut self, store: usize, act: impl FnOnce(&mut SimStore, &mut Step)) {
+        let effects = {
+            let mut step = Step { now: self.now, chance: &mut self.chance, effects: Vec::new() };
+            act(&mut self.stores[store], &mut step);
+            step.effects
+        };
+        for effect in effects {
+            self.follow(store, effect);
+        }
+    }
+
+    fn step_in(&mut self, store: usize, life: u64, act: impl FnOnce(&mut SimStore, &mut Step)) {
+        if self.stores[store].is_up && self.stores[store].life == life {
+            self.step(store, act);
+        }
+    }
+
+    fn follow(&mut self, store: usize, effect: Effect) {
+        let life = self.stores[store].life;
+        match effect {
+            Effect::Send { to, call, ask, within } => {
+                self.at(self.now + within, Event::Answer { call, answer: None });
+                for at in self.network.arrivals(self.now, store, to, &mut self.chance) {
+                    self.at(at, Event::Ask { to, call, ask: ask.clone() });
+                }
+            }
+            Effect::Answer { call, answer } => self.send_answer(store, call, answer),
+            Effect::Written { write, at } => self.at(at, Event::Written { store, life, write }),
+            Effect::Wake { at } => self.at(at, Event::LookOnce { store, life }),
+            Effect::Flush { at } => self.at(at, Event::Flush { store, life }),
+            Effect::Began { item } => {
+                self.print(|| format!("s{store} has {item} run"));
+                self.judge.began(self.now, &item);
+            }
+            Effect::Done { item, text } => self.judge.done(&item, &text),
+            Effect::HeadSynced => self.spring(store, false),
+            Effect::ReaderAnswered => self.spring(store, true),
+            Effect::DropsShown { what } => {
+                self.print(|| what.clone());
+                self.shown_dropped.push(what);
+            }
+        }
+    }
+
+    fn send_answer(&mut self, from: usize, call: Call, answer: Answer) {
+        self.print(|| format!("s{from} answers {:?}: {}", call.caller, brief(&answer)));
+        let arrivals = match call.caller {
+            Caller::Store { store, .. } => self.network.arrivals(self.now, from, store, &mut self.chance),
+            Caller::Client(_) => vec![self.now + self.chance.between(CLIENT_DELAY.0, CLIENT_DELAY.1)],
+        };
+        for at in arrivals.into_iter().take(1) {
+            self.at(at, Event::Answer { call, answer: Some(answer.clone()) });
+        }
+    }
+
+    fn answer(&mut self, call: Call, answer: Option<Answer>) {
+        match call.caller {
+            Caller::Store { store, life } => {
+                self.step_in(store, life, |store, step| store.heard_back(call.number, answer, step));
+            }
+            Caller::Client(client) => self.client_heard(client, call.number, answer),
+        }
+    }
+
+    /// A client's call; its number.
+    pub fn call_of_client(&mut self, client: usize, to: usize, ask: Ask) -> u64 {
+        self.next_call += 1;
+        let call = Call { caller: Caller::Client(client), number: self.next_call };
+        self.at(self.now + CLIENT_PATIENCE, Event::Answer { call, answer: None });
+        let at = self.now + self.chance.between(CLIENT_DELAY.0, CLIENT_DELAY.1);
+        self.at(at, Event::Ask { to, call, ask });
+        self.next_call
+    }
+
+    pub fn client_again(&mut self, client: usize, after: Micros) {
+        self.at(self.now + after, Event::Client(client));
+    }
+
+    fn look(&mut self, store: usize, life: u64) {
+        if !self.stores[store].is_up || self.stores[store].life != life {
+            return;
+        }
+        self.at(self.now + LOOK_EVERY, Event::Look { store, life });
+        if !self.core.is_dark(self.now) && !self.is_unheard(store) {
+            let view = self.core.view_as_of(self.now, 400 * MILLISECOND);
+            self.step(store, |store, step| store.take_view(&view, step));
+        }
+        self.step(store, SimStore::look);
+        let news = self.told.get(&store) != Some(&self.stores[store].heard());
+        if news {
+            let at = self.now + PRESENCE_LEAST;
+            self.tell(store, at);
+        }
+    }
+
+    fn presence(&mut self, store: usize, life: u64) {
+        if self.stores[store].is_up && self.stores[store].life == life {
+            self.at(self.now + PRESENCE_EVERY, Event::Presence { store, life });
+            self.tell(store, self.now);
+        }
+    }
+
+    fn tell(&mut self, store: usize, at: Micros) {
+        if self.stores[store].disk.is_in_trouble(self.now) || self.is_unheard(store) {
+            return;
+        }
+        let heard = self.stores[store].heard();
+        self.told.insert(store, heard.clone());
+        let at = at + self.chance.between(CLIENT_DELAY.0, CLIENT_DELAY.1);
+        self.at(at, Event::Hear(heard));
+    }
+
+    pub fn is_unheard(&self, store: usize) -> bool {
+        self.unheard.get(&store).is_some_and(|until| self.now < *until)
+    }
+
+    fn plan(&mut self, again: bool) {
+        if again {
+            self.at(self.now + PLAN_EVERY, Event::Plan { again });
+            self.planes_ask();
+        }
+        if let Some(view) = self.core.plan(self.now) {
+            self.spread(&view);
+        }
+        self.take_retired_away();
+    }
+
+    /// The news of a view, to all stores and data planes.
+    pub fn spread(&mut self, view: &Rc<StoreView>) {
+        self.views += 1;
+        self.print(|| {
+            let groups = (0..self.day.tenants).filter_map(|tenant| view.group(group_of(tenant)));
+            format!("view {}: {:?}", view.epoch, groups.collect::<Vec<_>>())
+        });
+        for store in 0..self.stores.len() {
+            let at = self.now + self.chance.between(NEWS_DELAY.0, NEWS_DELAY.1);
+            self.at(at, Event::News { store, view: view.clone() });
+        }
+        for plane in 0..self.planes.len() {
+            let at = self.now + self.chance.between(NEWS_DELAY.0, NEWS_DELAY.1);
+            self.at(at, Event::PlaneNews { plane, view: view.clone() });
+        }
+        self.spring_at_view();
+    }
+
+    /// Data planes ask for news from time to time.
+    fn planes_ask(&mut self) {
+        if self.core.is_dark(self.now) {
+            return;
+        }
+        let view = self.core.view_as_of(self.now, PLAN_EVERY);
+        for plane in self.planes.iter_mut().filter(|plane| self.now >= plane.stale_until) {
+            if view.epoch > plane.view.epoch {
+                plane.view = view.clone();
+            }
+        }
+    }
+}
+
+fn brief(what: &impl std::fmt::Debug) -> String {
+    const MOST: usize = 160;
+    let text = format!("{what:?}");
+    text.chars().take(MOST).collect()
+}
--- /dev/null
+++ b/crates/simulation/src/stores_command.rs
@@ -0,0 +1,180 @@
+//! The command line's verbs for days of the stores.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::Instant;
+
+use anyhow::{bail, Context};
+use fennelgauge_batch_judge::Rule;
+use fennelgauge_simulation::{
+    play_stores, play_stores_and_print, shrunk_stores, StoreDay, StoreFamily, StorePlant,
+};
+
+const DAYS: u64 = 1_000;
+const SHOWN: usize = 3;
+
+/// Runs `stores`, `stores-day` or `stores-planted`.
+pub fn command(verb: &str, mut arguments: pico_args::Arguments) -> anyhow::Result<()> {
+    let family: Option<StoreFamily> = arguments.opt_value_from_str("--family")?;
+    let threads: u64 = arguments.opt_value_from_str("--threads")?.unwrap_or(4);
+    let planted: Option<String> = arguments.opt_value_from_str("--planted")?;
+    match verb {
+        "stores" => {
+            let from = arguments.opt_value_from_str("--from")?.unwrap_or(1);
+            let count = arguments.opt_value_from_str("--count")?.unwrap_or(DAYS);
+            play_days(from, count, family, threads)
+        }
+        "stores-day" => {
+            let prints = arguments.contains("--print");
+            let seed = arguments.free_from_str().context("which day: give its seed")?;
+            let day = drawn(seed, family);
+            let plant = planted.map(|name| plant_of(&name)).transpose()?;
+            if prints {
+                play_stores_and_print(&day, plant);
+            }
+            show(&day, plant);
+            Ok(())
+        }
+        "stores-planted" => {
+            let most = arguments.opt_value_from_str("--most")?.unwrap_or(DAYS);
+            find_planted(most, threads)
+        }
+        other => bail!("{other} is no verb: give stores, stores-day or stores-planted"),
+    }
+}
+
+fn plant_of(name: &str) -> anyhow::Result<StorePlant> {
+    let all = StorePlant::all();
+    let names: Vec<String> = all.iter().map(|plant| format!("{plant:?}")).collect();
+    let place = names.iter().position(|known| known == name);
+    let place = place.with_context(|| format!("{name} is no planted mistake: give one of {names:?}"))?;
+    Ok(all[place])
+}
+
+fn drawn(seed: u64, family: Option<StoreFamily>) -> StoreDay {
+    family.map_or_else(|| StoreDay::drawn(seed), |family| StoreDay::of_family(seed, family))
+}
+
+/// Looks at the days of so many seeds on several threads, until `look` says that it is enough.
+fn on_threads(from: u64, count: u64, threads: u64, look: impl Fn(u64) -> bool + Sync) {
+    let next = AtomicU64::new(from);
+    std::thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= from + count {
+                    return;
+                }
+                if !look(seed) {
+                    next.store(from + count, Ordering::Relaxed);
+                }
+            });
+        }
+    });
+}
+
+#[derive(Default)]
+struct Sums {
+    days: u64,
+    acceptances: u64,
+    reads: u64,
+    views: u64,
+    dropped: u64,
+    broken: Vec<StoreDay>,
+    rules: BTreeMap<String, u64>,
+}
+
+fn play_days(from: u64, count: u64, family: Option<StoreFamily>, threads: u64) -> anyhow::Result<()> {
+    let began = Instant::now();
+    let sums = Mutex::new(Sums::default());
+    on_threads(from, count, threads, |seed| {
+        let day = drawn(seed, family);
+        let played = play_stores(&day, None);
+        let Ok(mut sums) = sums.lock() else { return false };
+        sums.days += 1;
+        sums.acceptances += played.acceptances;
+        sums.reads += played.reads;
+        sums.views += played.views;
+        sums.dropped += played.shown_dropped.len() as u64;
+        if let Some(first) = played.broken.first() {
+            *sums.rules.entry(first.rule.to_string()).or_default() += 1;
+            sums.broken.push(day);
+        }
+        true
+    });
+    let Ok(mut sums) = sums.into_inner() else { bail!("a thread of the simulation has failed") };
+    let seconds = began.elapsed().as_secs_f64();
+    println!(
+        "{} days in {seconds:.1} s: {} batch jobs accepted, {} pages read, {} views, {} copies that dropped what was shown; \
+         {} days broken",
+        sums.days, sums.acceptances, sums.reads, sums.views, sums.dropped, sums.broken.len()
+    );
+    for (rule, days) in &sums.rules {
+        println!("  {rule}: {days}");
+    }
+    sums.broken.sort_by_key(|day| day.seed);
+    for day in sums.broken.iter().take(SHOWN) {
+        let Some(first) = play_stores(day, None).broken.first().map(|broken| broken.rule) else { continue };
+        show(&shrunk_stores(day, first, None), None);
+    }
+    match sums.broken.is_empty() {
+        true => Ok(()),
+        false => bail!("rules were broken on {} days", sums.broken.len()),
+    }
+}
+
+fn show(day: &StoreDay, plant: Option<StorePlant>) {
+    println!(
+        "day {} ({}): {} stores in {} zones, {} losses borne, {} tenants, closing at {} ms with {} disks lost",
+        day.seed,
+        day.family,
+        day.stores,
+        day.zones,
+        day.losses,
+        day.tenants,
+        day.closing / 1_000,
+        day.closing_wipes
+    );
+    for strike in &day.strikes {
+        println!("  {:>6} ms  {:?}", strike.at / 1_000, strike.trouble);
+    }
+    let played = play_stores(day, plant);
+    println!(
+        "  {} accepted, {} pages read, {} views, trace {:016x}",
+        played.acceptances, played.reads, played.views, played.trace
+    );
+    for broken in played.broken.iter().take(8) {
+        println!("  BROKEN {} at {} ms: {}", broken.rule, broken.at / 1_000, broken.what);
+    }
+}
+
+fn find_planted(most: u64, threads: u64) -> anyhow::Result<()> {
+    let mut missed = Vec::new();
+    for plant in StorePlant::all() {
+        let found: Mutex<Option<(u64, StoreFamily, Rule)>> = Mutex::new(None);
+        on_threads(1, most, threads, |seed| {
+            let day = StoreDay::drawn(seed);
+            let played = play_stores(&day, Some(plant));
+            let Some(first) = played.broken.first() else { return true };
+            if let Ok(mut found) = found.lock() {
+                let earlier = found.as_ref().is_none_or(|(known, ..)| seed < *known);
+                if earlier {
+                    *found = Some((seed, day.family, first.rule));
+                }
+            }
+            false
+        });
+        match found.into_inner().ok().flatten() {
+            Some((seed, family, rule)) => println!("{plant:?}: found on day {seed} ({family}, {rule})"),
+            None => {
+                println!("{plant:?}: not found in {most} days");
+                missed.push(plant);
+            }
+        }
+    }
+    match missed.is_empty() {
+        true => Ok(()),
+        false => bail!("{} planted mistakes were not found: {missed:?}", missed.len()),
+    }
+}
