Judge what is committed by the view in which it was passed on; split the planner from the view

The store already kept the earlier view; now the pure part asks for the role, so that neither can take another. Planted as OpenByLaterView.

--- a/crates/control-plane/src/store/replication.rs
+++ b/crates/control-plane/src/store/replication.rs
@@ -9,7 +9,7 @@
 
 use fennelgauge_batch::Command;
 use fennelgauge_coordination::{GroupNumber, StoreView};
-use fennelgauge_replication::{Installed, Missing};
+use fennelgauge_replication::{Installed, Missing, Role};
 use fennelgauge_wire::{
     Entry, EntryBatch, EntryPosition, GroupCopy, Reply, Request, StoreReply, StoreRequest,
 };
@@ -89,6 +89,7 @@
             return Vec::new();
         }
         let mut reached = Vec::new();
+        let mut roles: BTreeMap<GroupNumber, Role> = BTreeMap::new();
         let mut onward: BTreeMap<SocketAddr, Vec<EntryBatch>> = BTreeMap::new();
         for batch in batches {
             let Some(role) = self.role(&view, batch.group) else { continue };
@@ -97,30 +98,26 @@
                 replica.passes_on_in(epoch) && replica.has_on_disk(batch.end)
             };
             match role.successor {
-                _ if !may_pass => {}
+                _ if !may_pass => continue,
                 None => reached.push((batch.group, batch.end)),
                 Some(successor) => {
                     let Some(peer) = self.peer(&view, successor) else { continue };
-                    onward.entry(peer).or_default().push(batch);
+                    onward.entry(peer).or_default().push(batch.clone());
                 }
             }
+            roles.insert(batch.group, role);
         }
         let calls = onward.into_iter().map(|(peer, batches)| self.pass_on(peer, epoch, batches));
         reached.extend(join_all(calls).await.into_iter().flatten());
         for (group, end) in &reached {
-            self.mark_reached(&view, *group, *end);
+            if let Some(role) = roles.get(group) {
+                self.replica(*group).borrow_mut().mark_reached(role, *end);
+            }
         }
         self.changed.notify_waiters();
         reached.into_iter().map(|(group, _)| group).collect()
     }
 
-    /// Every link has an entry: committed, if enough of them hold the group.
-    fn mark_reached(&self, view: &StoreView, group: GroupNumber, end: EntryPosition) {
-        if view.group(group).is_some_and(|held| held.is_open()) {
-            self.replica(group).borrow_mut().mark_committed(end);
-        }
-    }
-
     async fn pass_on(
         &self,
         peer: SocketAddr,
@@ -311,14 +308,14 @@
                 None => return false,
             },
         };
+        let on_disk = self.synced(group, batch.end, until).await;
         let view = self.view();
-        if !self.synced(group, batch.end, until).await || view.epoch != epoch {
-            return false;
-        }
+        let role = self.role(&view, group).filter(|role| on_disk && role.epoch == epoch);
+        let Some(role) = role else { return false };
         let end = batch.end;
         let reached = !self.pass_on(peer, epoch, vec![batch]).await.is_empty();
         if reached {
-            self.mark_reached(&view, group, end);
+            self.replica(group).borrow_mut().mark_reached(&role, end);
             self.changed.notify_waiters();
         }
         reached
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -6,6 +6,7 @@
 mod identity;
 mod liveness;
 mod message;
+mod placement;
 mod replica;
 mod sampling;
 mod stores;
@@ -18,12 +19,13 @@
 pub use identity::{Identity, Member};
 pub use message::{Copying, Envelope, Message};
 #[cfg(feature = "planted-bugs")]
+pub use placement::PlannerBug;
+pub use placement::{Heard, Planner, Told};
+#[cfg(feature = "planted-bugs")]
 pub use replica::PlantedBug;
 pub use replica::{NotTaken, Outcome, Record, Replica, Stored};
 pub use sampling::{PartialView, Peer, Sighting, Swap};
-#[cfg(feature = "planted-bugs")]
-pub use stores::PlannerBug;
-pub use stores::{Group, GroupNumber, Heard, Newcomer, Planner, Store, StoreNumber, StoreView, Told, GROUPS};
+pub use stores::{Group, GroupNumber, Newcomer, Store, StoreNumber, StoreView, GROUPS};
 pub use timing::Timing;
 pub use version::{content_digest, Replicated, Step, Version};
 pub use view::{next_view, Judgement, View, ViewRules};
--- /dev/null
+++ b/crates/coordination/src/placement.rs
@@ -0,0 +1,262 @@
+//! Where groups are held next, worked out from what the stores tell: who is silent, who has copied a group, who holds it. The rules stand
+//! at the head of [`crate::StoreView`]'s module.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+use strum::EnumIter;
+
+use crate::{Group, GroupNumber, Member, Newcomer, Store, StoreNumber, StoreView};
+
+/// What a store told of its part in a group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Told {
+    pub group: GroupNumber,
+    /// The newest view in which it is so.
+    pub epoch: u64,
+}
+
+/// A store that was heard of late.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    pub member: Member,
+    /// Groups of which it has a copy, as a learner.
+    pub copied: Vec<Told>,
+    /// Groups of which it has everything, as a link.
+    pub holds: Vec<Told>,
+}
+
+/// Works out the next placement from what is known of the stores.
+pub struct Planner<'a> {
+    losses: usize,
+    heard: &'a [Heard],
+    may_begin: bool,
+    planted: Option<PlannerBug>,
+}
+
+impl<'a> Planner<'a> {
+    /// `losses` at once must be outlived by each chain; the first placement is made with the stores that are there if it `may_begin`.
+    pub fn new(losses: usize, heard: &'a [Heard], may_begin: bool) -> Self {
+        Self { losses, heard, may_begin, planted: None }
+    }
+
+    /// Plants a mistake, to see that it is found.
+    #[cfg(feature = "planted-bugs")]
+    pub fn with_planted(mut self, bug: Option<PlannerBug>) -> Self {
+        self.planted = bug;
+        self
+    }
+
+    /// The next placement, or none if the present one is as it should be.
+    pub fn plan(&self, view: &StoreView) -> Option<StoreView> {
+        let mut next = view.clone();
+        self.register(&mut next);
+        match next.groups.is_empty() {
+            true => self.begin(&mut next),
+            false => self.repair(&mut next),
+        }
+        self.forget_lost(&mut next);
+        if next == *view {
+            return None;
+        }
+        next.epoch += 1;
+        Some(next)
+    }
+
+    fn register(&self, view: &mut StoreView) {
+        for member in self.heard.iter().map(|heard| &heard.member) {
+            match view.stores.iter_mut().find(|store| store.member.identity == member.identity) {
+                Some(store) => store.member = member.clone(),
+                None => {
+                    let number = StoreNumber(view.next_number);
+                    view.next_number += 1;
+                    view.stores.push(Store { number, member: member.clone(), retiring: false });
+                }
+            }
+        }
+    }
+
+    fn fewest(&self) -> usize {
+        self.losses + 1
+    }
+
+    /// Links that a chain should have: one more than must be kept, so that a loss needs no copying at once.
+    fn wanted(&self, view: &StoreView) -> usize {
+        let usable = view.stores.iter().filter(|store| self.usable(store)).count();
+        (self.losses + 2).min(usable.max(self.fewest()))
+    }
+
+    fn has(&self, bug: PlannerBug) -> bool {
+        self.planted == Some(bug)
+    }
+
+    fn heard(&self, store: &Store) -> Option<&Heard> {
+        self.heard.iter().find(|heard| heard.member.identity == store.member.identity)
+    }
+
+    fn usable(&self, store: &Store) -> bool {
+        !store.retiring && self.heard(store).is_some()
+    }
+
+    fn lives(&self, view: &StoreView, number: StoreNumber) -> bool {
+        view.store(number).is_some_and(|store| self.heard(store).is_some())
+    }
+
+    /// Whether a store told, of a view in which it had its part already, what `told` picks.
+    fn has_told(
+        &self,
+        view: &StoreView,
+        newcomer: Newcomer,
+        group: GroupNumber,
+        told: impl Fn(&Heard) -> &[Told],
+    ) -> bool {
+        let heard = view.store(newcomer.store).and_then(|store| self.heard(store));
+        let since = match self.has(PlannerBug::WordOfAnEarlierStay) {
+            true => 0,
+            false => newcomer.since,
+        };
+        heard.is_some_and(|heard| told(heard).iter().any(|told| told.group == group && told.epoch >= since))
+    }
+
+    fn begin(&self, view: &mut StoreView) {
+        let usable = view.stores.iter().filter(|store| self.usable(store)).count();
+        if !self.may_begin || usable < self.fewest() {
+            return;
+        }
+        let wanted = self.wanted(view);
+        let mut groups = Vec::new();
+        for group in GroupNumber::all() {
+            let mut chain = Vec::new();
+            while chain.len() < wanted {
+                let Some(next) = self.best_new(view, group, &chain) else { break };
+                chain.push(next);
+            }
+            groups.push(Group { chain, ..Group::default() });
+        }
+        view.groups = groups;
+    }
+
+    /// The store to add to a chain: in a zone that the chain lacks, else by the group's own ranking.
+    fn best_new(&self, view: &StoreView, group: GroupNumber, chain: &[StoreNumber]) -> Option<StoreNumber> {
+        let zones: Vec<&str> = chain
+            .iter()
+            .filter_map(|number| view.store(*number))
+            .map(|store| store.member.zone.as_str())
+            .collect();
+        let free = view.stores.iter().filter(|store| self.usable(store) && !chain.contains(&store.number));
+        let rank = |store: &&Store| {
+            let same_zone = zones.iter().filter(|zone| **zone == store.member.zone).count();
+            (same_zone, ranked(group, store.number))
+        };
+        free.min_by_key(rank).map(|store| store.number)
+    }
+
+    fn repair(&self, view: &mut StoreView) {
+        let wanted = self.wanted(view);
+        for number in GroupNumber::all() {
+            let Some(mut group) = view.group(number).cloned() else { continue };
+            self.admit(view, number, &mut group);
+            self.put_silent_out(view, &mut group);
+            self.put_retiring_out(view, &mut group, wanted);
+            self.find_learner(view, number, &mut group, wanted);
+            view.groups[usize::from(number.0)] = group;
+        }
+    }
+
+    /// Joining links that have everything are holders; a learner that has a copy joins the chain.
+    fn admit(&self, view: &StoreView, number: GroupNumber, group: &mut Group) {
+        group.joining.retain(|newcomer| !self.has_told(view, *newcomer, number, |heard| &heard.holds));
+        let lives = |newcomer: &Newcomer| self.lives(view, newcomer.store);
+        group.learner = group.learner.filter(lives).filter(|learner| !group.names(learner.store));
+        let Some(learner) = group.learner else { return };
+        if self.has_told(view, learner, number, |heard| &heard.copied) {
+            group.learner = None;
+            group.chain.push(learner.store);
+            if !self.has(PlannerBug::JoiningCountsAsHolder) {
+                group.joining.push(Newcomer { store: learner.store, since: view.epoch + 1 });
+            }
+        }
+    }
+
+    /// Silent links leave the chain; absent holders that are heard again come back. Where nobody who holds the group is heard,
+    /// it stays as it is.
+    fn put_silent_out(&self, view: &StoreView, group: &mut Group) {
+        let lives = |store: &StoreNumber| self.lives(view, *store);
+        let (mut holders, silent): (Vec<StoreNumber>, Vec<StoreNumber>) =
+            group.holders().into_iter().partition(lives);
+        let (back, still_absent): (Vec<StoreNumber>, Vec<StoreNumber>) =
+            group.absent.iter().copied().partition(lives);
+        holders.extend(back);
+        if holders.is_empty() {
+            return;
+        }
+        group.joining.retain(|newcomer| lives(&newcomer.store));
+        let enough = holders.len() >= self.fewest() || self.has(PlannerBug::SilentHoldersAreDropped);
+        group.absent = match enough {
+            true => Vec::new(),
+            false => still_absent.into_iter().chain(silent).collect(),
+        };
+        holders.extend(group.joining.iter().map(|newcomer| newcomer.store));
+        group.chain = holders;
+        if self.has(PlannerBug::ShortChainsAreFilled) {
+            self.fill(view, group);
+        }
+    }
+
+    /// A planted mistake: stores that have copied nothing are links at once.
+    fn fill(&self, view: &StoreView, group: &mut Group) {
+        while group.chain.len() < self.fewest() {
+            let free = view.stores.iter().find(|store| self.usable(store) && !group.names(store.number));
+            let Some(free) = free else { return };
+            group.chain.push(free.number);
+        }
+        group.absent.clear();
+    }
+
+    /// Retiring links leave once enough others hold the group; so do newcomers that are not needed any more.
+    fn put_retiring_out(&self, view: &StoreView, group: &mut Group, wanted: usize) {
+        let stays = |number: &StoreNumber| view.store(*number).is_some_and(|store| !store.retiring);
+        if group.holders().iter().filter(|store| stays(store)).count() < wanted {
+            return;
+        }
+        group.chain = group.holders().into_iter().filter(stays).collect();
+        group.joining.clear();
+        group.learner = None;
+    }
+
+    fn find_learner(&self, view: &StoreView, number: GroupNumber, group: &mut Group, wanted: usize) {
+        let stays = |number: &&StoreNumber| view.store(**number).is_some_and(|store| !store.retiring);
+        if group.learner.is_some() || group.chain.iter().filter(stays).count() >= wanted {
+            return;
+        }
+        let learner = self.best_new(view, number, &group.chain);
+        group.learner = learner.map(|store| Newcomer { store, since: view.epoch + 1 });
+    }
+
+    /// Stores that are gone and hold nothing are no longer listed.
+    fn forget_lost(&self, view: &mut StoreView) {
+        let used: BTreeSet<StoreNumber> = view.groups.iter().flat_map(Group::all_stores).collect();
+        view.stores.retain(|store| used.contains(&store.number) || self.heard(store).is_some());
+    }
+}
+
+/// A mistake that a test plants, to see that the judge finds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter)]
+pub enum PlannerBug {
+    /// A learner counts as a holder as soon as it joins.
+    JoiningCountsAsHolder,
+    /// Silent holders are forgotten though too few are left.
+    SilentHoldersAreDropped,
+    /// A short chain is filled with stores that have copied nothing.
+    ShortChainsAreFilled,
+    /// What a store told of an earlier stay counts.
+    WordOfAnEarlierStay,
+}
+
+/// A ranking of the stores that differs from group to group.
+fn ranked(group: GroupNumber, store: StoreNumber) -> u64 {
+    let mut hash = (u64::from(group.0) << 32) | u64::from(store.0);
+    hash = (hash ^ (hash >> 30)).wrapping_add(0x9e37_79b9_7f4a_7c15).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -6,7 +6,7 @@
 use fennelgauge_encoding::{decode, encode};
 
 use crate::planted::ReplicaBug;
-use crate::{Entry, EntryBatch, EntryLog, EntryPosition, GroupCopy};
+use crate::{Entry, EntryBatch, EntryLog, EntryPosition, GroupCopy, Role};
 
 /// A group on one store.
 #[derive(Clone, Debug, Default)]
@@ -244,9 +244,11 @@
         }
     }
 
-    /// Every link has the entry at that place; of no effect if a copy has taken it away meanwhile.
-    pub fn mark_committed(&mut self, position: EntryPosition) {
-        if self.contains(position) || self.has(ReplicaBug::MarksOutliveCopy) {
+    /// Every link after this one has the entry at that place, in the view of `role`: it is committed if enough links held the
+    /// group in that view, whatever is known since. Of no effect if a copy has taken the entry away meanwhile.
+    pub fn mark_reached(&mut self, role: &Role, position: EntryPosition) {
+        let is_here = self.contains(position) || self.has(ReplicaBug::MarksOutliveCopy);
+        if role.is_open && is_here {
             self.committed = self.committed.max(position.sequence);
         }
     }
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -104,12 +104,13 @@
 fn marks_speak_of_entries_that_are_there() {
     let (mut old, _) = head(1, &["a", "lost", "lost too"]);
     let (new, _) = head(1, &["a"]);
+    let open = Role::of(&view(1, &[1, 2, 3], &[], &[]), GROUP, StoreNumber(1)).expect("a link");
     old.mark_synced(place(3, 1));
-    old.mark_committed(place(1, 1));
+    old.mark_reached(&open, place(1, 1));
     old.mark_shown(place(1, 1));
     assert_eq!(old.install(3, &new.copy()), Installed::Yes { drops_shown: None });
     old.mark_synced(place(3, 1));
-    old.mark_committed(place(3, 1));
+    old.mark_reached(&open, place(3, 1));
     assert!(!old.has_on_disk(place(1, 1)) && old.is_in_doubt(), "what is gone marks nothing");
     old.mark_synced(place(1, 1));
     assert!(old.has_on_disk(place(1, 1)));
@@ -119,6 +120,18 @@
     assert_eq!(old.install(4, &new.copy()), Installed::Yes { drops_shown: Some(place(2, 3)) });
 }
 
+#[test]
+fn what_reached_all_links_of_a_closed_group_is_not_committed() {
+    let (mut replica, entries) = head(1, &["a"]);
+    let end = entries[0].position;
+    let closed = Role::of(&view(1, &[1], &[], &[2, 3]), GROUP, StoreNumber(1)).expect("a link");
+    replica.mark_reached(&closed, end);
+    assert!(!replica.is_committed(end) && replica.knows_nothing_committed());
+    let open = Role::of(&view(2, &[1, 2, 3], &[], &[]), GROUP, StoreNumber(1)).expect("a link");
+    replica.mark_reached(&open, end);
+    assert!(replica.is_committed(end));
+}
+
 #[test]
 fn what_a_copy_took_away_is_not_sent_or_written_any_more() {
     let (mut store, entries) = head(1, &["a", "b"]);
--- a/crates/simulation/src/stores/handling.rs
+++ b/crates/simulation/src/stores/handling.rs
@@ -2,7 +2,7 @@
 
 use fennelgauge_batch::{Admission, Command, ItemOutcome, ItemResult};
 use fennelgauge_coordination::GroupNumber;
-use fennelgauge_replication::{EntryBatch, EntryPosition, Missing, Outcome};
+use fennelgauge_replication::{EntryBatch, EntryPosition, Missing, Outcome, Role};
 
 use super::disk::Record;
 use super::plant::StorePlant;
@@ -129,27 +129,25 @@
         step: &mut Step,
     ) -> Option<Task> {
         match task {
-            Task::Replicate { epoch, batch, stage: Replicating::Passing { call: waits }, answer_to } => {
-                if waits != call {
-                    let stage = Replicating::Passing { call: waits };
-                    return Some(Task::Replicate { epoch, batch, stage, answer_to });
-                }
+            Task::Replicate { batch, stage: Replicating::Passing { role }, answer_to, .. } => {
                 let reached = matches!(answer, Some(Answer::Appended { reached: true }));
-                self.reached(epoch, &batch, reached);
+                if reached {
+                    self.mark_reached(&role, batch.group, batch.end);
+                }
                 step.effects.extend(
                     answer_to.map(|call| Effect::Answer { call, answer: Answer::Appended { reached } }),
                 );
                 None
             }
             Task::Repair { epoch, group, successor, stage } => {
-                let stage = self.repair_heard(group, stage, answer, step.now)?;
+                let stage = self.repair_heard(epoch, group, stage, answer, step.now)?;
                 step.effects.push(Effect::Wake { at: step.now + SYNC_TIMEOUT });
                 match stage {
                     Repairing::Done => {
                         self.checked.insert(group, epoch);
                         return None;
                     }
-                    Repairing::Passing { end } => {
+                    Repairing::Passing { end, .. } => {
                         let batch = EntryBatch { group, after: end, entries: Vec::new(), end };
                         self.send(number, successor, Ask::Append { epoch, batch }, step);
                     }
@@ -194,6 +192,7 @@
     /// The next stage of a repair; [`Repairing::Done`] once the successor is level, none if it has to begin anew.
     fn repair_heard(
         &mut self,
+        epoch: u64,
         group: GroupNumber,
         stage: Repairing,
         answer: Option<Answer>,
@@ -208,25 +207,25 @@
                     Missing::Copy => Repairing::CopySyncing { copy: replica.copy(), until },
                 })
             }
-            (Repairing::Installing { end }, Answer::Installed) => Some(Repairing::Passing { end }),
-            (Repairing::Passing { end }, Answer::Appended { reached: true }) => {
-                self.mark_reached(group, end);
+            (Repairing::Installing { end }, Answer::Installed) => {
+                let role = self.role(group).filter(|role| role.epoch == epoch)?;
+                Some(Repairing::Passing { end, role })
+            }
+            (Repairing::Passing { end, role }, Answer::Appended { reached: true }) => {
+                self.mark_reached(&role, group, end);
                 Some(Repairing::Done)
             }
             _ => None,
         }
     }
 
-    fn reached(&mut self, epoch: u64, batch: &EntryBatch, reached: bool) {
-        if reached && epoch == self.view.epoch {
-            self.mark_reached(batch.group, batch.end);
-        }
-    }
-
-    fn mark_reached(&mut self, group: GroupNumber, end: EntryPosition) {
-        if self.role(group).is_some_and(|role| role.is_open || self.has(StorePlant::ChangesWhileClosed)) {
-            self.replicas.entry(group).or_default().mark_committed(end);
-        }
+    /// Every further link had the entry, in the view of `role`.
+    pub(super) fn mark_reached(&mut self, role: &Role, group: GroupNumber, end: EntryPosition) {
+        let mut role = role.clone();
+        let now_open = self.role(group).is_some_and(|now| now.is_open);
+        role.is_open |= self.has(StorePlant::ChangesWhileClosed);
+        role.is_open |= self.has(StorePlant::OpenByLaterView) && now_open;
+        self.replicas.entry(group).or_default().mark_reached(&role, end);
     }
 
     /// A task that waited for a write; none if it has ended.
@@ -292,11 +291,12 @@
         match role.successor {
             Some(successor) => {
                 let ask = Ask::Append { epoch, batch: batch.clone() };
-                let call = self.send(number, successor, ask, step);
-                Some(Task::Replicate { epoch, batch, stage: Replicating::Passing { call }, answer_to })
+                self.send(number, successor, ask, step);
+                let stage = Replicating::Passing { role };
+                Some(Task::Replicate { epoch, batch, stage, answer_to })
             }
             None => {
-                self.reached(epoch, &batch, true);
+                self.mark_reached(&role, batch.group, batch.end);
                 let answer = Answer::Appended { reached: true };
                 step.effects.extend(answer_to.map(|call| Effect::Answer { call, answer }));
                 None
@@ -339,13 +339,13 @@
                     let waits = now < until && replica.contains(end);
                     return (waits.then_some(Task::Repair { epoch, group, successor, stage }), !waits);
                 }
-                if self.view.epoch != epoch {
+                let Some(role) = self.role(group).filter(|role| role.epoch == epoch) else {
                     return (None, true);
-                }
+                };
                 let stage = match stage {
                     Repairing::Syncing { batch, .. } => {
                         self.send(number, successor, Ask::Append { epoch, batch }, step);
-                        Repairing::Passing { end }
+                        Repairing::Passing { end, role }
                     }
                     Repairing::CopySyncing { copy, .. } => {
                         self.send(number, successor, Ask::Install { epoch, group, copy }, step);
--- a/crates/simulation/src/stores/plant.rs
+++ b/crates/simulation/src/stores/plant.rs
@@ -25,6 +25,8 @@
     AnyLinkAnswers,
     /// What a wiped store was is not forgotten: it comes back under the same identity.
     WipedKeepsIdentity,
+    /// Whether an entry is committed is judged by the view in which the answer comes.
+    OpenByLaterView,
     /// Entries of an earlier view are taken.
     OldViewsAreServed,
 }
@@ -42,6 +44,7 @@
             Self::CommitsAlone,
             Self::AnyLinkAnswers,
             Self::WipedKeepsIdentity,
+            Self::OpenByLaterView,
             Self::OldViewsAreServed,
         ];
         replica.chain(planner).chain(around).collect()
--- a/crates/simulation/src/stores/store.rs
+++ b/crates/simulation/src/stores/store.rs
@@ -389,8 +389,8 @@
     ) {
         let epoch = self.view.epoch;
         if self.has(StorePlant::CommitsAlone) && answer_to.is_none() {
-            if let Some(replica) = self.replicas.get_mut(&batch.group) {
-                replica.mark_committed(batch.end);
+            if let Some(role) = self.role(batch.group) {
+                self.mark_reached(&role, batch.group, batch.end);
             }
         }
         if self.has(StorePlant::PassesOnUnsynced) {
--- a/crates/simulation/src/stores/task.rs
+++ b/crates/simulation/src/stores/task.rs
@@ -4,7 +4,7 @@
 
 use fennelgauge_batch::Page;
 use fennelgauge_coordination::{GroupNumber, StoreNumber};
-use fennelgauge_replication::{Confirmation, EntryBatch, EntryPosition, GroupCopy};
+use fennelgauge_replication::{Confirmation, EntryBatch, EntryPosition, GroupCopy, Role};
 
 use super::protocol::Call;
 use crate::day::Micros;
@@ -85,8 +85,13 @@
 
 #[derive(Clone, Debug)]
 pub enum Replicating {
-    Writing { write: u64 },
-    Passing { call: u64 },
+    Writing {
+        write: u64,
+    },
+    /// On the way to the successor, in the view of that role.
+    Passing {
+        role: Role,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -103,8 +108,10 @@
     Installing {
         end: EntryPosition,
     },
+    /// Told where the chain stands, in the view of that role.
     Passing {
         end: EntryPosition,
+        role: Role,
     },
     /// The successor is level.
     Done,
