--- /dev/null
+++ b/crates/soak/src/batch_client.rs
@@ -0,0 +1,178 @@
+//! Clients of batch jobs: they submit, end, send once more, and read from any position at any data plane.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use awc::http::Method;
+use awc::Client;
+use base64::prelude::{Engine, BASE64_STANDARD};
+use fennelgauge_batch_judge::{Listed, Outcome, PageSeen, SentItem, SentJob};
+use serde::Deserialize;
+use serde_json::json;
+use tokio::time::{sleep, Instant};
+
+use crate::http::{request, send, To};
+use crate::world::{Phase, World};
+
+const TOKENS: u64 = 10;
+const MOST_ITEMS: u8 = 8;
+const SUBMIT_WITHIN: Duration = Duration::from_millis(4_000);
+const READ_WITHIN: Duration = Duration::from_millis(2_500);
+const AGAIN: Duration = Duration::from_millis(120);
+const POLL_WAIT_MS: u64 = 300;
+
+#[derive(Deserialize)]
+struct PageBody {
+    total: usize,
+    results: Vec<ResultBody>,
+}
+
+#[derive(Deserialize)]
+struct ResultBody {
+    id: String,
+    state: String,
+    text: String,
+}
+
+fn tenant_of(job: &str) -> u8 {
+    job.split('-').nth(1).and_then(|tenant| tenant.parse().ok()).unwrap_or(0)
+}
+
+fn any_front(world: &World) -> u8 {
+    fastrand::u8(0..world.plan.data_planes)
+}
+
+/// One tenant's batch jobs, one after the other, until no new ones are to come.
+pub async fn submit(world: Rc<World>, tenant: u8) {
+    while world.phase.get() <= Phase::Troubled {
+        let id = format!("job-{tenant}-{}", world.number());
+        let items: Vec<SentItem> = (0..fastrand::u8(1..=MOST_ITEMS))
+            .map(|place| SentItem { id: format!("{id}-{place}"), tokens: TOKENS })
+            .collect();
+        let job = SentJob { id: id.clone(), tenant: World::tenant(tenant), items };
+        world.judge.borrow_mut().sent(&job);
+        if submitted(&world, &job).await && fastrand::u8(0..8) == 0 {
+            world.to_end.borrow_mut().push(id);
+        } else if fastrand::u8(0..6) == 0 {
+            // As if its 202 had been lost.
+            submitted(&world, &job).await;
+        }
+        sleep(Duration::from_millis(fastrand::u64(20..300))).await;
+    }
+}
+
+/// Offers a batch job until it is taken or clearly refused; true if it was taken.
+async fn submitted(world: &Rc<World>, job: &SentJob) -> bool {
+    let body = |item: &SentItem| {
+        json!({ "id": item.id, "path": "/batch/run/slow/x", "headers": {}, "tokens": item.tokens,
+                "body": BASE64_STANDARD.encode(&item.id) })
+    };
+    let requests: Vec<_> = job.items.iter().map(body).collect();
+    let body = json!({ "requests": requests }).to_string().into_bytes();
+    let key = World::key(tenant_of(&job.id));
+    while world.phase.get() <= Phase::Recovering {
+        let to = To { address: world.tier.front(any_front(world)), path: "/batch/submit", key: &key };
+        let call = request(&Client::default(), Method::POST, &to, SUBMIT_WITHIN).force_close();
+        let call = call
+            .insert_header(("X-Fennelgauge-Request-Id", job.id.clone()))
+            .insert_header(("X-Fennelgauge-Request-Deadline", "4000"));
+        match send(call, body.clone()).await.map(|answer| answer.status) {
+            Ok(202) => {
+                world.judge.borrow_mut().accepted(world.events.now(), &job.id);
+                return true;
+            }
+            Ok(status @ 400..=499) if status != 408 && status != 421 => {
+                if status != 429 {
+                    world.blame("DENIED", format!("{} is refused with {status}", job.id));
+                }
+                return false;
+            }
+            _ => sleep(AGAIN).await,
+        }
+    }
+    false
+}
+
+/// Ends batch jobs that are to be ended.
+pub async fn end(world: Rc<World>) {
+    while world.phase.get() <= Phase::Recovering {
+        sleep(AGAIN).await;
+        let Some(job) = world.to_end.borrow_mut().pop() else { continue };
+        world.judge.borrow_mut().end_asked(&job);
+        let (path, key) = (format!("/-/lots/{job}"), World::key(tenant_of(&job)));
+        while world.phase.get() <= Phase::Recovering {
+            let to = To { address: world.tier.front(any_front(&world)), path: &path, key: &key };
+            let call = request(&Client::default(), Method::DELETE, &to, SUBMIT_WITHIN).force_close();
+            match send(call, Vec::new()).await.map(|answer| answer.status) {
+                Ok(200) => {
+                    world.judge.borrow_mut().ended(world.events.now(), &job);
+                    break;
+                }
+                _ => sleep(AGAIN).await,
+            }
+        }
+    }
+}
+
+/// Reads batch jobs without end, the newest most, from any position, at any data plane.
+pub async fn read_on(world: Rc<World>) {
+    while world.phase.get() <= Phase::Recovering {
+        sleep(Duration::from_millis(fastrand::u64(10..150))).await;
+        let jobs = world.judge.borrow().accepted_jobs();
+        let Some(job) = fastrand::choice(jobs.iter()) else { continue };
+        let start = if fastrand::bool() { 0 } else { fastrand::usize(0..usize::from(MOST_ITEMS)) };
+        read(&world, job, start, any_front(&world)).await;
+    }
+}
+
+/// Reads one page and hands it to the judge; true if there was one.
+pub async fn read(world: &World, job: &str, start: usize, front: u8) -> bool {
+    let (path, key) = (format!("/-/lots/{job}?start_after={start}"), World::key(tenant_of(job)));
+    let to = To { address: world.tier.front(front), path: &path, key: &key };
+    let call = request(&Client::default(), Method::GET, &to, READ_WITHIN).force_close();
+    let call = call.insert_header(("X-Fennelgauge-Poll-Wait", POLL_WAIT_MS.to_string()));
+    let asked = world.events.now();
+    let Ok(answer) = send(call, Vec::new()).await else { return false };
+    let now = world.events.now();
+    let reader = format!("edge-{front}");
+    match answer.status {
+        200 => match serde_json::from_slice::<PageBody>(&answer.body) {
+            Ok(page) => {
+                world.judge.borrow_mut().read(asked, now, job, &seen(start, page), &reader);
+                true
+            }
+            Err(reason) => {
+                world.blame("MIXED", format!("{job}: a page of {reader} cannot be read: {reason}"));
+                false
+            }
+        },
+        404 => {
+            world.judge.borrow_mut().not_found(asked, now, job, &reader);
+            false
+        }
+        _ => false,
+    }
+}
+
+fn seen(start: usize, page: PageBody) -> PageSeen {
+    let listed = |result: ResultBody| Listed {
+        item: result.id,
+        outcome: match result.state.as_str() {
+            "succeeded" => Outcome::Succeeded,
+            _ => Outcome::DeadLettered,
+        },
+        text: result.text,
+    };
+    PageSeen { start, total: page.total, results: page.results.into_iter().map(listed).collect() }
+}
+
+/// Reads a batch job from its start until it answers whole, or the time is up.
+pub async fn sweep(world: &World, job: &str, front: u8, until: Instant) -> bool {
+    while Instant::now() < until {
+        if read(world, job, 0, front).await {
+            return true;
+        }
+        sleep(AGAIN).await;
+    }
+    false
+}
--- /dev/null
+++ b/crates/soak/src/live_client.rs
@@ -0,0 +1,108 @@
+//! Clients of live streams: each keeps to its connection until the process at the other end is gone, and judges each answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use fennelgauge_standins::EVENTS;
+use tokio::time::{sleep, Instant};
+
+use crate::connection::Connection;
+use crate::http::{NoAnswer, Whole};
+use crate::world::{Phase, World};
+
+const AGAIN: Duration = Duration::from_millis(100);
+const WITHIN: Duration = Duration::from_millis(5_000);
+/// A process that has read a whole request answers it, or closes the connection within so long.
+const SLACK: Duration = Duration::from_millis(200);
+/// Of the machine's own slowness: what is written to a closed connection is told late.
+const SLACK_HERE: Duration = Duration::from_millis(150);
+
+/// One client, at one data plane: a new connection only when the last one is gone.
+pub async fn stream(world: Rc<World>, front: u8) {
+    let mut connection: Option<Connection> = None;
+    while world.phase.get() <= Phase::Recovering {
+        if connection.as_ref().is_none_or(|connection| !connection.is_open()) {
+            connection = Connection::open(world.tier.front(front)).await;
+        }
+        let Some(open) = &mut connection else {
+            sleep(AGAIN).await;
+            continue;
+        };
+        let id = format!("live-{}", world.number());
+        let (sent, began) = (world.events.now(), Instant::now());
+        let answer = open.exchange(&request(&id), WITHIN).await;
+        if answer.is_err() {
+            connection = None;
+        }
+        judge(&world, front, &id, sent, began.elapsed(), answer);
+        sleep(Duration::from_millis(fastrand::u64(0..120))).await;
+    }
+}
+
+fn request(id: &str) -> Vec<u8> {
+    let key = World::key(0);
+    format!(
+        "POST /stream/run/slow/x HTTP/1.1\r\nHost: tier.example\r\nAuthorization: Bearer {key}\r\n\
+         X-Fennelgauge-Request-Id: {id}\r\nX-Fennelgauge-Request-Deadline: 4000\r\nContent-Length: 6\r\n\r\nprompt"
+    )
+    .into_bytes()
+}
+
+fn judge(world: &World, front: u8, id: &str, sent: u64, took: Duration, answer: Result<Whole, NoAnswer>) {
+    let runs = world.live_runs.borrow().get(id).copied().unwrap_or(0);
+    match answer {
+        Ok(Whole { status: 200, body }) => {
+            world.live_answers.set(world.live_answers.get() + 1);
+            if let Some(wrong) = wrong_in(id, &String::from_utf8_lossy(&body)) {
+                world.blame("MIXED", format!("{id} at edge-{front}: {wrong}"));
+            }
+        }
+        Ok(Whole { status: 429 | 503 | 408 | 421, .. }) => {
+            world.live_refused.borrow_mut().insert(id.to_owned());
+        }
+        Ok(Whole { status: status @ 400..=499, .. }) => {
+            world.blame("DENIED", format!("{id} at edge-{front} is answered {status}"));
+        }
+        Err(NoAnswer::Broken) if world.only_planned_since(sent) => {
+            if runs > 0 || took > SLACK + SLACK_HERE {
+                let what =
+                    format!("{id} at edge-{front}: no answer after {} ms, {runs} runs", took.as_millis());
+                world.blame("LOST", what);
+            }
+        }
+        _ => {}
+    }
+    if runs > 1 {
+        world.blame("TWICE", format!("{id} ran {runs} times"));
+    }
+}
+
+/// What is wrong with an answer that claims to be whole.
+fn wrong_in(id: &str, body: &str) -> Option<String> {
+    let data: Vec<&str> = body.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    if data.len() as u64 != EVENTS {
+        return Some(format!("{} of {EVENTS} events", data.len()));
+    }
+    let run = data[0].split(" run ").nth(1)?;
+    let place = data
+        .iter()
+        .enumerate()
+        .position(|(place, event)| *event != format!("{id} {} run {run}", place + 1))?;
+    Some(format!("event {} is {:?}", place + 1, data[place]))
+}
+
+/// Refused requests never run, and none that may run once only runs twice.
+pub fn judge_all(world: &World) {
+    let runs = world.live_runs.borrow();
+    for id in world.live_refused.borrow().iter() {
+        if runs.contains_key(id) {
+            world.blame("REFUSED", format!("{id} was refused and ran"));
+        }
+    }
+    for (id, count) in runs.iter().filter(|(_, count)| **count > 1) {
+        world.blame("TWICE", format!("{id} ran {count} times"));
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,151 @@
+//! Sizes and troubles of a soak: a TOML file, read by serde, checked by garde.
+
+use std::path::{Path, PathBuf};
+
+use garde::Validate;
+use serde::{Deserialize, Serialize};
+
+/// Why a plan was refused; each message names the remedy.
+#[derive(Debug, thiserror::Error)]
+pub enum PlanError {
+    #[error("{path}: cannot be read ({reason}): give a file that this user may read")]
+    Unreadable { path: PathBuf, reason: std::io::Error },
+    #[error("{path}: {reason}: correct the key named above")]
+    Malformed { path: PathBuf, reason: Box<toml::de::Error> },
+    #[error("{path}: {reason}: correct the keys named above")]
+    Invalid { path: PathBuf, reason: garde::Report },
+}
+
+/// How large a soak is, how long, and what strikes it.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize, Validate)]
+#[serde(default, deny_unknown_fields)]
+pub struct Plan {
+    /// Machines of the core.
+    #[garde(range(min = 3, max = 9))]
+    pub core: u8,
+    #[garde(range(min = 3, max = 40))]
+    pub stores: u8,
+    #[garde(range(min = 1, max = 100))]
+    pub data_planes: u8,
+    /// Stand-ins for model servers.
+    #[garde(range(min = 1, max = 20))]
+    pub servers: u8,
+    /// Disks that may be lost at once.
+    #[garde(range(min = 1, max = 3))]
+    pub losses: u8,
+    /// Tenants, each of which sends one batch job after the other.
+    #[garde(range(min = 1, max = 40))]
+    pub tenants: u8,
+    /// Clients of live streams, each on one connection for as long as it is open.
+    #[garde(range(min = 0, max = 200))]
+    pub live_clients: u8,
+    #[garde(range(min = 1, max = 100))]
+    pub readers: u8,
+    /// For so long there are troubles.
+    #[garde(range(min = 1.0, max = 3600.0))]
+    pub troubled_s: f64,
+    /// After them, all is served and finished within so long.
+    #[garde(range(min = 5.0, max = 300.0))]
+    pub recover_s: f64,
+    #[garde(dive)]
+    pub troubles: Troubles,
+}
+
+/// What strikes, by weight (0: never), and how often.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize, Validate)]
+#[serde(default, deny_unknown_fields)]
+pub struct Troubles {
+    /// The next trouble comes so many milliseconds after the last one, at least and at most.
+    #[garde(range(min = 10))]
+    pub least_pause_ms: u64,
+    #[garde(range(min = 10))]
+    pub most_pause_ms: u64,
+    /// SIGKILL, of up to so many stores at once as the weights are drawn.
+    #[garde(skip)]
+    pub kill_store: u32,
+    #[garde(skip)]
+    pub kill_stores: u32,
+    #[garde(skip)]
+    pub kill_core: u32,
+    #[garde(skip)]
+    pub kill_data_plane: u32,
+    /// SIGSTOP, then SIGCONT.
+    #[garde(skip)]
+    pub freeze: u32,
+    /// SIGTERM and a new start.
+    #[garde(skip)]
+    pub restart: u32,
+    #[garde(skip)]
+    pub hangup: u32,
+    /// A store's disk is lost.
+    #[garde(skip)]
+    pub wipe_store: u32,
+    /// A new configuration.
+    #[garde(skip)]
+    pub configure: u32,
+    /// The platform says nothing.
+    #[garde(skip)]
+    pub platform_silent: u32,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            core: 3,
+            stores: 4,
+            data_planes: 2,
+            servers: 3,
+            losses: 1,
+            tenants: 3,
+            live_clients: 6,
+            readers: 4,
+            troubled_s: 12.0,
+            recover_s: 25.0,
+            troubles: Troubles::default(),
+        }
+    }
+}
+
+impl Default for Troubles {
+    fn default() -> Self {
+        Self {
+            least_pause_ms: 80,
+            most_pause_ms: 1_400,
+            kill_store: 6,
+            kill_stores: 3,
+            kill_core: 3,
+            kill_data_plane: 2,
+            freeze: 6,
+            restart: 5,
+            hangup: 3,
+            wipe_store: 2,
+            configure: 5,
+            platform_silent: 1,
+        }
+    }
+}
+
+impl Plan {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<Self, PlanError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|reason| PlanError::Unreadable { path: path.to_owned(), reason })?;
+        Self::parse(&text, path)
+    }
+
+    /// Reads and checks a text; `path` is for messages only.
+    pub fn parse(text: &str, path: &Path) -> Result<Self, PlanError> {
+        let plan: Self = toml::from_str(text)
+            .map_err(|reason| PlanError::Malformed { path: path.to_owned(), reason: Box::new(reason) })?;
+        plan.validate().map_err(|reason| PlanError::Invalid { path: path.to_owned(), reason })?;
+        Ok(plan)
+    }
+
+    /// Processes of the tier.
+    pub fn processes(&self) -> usize {
+        usize::from(self.core) + usize::from(self.stores) + usize::from(self.data_planes)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/soak/src/report.rs
@@ -0,0 +1,107 @@
+//! What came of one seed, and of all.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::PathBuf;
+
+use serde::Serialize;
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Fault {
+    pub rule: String,
+    /// Seconds since the start.
+    pub at_s: f64,
+    pub what: String,
+}
+
+/// One seed.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct SeedResult {
+    pub seed: u64,
+    pub processes: usize,
+    pub troubles: usize,
+    pub starts: u64,
+    pub seconds: f64,
+    pub jobs_accepted: usize,
+    pub pages_read: u64,
+    pub live_answers: u64,
+    pub live_refused: u64,
+    pub configurations: u64,
+    pub faults: Vec<Fault>,
+    /// Where settings, disks, logs and the order of events are kept.
+    pub folder: Option<PathBuf>,
+}
+
+impl fmt::Display for SeedResult {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        write!(
+            out,
+            "seed {}: {} processes, {} troubles, {} starts in {:.0} s; {} batch jobs accepted, {} pages read, {} live answers \
+             ({} refused), {} configurations; {} faults",
+            self.seed,
+            self.processes,
+            self.troubles,
+            self.starts,
+            self.seconds,
+            self.jobs_accepted,
+            self.pages_read,
+            self.live_answers,
+            self.live_refused,
+            self.configurations,
+            self.faults.len()
+        )?;
+        for fault in self.faults.iter().take(10) {
+            write!(out, "\n  {} at {:.3} s: {}", fault.rule, fault.at_s, fault.what)?;
+        }
+        match &self.folder {
+            Some(folder) if !self.faults.is_empty() => {
+                write!(
+                    out,
+                    "\n  kept in {}; again: fennelgauge-soak run --seed {}",
+                    folder.display(),
+                    self.seed
+                )
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+/// All seeds.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Summary {
+    pub seeds: Vec<SeedResult>,
+}
+
+impl Summary {
+    pub fn add(&mut self, result: SeedResult) {
+        self.seeds.push(result);
+    }
+
+    pub fn is_broken(&self) -> bool {
+        self.seeds.iter().any(|seed| !seed.faults.is_empty())
+    }
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        let sum = |of: fn(&SeedResult) -> u64| self.seeds.iter().map(of).sum::<u64>();
+        let broken: Vec<u64> =
+            self.seeds.iter().filter(|seed| !seed.faults.is_empty()).map(|seed| seed.seed).collect();
+        let mut rules: BTreeMap<&str, usize> = BTreeMap::new();
+        for fault in self.seeds.iter().flat_map(|seed| &seed.faults) {
+            *rules.entry(&fault.rule).or_default() += 1;
+        }
+        write!(
+            out,
+            "{} seeds, {} troubles, {} starts, {} batch jobs, {} pages, {} live answers; broken: {broken:?} {rules:?}",
+            self.seeds.len(),
+            sum(|seed| seed.troubles as u64),
+            sum(|seed| seed.starts),
+            sum(|seed| seed.jobs_accepted as u64),
+            sum(|seed| seed.pages_read),
+            sum(|seed| seed.live_answers),
+        )
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,249 @@
+//! One seed: starts the tier, has it struck, waits until all is well, and asks what came of it.
+
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context;
+use fennelgauge_standins::{listing, start_platform, start_server, Platform, Ports, Tier};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, Instant};
+
+use crate::batch_client::{end, read_on, submit, sweep};
+use crate::events::Events;
+use crate::live_client::{judge_all, stream};
+use crate::operator::{has_route, watch, Operator};
+use crate::plan::Plan;
+use crate::report::{Fault, SeedResult};
+use crate::schedule::drawn;
+use crate::troubles::{start, strike};
+use crate::world::{Phase, Runs, World};
+
+/// The whole tier is ready within so long, or there is no run.
+const READY_WITHIN: Duration = Duration::from_secs(40);
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Clients go on for so long before the first trouble.
+const WARM: Duration = Duration::from_millis(1_500);
+const SWEEP_WITHIN: Duration = Duration::from_secs(15);
+const TOLD_EVERY: Duration = Duration::from_secs(5);
+
+/// What is alike for all seeds.
+#[derive(Clone, Debug)]
+pub struct Setting {
+    pub plan: Plan,
+    pub programs: Option<PathBuf>,
+    pub folder: PathBuf,
+    pub keep: bool,
+}
+
+/// Plays one seed.
+///
+/// # Errors
+/// If the run cannot be made: a port or a folder is not to be had, a process does not start. That is never a pass.
+pub async fn run(setting: &Setting, seed: u64) -> anyhow::Result<SeedResult> {
+    let folder = setting.folder.join(format!("seed-{seed}"));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).with_context(|| format!("{} cannot be made", folder.display()))?;
+    let folder = folder.canonicalize()?;
+    let (world, operator) = began(setting, seed, &folder).await?;
+    let strikes = drawn(&world.plan, seed);
+    let troubles = strikes.len();
+    let clients = spawn_clients(&world);
+    sleep(WARM).await;
+
+    world.phase.set(Phase::Troubled);
+    let began = Instant::now();
+    let mut under_way = Vec::new();
+    for next in strikes {
+        tokio::time::sleep_until(began + next.at).await;
+        under_way.push(spawn_local(strike(world.clone(), operator.clone(), next.trouble)));
+    }
+    tokio::time::sleep_until(began + Duration::from_secs_f64(world.plan.troubled_s)).await;
+    for trouble in under_way {
+        trouble.await.context("a trouble ended badly")?;
+    }
+    world.events.note("--- no more troubles");
+    world.phase.set(Phase::Recovering);
+    recovered(&world).await;
+    judge_end(&world).await;
+    world.phase.set(Phase::Over);
+    for client in clients {
+        let _ = client.await;
+    }
+    judge_all(&world);
+    let result = ended(&world, seed, troubles, &folder).await;
+    if result.faults.is_empty() && !setting.keep {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    Ok(result)
+}
+
+/// Starts everything and waits until it serves.
+async fn began(setting: &Setting, seed: u64, folder: &Path) -> anyhow::Result<(Rc<World>, Rc<Operator>)> {
+    let plan = setting.plan.clone();
+    let salt = std::process::id().wrapping_mul(31).wrapping_add(seed as u32 * 7);
+    let ports = Ports::free(salt).context("no free ports on 127.0.0.1: end what uses them")?;
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let platform = Rc::new(Platform::default());
+    let tier = Tier {
+        ports,
+        folder: folder.to_owned(),
+        platform: listener.local_addr()?,
+        core: plan.core,
+        losses: plan.losses,
+    };
+    start_platform(listener, platform.clone());
+    let events = Events::create(&folder.join("events.log"))?;
+    let world = Rc::new(World::new(plan, tier, setting.programs.clone(), events, platform));
+    let runs = Rc::new(Runs { world: world.clone(), given: Default::default() });
+    for place in 0..world.plan.servers {
+        let id = format!("i-{place}");
+        let (address, server) = start_server(&id).await?;
+        *server.observer.borrow_mut() = Some(runs.clone());
+        world.platform.servers.borrow_mut().push(listing(&id, "model", address, "zone-0"));
+    }
+    for process in &world.processes {
+        process.lock().await.start(world.programs.as_deref())?;
+    }
+    let operator = Rc::new(Operator::default());
+    let configured = operator.configure(&world, READY_WITHIN).await;
+    anyhow::ensure!(configured, "no configuration is taken: see the logs in {}", folder.display());
+    let until = Instant::now() + READY_WITHIN;
+    for front in 0..world.plan.data_planes {
+        while !sweepable(&world, front).await {
+            anyhow::ensure!(Instant::now() < until, "edge-{front} is not ready: see {}", folder.display());
+            sleep(LOOK_EVERY).await;
+        }
+    }
+    Ok((world, operator))
+}
+
+/// Whether a data plane reaches the stores: it answers for a batch job that nobody sent.
+async fn sweepable(world: &World, front: u8) -> bool {
+    use awc::http::Method;
+    let key = World::key(0);
+    let to = crate::http::To { address: world.tier.front(front), path: "/-/lots/none", key: &key };
+    let call = crate::http::request(&awc::Client::default(), Method::GET, &to, Duration::from_secs(2));
+    crate::http::send(call.force_close(), Vec::new()).await.is_ok_and(|answer| answer.status == 404)
+}
+
+fn spawn_clients(world: &Rc<World>) -> Vec<tokio::task::JoinHandle<()>> {
+    let mut clients = Vec::new();
+    for tenant in 0..world.plan.tenants {
+        clients.push(spawn_local(submit(world.clone(), tenant)));
+    }
+    for _ in 0..world.plan.readers {
+        clients.push(spawn_local(read_on(world.clone())));
+    }
+    clients.push(spawn_local(end(world.clone())));
+    for client in 0..world.plan.live_clients {
+        clients.push(spawn_local(stream(world.clone(), client % world.plan.data_planes)));
+    }
+    for front in 0..world.plan.data_planes {
+        clients.push(spawn_local(watch(world.clone(), front)));
+    }
+    clients.push(spawn_local(look_after(world.clone())));
+    clients
+}
+
+/// A process that ends by itself is a fault; it is started again. Tells how far the run is.
+async fn look_after(world: Rc<World>) {
+    let mut told = Instant::now();
+    while world.phase.get() <= Phase::Recovering {
+        sleep(LOOK_EVERY).await;
+        for process in &world.processes {
+            let ended = {
+                let mut process = process.lock().await;
+                process.ended_by_itself().map(|status| (process.target, status))
+            };
+            if let Some((target, status)) = ended {
+                world.blame("ENDED", format!("{target} ended by itself: {status}"));
+                start(&world, target).await;
+            }
+        }
+        if told.elapsed() > TOLD_EVERY {
+            told = Instant::now();
+            let (jobs, reads) = {
+                let judge = world.judge.borrow();
+                (judge.accepted_jobs().len(), judge.reads)
+            };
+            eprintln!(
+                "  {:?}: {jobs} batch jobs, {reads} pages, {} live answers",
+                world.phase.get(),
+                world.live_answers.get()
+            );
+        }
+    }
+}
+
+/// Waits until every accepted batch job is finished, or the time is up.
+async fn recovered(world: &World) {
+    let until = Instant::now() + Duration::from_secs_f64(world.plan.recover_s);
+    while Instant::now() < until {
+        let open = {
+            let judge = world.judge.borrow();
+            judge.accepted_jobs().into_iter().find(|job| !judge.is_finished(job))
+        };
+        match open {
+            Some(job) => {
+                crate::batch_client::read(world, &job, 0, fastrand::u8(0..world.plan.data_planes)).await;
+                sleep(Duration::from_millis(20)).await;
+            }
+            None => return,
+        }
+    }
+}
+
+/// In the end, everything that was accepted is read once more through each data plane, and the newest configuration is everywhere.
+async fn judge_end(world: &World) {
+    let until = Instant::now() + SWEEP_WITHIN;
+    let jobs = world.judge.borrow().accepted_jobs();
+    for (place, job) in jobs.iter().enumerate() {
+        let front = (place % usize::from(world.plan.data_planes)) as u8;
+        if !sweep(world, job, front, until).await {
+            world.blame("LOST", format!("{job} cannot be read in the end (through edge-{front})"));
+        }
+    }
+    let now = world.events.now();
+    world.judge.borrow_mut().close(now);
+    let newest = world.acknowledged.get();
+    for front in 0..world.plan.data_planes {
+        if newest >= 2 && has_route(world, front, newest).await == Some(false) {
+            world.blame("CONFIG", format!("edge-{front} lacks configuration {newest} in the end"));
+        }
+    }
+}
+
+async fn ended(world: &World, seed: u64, troubles: usize, folder: &Path) -> SeedResult {
+    let mut faults = world.faults.borrow().clone();
+    let judge = world.judge.borrow();
+    faults.extend(judge.broken.iter().map(|broken| Fault {
+        rule: broken.rule.to_string(),
+        at_s: broken.at as f64 / 1_000_000.0,
+        what: broken.what.clone(),
+    }));
+    let mut starts = 0;
+    for process in &world.processes {
+        let mut process = process.lock().await;
+        process.kill().await;
+        starts += process.lives;
+        let at_s = world.events.now() as f64 / 1_000_000.0;
+        let told = process.errors();
+        faults.extend(told.into_iter().map(|what| Fault { rule: "LOG".to_owned(), at_s, what }));
+    }
+    SeedResult {
+        seed,
+        processes: world.plan.processes(),
+        troubles,
+        starts,
+        seconds: world.events.now() as f64 / 1_000_000.0,
+        jobs_accepted: judge.accepted_jobs().len(),
+        pages_read: judge.reads,
+        live_answers: world.live_answers.get(),
+        live_refused: world.live_refused.borrow().len() as u64,
+        configurations: world.acknowledged.get(),
+        folder: Some(folder.to_owned()),
+        faults,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/schedule.rs
@@ -0,0 +1,126 @@
+//! Draws the troubles of a seed.
+
+use std::time::Duration;
+
+use fastrand::Rng;
+use strum::Display;
+
+use crate::plan::{Plan, Troubles};
+
+/// A kind of process, with its place among those of its kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
+pub enum Target {
+    #[strum(to_string = "core-{0}")]
+    Core(u8),
+    #[strum(to_string = "store-{0}")]
+    Store(u8),
+    #[strum(to_string = "edge-{0}")]
+    DataPlane(u8),
+}
+
+/// One trouble.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Trouble {
+    Kill { targets: Vec<Target>, down: Duration },
+    Freeze { target: Target, for_: Duration },
+    Restart { target: Target, down: Duration },
+    Hangup { target: Target },
+    Wipe { store: u8, down: Duration },
+    Configure,
+    PlatformSilent { for_: Duration },
+}
+
+/// A trouble and when it strikes, from the beginning of the troubles.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Strike {
+    pub at: Duration,
+    pub trouble: Trouble,
+}
+
+/// All troubles of a seed, in order. The next one does not wait for the end of the last one.
+pub fn drawn(plan: &Plan, seed: u64) -> Vec<Strike> {
+    let mut chance = Rng::with_seed(seed);
+    let mut strikes = Vec::new();
+    let mut at = Duration::ZERO;
+    let end = Duration::from_secs_f64(plan.troubled_s);
+    loop {
+        let most = plan.troubles.most_pause_ms.max(plan.troubles.least_pause_ms);
+        at += Duration::from_millis(chance.u64(plan.troubles.least_pause_ms..=most));
+        if at >= end {
+            return strikes;
+        }
+        if let Some(trouble) = trouble(plan, &mut chance) {
+            strikes.push(Strike { at, trouble });
+        }
+    }
+}
+
+fn trouble(plan: &Plan, chance: &mut Rng) -> Option<Trouble> {
+    let Troubles {
+        kill_store,
+        kill_stores,
+        kill_core,
+        kill_data_plane,
+        freeze,
+        restart,
+        hangup,
+        wipe_store,
+        configure,
+        platform_silent,
+        ..
+    } = plan.troubles;
+    let weights = [
+        kill_store,
+        kill_stores,
+        kill_core,
+        kill_data_plane,
+        freeze,
+        restart,
+        hangup,
+        wipe_store,
+        configure,
+        platform_silent,
+    ];
+    let sum: u32 = weights.iter().sum();
+    if sum == 0 {
+        return None;
+    }
+    let mut left = chance.u32(0..sum);
+    let kind = weights.iter().position(|weight| match left.checked_sub(*weight) {
+        Some(rest) => {
+            left = rest;
+            false
+        }
+        None => true,
+    })?;
+    let down = Duration::from_millis(chance.u64(50..=2_500));
+    let store = |chance: &mut Rng| Target::Store(chance.u8(0..plan.stores));
+    Some(match kind {
+        0 => Trouble::Kill { targets: vec![store(chance)], down },
+        1 => {
+            let many = chance.u8(2..=plan.stores);
+            let mut all: Vec<u8> = (0..plan.stores).collect();
+            chance.shuffle(&mut all);
+            Trouble::Kill { targets: all.into_iter().take(many.into()).map(Target::Store).collect(), down }
+        }
+        2 => Trouble::Kill { targets: vec![Target::Core(chance.u8(0..plan.core))], down },
+        3 => Trouble::Kill { targets: vec![Target::DataPlane(chance.u8(0..plan.data_planes))], down },
+        4 => Trouble::Freeze { target: any(plan, chance), for_: down },
+        5 => Trouble::Restart { target: any(plan, chance), down: down / 4 },
+        6 => Trouble::Hangup { target: any(plan, chance) },
+        7 => Trouble::Wipe { store: chance.u8(0..plan.stores), down },
+        8 => Trouble::Configure,
+        _ => Trouble::PlatformSilent { for_: down },
+    })
+}
+
+fn any(plan: &Plan, chance: &mut Rng) -> Target {
+    match chance.u8(0..10) {
+        0..=4 => Target::Store(chance.u8(0..plan.stores)),
+        5..=6 => Target::Core(chance.u8(0..plan.core)),
+        _ => Target::DataPlane(chance.u8(0..plan.data_planes)),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/soak/src/troubles.rs
@@ -0,0 +1,112 @@
+//! What strikes the processes, each trouble on its own: the next one does not wait for its end.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::operator::Operator;
+use crate::process::{ends, Signal};
+use crate::schedule::{Target, Trouble};
+use crate::world::World;
+
+/// A process that is restarted in a planned way is back by itself within so long.
+const CONFIGURED_WITHIN: Duration = Duration::from_secs(30);
+
+/// Carries one trouble out, from its beginning to its end.
+pub async fn strike(world: Rc<World>, operator: Rc<Operator>, trouble: Trouble) {
+    world.events.note(format_args!("--- {trouble:?}"));
+    match trouble {
+        Trouble::Kill { targets, down } => {
+            world.unplanned(down);
+            for target in &targets {
+                kill(&world, *target).await;
+            }
+            sleep(down).await;
+            for target in targets {
+                start(&world, target).await;
+            }
+        }
+        Trouble::Freeze { target, for_ } => {
+            world.unplanned(for_);
+            signal(&world, target, Signal::Stop).await;
+            sleep(for_).await;
+            signal(&world, target, Signal::Cont).await;
+        }
+        Trouble::Restart { target, down } => restart(&world, target, down).await,
+        Trouble::Hangup { target } => drop(signal(&world, target, Signal::Hup).await),
+        Trouble::Wipe { store, down } => wipe(&world, Target::Store(store), down).await,
+        Trouble::Configure => {
+            if !operator.configure(&world, CONFIGURED_WITHIN).await {
+                world.events.note("a configuration was not acknowledged");
+            }
+        }
+        Trouble::PlatformSilent { for_ } => {
+            world.unplanned(for_);
+            world.platform.silent.set(true);
+            sleep(for_).await;
+            world.platform.silent.set(false);
+        }
+    }
+}
+
+async fn kill(world: &World, target: Target) {
+    if let Some(process) = world.process(target) {
+        process.lock().await.kill().await;
+    }
+}
+
+async fn signal(world: &World, target: Target, signal: Signal) -> bool {
+    match world.process(target) {
+        Some(process) => process.lock().await.signal(signal).await,
+        None => false,
+    }
+}
+
+/// Starts a process unless it runs.
+pub async fn start(world: &World, target: Target) {
+    let Some(process) = world.process(target) else { return };
+    let mut process = process.lock().await;
+    if process.is_running() {
+        return;
+    }
+    world.events.note(format_args!("{target} starts"));
+    if let Err(reason) = process.start(world.programs.as_deref()) {
+        world.blame("START", format!("{target}: {reason:#}"));
+    }
+}
+
+async fn restart(world: &World, target: Target, down: Duration) {
+    let Some(process) = world.process(target) else { return };
+    // A store or a machine of the core that restarts is a disturbance for all others.
+    if !matches!(target, Target::DataPlane(_)) {
+        world.unplanned(down);
+    }
+    let child = process.lock().await.terminate().await;
+    if let Some(child) = child {
+        if !ends(child).await {
+            world.events.note(format_args!("{target} had to be killed"));
+        }
+    }
+    sleep(down).await;
+    start(world, target).await;
+}
+
+/// A store loses its disk, if no more disks are lost than may be.
+async fn wipe(world: &World, target: Target, down: Duration) {
+    if world.wipes.get() >= world.plan.losses {
+        return;
+    }
+    world.wipes.set(world.wipes.get() + 1);
+    world.unplanned(down);
+    let Some(process) = world.process(target) else { return };
+    {
+        let mut process = process.lock().await;
+        process.kill().await;
+        if let Err(reason) = process.wipe() {
+            world.blame("START", format!("{target}: its disk cannot be wiped: {reason}"));
+        }
+    }
+    sleep(down).await;
+    start(world, target).await;
+}
--- /dev/null
+++ b/crates/soak/src/world.rs
@@ -0,0 +1,204 @@
+//! What all parts of a run share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fennelgauge_batch_judge::{BatchJudge, Bounds};
+use fennelgauge_standins::{Observer, Platform, Tier};
+use serde_json::{json, Value};
+use tokio::sync::Mutex;
+
+use crate::events::Events;
+use crate::plan::Plan;
+use crate::process::Process;
+use crate::report::Fault;
+use crate::schedule::Target;
+
+/// In touch again so long after the last unplanned trouble, as the users' deployments have it.
+pub const CONTACT: Duration = Duration::from_millis(3_000);
+const SETTLE_US: u64 = 1_000_000;
+const CANCEL_US: u64 = 3_000_000;
+/// Of each tenant, in the configuration.
+pub const MOST_QUEUED: u64 = 1_000;
+
+/// How far a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    Starting,
+    Troubled,
+    /// No new troubles, no new batch jobs.
+    Recovering,
+    Over,
+}
+
+/// A run.
+pub struct World {
+    pub plan: Plan,
+    pub tier: Tier,
+    pub programs: Option<PathBuf>,
+    pub events: Events,
+    pub platform: Rc<Platform>,
+    pub processes: Vec<Mutex<Process>>,
+    pub judge: RefCell<BatchJudge>,
+    pub faults: RefCell<Vec<Fault>>,
+    pub phase: Cell<Phase>,
+    /// Until when, in microseconds, some process is in unplanned trouble.
+    pub unplanned_until: Cell<u64>,
+    /// Lost disks that are not made good yet.
+    pub wipes: Cell<u8>,
+    /// Runs of live requests, by id.
+    pub live_runs: RefCell<BTreeMap<String, u32>>,
+    /// Live requests that were refused: they must never run.
+    pub live_refused: RefCell<BTreeSet<String>>,
+    pub live_answers: Cell<u64>,
+    /// The newest configuration that was acknowledged.
+    pub acknowledged: Cell<u64>,
+    pub to_end: RefCell<Vec<String>>,
+    next: Cell<u64>,
+}
+
+impl World {
+    pub fn new(
+        plan: Plan,
+        tier: Tier,
+        programs: Option<PathBuf>,
+        events: Events,
+        platform: Rc<Platform>,
+    ) -> Self {
+        let targets = (0..plan.core)
+            .map(Target::Core)
+            .chain((0..plan.stores).map(Target::Store))
+            .chain((0..plan.data_planes).map(Target::DataPlane));
+        let processes = targets.map(|target| Mutex::new(Process::new(&tier, target))).collect();
+        let bounds = Bounds { settle: SETTLE_US, cancel: CANCEL_US, most_queued: MOST_QUEUED };
+        Self {
+            plan,
+            tier,
+            programs,
+            events,
+            platform,
+            processes,
+            judge: RefCell::new(BatchJudge::new(bounds)),
+            faults: RefCell::default(),
+            phase: Cell::new(Phase::Starting),
+            unplanned_until: Cell::new(0),
+            wipes: Cell::new(0),
+            live_runs: RefCell::default(),
+            live_refused: RefCell::default(),
+            live_answers: Cell::new(0),
+            acknowledged: Cell::new(0),
+            to_end: RefCell::default(),
+            next: Cell::new(0),
+        }
+    }
+
+    /// The process of a target.
+    pub fn process(&self, target: Target) -> Option<&Mutex<Process>> {
+        let place = match target {
+            Target::Core(place) => place,
+            Target::Store(place) => self.plan.core + place,
+            Target::DataPlane(place) => self.plan.core + self.plan.stores + place,
+        };
+        self.processes.get(usize::from(place))
+    }
+
+    /// A rule was broken.
+    pub fn blame(&self, rule: &str, what: String) {
+        self.events.note(format_args!("BROKEN {rule}: {what}"));
+        let at_s = self.events.now() as f64 / 1_000_000.0;
+        self.faults.borrow_mut().push(Fault { rule: rule.to_owned(), at_s, what });
+    }
+
+    /// Unplanned trouble lasts from now for so long.
+    pub fn unplanned(&self, for_: Duration) {
+        let until = self.events.now() + for_.as_micros() as u64;
+        self.unplanned_until.set(self.unplanned_until.get().max(until));
+    }
+
+    /// Whether all was calm, but for planned work, since [`CONTACT`] before `since` (microseconds).
+    pub fn only_planned_since(&self, since: u64) -> bool {
+        self.unplanned_until.get() + (CONTACT.as_micros() as u64) < since
+    }
+
+    /// A number that nobody else has.
+    pub fn number(&self) -> u64 {
+        self.next.set(self.next.get() + 1);
+        self.next.get()
+    }
+
+    pub fn tenant(place: u8) -> String {
+        format!("tenant-{place}")
+    }
+
+    pub fn key(place: u8) -> String {
+        format!("key-of-tenant-{place}")
+    }
+
+    /// The route that came with a configuration.
+    pub fn route_of(generation: u64) -> String {
+        format!("/since-{generation}/")
+    }
+
+    /// A configuration: routes of earlier ones stay, one is added.
+    pub fn configuration(&self, generation: u64) -> Value {
+        let mut configuration = fennelgauge_standins::configuration(generation);
+        let tenants: Vec<Value> = (0..self.plan.tenants)
+            .map(
+                |place| json!({ "name": Self::tenant(place), "api_keys": [Self::key(place)], "priority": 1 }),
+            )
+            .collect();
+        configuration["tenants"] = Value::Array(tenants);
+        if let Some(routes) = configuration["routes"].as_array_mut() {
+            let stream = routes[0].clone();
+            for since in 2..=generation {
+                let mut added = stream.clone();
+                added["name"] = json!(format!("since-{since}"));
+                added["path_prefix"] = json!(Self::route_of(since));
+                routes.push(added);
+            }
+        }
+        configuration
+    }
+}
+
+/// Hands the runs at the stand-ins' servers to the judge.
+pub struct Runs {
+    pub world: Rc<World>,
+    /// Of each item, what its unfinished and finished runs have given, event by event.
+    pub given: RefCell<BTreeMap<String, Vec<Vec<String>>>>,
+}
+
+impl Observer for Runs {
+    fn began(&self, id: &str, _after: u64) {
+        if id.starts_with("live-") {
+            *self.world.live_runs.borrow_mut().entry(id.to_owned()).or_default() += 1;
+            return;
+        }
+        let now = self.world.events.now();
+        // A store that was frozen or just killed is not in touch: what it sends late does not count.
+        if self.world.only_planned_since(now) {
+            self.world.judge.borrow_mut().began(now, id);
+        }
+    }
+
+    fn done(&self, id: &str, after: u64, events: &[String]) {
+        if id.starts_with("live-") {
+            return;
+        }
+        let mut given = self.given.borrow_mut();
+        let earlier = given.entry(id.to_owned()).or_default();
+        let mut whole: Vec<Vec<String>> = match after {
+            0 => vec![events.to_vec()],
+            _ => {
+                earlier.iter().filter_map(|run| Some([run.get(..after as usize)?, events].concat())).collect()
+            }
+        };
+        for run in &whole {
+            self.world.judge.borrow_mut().done(id, &run.join("\n"));
+        }
+        earlier.append(&mut whole);
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,5 +6,5 @@
 mod tier;
 
 pub use platform::{listing, start_platform, Platform};
-pub use server::{start_server, ModelServer};
+pub use server::{start_server, ModelServer, Observer, EVENTS};
 pub use tier::{configuration, Ports, Tier, KEY};
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,8 +1,9 @@
 //! The platform: its list of servers, and the calls that fall to one holder.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_web::web::{self, Data, Json};
 use actix_web::{App, HttpRequest, HttpResponse};
@@ -10,6 +11,9 @@
 use serde_json::{json, Value};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
 
 /// What the platform lists and what it was told.
 #[derive(Default)]
@@ -17,6 +21,8 @@
     pub servers: RefCell<Vec<Value>>,
     /// Accepted usage reports: window, counts and fence.
     pub usage: RefCell<Vec<(u64, Value, u64)>>,
+    /// While it is silent, calls get no answer.
+    pub silent: Cell<bool>,
 }
 
 /// An entry of the list.
@@ -37,12 +43,20 @@
     spawn_local(serve_http(listener, app, HttpTimes::default()));
 }
 
+async fn speaks(platform: &Platform) {
+    while platform.silent.get() {
+        sleep(LOOK_AGAIN).await;
+    }
+}
+
 async fn instances(platform: Data<Rc<Platform>>) -> HttpResponse {
+    speaks(&platform).await;
     let servers = platform.servers.borrow().clone();
     HttpResponse::Ok().json(json!({ "instances": servers, "next_token": null }))
 }
 
 async fn usage(request: HttpRequest, report: Json<Value>, platform: Data<Rc<Platform>>) -> HttpResponse {
+    speaks(&platform).await;
     let fence = request.headers().get("x-fennelgauge-fencing-token");
     let fence: u64 = fence.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
     let mut accepted = platform.usage.borrow_mut();
