--- a/crates/control-plane/src/placement.rs
+++ b/crates/control-plane/src/placement.rs
@@ -13,7 +13,7 @@
 use crate::state::{ControlState, Retirement, StateChange};
 
 const PLAN_EVERY: Duration = Duration::from_millis(250);
-/// News of several stores that come within so short a time go into one plan.
+/// While a group is closed, news of the stores are looked at after so short a time.
 const GATHER_FOR: Duration = Duration::from_millis(60);
 /// A store not heard for so long is taken for lost.
 const LOST_AFTER: Duration = Duration::from_millis(1_100);
@@ -26,7 +26,7 @@
 #[derive(Default)]
 pub struct Presence {
     heard: RefCell<HashMap<Identity, HeardAt>>,
-    /// A store told something new of its groups, or is new.
+    /// A store told something new of its groups, or is new: matters while a group is closed.
     news: Notify,
 }
 
@@ -60,8 +60,11 @@
 pub async fn keep_placement(core: Rc<Core>, presence: Rc<Presence>) {
     let mut first_heard: Option<Instant> = None;
     loop {
-        if timeout(PLAN_EVERY, presence.news.notified()).await.is_ok() {
-            sleep(GATHER_FOR).await;
+        let closed = core.committed_state().is_some_and(|state| state.small.stores.has_closed_groups());
+        match closed {
+            true if timeout(PLAN_EVERY, presence.news.notified()).await.is_ok() => sleep(GATHER_FOR).await,
+            true => {}
+            false => sleep(PLAN_EVERY).await,
         }
         if !core.is_head() || !core.is_confirmed() || core.in_view_for() < HEAD_PATIENCE && core.epoch() > 1 {
             continue;
--- a/crates/control-plane/src/store/learner.rs
+++ b/crates/control-plane/src/store/learner.rs
@@ -17,7 +17,7 @@
 const FETCH_TIMEOUT: Duration = Duration::from_secs(6);
 const COPY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Groups that are copied at a time.
-const AT_ONCE: usize = 8;
+const AT_ONCE: usize = 3;
 /// A learner that lacked so few entries at its last look may join the chain: as a link it gets the rest, and does not count as
 /// a holder before.
 const JOINS_WITHIN: usize = 24;
--- a/crates/control-plane/src/store/level.rs
+++ b/crates/control-plane/src/store/level.rs
@@ -29,11 +29,11 @@
             let view = self.view();
             let roles: Vec<(GroupNumber, Role)> =
                 GroupNumber::all().filter_map(|group| Some((group, self.role(&view, group)?))).collect();
-            let is_behind = |group: GroupNumber| !self.replica(group).borrow().is_level_in(view.epoch);
-            behind_since.retain(|group, _| is_behind(*group));
+            let is_behind = |group: &GroupNumber, role: &Role| !self.replica(*group).borrow().is_level(role);
+            behind_since.retain(|group, _| roles.iter().any(|(of, role)| of == group && is_behind(of, role)));
             let mut asked: BTreeMap<SocketAddr, Vec<GroupNumber>> = BTreeMap::new();
             for (group, role) in &roles {
-                let Some(predecessor) = role.predecessor.filter(|_| is_behind(*group)) else { continue };
+                let Some(predecessor) = role.predecessor.filter(|_| is_behind(group, role)) else { continue };
                 let since = *behind_since.entry(*group).or_insert_with(Instant::now);
                 let Some(peer) = self.peer(&view, predecessor) else { continue };
                 if since.elapsed() >= ASK_AFTER {
@@ -58,7 +58,7 @@
         let untold: Vec<&(GroupNumber, Role)> = roles
             .iter()
             .filter(|(group, role)| role.joining_since.is_some() && !self.holds.borrow().contains_key(group))
-            .filter(|(group, _)| self.replica(*group).borrow().is_level_in(view.epoch))
+            .filter(|(group, role)| self.replica(*group).borrow().is_level(role))
             .collect();
         let confirmed = untold
             .into_iter()
--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -22,7 +22,7 @@
 
 use fennelgauge_coordination::{GroupNumber, Identity, Member, StoreNumber, StoreView, GROUPS};
 use fennelgauge_http::until_stopped;
-use fennelgauge_replication::{Installed, Replica, Role};
+use fennelgauge_replication::{Replica, Role};
 use fennelgauge_settings::Settings;
 use fennelgauge_upstream::{
     keep_reachable, share_uses, subscribe, wall_clock, Known, Pool, Sender, Subscription,
@@ -283,7 +283,7 @@
         }
         Record::Copy { group, copy } => {
             let Some(replica) = groups.get_mut(usize::from(group.0)) else { return };
-            if !matches!(replica.install(0, &copy), Installed::Yes { .. }) {
+            if !replica.restore_copy(&copy) {
                 log::error!("group {}: its copy up to {:?} cannot be read", group.0, copy.position);
             }
         }
--- a/crates/control-plane/src/store/replication.rs
+++ b/crates/control-plane/src/store/replication.rs
@@ -95,7 +95,7 @@
             let Some(role) = self.role(&view, batch.group) else { continue };
             let may_pass = {
                 let replica = self.replica(batch.group).borrow();
-                replica.passes_on_in(epoch) && replica.has_on_disk(batch.end)
+                replica.passes_on(&role) && replica.has_on_disk(batch.end)
             };
             match role.successor {
                 _ if !may_pass => continue,
@@ -154,11 +154,8 @@
         let mut level = Vec::new();
         let mut records = Vec::new();
         for batch in batches {
-            let role = self.role(&view, batch.group);
-            if role.is_none_or(|role| role.is_head()) {
-                continue;
-            }
-            let followed = self.replica(batch.group).borrow_mut().follow(epoch, &batch);
+            let Some(role) = self.role(&view, batch.group).filter(|role| !role.is_head()) else { continue };
+            let followed = self.replica(batch.group).borrow_mut().follow(&role, &batch);
             records.extend(followed.taken.into_iter().map(Record::Entry));
             if followed.is_level {
                 level.push(batch);
@@ -189,8 +186,10 @@
         let Some(view) = self.view_of(epoch).await else {
             return StoreReply::OtherEpoch(self.view().epoch);
         };
-        let is_link = self.role(&view, group).is_some_and(|role| !role.is_head());
-        match is_link && self.install_copy(epoch, group, copy).await {
+        let Some(role) = self.role(&view, group).filter(|role| !role.is_head()) else {
+            return StoreReply::Unsure;
+        };
+        match self.install_copy(role.level_since, group, copy).await {
             true => StoreReply::Installed,
             false => StoreReply::Unsure,
         }
@@ -202,10 +201,11 @@
         self.synced(group, copy.position, until).await.then_some(copy)
     }
 
-    /// Becomes a copy that was sent in the view of `epoch`, on disk when this returns true.
-    pub(super) async fn install_copy(&self, epoch: u64, group: GroupNumber, copy: &GroupCopy) -> bool {
+    /// Becomes a copy, unless it lacks something and this store was level since the view of `level_since`; on disk when this
+    /// returns true.
+    pub(super) async fn install_copy(&self, level_since: u64, group: GroupNumber, copy: &GroupCopy) -> bool {
         let before = self.replica(group).borrow().position();
-        let installed = self.replica(group).borrow_mut().install(epoch, copy);
+        let installed = self.replica(group).borrow_mut().install(level_since, copy);
         let number = group.0;
         match installed {
             Installed::Yes { drops_shown: Some(shown) } => log::error!(
@@ -268,10 +268,10 @@
                 let Some(peer) = role.successor.and_then(|successor| self.peer(&view, successor)) else {
                     continue;
                 };
-                let unchecked = self.checked.borrow().get(&group) != Some(&view.epoch);
+                let unchecked = self.checked.borrow().get(&group).copied() < role.successor_level_since;
                 let (may_pass, in_doubt) = {
                     let replica = self.replica(group).borrow();
-                    (replica.passes_on_in(view.epoch), replica.is_in_doubt())
+                    (replica.passes_on(&role), replica.is_in_doubt())
                 };
                 if !may_pass || (!in_doubt && !unchecked) {
                     doubtful.remove(&group);
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -47,7 +47,7 @@
         self
     }
 
-    /// The next placement, or none if the present one is as it should be.
+    /// The next placement, or none if the present one is as it should be. It has another epoch where others have to know of it.
     pub fn plan(&self, view: &StoreView) -> Option<StoreView> {
         let mut next = view.clone();
         self.register(&mut next);
@@ -59,7 +59,12 @@
         if next == *view {
             return None;
         }
-        next.epoch += 1;
+        // Who is joining matters to the planner only: no link and no reader goes by it.
+        let groups = next.groups.iter().zip(&view.groups);
+        let is_news = next.stores != view.stores
+            || next.groups.len() != view.groups.len()
+            || groups.clone().any(|(is, was)| is.differs_for_others(was));
+        next.epoch += u64::from(is_news);
         Some(next)
     }
 
@@ -131,7 +136,9 @@
                 let Some(next) = self.best_new(view, group, &chain) else { break };
                 chain.push(next);
             }
-            groups.push(Group { chain, ..Group::default() });
+            let mut group = Group { chain, ..Group::default() };
+            group.date_links(&Group::default(), view.epoch + 1);
+            groups.push(group);
         }
         view.groups = groups;
     }
@@ -159,6 +166,9 @@
             self.put_silent_out(view, &mut group);
             self.put_retiring_out(view, &mut group, wanted);
             self.find_learner(view, number, &mut group, wanted);
+            if let Some(before) = view.group(number) {
+                group.date_links(before, view.epoch + 1);
+            }
             view.groups[usize::from(number.0)] = group;
         }
     }
--- a/crates/coordination/src/stores.rs
+++ b/crates/coordination/src/stores.rs
@@ -53,6 +53,9 @@
 pub struct Group {
     /// Head first; holders before those that are joining.
     pub chain: Vec<StoreNumber>,
+    /// For each link: the view since which the chain from its head to that link is as it is. A link that has stood where its
+    /// predecessor stands in that view or a later one still has nothing that the links before it lack.
+    pub unchanged_since: Vec<u64>,
     /// Links that have not told yet that they have everything.
     pub joining: Vec<Newcomer>,
     /// Silent holders, while the chain has too few.
@@ -67,6 +70,24 @@
         self.joining.iter().find(|newcomer| newcomer.store == store).map(|newcomer| newcomer.since)
     }
 
+    /// The view since which the chain up to a link is as it is.
+    pub fn unchanged_since(&self, store: StoreNumber) -> Option<u64> {
+        let place = self.chain.iter().position(|link| *link == store)?;
+        self.unchanged_since.get(place).copied()
+    }
+
+    /// The group as it was before, with another chain in the view of `epoch`.
+    pub(crate) fn date_links(&mut self, before: &Self, epoch: u64) {
+        let same = self.chain.iter().zip(&before.chain).take_while(|(is, was)| is == was).count();
+        self.unchanged_since = before.unchanged_since.iter().copied().take(same).collect();
+        self.unchanged_since.resize(self.chain.len(), epoch);
+    }
+
+    /// Whether the group differs in more than in who is joining: all others have to know then.
+    pub(crate) fn differs_for_others(&self, before: &Self) -> bool {
+        self.chain != before.chain || self.absent != before.absent || self.learner != before.learner
+    }
+
     /// Whether enough links hold the group for it to be changed and read.
     pub fn is_open(&self) -> bool {
         self.absent.is_empty()
@@ -122,6 +143,11 @@
         self.store(*self.group(group)?.chain.last()?)
     }
 
+    /// Whether some group can neither be changed nor read.
+    pub fn has_closed_groups(&self) -> bool {
+        self.groups.iter().any(|group| !group.is_open())
+    }
+
     /// Whether the store holds a part of any group.
     pub fn holds_data(&self, number: StoreNumber) -> bool {
         self.groups.iter().any(|group| group.names(number))
--- a/crates/replication/src/confirmation.rs
+++ b/crates/replication/src/confirmation.rs
@@ -9,7 +9,7 @@
 /// One question, while answers come in.
 #[derive(Clone, Debug)]
 pub struct Confirmation {
-    epoch: u64,
+    role: Role,
     head: Option<StoreNumber>,
     waiting_for: BTreeSet<StoreNumber>,
     head_position: Option<EntryPosition>,
@@ -31,7 +31,7 @@
     /// A question by a link in that role.
     pub fn new(role: &Role) -> Self {
         Self {
-            epoch: role.epoch,
+            role: role.clone(),
             head: role.predecessor.and_then(|_| role.others.first().copied()),
             waiting_for: role.others.iter().copied().collect(),
             head_position: None,
@@ -56,7 +56,7 @@
         if self.refused {
             return Outcome::Refused;
         }
-        if !self.waiting_for.is_empty() || !replica.is_level_in(self.epoch) {
+        if !self.waiting_for.is_empty() || !replica.is_level(&self.role) {
             return Outcome::Waits;
         }
         let asked = match self.head {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -52,7 +52,7 @@
     },
     /// It cannot be read: run one version of the programs everywhere.
     Unreadable,
-    /// It comes from an earlier view than what is here: this store is level in that view or a later one, or has an entry of a later one.
+    /// This store is level, and the copy lacks something that is here: it was overtaken.
     Outdated,
 }
 
@@ -108,14 +108,19 @@
         self.committed == 0 && self.position().sequence > 0
     }
 
-    /// Whether this store stood exactly where its predecessor stood, in that view, or is its head.
-    pub fn is_level_in(&self, epoch: u64) -> bool {
-        (epoch > 0 && self.level_in == epoch) || self.has(ReplicaBug::AnswersWithoutLevel)
+    /// Whether this store, as a link in that role, has nothing that a link before it lacks: it stood exactly where its
+    /// predecessor stood since the chain up to here is as it is, or is the head.
+    pub fn is_level(&self, role: &Role) -> bool {
+        self.was_level_since(role.level_since) || self.has(ReplicaBug::AnswersWithoutLevel)
     }
 
-    /// Whether this store may pass entries on and bring its successor level in that view.
-    pub fn passes_on_in(&self, epoch: u64) -> bool {
-        self.is_level_in(epoch) || self.has(ReplicaBug::PassesOnUnlevel)
+    /// Whether this store may pass entries on and bring its successor level.
+    pub fn passes_on(&self, role: &Role) -> bool {
+        self.is_level(role) || self.has(ReplicaBug::PassesOnUnlevel)
+    }
+
+    fn was_level_since(&self, epoch: u64) -> bool {
+        self.level_in > 0 && self.level_in >= epoch
     }
 
     /// This store is the head in the view of `epoch`: it stands where the chain stands.
@@ -148,11 +153,6 @@
         true
     }
 
-    /// Whether this store was level in the view of `epoch` or a later one: what others sent it as a learner before is outdated.
-    fn was_level_since(&self, epoch: u64) -> bool {
-        self.level_in >= epoch && !self.has(ReplicaBug::CopyReplacesLevel)
-    }
-
     /// Takes a batch as a learner that asked in the view of `epoch`; gives what is new here, to be written to the disk.
     pub fn learn(&mut self, epoch: u64, batch: &EntryBatch) -> Vec<Entry> {
         match self.was_level_since(epoch) {
@@ -179,14 +179,14 @@
         taken
     }
 
-    /// Takes a batch from the predecessor, which is level in the view of `epoch`. Whoever then stands exactly at the batch's end is
-    /// level; whoever has more is not, and stays so until a copy takes that away.
-    pub fn follow(&mut self, epoch: u64, batch: &EntryBatch) -> Followed {
+    /// Takes a batch from the predecessor, which is level in the view of that role. Whoever then stands exactly at the batch's end
+    /// is level; whoever has more is not, and stays so until a copy takes that away.
+    pub fn follow(&mut self, role: &Role, batch: &EntryBatch) -> Followed {
         let taken = self.take_batch(batch);
         if self.position() == batch.end {
-            self.level_in = epoch;
+            self.level_in = role.epoch;
         }
-        Followed { taken, is_level: self.is_level_in(epoch) && self.contains(batch.end) }
+        Followed { taken, is_level: self.is_level(role) && self.contains(batch.end) }
     }
 
     /// What a store at that place lacks.
@@ -216,27 +216,35 @@
         }
     }
 
-    /// Becomes a copy of another store's group, sent in the view of `epoch` (0: read from the own disk).
-    pub fn install(&mut self, epoch: u64, copy: &GroupCopy) -> Installed {
-        if epoch > 0 && (self.was_level_since(epoch) || self.newest_epoch() > epoch) {
+    /// Becomes a copy of another store's group. A copy that lacks something of what is here is taken only if this store was not
+    /// level since the view of `level_since`: that of its role for a link, that of the question for a learner.
+    pub fn install(&mut self, level_since: u64, copy: &GroupCopy) -> Installed {
+        let log = EntryLog::of_copy(copy.position, copy.history.clone());
+        let extends = log.contains(self.position());
+        let is_level = self.was_level_since(level_since) && !self.has(ReplicaBug::CopyReplacesLevel);
+        if !extends && is_level {
             return Installed::Outdated;
         }
         let Ok(state) = decode::<GroupState>(&copy.state) else { return Installed::Unreadable };
-        let log = EntryLog::of_copy(copy.position, copy.history.clone());
         let drops_shown = log.lacks(self.shown).then_some(self.shown);
-        let marks = match self.has(ReplicaBug::MarksOutliveCopy) {
-            true => (self.synced, self.committed, self.level_in),
-            false => (0, 0, 0),
-        };
-        let (synced, committed, level_in) = marks;
-        let shown = match drops_shown {
-            Some(_) => EntryPosition::default(),
-            None => self.shown,
-        };
-        *self = Self { log, state, synced, committed, level_in, shown, planted: self.planted };
+        if !extends && !self.has(ReplicaBug::MarksOutliveCopy) {
+            (self.synced, self.committed, self.level_in) = (0, 0, 0);
+        }
+        if drops_shown.is_some() {
+            self.shown = EntryPosition::default();
+        }
+        (self.log, self.state) = (log, state);
         Installed::Yes { drops_shown }
     }
 
+    /// Becomes what a copy on the own disk holds.
+    pub fn restore_copy(&mut self, copy: &GroupCopy) -> bool {
+        let Ok(state) = decode::<GroupState>(&copy.state) else { return false };
+        let log = EntryLog::of_copy(copy.position, copy.history.clone());
+        *self = Self { log, state, planted: self.planted, ..Self::default() };
+        true
+    }
+
     /// The entry at that place is on the disk, with all before it; of no effect if a copy has taken it away meanwhile.
     pub fn mark_synced(&mut self, position: EntryPosition) {
         if self.contains(position) || self.has(ReplicaBug::MarksOutliveCopy) {
--- a/crates/replication/src/role.rs
+++ b/crates/replication/src/role.rs
@@ -6,6 +6,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Role {
     pub epoch: u64,
+    /// Being level in this view or a later one is being level now.
+    pub level_since: u64,
+    /// The same, of the successor.
+    pub successor_level_since: Option<u64>,
     /// Whether enough links hold the group for it to be changed and read.
     pub is_open: bool,
     /// Where it has not told yet that it has everything: since which view it is a link.
@@ -23,6 +27,8 @@
         let place = held.chain.iter().position(|link| *link == store)?;
         Some(Self {
             epoch: view.epoch,
+            level_since: held.unchanged_since(store)?,
+            successor_level_since: held.unchanged_since.get(place + 1).copied(),
             is_open: held.is_open(),
             joining_since: held.joining_since(store),
             predecessor: place.checked_sub(1).and_then(|before| held.chain.get(before)).copied(),
--- a/crates/simulation/src/stores/world.rs
+++ b/crates/simulation/src/stores/world.rs
@@ -286,7 +286,7 @@
             Event::Look { store, life } => self.look(store, life),
             Event::Presence { store, life } => self.presence(store, life),
             Event::Hear(heard) => {
-                if self.core.hear(self.now, heard) {
+                if self.core.hear(self.now, heard) && self.core.view.has_closed_groups() {
                     self.at(self.now + GATHER_FOR, Event::Plan { again: false });
                 }
             }
@@ -449,8 +449,11 @@
             self.at(self.now + PLAN_EVERY, Event::Plan { again });
             self.planes_ask();
         }
+        let before = self.core.view.epoch;
         if let Some(view) = self.core.plan(self.now) {
-            self.spread(&view);
+            if view.epoch > before {
+                self.spread(&view);
+            }
         }
         self.take_retired_away();
     }
--- a/crates/soak/src/live_client.rs
+++ b/crates/soak/src/live_client.rs
@@ -63,12 +63,11 @@
         Ok(Whole { status: status @ 400..=499, .. }) => {
             world.blame("DENIED", format!("{id} at edge-{front} is answered {status}"));
         }
-        Err(NoAnswer::Broken) if world.only_planned_since(sent) => {
-            if runs > 0 || took > SLACK + SLACK_HERE {
-                let what =
-                    format!("{id} at edge-{front}: no answer after {} ms, {runs} runs", took.as_millis());
-                world.blame("LOST", what);
-            }
+        Err(NoAnswer::Broken)
+            if world.only_planned_since(sent) && (runs > 0 || took > SLACK + SLACK_HERE) =>
+        {
+            let what = format!("{id} at edge-{front}: no answer after {} ms, {runs} runs", took.as_millis());
+            world.blame("LOST", what);
         }
         _ => {}
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -217,8 +217,8 @@
 
 async fn ended(world: &World, seed: u64, troubles: usize, folder: &Path) -> SeedResult {
     let mut faults = world.faults.borrow().clone();
-    let judge = world.judge.borrow();
-    faults.extend(judge.broken.iter().map(|broken| Fault {
+    let broken = world.judge.borrow().broken.clone();
+    faults.extend(broken.iter().map(|broken| Fault {
         rule: broken.rule.to_string(),
         at_s: broken.at as f64 / 1_000_000.0,
         what: broken.what.clone(),
@@ -232,6 +232,7 @@
         let told = process.errors();
         faults.extend(told.into_iter().map(|what| Fault { rule: "LOG".to_owned(), at_s, what }));
     }
+    let judge = world.judge.borrow();
     SeedResult {
         seed,
         processes: world.plan.processes(),
--- a/crates/soak/src/schedule/tests.rs
+++ b/crates/soak/src/schedule/tests.rs
@@ -11,8 +11,8 @@
 
 #[test]
 fn what_weighs_nothing_never_comes() {
-    let mut plan = Plan::default();
-    plan.troubles = Troubles { wipe_store: 0, freeze: 0, ..Troubles::default() };
+    let troubles = Troubles { wipe_store: 0, freeze: 0, ..Troubles::default() };
+    let plan = Plan { troubles, ..Plan::default() };
     for seed in 0..200 {
         for strike in drawn(&plan, seed) {
             assert!(!matches!(strike.trouble, Trouble::Wipe { .. } | Trouble::Freeze { .. }));
