--- a/crates/control-plane/src/store/tests/shown.rs
+++ b/crates/control-plane/src/store/tests/shown.rs
@@ -187,3 +187,29 @@
         assert!(reached.is_empty(), "a link that has another entry at the place before says that it has all");
     });
 }
+
+/// A store that took part in view 4 is told of view 3 after a restart, by a source that is a little late.
+#[test]
+fn after_a_restart_no_earlier_view_is_taken_part_in() {
+    let folder = std::env::temp_dir().join(format!("fennelgauge-earlier-view-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    let mut replica = Replica::default();
+    let entry = replica.create(GROUP, 4, Command::Accept(job()));
+    let (journal, _) = Journal::open(Some(&folder)).expect("a journal");
+    assert_eq!(journal.write(&[Record::Entry(entry)], false).blocking_recv(), Ok(true));
+    drop(journal);
+    local(async {
+        let text = format!(
+            "node = \"s0\"\nip = \"127.0.0.1\"\nzone = \"z\"\nport_range = [7000, 7001]\ndata_dir = {folder:?}\n"
+        );
+        let settings = Rc::new(Settings::parse(&text, Path::new("test.toml")).expect("settings"));
+        let store = Store::open(settings, Identity { node: "s0".into(), disk: 1 }).expect("opened");
+        for (told, taken_part_in) in [(3, 0), (4, 4), (5, 5)] {
+            let mut view = StoreView::default();
+            view.epoch = told;
+            store.known.take_stores(view);
+            assert_eq!(store.view().epoch, taken_part_in, "told of view {told}");
+        }
+    });
+    std::fs::remove_dir_all(folder).expect("removed");
+}
