--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -22,6 +22,7 @@
 pub enum Signal {
     Term,
     Hup,
+    Kill,
     Stop,
     Cont,
 }
@@ -34,6 +35,8 @@
     log: PathBuf,
     data: PathBuf,
     child: Option<Child>,
+    /// Of a process that was asked to end and has not ended yet: no other one may start.
+    ending: Option<u32>,
     /// How often it was started.
     pub lives: u64,
 }
@@ -53,6 +56,7 @@
             log: tier.folder.join(format!("{node}.log")),
             data: tier.folder.join(&node),
             child: None,
+            ending: None,
             lives: 0,
         }
     }
@@ -89,8 +93,9 @@
         Ok(())
     }
 
-    pub fn is_running(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    /// Whether there is a process, though it may be ending.
+    pub fn is_there(&mut self) -> bool {
+        self.ending.is_some() || self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
     /// The status with which it ended by itself, if it did.
@@ -103,24 +108,34 @@
 
     /// Sends a signal; false if there is no process.
     pub async fn signal(&mut self, signal: Signal) -> bool {
-        let Some(id) = self.child.as_ref().and_then(Child::id) else { return false };
+        let own = self.child.as_ref().and_then(Child::id);
+        let Some(id) = own.or(self.ending) else { return false };
         let sent = Command::new("kill").arg(format!("-{signal}")).arg(id.to_string()).status().await;
         sent.is_ok_and(|status| status.success())
     }
 
-    /// Ends it at once.
+    /// Ends it at once, also while it is ending.
     pub async fn kill(&mut self) {
+        if self.ending.is_some() {
+            self.signal(Signal::Kill).await;
+        }
         if let Some(mut child) = self.child.take() {
             let _ = child.kill().await;
         }
     }
 
-    /// The child after SIGTERM, to be waited for without holding this process.
+    /// The child after SIGTERM, to be waited for without holding this process; [`Process::has_ended`] follows.
     pub async fn terminate(&mut self) -> Option<Child> {
         self.signal(Signal::Term).await;
+        self.ending = self.ending.or(self.child.as_ref().and_then(Child::id));
         self.child.take()
     }
 
+    /// The child that was to end has ended.
+    pub fn has_ended(&mut self) {
+        self.ending = None;
+    }
+
     /// Loses its disk.
     pub fn wipe(&self) -> std::io::Result<()> {
         match std::fs::remove_dir_all(&self.data) {
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -67,7 +67,7 @@
 pub async fn start(world: &World, target: Target) {
     let Some(process) = world.process(target) else { return };
     let mut process = process.lock().await;
-    if process.is_running() {
+    if process.is_there() {
         return;
     }
     world.events.note(format_args!("{target} starts"));
@@ -87,6 +87,7 @@
         if !ends(child).await {
             world.events.note(format_args!("{target} had to be killed"));
         }
+        process.lock().await.has_ended();
     }
     sleep(down).await;
     start(world, target).await;
