Tests of stores take a port that is free, below those of outgoing connections

Cause: the test drew a port up to 46,000 by its process id and bound it unasked; the system gives ports from 32,768 on to outgoing connections, of which other tests have many.

--- a/crates/control-plane/src/store/tests/shown.rs
+++ b/crates/control-plane/src/store/tests/shown.rs
@@ -25,11 +25,31 @@
     deaf: Rc<Cell<bool>>,
 }
 
+/// Below the ports that the system gives to outgoing connections.
+const FIRST_PORT: u32 = 10_000;
+const PORTS: u32 = 10_000;
+
+/// Listeners of so many stores, on one port that is free at all their addresses.
+async fn listeners(count: u8, salt: u32) -> (u16, Vec<TcpListener>) {
+    let from = std::process::id().wrapping_mul(7).wrapping_add(salt * 1_000);
+    for step in 0..PORTS {
+        let port = (FIRST_PORT + from.wrapping_add(step) % PORTS) as u16;
+        let mut listeners = Vec::new();
+        for host in 1..=count {
+            listeners.extend(TcpListener::bind(SocketAddr::from(([127, 0, 0, host], port))).await);
+        }
+        if listeners.len() == usize::from(count) {
+            return (port, listeners);
+        }
+    }
+    panic!("no port is free");
+}
+
 /// Stores that bear the loss of two.
-async fn stores(count: u16, salt: u16) -> Vec<Running> {
-    let port = 30_000 + (std::process::id() as u16 % 2_000) * 8 + salt;
+async fn stores(count: u8, salt: u32) -> Vec<Running> {
+    let (port, listeners) = listeners(count, salt).await;
     let mut stores = Vec::new();
-    for number in 0..count {
+    for (number, listener) in listeners.into_iter().enumerate() {
         let text = format!(
             "node = \"s{number}\"\nip = \"127.0.0.{}\"\nzone = \"z{number}\"\nport_range = [{port}, {}]\n\
              [tolerate]\nmachines = 2\n",
@@ -37,8 +57,7 @@
             port + 1
         );
         let settings = Rc::new(Settings::parse(&text, Path::new("test.toml")).expect("settings"));
-        let identity = Identity { node: settings.node.clone(), disk: u64::from(number) + 1 };
-        let listener = TcpListener::bind(settings.control_peer_address()).await.expect("a port");
+        let identity = Identity { node: settings.node.clone(), disk: number as u64 + 1 };
         let store = Store::open(settings, identity).expect("opened");
         let deaf = Rc::new(Cell::new(false));
         let answering = (store.clone(), deaf.clone());
