--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -27,5 +27,5 @@
     play_stores, play_stores_and_print, shrunk_stores, StoreDay, StoreFamily, StorePlant, StoreStrike,
     StoreTrouble, StoresPlayed,
 };
-pub use threads::on_threads;
+pub use threads::{on_threads, seeds_on_threads};
 pub use world::{play, play_and_print, Played};
--- a/crates/simulation/src/stores/mod.rs
+++ b/crates/simulation/src/stores/mod.rs
@@ -14,6 +14,7 @@
 mod task;
 mod world;
 
+use crate::shrink::fewest;
 pub use day::{StoreDay, StoreFamily, StoreStrike, StoreTrouble};
 pub use plant::StorePlant;
 pub use world::{play_stores, play_stores_and_print, StoresPlayed};
@@ -26,15 +27,7 @@
 ) -> StoreDay {
     let breaks = |day: &StoreDay| play_stores(day, plant).broken.iter().any(|broken| broken.rule == rule);
     let mut smallest = day.clone();
-    let mut at = smallest.strikes.len();
-    while at > 0 {
-        at -= 1;
-        let mut smaller = smallest.clone();
-        smaller.strikes.remove(at);
-        if breaks(&smaller) {
-            smallest = smaller;
-        }
-    }
+    smallest.strikes = fewest(day.strikes.clone(), |strikes| breaks(&StoreDay { strikes, ..day.clone() }));
     let mut without_wipes = smallest.clone();
     without_wipes.closing_wipes = 0;
     match breaks(&without_wipes) {
--- a/crates/simulation/src/stores_command.rs
+++ b/crates/simulation/src/stores_command.rs
@@ -1,14 +1,13 @@
 //! The command line's verbs for days of the stores.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::time::Instant;
 
 use anyhow::{bail, Context};
 use fennelgauge_batch_judge::Rule;
 use fennelgauge_simulation::{
-    play_stores, play_stores_and_print, shrunk_stores, StoreDay, StoreFamily, StorePlant,
+    play_stores, play_stores_and_print, seeds_on_threads, shrunk_stores, StoreDay, StoreFamily, StorePlant,
 };
 
 const DAYS: u64 = 1_000;
@@ -57,24 +56,6 @@
     family.map_or_else(|| StoreDay::drawn(seed), |family| StoreDay::of_family(seed, family))
 }
 
-/// Looks at the days of so many seeds on several threads, until `look` says that it is enough.
-fn on_threads(from: u64, count: u64, threads: u64, look: impl Fn(u64) -> bool + Sync) {
-    let next = AtomicU64::new(from);
-    std::thread::scope(|scope| {
-        for _ in 0..threads.max(1) {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= from + count {
-                    return;
-                }
-                if !look(seed) {
-                    next.store(from + count, Ordering::Relaxed);
-                }
-            });
-        }
-    });
-}
-
 #[derive(Default)]
 struct Sums {
     days: u64,
@@ -89,7 +70,7 @@
 fn play_days(from: u64, count: u64, family: Option<StoreFamily>, threads: u64) -> anyhow::Result<()> {
     let began = Instant::now();
     let sums = Mutex::new(Sums::default());
-    on_threads(from, count, threads, |seed| {
+    seeds_on_threads(from, count, threads, |seed| {
         let day = drawn(seed, family);
         let played = play_stores(&day, None);
         let Ok(mut sums) = sums.lock() else { return false };
@@ -154,7 +135,7 @@
     let mut missed = Vec::new();
     for plant in StorePlant::all().into_iter().filter(|plant| only.is_none_or(|only| only == *plant)) {
         let found: Mutex<Option<(u64, StoreFamily, Rule)>> = Mutex::new(None);
-        on_threads(1, most, threads, |seed| {
+        seeds_on_threads(1, most, threads, |seed| {
             let day = StoreDay::drawn(seed);
             let played = play_stores(&day, Some(plant));
             let Some(first) = played.broken.first() else { return true };
--- a/crates/simulation/src/threads.rs
+++ b/crates/simulation/src/threads.rs
@@ -4,15 +4,8 @@
 
 use crate::{play, Day, Plant, Played};
 
-/// Plays the days of so many seeds on several threads. `look` is handed each with what came of it, and says whether to go on.
-pub fn on_threads(
-    from: u64,
-    count: u64,
-    threads: u64,
-    day: impl Fn(u64) -> Day + Sync,
-    plant: Option<Plant>,
-    look: impl Fn(&Day, Played) -> bool + Sync,
-) {
+/// Hands so many seeds to `look` on several threads, until it says that it is enough.
+pub fn seeds_on_threads(from: u64, count: u64, threads: u64, look: impl Fn(u64) -> bool + Sync) {
     let next = AtomicU64::new(from);
     std::thread::scope(|scope| {
         for _ in 0..threads.max(1) {
@@ -21,11 +14,25 @@
                 if seed >= from + count {
                     return;
                 }
-                let day = day(seed);
-                if !look(&day, play(&day, plant)) {
+                if !look(seed) {
                     next.store(from + count, Ordering::Relaxed);
                 }
             });
         }
     });
 }
+
+/// Plays the days of so many seeds on several threads. `look` is handed each with what came of it, and says whether to go on.
+pub fn on_threads(
+    from: u64,
+    count: u64,
+    threads: u64,
+    day: impl Fn(u64) -> Day + Sync,
+    plant: Option<Plant>,
+    look: impl Fn(&Day, Played) -> bool + Sync,
+) {
+    seeds_on_threads(from, count, threads, |seed| {
+        let day = day(seed);
+        look(&day, play(&day, plant))
+    });
+}
--- a/crates/simulation/tests/stores.rs
+++ b/crates/simulation/tests/stores.rs
@@ -1,10 +1,10 @@
 //! Drawn days of the stores with no rule broken, the same each time; planted mistakes that the judge finds.
 
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
 use fennelgauge_simulation::{
-    play_stores, shrunk_stores, StoreDay, StoreFamily, StorePlant, StoreStrike, StoreTrouble,
+    play_stores, seeds_on_threads, shrunk_stores, StoreDay, StoreFamily, StorePlant, StoreStrike,
+    StoreTrouble,
 };
 
 const DAYS: u64 = 2_000;
@@ -32,21 +32,13 @@
 
 #[test]
 fn no_rule_is_broken_on_drawn_days_of_the_stores() {
-    let next = AtomicU64::new(1);
     let broken = Mutex::new(Vec::new());
-    std::thread::scope(|scope| {
-        for _ in 0..THREADS {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed > DAYS {
-                    return;
-                }
-                let played = play_stores(&StoreDay::drawn(seed), None);
-                if !played.broken.is_empty() || !played.shown_dropped.is_empty() {
-                    broken.lock().expect("a lock").push((seed, played.broken, played.shown_dropped));
-                }
-            });
+    seeds_on_threads(1, DAYS, THREADS, |seed| {
+        let played = play_stores(&StoreDay::drawn(seed), None);
+        if !played.broken.is_empty() || !played.shown_dropped.is_empty() {
+            broken.lock().expect("a lock").push((seed, played.broken, played.shown_dropped));
         }
+        true
     });
     let broken = broken.into_inner().expect("a lock");
     assert!(broken.is_empty(), "play these with fennelgauge-simulate stores-day SEED --print: {broken:?}");
