--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -8,7 +8,7 @@
 pub const MAX_ITEMS: usize = 200;
 
 /// A request to be run later.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Item {
     pub id: String,
     pub path: String,
@@ -20,7 +20,7 @@
 }
 
 /// A batch job.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Job {
     pub id: String,
     pub tenant: String,
@@ -76,14 +76,14 @@
 }
 
 /// How an item ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ItemOutcome {
     Succeeded,
     DeadLettered,
 }
 
 /// An ended item: the data of all events in order, separated by line feeds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ItemResult {
     /// Its place among the submitted items.
     pub item: u32,
--- a/crates/batch/src/state.rs
+++ b/crates/batch/src/state.rs
@@ -1,6 +1,6 @@
 //! The state of a group: its batch jobs and the count of queued tokens.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -10,16 +10,29 @@
 pub const MAX_PAGE_BYTES: usize = 900_000;
 
 /// A change of a group. Changes that have no effect any more are left out silently, alike at every copy.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Command {
     Accept(Job),
-    Finish { job: String, results: Vec<ItemResult> },
-    End { job: String },
-    Remove { job: String },
+    Finish {
+        job: String,
+        results: Vec<ItemResult>,
+    },
+    End {
+        job: String,
+    },
+    Remove {
+        job: String,
+    },
+    /// The first change of a group that was given up: it is begun anew in that view, without the batch jobs that it held. Of some of
+    /// them the names are known.
+    Begin {
+        view: u64,
+        given_up: BTreeSet<String>,
+    },
 }
 
 /// A batch job with what has become of it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct JobState {
     pub job: Job,
     /// In the order of their positions.
@@ -55,7 +68,7 @@
 }
 
 /// Results read from a position on.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Page {
     pub total: u32,
     pub next: u32,
@@ -71,6 +84,8 @@
     Fits,
     /// It is there already.
     Known,
+    /// It was given up with all that its group held: its name is not used again.
+    GivenUp,
     /// Its tenant would have more tokens queued on the route than allowed.
     OverQuota {
         queued: u64,
@@ -79,11 +94,15 @@
 }
 
 /// All batch jobs of a group.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct GroupState {
     jobs: BTreeMap<String, JobState>,
     /// Queued tokens by tenant and route.
-    queued: HashMap<(String, String), u64>,
+    queued: BTreeMap<(String, String), u64>,
+    /// The view in which the group was begun anew; 0 where it never was.
+    begun_in: u64,
+    /// Batch jobs that are known to have been given up.
+    given_up: BTreeSet<String>,
 }
 
 impl GroupState {
@@ -92,6 +111,9 @@
         if self.jobs.contains_key(&job.id) {
             return Admission::Known;
         }
+        if self.given_up.contains(&job.id) {
+            return Admission::GivenUp;
+        }
         let queued = self.queued_tokens(&job.tenant, &job.route);
         match most > 0 && queued + job.tokens() > most {
             true => Admission::OverQuota { queued, most },
@@ -112,6 +134,21 @@
         self.jobs.values()
     }
 
+    /// The view in which the group was begun anew; 0 where it never was.
+    pub fn begun_in(&self) -> u64 {
+        self.begun_in
+    }
+
+    /// Whether a batch job that is not here may have been given up with the group.
+    pub fn may_be_given_up(&self, id: &str) -> bool {
+        self.begun_in > 0 && !self.jobs.contains_key(id)
+    }
+
+    /// Names of all batch jobs that are lost once the group is given up.
+    pub fn names(&self) -> BTreeSet<String> {
+        self.jobs.keys().chain(&self.given_up).cloned().collect()
+    }
+
     /// Carries out a change.
     pub fn apply(&mut self, command: Command) {
         match command {
@@ -119,6 +156,7 @@
             Command::Finish { job, results } => self.finish(&job, results),
             Command::End { job } => self.end(&job),
             Command::Remove { job } => self.remove(&job),
+            Command::Begin { view, given_up } => *self = Self { begun_in: view, given_up, ..Self::default() },
         }
     }
 
--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! A machine of the core: the thin process around the state machines of `fennelgauge-coordination`. It gives them messages and the time, does their
 //! writes, sends what they say, and passes on what is committed.
 
+mod groups;
 mod orders;
 mod storage;
 #[cfg(test)]
@@ -22,6 +23,7 @@
 use tokio::sync::{Mutex, Notify};
 use tokio::time::{sleep, timeout_at, Instant};
 
+use crate::placement::Presence;
 use crate::state::ControlState;
 pub use orders::WriteError;
 use storage::{Storage, Writes};
@@ -42,6 +44,8 @@
     pub settings: Rc<Settings>,
     pub known: Rc<Known>,
     pub caller: Caller,
+    /// The stores that have told of themselves.
+    pub presence: Presence,
     coordinator: RefCell<Coordinator<ControlState>>,
     storage: Storage,
     started: Instant,
@@ -73,6 +77,7 @@
             settings,
             known,
             caller,
+            presence: Presence::default(),
             coordinator: RefCell::new(coordinator),
             storage: opened.storage,
             started: Instant::now(),
--- a/crates/control-plane/src/core/orders.rs
+++ b/crates/control-plane/src/core/orders.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use fennelgauge_coordination::Progress;
-use fennelgauge_wire::{encode, ConfigurationBytes, CoreReply, CoreRequest, Order, OrderReply, RetireReply};
+use fennelgauge_wire::{ConfigurationBytes, CoreReply, CoreRequest, Order, OrderReply, RetireReply};
 use tokio::time::{timeout_at, Instant};
 
 use super::Core;
@@ -34,6 +34,8 @@
             CoreRequest::Read => CoreReply::Configuration(self.read_here().await),
             CoreRequest::RetireStart { node } => CoreReply::Retire(self.retire_here(&node).await),
             CoreRequest::RetireState { node } => CoreReply::Retire(self.retire_state_here(&node).await),
+            CoreRequest::Group(group) => CoreReply::Group(self.group_here(group).await),
+            CoreRequest::GiveUp(order) => CoreReply::GiveUp(self.give_up_here(&order).await),
         }
     }
 
@@ -61,7 +63,7 @@
             }
             match change(replica.value()) {
                 Err(answer) => (Ok(Err(answer)), Default::default()),
-                Ok(change) => match coordinator.write(now, encode(&change)) {
+                Ok(change) => match coordinator.write(now, change.written()) {
                     Ok((version, outcome)) => (Ok(Ok(version)), outcome),
                     Err(reason) => {
                         log::warn!("{reason}");
@@ -82,7 +84,7 @@
     }
 
     /// A refusal counts only while the view stands; a head that was put out may be out of date.
-    async fn stands(self: &Rc<Self>) -> bool {
+    pub(super) async fn stands(self: &Rc<Self>) -> bool {
         self.confirm(Instant::now() + CONFIRM_TIMEOUT).await
     }
 
--- a/crates/control-plane/src/operator.rs
+++ b/crates/control-plane/src/operator.rs
@@ -1,5 +1,7 @@
 //! The operator's API.
 
+mod groups;
+
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,7 +33,9 @@
         .route("/-/Config.Patch", web::post().to(patch))
         .route("/-/Config.Get", web::get().to(get))
         .route("/-/Retire.Start/{node}", web::post().to(retire_start))
-        .route("/-/Retire.Get/{node}", web::get().to(retire_get));
+        .route("/-/Retire.Get/{node}", web::get().to(retire_get))
+        .route("/-/Group.Get/{group}", web::get().to(groups::get))
+        .route("/-/Group.GiveUp/{group}", web::post().to(groups::give_up));
 }
 
 async fn put(request: HttpRequest, body: Bytes, operator: Data<Operator>) -> HttpResponse {
--- a/crates/control-plane/src/process.rs
+++ b/crates/control-plane/src/process.rs
@@ -17,7 +17,7 @@
 use crate::core::Core;
 use crate::duties::{order_servers, report_usage, UsageCollector};
 use crate::operator::{routes, Operator, MAX_ORDER_BYTES};
-use crate::placement::{keep_placement, Presence};
+use crate::placement::keep_placement;
 use crate::platform_reader::{follow_head, keep_list};
 use crate::store;
 
@@ -31,17 +31,15 @@
 }
 
 async fn run_core(settings: Rc<Settings>) -> anyhow::Result<()> {
-    let known = Rc::new(Known::default());
-    let caller = Caller::default();
-    let peer = settings.control_peer_address();
-    let core = Core::open(settings.clone(), known.clone(), caller.clone(), peer)?;
-    let presence = Rc::new(Presence::default());
+    let known = Rc::new(Known::of_source());
+    let caller = Caller::leaving_from(settings.calls_leave_from());
+    let told = settings.told_peer_address();
+    let core = Core::open(settings.clone(), known.clone(), caller.clone(), told)?;
     let collector = Rc::new(UsageCollector::default());
 
-    let listener = TcpListener::bind(peer).await?;
+    let listener = TcpListener::bind(settings.control_peer_address()).await?;
     let answering = Answering {
         core: core.clone(),
-        presence: presence.clone(),
         collector: collector.clone(),
         home: Rc::default(),
         began: Instant::now(),
@@ -50,7 +48,7 @@
     spawn_local(core.clone().keep());
     spawn_local(keep_list(core.clone()));
     spawn_local(follow_head(core.clone()));
-    spawn_local(keep_placement(core.clone(), presence));
+    spawn_local(keep_placement(core.clone()));
     spawn_local(report_usage(core.clone(), collector.clone()));
     spawn_local(order_servers(core.clone(), collector));
     spawn_local(subscribe(known, caller, Subscription::new(&settings)));
@@ -61,7 +59,6 @@
 #[derive(Clone)]
 struct Answering {
     core: Rc<Core>,
-    presence: Rc<Presence>,
     collector: Rc<UsageCollector>,
     /// Of the processes that report here what servers they use.
     home: Rc<RefCell<Home>>,
@@ -69,7 +66,7 @@
 }
 
 async fn answer(answering: Answering, request: Request) -> Reply {
-    let Answering { core, presence, collector, home, began } = answering;
+    let Answering { core, collector, home, began } = answering;
     match request {
         Request::Uses(report) => match home.borrow_mut().report(report, began.elapsed()) {
             Ok(sums) => Reply::Uses(sums),
@@ -85,7 +82,7 @@
             Reply::Noted
         }
         Request::StorePresence(told) => {
-            presence.hear(told);
+            core.presence.hear(told);
             Reply::Noted
         }
         Request::Usage(report) => {
--- a/crates/control-plane/src/state.rs
+++ b/crates/control-plane/src/state.rs
@@ -1,9 +1,10 @@
 //! The control state and how changes change it. Pure.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use fennelgauge_coordination::{content_digest, Replicated, StoreView};
+use fennelgauge_coordination::{content_digest, GiveUp, GivenUp, GroupNumber, Replicated, StoreView};
+use fennelgauge_encoding::{packed, unpacked};
 use fennelgauge_model::{patched, Document};
 use fennelgauge_wire::{decode, encode, Order, OrderKind};
 use serde::{Deserialize, Serialize};
@@ -12,6 +13,12 @@
 const ORDERS_KEPT: usize = 512;
 /// Usage windows whose counts are kept after they were fixed.
 const WINDOWS_KEPT: usize = 16;
+/// A longer change goes along the chain packed.
+const LONGEST_UNPACKED: usize = 2 << 10;
+/// No configuration is longer.
+const MOST_BYTES: usize = 64 << 20;
+/// Groups that were given up are kept on record, the newest of them.
+const GIVEN_UP_KEPT: usize = 256;
 
 /// A configuration as the operator wrote it, shared by all versions that have it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -61,6 +68,27 @@
     pub retirements: BTreeMap<String, Retirement>,
     /// Counts of usage windows, fixed before they are first reported.
     pub usage: BTreeMap<u64, BTreeMap<String, u64>>,
+    /// Oldest first.
+    given_up: Vec<GivenUp>,
+    /// Names of batch jobs of groups whose holders were all silent.
+    names: BTreeMap<GroupNumber, BTreeSet<String>>,
+}
+
+impl SmallState {
+    /// Whether that very order was carried out.
+    pub fn has_given_up(&self, order: &GiveUp) -> bool {
+        self.given_up.iter().any(|given_up| given_up.order == *order)
+    }
+
+    /// Names of a group's batch jobs that are on record.
+    pub fn names_of(&self, group: GroupNumber) -> BTreeSet<String> {
+        self.names.get(&group).cloned().unwrap_or_default()
+    }
+
+    /// When and by which orders a group was given up, oldest first.
+    pub fn given_up_of(&self, group: GroupNumber) -> Vec<GivenUp> {
+        self.given_up.iter().filter(|given_up| given_up.order.group == group).cloned().collect()
+    }
 }
 
 /// An order that was taken.
@@ -106,6 +134,45 @@
     Retire {
         node: String,
     },
+    /// Names of batch jobs of groups whose holders are all silent.
+    Names {
+        names: BTreeMap<GroupNumber, BTreeSet<String>>,
+    },
+    /// A group is begun anew, with nothing of what it held.
+    GiveUp {
+        given_up: GivenUp,
+        stores: StoreView,
+    },
+}
+
+impl StateChange {
+    /// As it goes along the chain: packed if it is long.
+    pub fn written(&self) -> Vec<u8> {
+        let bytes = encode(self);
+        match bytes.len() > LONGEST_UNPACKED {
+            true => encode(&Carried::Packed(packed(&bytes))),
+            false => encode(&Carried::Plain(bytes)),
+        }
+    }
+
+    fn read(bytes: &[u8]) -> Option<Self> {
+        let unreadable = |reason: String| log::error!("a change cannot be read: {reason}");
+        let carried = decode(bytes).map_err(|reason| unreadable(reason.to_string())).ok()?;
+        let bytes = match carried {
+            Carried::Plain(bytes) => bytes,
+            Carried::Packed(bytes) => {
+                unpacked(&bytes, MOST_BYTES).map_err(|reason| unreadable(reason.to_string())).ok()?
+            }
+        };
+        decode(&bytes).map_err(|reason| unreadable(reason.to_string())).ok()
+    }
+}
+
+/// How a change goes along the chain.
+#[derive(Serialize, Deserialize)]
+enum Carried {
+    Plain(#[serde(with = "serde_bytes")] Vec<u8>),
+    Packed(#[serde(with = "serde_bytes")] Vec<u8>),
 }
 
 /// What an order comes to.
@@ -120,7 +187,7 @@
         current: u64,
     },
     Invalid(String),
-    New(ControlState),
+    New(Box<ControlState>),
 }
 
 impl ControlState {
@@ -146,7 +213,7 @@
                 .and_then(|json| Document::parse(&json, self.small.generation)),
         };
         match document {
-            Ok(document) => Decision::New(self.with_configuration(document, taken)),
+            Ok(document) => Decision::New(Box::new(self.with_configuration(document, taken))),
             Err(reason) => Decision::Invalid(reason.to_string()),
         }
     }
@@ -172,7 +239,7 @@
         let mut next = self.clone();
         match change {
             StateChange::Order(order) => match self.decide(&order) {
-                Decision::New(next) => return Some(next),
+                Decision::New(next) => return Some(*next),
                 _ => return None,
             },
             StateChange::Usage { window, counts } => {
@@ -196,6 +263,18 @@
                 stores.epoch += 1;
                 next.small.retirements.insert(node, Retirement::Running);
             }
+            StateChange::Names { names } => {
+                for (group, names) in names {
+                    next.small.names.entry(group).or_default().extend(names);
+                }
+            }
+            StateChange::GiveUp { given_up, stores } => {
+                next.small.names.remove(&given_up.order.group);
+                next.small.stores = stores;
+                next.small.given_up.push(given_up);
+                let surplus = next.small.given_up.len().saturating_sub(GIVEN_UP_KEPT);
+                next.small.given_up.drain(..surplus);
+            }
         }
         Some(next)
     }
@@ -203,18 +282,20 @@
 
 impl Replicated for ControlState {
     fn apply(&self, change: &[u8]) -> Option<Self> {
-        let change = decode(change).map_err(|reason| log::error!("a change cannot be read: {reason}"));
-        self.changed(change.ok()?)
+        self.changed(StateChange::read(change)?)
     }
 
     fn encode(&self) -> Vec<u8> {
-        encode(&(serde_bytes::Bytes::new(self.configuration.json()), &self.small))
+        encode(&(serde_bytes::ByteBuf::from(packed(self.configuration.json())), &self.small))
     }
 
     fn decode(bytes: &[u8]) -> Option<Self> {
         let decoded: Result<(serde_bytes::ByteBuf, SmallState), _> = decode(bytes);
         let (json, small) = decoded.map_err(|reason| log::error!("a copy cannot be read: {reason}")).ok()?;
-        Some(Self { configuration: SharedConfiguration::new(json.into_vec()), small })
+        let json = unpacked(&json, MOST_BYTES)
+            .map_err(|reason| log::error!("a copy cannot be read: {reason}"))
+            .ok()?;
+        Some(Self { configuration: SharedConfiguration::new(json), small })
     }
 
     /// Of the configuration's digest and all else: a small change does not read the configuration again.
--- a/crates/control-plane/src/store/journal.rs
+++ b/crates/control-plane/src/store/journal.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::sync::mpsc;
 
+use super::costs::Writes;
 use fennelgauge_coordination::GroupNumber;
 use fennelgauge_versions::{Folder, VersionName, VersionsError};
 use fennelgauge_wire::{decode, encode, Entry, GroupCopy};
@@ -36,12 +37,14 @@
 #[derive(Clone)]
 pub struct Journal {
     writes: Option<mpsc::Sender<Write>>,
+    counted: Writes,
 }
 
 impl Journal {
     /// Opens the journal and reads all its records, oldest first.
     pub fn open(path: Option<&Path>) -> Result<(Self, Vec<Record>), VersionsError> {
-        let Some(path) = path else { return Ok((Self { writes: None }, Vec::new())) };
+        let counted = Writes::default();
+        let Some(path) = path else { return Ok((Self { writes: None, counted }, Vec::new())) };
         let folder = Folder::open(&path.join("journal"), "batch")?;
         let mut records = Vec::new();
         let names = folder.names()?;
@@ -53,8 +56,14 @@
             }
         }
         let (writes, queue) = mpsc::channel();
-        std::thread::spawn(move || write_all(&folder, next, &queue));
-        Ok((Self { writes: Some(writes) }, records))
+        let counting = counted.clone();
+        std::thread::spawn(move || write_all(&folder, next, &queue, &counting));
+        Ok((Self { writes: Some(writes), counted }, records))
+    }
+
+    /// What was written.
+    pub fn counted(&self) -> &Writes {
+        &self.counted
     }
 
     /// Hands records over; the receiver tells true once they outlive a loss of power.
@@ -88,7 +97,7 @@
     }
 }
 
-fn write_all(folder: &Folder, mut sequence: u64, queue: &mpsc::Receiver<Write>) {
+fn write_all(folder: &Folder, mut sequence: u64, queue: &mpsc::Receiver<Write>, counted: &Writes) {
     let mut held: Option<Write> = None;
     // After a failed write the disk lacks something: nothing counts as written until all was written anew.
     let mut lacking = false;
@@ -117,6 +126,9 @@
             break;
         }
         let written = (whole || !lacking) && write_one(folder, sequence, &body);
+        if written && !body.is_empty() {
+            counted.count(body.len());
+        }
         lacking = !written;
         if whole && written {
             remove_before(folder, sequence);
--- a/crates/control-plane/src/store/learner.rs
+++ b/crates/control-plane/src/store/learner.rs
@@ -18,9 +18,6 @@
 const COPY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Groups that are copied at a time.
 const AT_ONCE: usize = 3;
-/// A learner that lacked so few entries at its last look may join the chain: as a link it gets the rest, and does not count as
-/// a holder before.
-const JOINS_WITHIN: usize = 24;
 
 impl Store {
     /// Copies the groups that this store learns, without end.
@@ -64,10 +61,11 @@
                 }
                 let mut replica = self.replica(group).borrow_mut();
                 replica.mark_synced(batch.end);
-                replica.contains(batch.end) && lacked <= JOINS_WITHIN
+                replica.has_copied(batch.end, lacked)
             }
             Some(StoreReply::Copy(copy)) => {
-                self.install_copy(epoch, group, &copy).await;
+                let installed = self.replica(group).borrow_mut().install(epoch, &copy);
+                self.write_installed(group, after, installed, &copy).await;
                 false
             }
             _ => false,
@@ -78,11 +76,9 @@
     pub(super) async fn fetch(&self, epoch: u64, group: GroupNumber, after: EntryPosition) -> StoreReply {
         let view = self.view_of(epoch).await;
         let role = view.and_then(|view| self.role(&view, group));
-        if !role.is_some_and(|role| role.is_head()) {
-            return StoreReply::OtherEpoch(self.view().epoch);
-        }
         let until = Instant::now() + COPY_TIMEOUT;
-        let missing = self.replica(group).borrow().missing_at(group, after);
+        let missing = self.replica(group).borrow().missing_for_learner(role.as_ref(), group, after);
+        let Some(missing) = missing else { return StoreReply::OtherEpoch(self.view().epoch) };
         match missing {
             Missing::Entries(batch) => match self.synced(group, batch.end, until).await {
                 true => StoreReply::Entries(batch),
--- a/crates/control-plane/src/store/level.rs
+++ b/crates/control-plane/src/store/level.rs
@@ -6,19 +6,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fennelgauge_coordination::{GroupNumber, StoreView};
-use fennelgauge_replication::{Confirmation, Outcome, Role};
+use fennelgauge_coordination::{GroupNumber, StoreNumber, StoreView};
+use fennelgauge_replication::{Confirmation, EntryPosition, Outcome, Role, CONFIRM_WITHIN};
 use fennelgauge_wire::{StoreReply, StoreRequest};
 use futures_util::future::join_all;
 use tokio::time::{timeout, Instant};
 
+use super::journal::Record;
 use super::Store;
 
 const LOOK_EVERY: Duration = Duration::from_millis(150);
 /// In a new view the predecessor looks after its successor of itself.
 const ASK_AFTER: Duration = Duration::from_millis(300);
 const ASK_TIMEOUT: Duration = Duration::from_millis(600);
-const CONFIRM_WITHIN: Duration = Duration::from_millis(900);
 
 impl Store {
     /// Keeps this store level in the groups of which it is a link, without end.
@@ -50,7 +50,7 @@
     }
 
     /// Finds out of which groups this store, as a joining link, has everything.
-    async fn tell_what_it_holds(&self, view: &StoreView, roles: &[(GroupNumber, Role)]) {
+    async fn tell_what_it_holds(self: &Rc<Self>, view: &StoreView, roles: &[(GroupNumber, Role)]) {
         let joining = roles.iter().filter_map(|(group, role)| Some((*group, role.joining_since?)));
         self.holds.borrow_mut().retain(|group, epoch| {
             joining.clone().any(|(joined, since)| joined == *group && *epoch >= since)
@@ -82,28 +82,53 @@
         StoreReply::Noted
     }
 
-    /// A head stands where its chain stands.
-    pub(super) fn lead_if_head(&self, role: &Role, group: GroupNumber) {
-        if role.is_head() {
-            self.replica(group).borrow_mut().lead(role.epoch);
-        }
+    /// A head stands where its chain stands; a group that was given up it begins anew.
+    pub(super) fn lead_if_head(self: &Rc<Self>, role: &Role, group: GroupNumber) {
+        let begun = self.replica(group).borrow_mut().lead(group, role);
+        let Some(copy) = begun else { return };
+        log::error!("group {} was given up: it is begun anew without the batch jobs that it held", group.0);
+        self.stop_group(group);
+        let end = copy.position;
+        let written = self.journal_records(vec![Record::Copy { group, copy }]);
+        let store = self.clone();
+        tokio::task::spawn_local(async move {
+            if written.await {
+                store.replica(group).borrow_mut().mark_synced(end);
+                store.changed.notify_waiters();
+            }
+        });
     }
 
-    /// Asks all other links whether the view still stands, and waits until this store is level and has on its disk what the
-    /// head had then.
-    pub(super) async fn is_certain(&self, view: &StoreView, group: GroupNumber, role: &Role) -> bool {
-        let until = Instant::now() + CONFIRM_WITHIN;
-        self.lead_if_head(role, group);
-        let mut confirmation = Confirmation::new(role);
-        let asked = role.others.iter().map(|link| async move {
+    /// Asks all other links how far they are in a view: each with its answer.
+    pub(super) async fn ask_positions(
+        &self,
+        view: &StoreView,
+        group: GroupNumber,
+        links: &[StoreNumber],
+    ) -> Vec<(StoreNumber, Option<EntryPosition>)> {
+        let asked = links.iter().map(|link| async move {
             let request = StoreRequest::Position { epoch: view.epoch, group };
             match self.ask(self.peer(view, *link)?, request, CONFIRM_WITHIN).await {
                 Some(StoreReply::Position(position)) => Some(position),
                 _ => None,
             }
         });
-        for (link, position) in role.others.iter().zip(join_all(asked).await) {
-            confirmation.hear(*link, position);
+        links.iter().copied().zip(join_all(asked).await).collect()
+    }
+
+    /// Asks all other links whether the view still stands, and waits until this store is level and has on its disk what the
+    /// head had then.
+    pub(super) async fn is_certain(
+        self: &Rc<Self>,
+        view: &StoreView,
+        group: GroupNumber,
+        role: &Role,
+    ) -> bool {
+        let until = Instant::now() + CONFIRM_WITHIN;
+        self.lead_if_head(role, group);
+        let mut confirmation = Confirmation::new(role);
+        for (link, position) in self.ask_positions(view, group, &role.others).await {
+            confirmation.hear(link, position);
         }
         let outcome = || confirmation.outcome(&self.replica(group).borrow());
         self.reached(until, || outcome() != Outcome::Waits).await;
--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -1,5 +1,6 @@
 //! A store: keeps groups of batch jobs with other stores, runs their items, answers what becomes of them.
 
+mod costs;
 mod item_run;
 mod journal;
 mod learner;
@@ -20,9 +21,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fennelgauge_coordination::{GroupNumber, Identity, Member, StoreNumber, StoreView, GROUPS};
+use fennelgauge_coordination::{GroupNumber, Identity, Member, StoreNumber, StoreView, GROUPS, STORE_LEASE};
 use fennelgauge_http::until_stopped;
-use fennelgauge_replication::{Replica, Role};
+use fennelgauge_replication::{Query, Replica, Role};
 use fennelgauge_settings::Settings;
 use fennelgauge_upstream::{
     keep_reachable, share_uses, subscribe, wall_clock, Known, Pool, Sender, Subscription,
@@ -75,6 +76,7 @@
     /// Batch jobs that were taken while this store was the head, as it has been ever since.
     taken_here: RefCell<HashMap<String, GroupNumber>>,
     run_times: RefCell<run_times::RunTimes>,
+    made: costs::Made,
     disk_health: Rc<DiskHealth>,
     /// Bytes handed to the journal since the last whole write, and the size of that.
     written: Cell<usize>,
@@ -124,15 +126,15 @@
         }
         let earliest_view = groups.iter().map(Replica::newest_epoch).max().unwrap_or(0);
         let groups = groups.into_iter().map(RefCell::new).collect();
-        let peer = settings.control_peer_address();
+        let peer = settings.told_peer_address();
         let me = Member { identity, peer, zone: settings.zone.clone(), region: settings.region.clone() };
         Ok(Rc::new(Self {
             me,
             pool: Pool::new(&settings.zone, &settings.policy),
             sender: Sender::new(&settings.policy),
+            caller: Caller::leaving_from(settings.calls_leave_from()),
             settings,
             known: Rc::default(),
-            caller: Caller::default(),
             journal,
             groups,
             earliest_view,
@@ -148,6 +150,7 @@
             windows: RefCell::default(),
             taken_here: RefCell::default(),
             run_times: RefCell::default(),
+            made: costs::Made::default(),
             disk_health: Rc::default(),
             written: Cell::new(0),
             whole_size: Cell::new(0),
@@ -161,7 +164,8 @@
             }
             StoreRequest::End { epoch, group, tenant, job } => self.end(epoch, group, &tenant, job).await,
             StoreRequest::Read { epoch, group, tenant, job, start, wait_ms } => {
-                self.read(epoch, group, (&tenant, &job), start, Duration::from_millis(wait_ms)).await
+                let query = Query { tenant, job, start };
+                self.read(epoch, group, query, Duration::from_millis(wait_ms)).await
             }
             StoreRequest::Body { epoch, group, tenant, job, item } => {
                 self.body(epoch, group, (&tenant, &job), &item).await
@@ -171,6 +175,9 @@
             StoreRequest::Check { epoch, groups } => self.check_again(epoch, &groups),
             StoreRequest::Fetch { epoch, group, after } => self.fetch(epoch, group, after).await,
             StoreRequest::Install { epoch, group, copy } => self.install(epoch, group, &copy).await,
+            StoreRequest::Costs => {
+                StoreReply::Costs(costs::told(self.journal.counted(), &self.made, self.caller.sent()))
+            }
         }
     }
 
@@ -178,12 +185,14 @@
         &self.groups[usize::from(group.0) % self.groups.len()]
     }
 
-    /// The newest view known here; an empty one while only earlier ones are known than this store took part in.
+    /// The newest view known here; an empty one while only earlier ones are known than this store took part in, and while the
+    /// core was not heard for so long that this store may have been given up.
     fn view(&self) -> Rc<StoreView> {
         let view = self.known.stores();
-        match view.epoch < self.earliest_view {
-            true => Rc::default(),
-            false => view,
+        let has_lease = self.known.confirmed_age().is_some_and(|age| age < STORE_LEASE);
+        match has_lease && view.epoch >= self.earliest_view {
+            true => view,
+            false => Rc::default(),
         }
     }
 
@@ -207,14 +216,18 @@
         Some(self.view()).filter(|view| view.epoch == epoch)
     }
 
-    /// The groups that this store heads, and of these only the open ones if they are to be changed.
-    fn headed(&self, view: &StoreView, to_change: bool) -> Vec<GroupNumber> {
+    /// The groups that this store heads.
+    fn headed(&self, view: &StoreView) -> Vec<GroupNumber> {
         let Some(own) = self.number(view) else { return Vec::new() };
-        let is_headed = |group: &GroupNumber| {
-            let held = view.group(*group);
-            held.is_some_and(|held| held.chain.first() == Some(&own) && (held.is_open() || !to_change))
-        };
-        GroupNumber::all().filter(is_headed).collect()
+        let heads =
+            |group: &GroupNumber| view.group(*group).is_some_and(|held| held.chain.first() == Some(&own));
+        GroupNumber::all().filter(heads).collect()
+    }
+
+    /// The groups that this store may change.
+    fn changeable(&self, view: &StoreView) -> Vec<GroupNumber> {
+        let headed = self.headed(view).into_iter();
+        headed.filter(|group| self.takes_changes(view, *group)).collect()
     }
 
     fn peer(&self, view: &StoreView, store: StoreNumber) -> Option<SocketAddr> {
--- a/crates/control-plane/src/store/replication.rs
+++ b/crates/control-plane/src/store/replication.rs
@@ -9,7 +9,7 @@
 
 use fennelgauge_batch::Command;
 use fennelgauge_coordination::{GroupNumber, StoreView};
-use fennelgauge_replication::{Installed, Missing, Role};
+use fennelgauge_replication::{Care, Fate, Installed, Onward, Repair, RepairStep, Role};
 use fennelgauge_wire::{
     Entry, EntryBatch, EntryPosition, GroupCopy, Reply, Request, StoreReply, StoreRequest,
 };
@@ -31,6 +31,11 @@
 impl Store {
     /// Makes a change as the head of a group in `view`; gives the place of its entry.
     pub(super) fn change(&self, view: &StoreView, group: GroupNumber, command: Command) -> EntryPosition {
+        let results = match &command {
+            Command::Finish { results, .. } => results.len(),
+            _ => 0,
+        };
+        self.made.count(results);
         let entry = self.replica(group).borrow_mut().create(group, view.epoch, command);
         let position = entry.position;
         self.pending.borrow_mut().push(entry);
@@ -92,20 +97,18 @@
         let mut roles: BTreeMap<GroupNumber, Role> = BTreeMap::new();
         let mut onward: BTreeMap<SocketAddr, Vec<EntryBatch>> = BTreeMap::new();
         for batch in batches {
-            let Some(role) = self.role(&view, batch.group) else { continue };
-            let may_pass = {
-                let replica = self.replica(batch.group).borrow();
-                replica.passes_on(&role) && replica.has_on_disk(batch.end)
-            };
-            match role.successor {
-                _ if !may_pass => continue,
-                None => reached.push((batch.group, batch.end)),
-                Some(successor) => {
+            let group = batch.group;
+            let Some(role) = self.role(&view, group) else { continue };
+            let next = self.replica(group).borrow().onward(&role, batch.end);
+            match next {
+                Onward::Nowhere => continue,
+                Onward::Everywhere => reached.push((group, batch.end)),
+                Onward::To(successor) => {
                     let Some(peer) = self.peer(&view, successor) else { continue };
-                    onward.entry(peer).or_default().push(batch.clone());
+                    onward.entry(peer).or_default().push(batch);
                 }
             }
-            roles.insert(batch.group, role);
+            roles.insert(group, role);
         }
         let calls = onward.into_iter().map(|(peer, batches)| self.pass_on(peer, epoch, batches));
         reached.extend(join_all(calls).await.into_iter().flatten());
@@ -154,8 +157,8 @@
         let mut level = Vec::new();
         let mut records = Vec::new();
         for batch in batches {
-            let Some(role) = self.role(&view, batch.group).filter(|role| !role.is_head()) else { continue };
-            let followed = self.replica(batch.group).borrow_mut().follow(&role, &batch);
+            let role = self.role(&view, batch.group);
+            let followed = self.replica(batch.group).borrow_mut().append(role.as_ref(), &batch);
             records.extend(followed.taken.into_iter().map(Record::Entry));
             if followed.is_level {
                 level.push(batch);
@@ -168,12 +171,9 @@
 
     /// How far this store, as a link, is in a group in the view of `epoch`.
     pub(super) async fn position(&self, epoch: u64, group: GroupNumber) -> StoreReply {
-        match self.view_of(epoch).await {
-            Some(view) if self.role(&view, group).is_some() => {
-                StoreReply::Position(self.replica(group).borrow().position())
-            }
-            _ => StoreReply::OtherEpoch(self.view().epoch),
-        }
+        let role = self.view_of(epoch).await.and_then(|view| self.role(&view, group));
+        let position = self.replica(group).borrow().position_as(role.as_ref());
+        position.map_or_else(|| StoreReply::OtherEpoch(self.view().epoch), StoreReply::Position)
     }
 
     /// Becomes a copy of the predecessor's group.
@@ -186,10 +186,10 @@
         let Some(view) = self.view_of(epoch).await else {
             return StoreReply::OtherEpoch(self.view().epoch);
         };
-        let Some(role) = self.role(&view, group).filter(|role| !role.is_head()) else {
-            return StoreReply::Unsure;
-        };
-        match self.install_copy(role.level_since, group, copy).await {
+        let role = self.role(&view, group);
+        let before = self.replica(group).borrow().position();
+        let installed = self.replica(group).borrow_mut().install_as_link(role.as_ref(), copy);
+        match self.write_installed(group, before, installed, copy).await {
             true => StoreReply::Installed,
             false => StoreReply::Unsure,
         }
@@ -201,11 +201,14 @@
         self.synced(group, copy.position, until).await.then_some(copy)
     }
 
-    /// Becomes a copy, unless it lacks something and this store was level since the view of `level_since`; on disk when this
-    /// returns true.
-    pub(super) async fn install_copy(&self, level_since: u64, group: GroupNumber, copy: &GroupCopy) -> bool {
-        let before = self.replica(group).borrow().position();
-        let installed = self.replica(group).borrow_mut().install(level_since, copy);
+    /// Writes a copy that was taken; true once it is on the disk.
+    pub(super) async fn write_installed(
+        &self,
+        group: GroupNumber,
+        before: EntryPosition,
+        installed: Installed,
+        copy: &GroupCopy,
+    ) -> bool {
         let number = group.0;
         match installed {
             Installed::Yes { drops_shown: Some(shown) } => log::error!(
@@ -215,7 +218,7 @@
             Installed::Yes { drops_shown: None } => {
                 log::info!("group {number}: from {before:?} to a copy up to {:?}", copy.position);
             }
-            Installed::Unreadable | Installed::Outdated => {
+            Installed::Unreadable | Installed::Outdated | Installed::NotALink => {
                 log::info!("group {number}: a copy up to {:?} is not taken: {installed:?}", copy.position);
                 return false;
             }
@@ -230,11 +233,8 @@
 
     /// Waits until an entry is committed; false when the time is up, or another entry stands in its place.
     pub(super) async fn committed(&self, group: GroupNumber, entry: EntryPosition, until: Instant) -> bool {
-        let settled = || {
-            let replica = self.replica(group).borrow();
-            replica.is_committed(entry) || !replica.contains(entry)
-        };
-        self.reached(until, settled).await && self.replica(group).borrow().contains(entry)
+        let fate = || self.replica(group).borrow().fate(entry);
+        self.reached(until, || fate() != Fate::InDoubt).await && fate() == Fate::Committed
     }
 
     /// Waits until an entry is on this disk; false when the time is up.
@@ -268,17 +268,14 @@
                 let Some(peer) = role.successor.and_then(|successor| self.peer(&view, successor)) else {
                     continue;
                 };
-                let unchecked = self.checked.borrow().get(&group).copied() < role.successor_level_since;
-                let (may_pass, in_doubt) = {
-                    let replica = self.replica(group).borrow();
-                    (replica.passes_on(&role), replica.is_in_doubt())
-                };
-                if !may_pass || (!in_doubt && !unchecked) {
+                let checked = self.checked.borrow().get(&group).copied();
+                let care = self.replica(group).borrow().care(&role, checked);
+                if care == Care::Needless {
                     doubtful.remove(&group);
                     continue;
                 }
                 let since = *doubtful.entry(group).or_insert_with(Instant::now);
-                if unchecked || since.elapsed() > REPAIR_PATIENCE {
+                if care == Care::Now || since.elapsed() > REPAIR_PATIENCE {
                     repairs.push((group, peer));
                 }
             }
@@ -295,47 +292,54 @@
 
     /// Brings one successor level in one group; true once all links have what this store has.
     pub(super) async fn repair(self: &Rc<Self>, epoch: u64, group: GroupNumber, peer: SocketAddr) -> bool {
-        let asked = StoreRequest::Position { epoch, group };
-        let Some(StoreReply::Position(theirs)) = self.ask(peer, asked, POSITION_TIMEOUT).await else {
-            return false;
+        let mut repair = Repair::new(group, epoch);
+        let theirs = match self.ask(peer, StoreRequest::Position { epoch, group }, POSITION_TIMEOUT).await {
+            Some(StoreReply::Position(theirs)) => Some(theirs),
+            _ => None,
         };
+        let mut step = repair.heard_position(&self.replica(group).borrow(), theirs);
         let until = Instant::now() + APPEND_TIMEOUT;
-        let missing = self.replica(group).borrow().missing_at(group, theirs);
-        let batch = match missing {
-            Missing::Entries(batch) => batch,
-            Missing::Copy => match self.send_copy(epoch, group, peer, until).await {
-                Some(end) => EntryBatch { group, after: end, entries: Vec::new(), end },
-                None => return false,
-            },
-        };
-        let on_disk = self.synced(group, batch.end, until).await;
-        let view = self.view();
-        let role = self.role(&view, group).filter(|role| on_disk && role.epoch == epoch);
-        let Some(role) = role else { return false };
-        let end = batch.end;
-        let reached = !self.pass_on(peer, epoch, vec![batch]).await.is_empty();
-        if reached {
-            self.replica(group).borrow_mut().mark_reached(&role, end);
-            self.changed.notify_waiters();
+        loop {
+            step = match step {
+                RepairStep::Wait => match self.step_of_repair(&mut repair, until).await {
+                    Some(step) => step,
+                    None => return false,
+                },
+                RepairStep::Install(copy) => {
+                    log::info!(
+                        "group {}: a whole copy of {} bytes goes to {peer}",
+                        group.0,
+                        copy.state.len()
+                    );
+                    let install = StoreRequest::Install { epoch, group, copy };
+                    let reply = self.ask(peer, install, INSTALL_TIMEOUT).await;
+                    let role = self.role(&self.view(), group);
+                    repair.heard_installed(role.as_ref(), matches!(reply, Some(StoreReply::Installed)))
+                }
+                RepairStep::Append(batch) => {
+                    let reached = !self.pass_on(peer, epoch, vec![batch]).await.is_empty();
+                    repair.heard_appended(reached)
+                }
+                RepairStep::Reached(role, end) => {
+                    self.replica(group).borrow_mut().mark_reached(&role, end);
+                    self.changed.notify_waiters();
+                    return true;
+                }
+                RepairStep::Failed => return false,
+            };
         }
-        reached
     }
 
-    /// Sends a whole copy; gives its place once the peer has it on its disk.
-    async fn send_copy(
-        &self,
-        epoch: u64,
-        group: GroupNumber,
-        peer: SocketAddr,
-        until: Instant,
-    ) -> Option<EntryPosition> {
-        let copy = self.copy_on_disk(group, until).await?;
-        log::info!("group {}: a whole copy of {} bytes goes to {peer}", group.0, copy.state.len());
-        let end = copy.position;
-        let install = StoreRequest::Install { epoch, group, copy };
-        match self.ask(peer, install, INSTALL_TIMEOUT).await {
-            Some(StoreReply::Installed) => Some(end),
-            _ => None,
+    /// Waits until an attempt goes on; none when the time is up.
+    async fn step_of_repair(&self, repair: &mut Repair, until: Instant) -> Option<RepairStep> {
+        loop {
+            let changed = self.changed.notified();
+            let role = self.role(&self.view(), repair.group);
+            let step = repair.look(&self.replica(repair.group).borrow(), role.as_ref());
+            if step != RepairStep::Wait {
+                return Some(step);
+            }
+            timeout_at(until, changed).await.ok()?;
         }
     }
 }
--- a/crates/control-plane/src/store/runner.rs
+++ b/crates/control-plane/src/store/runner.rs
@@ -186,7 +186,7 @@
         let now_ms = wall_clock_ms();
         let run_times = self.run_times.borrow();
         let mut candidates = Vec::new();
-        for group in self.headed(view, true) {
+        for group in self.changeable(view) {
             let replica = self.replica(group).borrow();
             if replica.knows_nothing_committed() {
                 continue;
@@ -249,15 +249,15 @@
     async fn finish_item(&self, key: &ItemKey, result: ItemResult) {
         loop {
             let view = self.view();
-            match self.role(&view, key.group) {
-                Some(role) if role.takes_changes() => {
-                    let finish = Command::Finish { job: key.job.clone(), results: vec![result] };
-                    self.change(&view, key.group, finish);
-                    return;
-                }
-                Some(role) if role.is_head() => drop(timeout(LOOK_EVERY, self.known.changed()).await),
-                _ => return,
+            if self.takes_changes(&view, key.group) {
+                let finish = Command::Finish { job: key.job.clone(), results: vec![result] };
+                self.change(&view, key.group, finish);
+                return;
+            }
+            if !self.role(&view, key.group).is_some_and(|role| role.is_head()) {
+                return;
             }
+            let _ = timeout(LOOK_EVERY, self.known.changed()).await;
         }
     }
 
@@ -272,9 +272,19 @@
         });
     }
 
+    /// Ends the running items of a whole group.
+    pub(super) fn stop_group(&self, group: GroupNumber) {
+        self.running.borrow_mut().retain(|key, task| {
+            if key.group == group {
+                task.abort();
+            }
+            key.group != group
+        });
+    }
+
     /// Ends the running items of groups that this store no longer heads.
     fn stop_foreign_items(&self, view: &StoreView) {
-        let headed = self.headed(view, false);
+        let headed = self.headed(view);
         self.taken_here.borrow_mut().retain(|_, group| headed.contains(group));
         self.running.borrow_mut().retain(|key, task| {
             let own = headed.contains(&key.group);
@@ -289,7 +299,7 @@
     fn remove_old_jobs(&self, view: &StoreView) {
         let kept_ms = (self.settings.bounds.status_s * 1_000.0) as u64 + KEPT_LONGER_MS;
         let now_ms = wall_clock_ms();
-        for group in self.headed(view, true) {
+        for group in self.changeable(view) {
             let old: Vec<String> = {
                 let replica = self.replica(group).borrow();
                 let jobs = replica.state().jobs();
--- a/crates/control-plane/src/store/serving.rs
+++ b/crates/control-plane/src/store/serving.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fennelgauge_batch::{Admission, Command, Job};
+use fennelgauge_batch::{Command, Job};
 use fennelgauge_coordination::{GroupNumber, StoreView};
-use fennelgauge_replication::Role;
+use fennelgauge_replication::{Ending, Query, ReadStep, Reading, Role, Submission};
 use fennelgauge_wire::StoreReply;
-use tokio::time::Instant;
+use tokio::time::{timeout_at, Instant};
 
 use super::Store;
 
@@ -22,18 +22,19 @@
         job: Job,
         most_queued: u64,
     ) -> StoreReply {
-        let Some(view) = self.view_of(epoch).await.filter(|view| self.takes_changes(view, group)) else {
-            return StoreReply::NotTaken;
-        };
-        let admission = self.replica(group).borrow().state().admission(&job, most_queued);
-        let entry = match admission {
-            Admission::OverQuota { .. } => return StoreReply::OverQuota,
-            Admission::Known => self.replica(group).borrow().position(),
-            Admission::Fits if self.has_room(&job) => {
+        let Some(view) = self.view_of(epoch).await else { return StoreReply::NotTaken };
+        let role = self.role(&view, group);
+        let submission = self.replica(group).borrow().submission(role.as_ref(), &job, most_queued);
+        let entry = match submission {
+            Submission::NotTaken => return StoreReply::NotTaken,
+            Submission::OverQuota => return StoreReply::OverQuota,
+            Submission::GivenUp => return StoreReply::GivenUp,
+            Submission::Known(entry) => entry,
+            Submission::New if self.has_room(&job) => {
                 self.taken_here.borrow_mut().insert(job.id.clone(), group);
                 self.change(&view, group, Command::Accept(job))
             }
-            Admission::Fits => return StoreReply::NotTaken,
+            Submission::New => return StoreReply::NotTaken,
         };
         match self.committed(group, entry, Instant::now() + COMMIT_TIMEOUT).await {
             true => StoreReply::Accepted,
@@ -41,9 +42,9 @@
         }
     }
 
-    /// Whether this store is the head of a chain that enough links hold.
-    fn takes_changes(&self, view: &StoreView, group: GroupNumber) -> bool {
-        self.role(view, group).is_some_and(|role| role.takes_changes())
+    /// Whether this store is the head of a chain that enough links hold, and has the group as it was begun last.
+    pub(super) fn takes_changes(&self, view: &StoreView, group: GroupNumber) -> bool {
+        self.replica(group).borrow().takes_changes(self.role(view, group).as_ref())
     }
 
     /// Whether memory and disk have room for one more batch job.
@@ -63,22 +64,14 @@
         tenant: &str,
         job: String,
     ) -> StoreReply {
-        let Some(view) = self.view_of(epoch).await.filter(|view| self.takes_changes(view, group)) else {
-            return StoreReply::NotTaken;
-        };
-        let state = {
-            let replica = self.replica(group).borrow();
-            replica.state().job(&job).filter(|state| state.job.tenant == tenant).map(|state| state.ended)
-        };
-        let entry = match state {
-            None => {
-                return match self.confirmed(&view, group).await {
-                    true => StoreReply::NotFound,
-                    false => StoreReply::Unsure,
-                }
-            }
-            Some(true) => self.replica(group).borrow().position(),
-            Some(false) => {
+        let Some(view) = self.view_of(epoch).await else { return StoreReply::NotTaken };
+        let role = self.role(&view, group);
+        let ending = self.replica(group).borrow().ending(role.as_ref(), tenant, &job);
+        let entry = match ending {
+            Ending::NotTaken => return StoreReply::NotTaken,
+            Ending::NotHere => return self.not_here(&view, group, &job).await,
+            Ending::Known(entry) => entry,
+            Ending::New => {
                 let entry = self.change(&view, group, Command::End { job: job.clone() });
                 self.stop_items(group, &job);
                 entry
@@ -90,37 +83,59 @@
         }
     }
 
+    /// The answer for a batch job that this head does not have.
+    async fn not_here(self: &Rc<Self>, view: &StoreView, group: GroupNumber, job: &str) -> StoreReply {
+        match self.confirmed(view, group).await {
+            true if self.replica(group).borrow().state().may_be_given_up(job) => StoreReply::GivenUp,
+            true => StoreReply::NotFound,
+            false => StoreReply::Unsure,
+        }
+    }
+
     /// Results from a position on, held until there is one or the time is up.
     pub(super) async fn read(
         self: &Rc<Self>,
         epoch: u64,
         group: GroupNumber,
-        (tenant, job): (&str, &str),
-        start: u32,
-        wait: Duration,
+        query: Query,
+        hold: Duration,
     ) -> StoreReply {
-        let until = Instant::now() + wait;
-        let Some(view) = self.readable(epoch, group).await else { return StoreReply::Unsure };
-        let page = || self.replica(group).borrow().state().page(tenant, job, start);
-        let has_news = || page().is_none_or(|page| !page.results.is_empty() || page.complete);
-        if !has_news() {
-            self.reached(until, has_news).await;
-        }
-        let Some(page) = page() else { return StoreReply::NotFound };
-        let position = self.replica(group).borrow().position();
-        let on_disk = self.synced(group, position, Instant::now() + COMMIT_TIMEOUT).await;
-        if !on_disk || self.view().epoch != view.epoch {
+        let began = Instant::now();
+        let Some(view) = self.view_of(epoch).await else { return StoreReply::Unsure };
+        let (job, start) = (query.job.clone(), query.start);
+        let Some(mut reading) = Reading::new(self.role(&view, group), query, hold) else {
             return StoreReply::Unsure;
+        };
+        for (link, position) in self.ask_positions(&view, group, reading.links()).await {
+            reading.hear(link, position);
         }
-        if !page.results.is_empty() {
-            self.replica(group).borrow_mut().mark_shown(position);
-            log::info!(
-                "group {}: {job} from {start} is read at {position:?} in view {}",
-                group.0,
-                view.epoch
-            );
+        loop {
+            let (changed, news) = (self.changed.notified(), self.known.changed());
+            let step = {
+                let mut replica = self.replica(group).borrow_mut();
+                reading.look(&mut replica, self.view().epoch, began.elapsed())
+            };
+            match step {
+                ReadStep::Wait(until) => {
+                    let either = async {
+                        tokio::select! { () = changed => {}, () = news => {} }
+                    };
+                    let _ = timeout_at(began + until, either).await;
+                }
+                ReadStep::Page(page, position) => {
+                    if !page.results.is_empty() {
+                        log::info!(
+                            "group {}: {job} from {start} is read at {position:?} in view {epoch}",
+                            group.0
+                        );
+                    }
+                    return StoreReply::Page(page);
+                }
+                ReadStep::NotFound => return StoreReply::NotFound,
+                ReadStep::GivenUp => return StoreReply::GivenUp,
+                ReadStep::Unsure => return StoreReply::Unsure,
+            }
         }
-        StoreReply::Page(page)
     }
 
     /// The body of an item without a result.
@@ -131,23 +146,29 @@
         (tenant, job): (&str, &str),
         item: &str,
     ) -> StoreReply {
-        if self.readable(epoch, group).await.is_none() {
+        if !self.is_readable(epoch, group).await {
             return StoreReply::Unsure;
         }
-        let body = self.replica(group).borrow().state().body(tenant, job, item).map(<[u8]>::to_vec);
-        body.map_or(StoreReply::NotFound, |body| StoreReply::Body(body.into()))
+        let replica = self.replica(group).borrow();
+        match replica.state().body(tenant, job, item) {
+            Some(body) => StoreReply::Body(body.to_vec().into()),
+            None if replica.state().may_be_given_up(job) => StoreReply::GivenUp,
+            None => StoreReply::NotFound,
+        }
     }
 
-    /// The view in which this store may answer reads of a group: it is the level tail of a chain that enough links hold, and has
-    /// all that the head has.
-    async fn readable(&self, epoch: u64, group: GroupNumber) -> Option<Rc<StoreView>> {
-        let view = self.view_of(epoch).await?;
-        let role = self.role(&view, group).filter(Role::answers_reads)?;
-        self.is_certain(&view, group, &role).await.then_some(view)
+    /// Whether this store may answer reads of a group in the view of `epoch`: it is the level tail of a chain that enough links hold,
+    /// and has all that the head has.
+    async fn is_readable(self: &Rc<Self>, epoch: u64, group: GroupNumber) -> bool {
+        let Some(view) = self.view_of(epoch).await else { return false };
+        match self.role(&view, group).filter(Role::answers_reads) {
+            Some(role) => self.is_certain(&view, group, &role).await,
+            None => false,
+        }
     }
 
     /// Whether all other links confirm the view.
-    async fn confirmed(&self, view: &StoreView, group: GroupNumber) -> bool {
+    async fn confirmed(self: &Rc<Self>, view: &StoreView, group: GroupNumber) -> bool {
         match self.role(view, group) {
             Some(role) => self.is_certain(view, group, &role).await,
             None => false,
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod acceptor;
 mod coordinator;
+mod giving_up;
 mod identity;
 mod liveness;
 mod message;
@@ -16,6 +17,7 @@
 
 pub use acceptor::{Acceptor, Ballot};
 pub use coordinator::{Coordinator, Progress, Question};
+pub use giving_up::{GiveUp, GiveUpRefusal, GivenUp, HolderSeen, LastHolder, GIVE_UP_AFTER, STORE_LEASE};
 pub use identity::{Identity, Member};
 pub use message::{Copying, Envelope, Message};
 #[cfg(feature = "planted-bugs")]
--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -9,7 +9,7 @@
 use crate::{Group, GroupNumber, Member, Newcomer, Store, StoreNumber, StoreView};
 
 /// What a store told of its part in a group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Told {
     pub group: GroupNumber,
     /// The newest view in which it is so.
@@ -17,7 +17,7 @@
 }
 
 /// A store that was heard of late.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Heard {
     pub member: Member,
     /// Groups of which it has a copy, as a learner.
@@ -81,17 +81,21 @@
         }
     }
 
-    fn fewest(&self) -> usize {
-        self.losses + 1
+    /// Holders without which a group is closed.
+    pub(crate) fn fewest(&self) -> usize {
+        match self.has(PlannerBug::OneHolderFewer) {
+            true => self.losses.max(1),
+            false => self.losses + 1,
+        }
     }
 
     /// Links that a chain should have: one more than must be kept, so that a loss needs no copying at once.
-    fn wanted(&self, view: &StoreView) -> usize {
+    pub(crate) fn wanted(&self, view: &StoreView) -> usize {
         let usable = view.stores.iter().filter(|store| self.usable(store)).count();
         (self.losses + 2).min(usable.max(self.fewest()))
     }
 
-    fn has(&self, bug: PlannerBug) -> bool {
+    pub(crate) fn has(&self, bug: PlannerBug) -> bool {
         self.planted == Some(bug)
     }
 
@@ -144,7 +148,12 @@
     }
 
     /// The store to add to a chain: in a zone that the chain lacks, else by the group's own ranking.
-    fn best_new(&self, view: &StoreView, group: GroupNumber, chain: &[StoreNumber]) -> Option<StoreNumber> {
+    pub(crate) fn best_new(
+        &self,
+        view: &StoreView,
+        group: GroupNumber,
+        chain: &[StoreNumber],
+    ) -> Option<StoreNumber> {
         let zones: Vec<&str> = chain
             .iter()
             .filter_map(|number| view.store(*number))
@@ -196,14 +205,19 @@
             group.holders().into_iter().partition(lives);
         let (back, still_absent): (Vec<StoreNumber>, Vec<StoreNumber>) =
             group.absent.iter().copied().partition(lives);
-        holders.extend(back);
+        if !self.has(PlannerBug::AbsentDoNotComeBack) {
+            holders.extend(back);
+        }
         if holders.is_empty() {
             return;
         }
-        group.joining.retain(|newcomer| lives(&newcomer.store));
+        if !self.has(PlannerBug::SilentNewcomersStay) {
+            group.joining.retain(|newcomer| lives(&newcomer.store));
+        }
         let enough = holders.len() >= self.fewest() || self.has(PlannerBug::SilentHoldersAreDropped);
         group.absent = match enough {
             true => Vec::new(),
+            false if self.has(PlannerBug::EarlierAbsentAreForgotten) => silent,
             false => still_absent.into_iter().chain(silent).collect(),
         };
         holders.extend(group.joining.iter().map(|newcomer| newcomer.store));
@@ -244,14 +258,14 @@
     }
 
     /// Stores that are gone and hold nothing are no longer listed.
-    fn forget_lost(&self, view: &mut StoreView) {
+    pub(crate) fn forget_lost(&self, view: &mut StoreView) {
         let used: BTreeSet<StoreNumber> = view.groups.iter().flat_map(Group::all_stores).collect();
         view.stores.retain(|store| used.contains(&store.number) || self.heard(store).is_some());
     }
 }
 
 /// A mistake that a test plants, to see that the judge finds it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EnumIter)]
 pub enum PlannerBug {
     /// A learner counts as a holder as soon as it joins.
     JoiningCountsAsHolder,
@@ -261,6 +275,16 @@
     ShortChainsAreFilled,
     /// What a store told of an earlier stay counts.
     WordOfAnEarlierStay,
+    /// A group is open with one holder fewer.
+    OneHolderFewer,
+    /// Of the silent holders of a closed group, those that were silent before are forgotten.
+    EarlierAbsentAreForgotten,
+    /// Silent holders that are heard again do not come back.
+    AbsentDoNotComeBack,
+    /// Joining links that are silent stay in the chain.
+    SilentNewcomersStay,
+    /// A group is given up though a holder is heard.
+    GivesUpWhoIsHeard,
 }
 
 /// A ranking of the stores that differs from group to group.
--- a/crates/coordination/src/stores.rs
+++ b/crates/coordination/src/stores.rs
@@ -32,7 +32,7 @@
 pub struct StoreNumber(pub u32);
 
 /// One store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Store {
     pub number: StoreNumber,
     pub member: Member,
@@ -41,7 +41,7 @@
 }
 
 /// A store that is given a part in a group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Newcomer {
     pub store: StoreNumber,
     /// The first view in which it has that part: what it told of earlier ones does not count.
@@ -49,7 +49,7 @@
 }
 
 /// Where a group is held.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Group {
     /// Head first; holders before those that are joining.
     pub chain: Vec<StoreNumber>,
@@ -62,6 +62,10 @@
     pub absent: Vec<StoreNumber>,
     /// Copies the group before it joins the chain's end.
     pub learner: Option<Newcomer>,
+    /// The view in which the group was begun anew, with nothing of what it held before; 0 where it never was.
+    pub begun_in: u64,
+    /// Batch jobs that were given up then, as far as their names are known.
+    pub given_up: Vec<String>,
 }
 
 impl Group {
@@ -85,7 +89,10 @@
 
     /// Whether the group differs in more than in who is joining: all others have to know then.
     pub(crate) fn differs_for_others(&self, before: &Self) -> bool {
-        self.chain != before.chain || self.absent != before.absent || self.learner != before.learner
+        self.chain != before.chain
+            || self.absent != before.absent
+            || self.learner != before.learner
+            || self.begun_in != before.begun_in
     }
 
     /// Whether enough links hold the group for it to be changed and read.
@@ -111,7 +118,7 @@
 }
 
 /// The placement of all groups.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StoreView {
     pub epoch: u64,
     pub stores: Vec<Store>,
--- a/crates/data-plane/src/batch.rs
+++ b/crates/data-plane/src/batch.rs
@@ -27,6 +27,8 @@
 const READ_MARGIN: Duration = Duration::from_millis(1_100);
 const ASK_AGAIN: Duration = Duration::from_millis(60);
 const LONGEST_POLL: Duration = Duration::from_secs(10);
+const GIVEN_UP: &str = "all stores that held this tenant's batch jobs were lost and the jobs were given up, this one with them if it \
+     was accepted: submit it again under another id";
 
 #[derive(Deserialize)]
 struct Submitted {
@@ -61,6 +63,7 @@
         Asked::Answered(StoreReply::OverQuota) => {
             refused(plane, StatusCode::TOO_MANY_REQUESTS, QUOTA_RETRY_AFTER_S)
         }
+        Asked::Answered(StoreReply::GivenUp) => given_up(plane),
         Asked::NotTaken => refused(plane, StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S),
         _ => finished(plane, HttpResponse::GatewayTimeout()),
     }
@@ -206,10 +209,18 @@
     match ask_store(&plane, StoreView::tail, group, ask, wait + READ_MARGIN, until).await {
         Asked::Answered(StoreReply::Page(page)) => finished_page(&plane, page),
         Asked::Answered(StoreReply::NotFound) => finished(&plane, HttpResponse::NotFound()),
+        Asked::Answered(StoreReply::GivenUp) => given_up(&plane),
         _ => refused(&plane, StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S),
     }
 }
 
+/// The answer for a batch job that an operator gave up, after the loss of more stores than are borne.
+fn given_up(plane: &Plane) -> HttpResponse {
+    let mut answer = HttpResponse::Gone();
+    front::close_if_stopping(plane, &mut answer);
+    answer.json(serde_json::json!({ "error": "given_up", "reason": GIVEN_UP }))
+}
+
 fn finished_page(plane: &Plane, page: Page) -> HttpResponse {
     let result = |(id, result): &(String, fennelgauge_batch::ItemResult)| {
         let state = match result.outcome {
@@ -254,6 +265,7 @@
             HttpResponse::Ok().content_type("application/octet-stream").body(body.into_vec())
         }
         Asked::Answered(StoreReply::NotFound) => finished(&plane, HttpResponse::NotFound()),
+        Asked::Answered(StoreReply::GivenUp) => given_up(&plane),
         _ => refused(&plane, StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S),
     }
 }
@@ -275,6 +287,7 @@
     match ask_store(&plane, StoreView::head, group, ask, CALL_TIMEOUT, Instant::now() + SUBMIT_FOR).await {
         Asked::Answered(StoreReply::Accepted) => finished(&plane, HttpResponse::Ok()),
         Asked::Answered(StoreReply::NotFound) => finished(&plane, HttpResponse::NotFound()),
+        Asked::Answered(StoreReply::GivenUp) => given_up(&plane),
         _ => finished(&plane, HttpResponse::GatewayTimeout()),
     }
 }
--- a/crates/data-plane/src/process.rs
+++ b/crates/data-plane/src/process.rs
@@ -54,6 +54,7 @@
 
 impl Plane {
     pub fn new(settings: Settings) -> Self {
+        let caller = Caller::leaving_from(settings.calls_leave_from());
         Self {
             usage: RefCell::new(UsageCounts::new(settings.bounds.usage_window_s)),
             pool: Pool::new(&settings.zone, &settings.policy),
@@ -61,7 +62,7 @@
             settings,
             timeliness: RefCell::default(),
             known: Rc::new(Known::default()),
-            caller: Caller::default(),
+            caller,
             open: Cell::new(0),
             last_ended: Cell::new(Instant::now()),
             stopping: Cell::new(None),
--- a/crates/encoding/src/lib.rs
+++ b/crates/encoding/src/lib.rs
@@ -1,8 +1,14 @@
-//! Values of our own in bincode: in messages, on disks, in copies.
+//! Values of our own in bincode: in messages, on disks, in copies; long texts by their changes, and packed.
+
+mod delta;
+mod packing;
 
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
+pub use delta::{applied, delta, MisfitError, Part};
+pub use packing::{checksum, packed, unpacked, UnpackError};
+
 /// Most values are shorter, and hold no more than this once they are read.
 const SHORT_BYTES: usize = 64 << 10;
 const SHORT_DECODED_BYTES: usize = 1 << 20;
@@ -36,3 +42,6 @@
         Err(reason) => Err(DecodeError(reason.to_string())),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/replication/src/confirmation.rs
+++ b/crates/replication/src/confirmation.rs
@@ -7,7 +7,7 @@
 use crate::{EntryPosition, Replica, Role};
 
 /// One question, while answers come in.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Confirmation {
     role: Role,
     head: Option<StoreNumber>,
--- a/crates/replication/src/entry.rs
+++ b/crates/replication/src/entry.rs
@@ -5,7 +5,7 @@
 
 /// A place in the sequence of a group's entries. Two entries of the same place and epoch are the same entry: an epoch has one
 /// head, and a head sends only what is on its disk.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EntryPosition {
     pub sequence: u64,
     /// Of the stores' view in which the head made the entry.
@@ -13,7 +13,7 @@
 }
 
 /// One change of a group.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Entry {
     pub group: GroupNumber,
     pub position: EntryPosition,
@@ -23,7 +23,7 @@
 }
 
 /// Entries of one group in order. Whoever takes them has the entry at `after` and is at `end` then.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EntryBatch {
     pub group: GroupNumber,
     pub after: EntryPosition,
@@ -32,7 +32,7 @@
 }
 
 /// A group as a whole.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct GroupCopy {
     /// The first place of each epoch, oldest first.
     pub history: Vec<EntryPosition>,
--- a/crates/replication/src/entry_log.rs
+++ b/crates/replication/src/entry_log.rs
@@ -11,7 +11,7 @@
 const HISTORY_EPOCHS: usize = 64;
 
 /// The entries of a group, the older ones by their places only.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct EntryLog {
     position: EntryPosition,
     /// The first place of each epoch, oldest first.
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -6,17 +6,25 @@
 //! its disk. So what a level tail shows is on every link of the chain, and what is committed is, too. A store counts as one
 //! that holds a group only after it was level as a link; until then it is *joining* ([`fennelgauge_coordination::Group`]).
 
+mod change;
 mod confirmation;
 mod entry;
 mod entry_log;
+mod link;
 mod planted;
+mod reading;
+mod repair;
 mod replica;
 mod role;
 
+pub use change::{Ending, Fate, Submission};
 pub use confirmation::{Confirmation, Outcome};
 pub use entry::{Entry, EntryBatch, EntryPosition, GroupCopy};
 pub use entry_log::EntryLog;
+pub use link::{Care, Onward, JOINS_WITHIN};
 #[cfg(feature = "planted-bugs")]
 pub use planted::ReplicaBug;
+pub use reading::{Query, ReadStep, Reading, CONFIRM_WITHIN};
+pub use repair::{Repair, RepairStep};
 pub use replica::{Followed, Installed, Missing, Replica};
 pub use role::Role;
--- a/crates/replication/src/planted.rs
+++ b/crates/replication/src/planted.rs
@@ -3,7 +3,7 @@
 use strum::EnumIter;
 
 /// A mistake of one store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EnumIter)]
 pub enum ReplicaBug {
     /// A tail that has more than its predecessor answers.
     AnswersWithoutLevel,
@@ -19,4 +19,14 @@
     CopyReplacesLevel,
     /// A tail answers with what is not on its disk yet.
     AnswersUnsynced,
+    /// A link is level if it has the batch's end, though it has more.
+    LevelWithMore,
+    /// What reached all links counts as committed though the group is closed.
+    CommitsWhileClosed,
+    /// Who was level once is level for ever.
+    LevelForEver,
+    /// A learner's batch is taken though the store is level.
+    LearnsThoughLevel,
+    /// A group that was given up goes on with what it held.
+    KeepsWhatWasGivenUp,
 }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -9,7 +9,7 @@
 use crate::{Entry, EntryBatch, EntryLog, EntryPosition, GroupCopy, Role};
 
 /// A group on one store.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Replica {
     log: EntryLog,
     state: GroupState,
@@ -54,6 +54,8 @@
     Unreadable,
     /// This store is level, and the copy lacks something that is here: it was overtaken.
     Outdated,
+    /// This store follows nobody in that view.
+    NotALink,
 }
 
 impl Replica {
@@ -120,17 +122,35 @@
     }
 
     fn was_level_since(&self, epoch: u64) -> bool {
-        self.level_in > 0 && self.level_in >= epoch
+        self.level_in > 0 && (self.level_in >= epoch || self.has(ReplicaBug::LevelForEver))
     }
 
-    /// This store is the head in the view of `epoch`: it stands where the chain stands.
-    pub fn lead(&mut self, epoch: u64) {
-        self.level_in = epoch;
+    /// Whether what is here is of the group as it was begun last.
+    pub fn is_begun(&self, role: &Role) -> bool {
+        self.state.begun_in() >= role.begun_in || self.has(ReplicaBug::KeepsWhatWasGivenUp)
+    }
+
+    /// This store is the head in that role: it stands where the chain stands. Where the group was given up and still is here as it was,
+    /// it is begun anew; then gives the copy to be written to the disk before anything else of the group.
+    pub fn lead(&mut self, group: GroupNumber, role: &Role) -> Option<GroupCopy> {
+        if !role.is_head() {
+            return None;
+        }
+        if self.is_begun(role) {
+            self.level_in = role.epoch;
+            return None;
+        }
+        let mut given_up = self.state.names();
+        given_up.extend(role.given_up.iter().cloned());
+        let begin = Command::Begin { view: role.begun_in, given_up };
+        *self = Self { planted: self.planted, ..Self::default() };
+        self.create(group, role.epoch, begin);
+        Some(self.copy())
     }
 
     /// Makes a new entry as the head, in the view of `epoch`.
     pub fn create(&mut self, group: GroupNumber, epoch: u64, command: Command) -> Entry {
-        self.lead(epoch);
+        self.level_in = epoch;
         let position = EntryPosition { sequence: self.position().sequence + 1, epoch };
         let entry = Entry { group, position, command: encode(&command) };
         self.state.apply(command);
@@ -155,7 +175,7 @@
 
     /// Takes a batch as a learner that asked in the view of `epoch`; gives what is new here, to be written to the disk.
     pub fn learn(&mut self, epoch: u64, batch: &EntryBatch) -> Vec<Entry> {
-        match self.was_level_since(epoch) {
+        match self.was_level_since(epoch) && !self.has(ReplicaBug::LearnsThoughLevel) {
             true => Vec::new(),
             false => self.take_batch(batch),
         }
@@ -183,7 +203,8 @@
     /// is level; whoever has more is not, and stays so until a copy takes that away.
     pub fn follow(&mut self, role: &Role, batch: &EntryBatch) -> Followed {
         let taken = self.take_batch(batch);
-        if self.position() == batch.end {
+        let has_more = self.has(ReplicaBug::LevelWithMore) && self.contains(batch.end);
+        if self.position() == batch.end || has_more {
             self.level_in = role.epoch;
         }
         Followed { taken, is_level: self.is_level(role) && self.contains(batch.end) }
@@ -217,7 +238,8 @@
     }
 
     /// Becomes a copy of another store's group. A copy that lacks something of what is here is taken only if this store was not
-    /// level since the view of `level_since`: that of its role for a link, that of the question for a learner.
+    /// level since the view of `level_since`: that of its role for a link, that of the question for a learner. One of a group as it was
+    /// before it was given up is never taken.
     pub fn install(&mut self, level_since: u64, copy: &GroupCopy) -> Installed {
         let log = EntryLog::of_copy(copy.position, copy.history.clone());
         let extends = log.contains(self.position());
@@ -226,11 +248,15 @@
             return Installed::Outdated;
         }
         let Ok(state) = decode::<GroupState>(&copy.state) else { return Installed::Unreadable };
-        let drops_shown = log.lacks(self.shown).then_some(self.shown);
+        if state.begun_in() < self.state.begun_in() {
+            return Installed::Outdated;
+        }
+        let was_given_up = state.begun_in() > self.state.begun_in();
+        let drops_shown = (log.lacks(self.shown) && !was_given_up).then_some(self.shown);
         if !extends && !self.has(ReplicaBug::MarksOutliveCopy) {
             (self.synced, self.committed, self.level_in) = (0, 0, 0);
         }
-        if drops_shown.is_some() {
+        if drops_shown.is_some() || was_given_up {
             self.shown = EntryPosition::default();
         }
         (self.log, self.state) = (log, state);
@@ -256,7 +282,7 @@
     /// group in that view, whatever is known since. Of no effect if a copy has taken the entry away meanwhile.
     pub fn mark_reached(&mut self, role: &Role, position: EntryPosition) {
         let is_here = self.contains(position) || self.has(ReplicaBug::MarksOutliveCopy);
-        if role.is_open && is_here {
+        if (role.is_open || self.has(ReplicaBug::CommitsWhileClosed)) && is_here {
             self.committed = self.committed.max(position.sequence);
         }
     }
--- a/crates/replication/src/role.rs
+++ b/crates/replication/src/role.rs
@@ -3,9 +3,13 @@
 use fennelgauge_coordination::{Group, GroupNumber, StoreNumber, StoreView};
 
 /// A store's part in a group's chain.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Role {
     pub epoch: u64,
+    /// The view in which the group was begun anew; 0 where it never was.
+    pub begun_in: u64,
+    /// Batch jobs that were given up then.
+    pub given_up: Vec<String>,
     /// Being level in this view or a later one is being level now.
     pub level_since: u64,
     /// The same, of the successor.
@@ -27,6 +31,8 @@
         let place = held.chain.iter().position(|link| *link == store)?;
         Some(Self {
             epoch: view.epoch,
+            begun_in: held.begun_in,
+            given_up: held.given_up.clone(),
             level_since: held.unchanged_since(store)?,
             successor_level_since: held.unchanged_since.get(place + 1).copied(),
             is_open: held.is_open(),
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -203,6 +203,7 @@
         absent: numbers(absent),
         learner: None,
         unchanged_since: vec![epoch; chain.len()],
+        ..Group::default()
     };
     let mut view = StoreView::default();
     view.epoch = epoch;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -28,6 +28,10 @@
     #[serde(default)]
     pub serves: Vec<String>,
     pub ip: IpAddr,
+    /// Where our other processes reach this one, if that is not `ip`: a relay, a translated address. Calls to them leave from `ip`
+    /// then, and the seeds are told as others reach them.
+    #[serde(default)]
+    pub peer_ip: Option<IpAddr>,
     #[garde(length(min = 1))]
     pub zone: String,
     #[serde(default)]
@@ -217,6 +221,16 @@
         SocketAddr::new(self.ip, self.port_range[0])
     }
 
+    /// Where our other processes reach this one.
+    pub fn told_peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.peer_ip.unwrap_or(self.ip), self.port_range[0])
+    }
+
+    /// The address that calls to our other processes leave from; none where the system may choose.
+    pub fn calls_leave_from(&self) -> Option<IpAddr> {
+        self.peer_ip.map(|_| self.ip)
+    }
+
     /// Where data planes listen for our own processes.
     pub fn data_peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.port_range[0] + 1)
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -24,8 +24,8 @@
 pub use plant::Plant;
 pub use shrink::shrunk;
 pub use stores::{
-    play_stores, play_stores_and_print, shrunk_stores, StoreDay, StoreFamily, StorePlant, StoreStrike,
-    StoreTrouble, StoresPlayed,
+    play_stores, play_stores_and_print, shrunk_stores, Aimed, Blow, Costs, Moment, StoreDay, StoreEvent,
+    StoreFamily, StoreGrain, StorePlant, StoreSearch, StoreStrike, StoreTrouble, StoresPlayed, Whom,
 };
 pub use threads::{on_threads, seeds_on_threads};
 pub use world::{play, play_and_print, Played};
--- a/crates/simulation/src/stores/day.rs
+++ b/crates/simulation/src/stores/day.rs
@@ -2,6 +2,8 @@
 
 use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
 
+use super::moment::{Aimed, Blow, Moment, Whom};
+
 use crate::chance::Chance;
 use crate::day::{Micros, MILLISECOND, SECOND};
 
@@ -23,6 +25,14 @@
     Repair,
     /// Heads freeze between their sync and what they send; views that are old.
     HeadFreeze,
+    /// Blows at the moment of a copy, a batch, a level link, a first word.
+    Aimed,
+    /// Disks are full, stalled, slow and lost, one after the other.
+    Disks,
+    /// Learners that join while their head makes so many entries more.
+    Behind,
+    /// Groups are lost beyond what is borne, and an operator gives them up.
+    GivenUp,
     Mixed,
 }
 
@@ -120,6 +130,46 @@
         plane: usize,
         for_: Micros,
     },
+    /// A blow at a moment.
+    AtMoment(Aimed),
+    /// The next learner that has copied its group finds so many entries more there.
+    Behind {
+        entries: usize,
+    },
+    /// A disk takes nothing.
+    FullDisk {
+        store: usize,
+        for_: Micros,
+    },
+    /// A disk ends no write.
+    StalledDisk {
+        store: usize,
+        for_: Micros,
+    },
+    /// All stores that hold a group lose their disks, more than is borne; or they are cut off with a data plane that has no news.
+    LoseGroup {
+        cut_off: bool,
+        for_: Micros,
+    },
+    /// Tenants may have so many tokens queued from now on.
+    Quota {
+        most: u64,
+    },
+    /// A tenant is not in the configuration: it sends no new batch jobs.
+    TenantAway {
+        tenant: usize,
+        for_: Micros,
+    },
+    /// After a loss of power by all, the first store that the core hears is struck at once.
+    FirstWord {
+        for_: Micros,
+        whom: Whom,
+    },
+    /// Between the look at the stores and the word of the next view, a store goes.
+    BetweenLookAndWord {
+        rank: usize,
+        for_: Micros,
+    },
 }
 
 impl StoreTrouble {
@@ -136,6 +186,8 @@
             Self::Wipe { store, for_ } => Self::Wipe { store: of_rank(store), for_ },
             Self::Replace { store, gap } => Self::Replace { store: of_rank(store), gap },
             Self::Retire { store } => Self::Retire { store: of_rank(store) },
+            Self::FullDisk { store, for_ } => Self::FullDisk { store: of_rank(store), for_ },
+            Self::StalledDisk { store, for_ } => Self::StalledDisk { store: of_rank(store), for_ },
             other => other,
         }
     }
@@ -161,8 +213,16 @@
     /// When all lose power at last, and so many disks are lost.
     pub closing: Micros,
     pub closing_wipes: usize,
+    /// Whether an operator gives up what is lost.
+    pub gives_up: bool,
+    /// What a sync takes at each store; drawn where there is none.
+    pub fixed_sync: Option<Micros>,
 }
 
+/// A holder may be given up after so long, and a store goes on so long without the core: the program's times, made short.
+pub const GIVE_UP_AFTER: Micros = 5 * SECOND;
+pub const STORE_LEASE: Micros = 2_500 * MILLISECOND;
+
 impl StoreDay {
     /// The day of a seed; families take turns.
     pub fn drawn(seed: u64) -> Self {
@@ -187,7 +247,12 @@
             strikes: Vec::new(),
             closing: FIRST_TROUBLE + length,
             closing_wipes: chance.below(losses + 1),
+            gives_up: family == StoreFamily::GivenUp,
+            fixed_sync: None,
         };
+        if day.gives_up {
+            day.closing_wipes = 0;
+        }
         let count = 3 + chance.below(14);
         for _ in 0..count {
             let at = FIRST_TROUBLE + chance.between(0, length);
@@ -200,7 +265,16 @@
 
     fn trouble(&self, chance: &mut Chance) -> StoreTrouble {
         let kind = match self.family {
-            StoreFamily::Mixed => chance.below(100),
+            StoreFamily::GivenUp => return self.of_given_up(chance),
+            StoreFamily::Aimed if chance.in_thousand(650) => return Self::aimed(chance),
+            StoreFamily::Aimed if chance.in_thousand(500) => return self.kill(chance, self.losses),
+            StoreFamily::Disks if chance.in_thousand(700) => return self.of_disks(chance),
+            StoreFamily::Behind if chance.in_thousand(600) => return self.of_behind(chance),
+            _ if chance.in_thousand(100) => return self.of_configuration(chance),
+            _ if chance.in_thousand(100) => return Self::aimed(chance),
+            StoreFamily::Mixed | StoreFamily::Aimed | StoreFamily::Disks | StoreFamily::Behind => {
+                chance.below(100)
+            }
             _ if chance.in_thousand(250) => chance.below(100),
             _ if chance.in_thousand(200) => return self.at_view(chance),
             StoreFamily::Overlap => return self.kill(chance, self.losses + 2),
@@ -251,6 +325,75 @@
         }
     }
 
+    fn aimed(chance: &mut Chance) -> StoreTrouble {
+        if chance.in_thousand(80) {
+            return StoreTrouble::FirstWord { for_: short(chance), whom: one_of(chance) };
+        }
+        if chance.in_thousand(120) {
+            return StoreTrouble::BetweenLookAndWord { rank: chance.below(4), for_: short(chance) };
+        }
+        StoreTrouble::AtMoment(Aimed {
+            moment: one_of(chance),
+            passes: chance.below(4),
+            blow: one_of(chance),
+            whom: one_of(chance),
+            for_: short(chance),
+        })
+    }
+
+    fn of_disks(&self, chance: &mut Chance) -> StoreTrouble {
+        let (store, for_) = (chance.below(self.stores), short(chance));
+        match chance.below(4) {
+            0 => StoreTrouble::FullDisk { store, for_ },
+            1 => StoreTrouble::StalledDisk { store, for_ },
+            2 => StoreTrouble::SlowDisk { store, for_, times: chance.between(5, 200) },
+            _ => StoreTrouble::Wipe { store, for_ },
+        }
+    }
+
+    fn of_behind(&self, chance: &mut Chance) -> StoreTrouble {
+        let entries = [0, 1, 24, 25, 600];
+        match chance.below(5) {
+            0 | 1 => StoreTrouble::Behind { entries: chance.pick(&entries).copied().unwrap_or(0) },
+            2 => StoreTrouble::Wipe { store: chance.below(self.stores), for_: short(chance) },
+            3 => StoreTrouble::AtMoment(Aimed {
+                moment: if chance.in_thousand(500) { Moment::CopySent } else { Moment::Copied },
+                passes: chance.below(2),
+                blow: if chance.in_thousand(600) { Blow::LateMessage } else { one_of(chance) },
+                whom: one_of(chance),
+                for_: short(chance),
+            }),
+            _ => self.kill(chance, self.losses),
+        }
+    }
+
+    fn of_given_up(&self, chance: &mut Chance) -> StoreTrouble {
+        match chance.below(10) {
+            0..=3 => StoreTrouble::LoseGroup {
+                cut_off: chance.in_thousand(500),
+                for_: chance.between(GIVE_UP_AFTER, 3 * GIVE_UP_AFTER),
+            },
+            4 => StoreTrouble::AtMoment(Aimed {
+                moment: Moment::BegunAnew,
+                passes: 0,
+                blow: if chance.in_thousand(500) { Blow::Kill } else { Blow::Cut },
+                whom: one_of(chance),
+                for_: short(chance),
+            }),
+            5 => StoreTrouble::CoreDark { for_: short(chance) },
+            6 => StoreTrouble::Freeze { store: chance.below(self.stores), for_: short(chance) },
+            7 => StoreTrouble::StalePlane { plane: chance.below(3), for_: 2 * short(chance) },
+            _ => self.kill(chance, self.losses),
+        }
+    }
+
+    fn of_configuration(&self, chance: &mut Chance) -> StoreTrouble {
+        match chance.in_thousand(500) {
+            true => StoreTrouble::Quota { most: chance.between(60, 400) },
+            false => StoreTrouble::TenantAway { tenant: chance.below(self.tenants), for_: 2 * short(chance) },
+        }
+    }
+
     fn kill(&self, chance: &mut Chance, most: usize) -> StoreTrouble {
         let size = 1 + chance.below(most);
         StoreTrouble::Kill { stores: self.some(chance, size), for_: short(chance) }
@@ -278,6 +421,12 @@
     }
 }
 
+/// One of all ways.
+fn one_of<T: IntoEnumIterator + Copy>(chance: &mut Chance) -> T {
+    let all: Vec<T> = T::iter().collect();
+    all[chance.below(all.len())]
+}
+
 /// Around the time after which a silent store is put out.
 fn short(chance: &mut Chance) -> Micros {
     match chance.in_thousand(700) {
--- a/crates/simulation/src/stores/mod.rs
+++ b/crates/simulation/src/stores/mod.rs
@@ -2,11 +2,17 @@
 //! `fennelgauge-coordination`), with clients that submit, end and read batch jobs through data planes whose views are old, while stores are
 //! killed, frozen, cut off, wiped and replaced. The judge is `fennelgauge-batch-judge`, which the soak uses, too.
 
+mod answering;
 mod client;
+mod continuing;
 mod core;
+mod costs;
 mod day;
 mod disk;
-mod handling;
+mod exhaustive;
+mod items;
+mod looking;
+mod moment;
 mod plant;
 mod protocol;
 mod store;
@@ -15,7 +21,10 @@
 mod world;
 
 use crate::shrink::fewest;
+pub use costs::Costs;
 pub use day::{StoreDay, StoreFamily, StoreStrike, StoreTrouble};
+pub use exhaustive::{StoreEvent, StoreGrain, StoreSearch};
+pub use moment::{Aimed, Blow, Moment, Whom};
 pub use plant::StorePlant;
 pub use world::{play_stores, play_stores_and_print, StoresPlayed};
 
--- a/crates/simulation/src/stores/plant.rs
+++ b/crates/simulation/src/stores/plant.rs
@@ -5,7 +5,7 @@
 use strum::IntoEnumIterator;
 
 /// A mistake: of one group on one store, of the placement, or of the process around them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum StorePlant {
     Replica(ReplicaBug),
     Planner(PlannerBug),
@@ -29,6 +29,10 @@
     OpenByLaterView,
     /// Entries of an earlier view are taken.
     OldViewsAreServed,
+    /// Batch jobs that were given up are answered as if there had never been any.
+    GivenUpIsUnknown,
+    /// A store that does not hear the core goes on without end.
+    NoLease,
 }
 
 impl StorePlant {
@@ -46,6 +50,8 @@
             Self::WipedKeepsIdentity,
             Self::OpenByLaterView,
             Self::OldViewsAreServed,
+            Self::GivenUpIsUnknown,
+            Self::NoLease,
         ];
         replica.chain(planner).chain(around).collect()
     }
--- a/crates/simulation/src/stores/protocol.rs
+++ b/crates/simulation/src/stores/protocol.rs
@@ -5,20 +5,20 @@
 use fennelgauge_replication::{EntryBatch, EntryPosition, GroupCopy};
 
 /// Whoever waits for an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Caller {
     Store { store: usize, life: u64 },
     Client(usize),
 }
 
 /// A call with its number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Call {
     pub caller: Caller,
     pub number: u64,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Ask {
     Append { epoch: u64, batch: EntryBatch },
     Position { epoch: u64, group: GroupNumber },
@@ -26,7 +26,7 @@
     Fetch { epoch: u64, group: GroupNumber, after: EntryPosition },
     Check { epoch: u64, group: GroupNumber },
     Submit { epoch: u64, group: GroupNumber, job: Job, most_queued: u64 },
-    End { epoch: u64, group: GroupNumber, job: String },
+    End { epoch: u64, group: GroupNumber, tenant: String, job: String },
     Read { epoch: u64, group: GroupNumber, tenant: String, job: String, start: u32 },
 }
 
@@ -46,7 +46,7 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Answer {
     Appended {
         reached: bool,
@@ -65,5 +65,6 @@
     Unsure,
     Page(Page),
     NotFound,
+    GivenUp,
     Noted,
 }
--- a/crates/simulation/src/stores_command.rs
+++ b/crates/simulation/src/stores_command.rs
@@ -7,11 +7,13 @@
 use anyhow::{bail, Context};
 use fennelgauge_batch_judge::Rule;
 use fennelgauge_simulation::{
-    play_stores, play_stores_and_print, seeds_on_threads, shrunk_stores, StoreDay, StoreFamily, StorePlant,
+    play_stores, play_stores_and_print, seeds_on_threads, shrunk_stores, StoreDay, StoreFamily, StoreGrain,
+    StorePlant, StoreSearch,
 };
 
 const DAYS: u64 = 1_000;
 const SHOWN: usize = 3;
+const EXHAUST_DEPTH: usize = 4;
 
 /// Runs `stores`, `stores-day` or `stores-planted`.
 pub fn command(verb: &str, mut arguments: pico_args::Arguments) -> anyhow::Result<()> {
@@ -40,7 +42,21 @@
             let only = planted.map(|name| plant_of(&name)).transpose()?;
             find_planted(most, threads, only)
         }
-        other => bail!("{other} is no verb: give stores, stores-day or stores-planted"),
+        "stores-exhaust" => {
+            let depth = arguments.opt_value_from_str("--depth")?.unwrap_or(EXHAUST_DEPTH);
+            let grain = match arguments.opt_value_from_str::<_, String>("--grain")?.as_deref() {
+                None | Some("partition") => StoreGrain::Partition,
+                Some("message") => StoreGrain::Message,
+                Some(other) => bail!("{other} is no grain: give message or partition"),
+            };
+            let plants = match planted.as_deref() {
+                None => vec![None],
+                Some("all") => StorePlant::all().into_iter().map(Some).collect(),
+                Some(name) => vec![Some(plant_of(name)?)],
+            };
+            exhaust(depth, threads as usize, grain, &plants)
+        }
+        other => bail!("{other} is no verb: give stores, stores-day, stores-planted or stores-exhaust"),
     }
 }
 
@@ -63,6 +79,7 @@
     reads: u64,
     views: u64,
     dropped: u64,
+    forgotten: u64,
     broken: Vec<StoreDay>,
     rules: BTreeMap<String, u64>,
 }
@@ -79,6 +96,7 @@
         sums.reads += played.reads;
         sums.views += played.views;
         sums.dropped += played.shown_dropped.len() as u64;
+        sums.forgotten += played.forgotten;
         if let Some(first) = played.broken.first() {
             *sums.rules.entry(first.rule.to_string()).or_default() += 1;
             sums.broken.push(day);
@@ -89,8 +107,8 @@
     let seconds = began.elapsed().as_secs_f64();
     println!(
         "{} days in {seconds:.1} s: {} batch jobs accepted, {} pages read, {} views, {} copies that dropped what was shown; \
-         {} days broken",
-        sums.days, sums.acceptances, sums.reads, sums.views, sums.dropped, sums.broken.len()
+         {} given up of which nobody knew the name; {} days broken",
+        sums.days, sums.acceptances, sums.reads, sums.views, sums.dropped, sums.forgotten, sums.broken.len()
     );
     for (rule, days) in &sums.rules {
         println!("  {rule}: {days}");
@@ -160,3 +178,32 @@
         false => bail!("{} planted mistakes were not found: {missed:?}", missed.len()),
     }
 }
+
+fn exhaust(
+    depth: usize,
+    threads: usize,
+    grain: StoreGrain,
+    plants: &[Option<StorePlant>],
+) -> anyhow::Result<()> {
+    let mut is_broken = false;
+    for planted in plants.iter().copied() {
+        let began = Instant::now();
+        let searched = StoreSearch { planted, grain }.search(depth, threads);
+        let name = planted.map_or_else(|| "no mistake".to_owned(), |plant| format!("{plant:?}"));
+        println!(
+            "{name}: {} states, depth {}, {:.1} s: {}",
+            searched.states,
+            searched.depth,
+            began.elapsed().as_secs_f64(),
+            searched.broken.unwrap_or("no rule broken")
+        );
+        if searched.broken.is_some() {
+            println!("  {:?}", StoreSearch { planted, grain }.path(depth, threads));
+        }
+        is_broken |= searched.broken.is_some() && planted.is_none();
+    }
+    match is_broken {
+        true => bail!("an order of events breaks a rule"),
+        false => Ok(()),
+    }
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -47,6 +47,12 @@
     /// After them, all is served and finished within so long.
     #[garde(range(min = 5.0, max = 300.0))]
     pub recover_s: f64,
+    /// Then, everything is read once more; what was not asked for within so long is told as not read.
+    #[garde(range(min = 1.0, max = 3600.0))]
+    pub sweep_s: f64,
+    /// Whether the processes reach each other through relays; without them, links have no troubles.
+    #[garde(skip)]
+    pub relayed: bool,
     #[garde(dive)]
     pub troubles: Troubles,
 }
@@ -86,6 +92,24 @@
     /// The platform says nothing.
     #[garde(skip)]
     pub platform_silent: u32,
+    /// A process is cut off from all others, or from one.
+    #[garde(skip)]
+    pub cut: u32,
+    /// What a process sends does not arrive.
+    #[garde(skip)]
+    pub cut_one_way: u32,
+    /// Links to a process are slow.
+    #[garde(skip)]
+    pub slow_links: u32,
+    /// All links lose some of what they carry at first.
+    #[garde(skip)]
+    pub lossy_links: u32,
+    /// A connection of a process breaks in the middle of a message.
+    #[garde(skip)]
+    pub reset_link: u32,
+    /// A blow at a moment of which a process tells in its log.
+    #[garde(skip)]
+    pub aimed: u32,
 }
 
 impl Default for Plan {
@@ -101,6 +125,8 @@
             readers: 4,
             troubled_s: 12.0,
             recover_s: 25.0,
+            sweep_s: 120.0,
+            relayed: true,
             troubles: Troubles::default(),
         }
     }
@@ -121,6 +147,12 @@
             wipe_store: 2,
             configure: 5,
             platform_silent: 1,
+            cut: 3,
+            cut_one_way: 2,
+            slow_links: 2,
+            lossy_links: 1,
+            reset_link: 4,
+            aimed: 6,
         }
     }
 }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -11,6 +11,7 @@
 use tokio::process::{Child, Command};
 use tokio::time::timeout;
 
+use crate::moments::log_of;
 use crate::schedule::Target;
 
 /// After SIGTERM a process gets so long, as its settings say.
@@ -53,7 +54,7 @@
             target,
             settings,
             file: tier.folder.join(format!("{node}.toml")),
-            log: tier.folder.join(format!("{node}.log")),
+            log: log_of(&tier.folder, target),
             data: tier.folder.join(&node),
             child: None,
             ending: None,
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -27,6 +27,8 @@
     pub pages_read: u64,
     pub live_answers: u64,
     pub live_refused: u64,
+    /// Accepted batch jobs that the final read did not come to: nothing is known of them.
+    pub jobs_not_read: usize,
     pub configurations: u64,
     pub faults: Vec<Fault>,
     /// Where settings, disks, logs and the order of events are kept.
@@ -38,7 +40,7 @@
         write!(
             out,
             "seed {}: {} processes, {} troubles, {} starts in {:.0} s; {} batch jobs accepted, {} pages read, {} live answers \
-             ({} refused), {} configurations; {} faults",
+             ({} refused), {} configurations, {} batch jobs not read in the end; {} faults",
             self.seed,
             self.processes,
             self.troubles,
@@ -49,6 +51,7 @@
             self.live_answers,
             self.live_refused,
             self.configurations,
+            self.jobs_not_read,
             self.faults.len()
         )?;
         for fault in self.faults.iter().take(10) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,5 +1,7 @@
 //! One seed: starts the tier, has it struck, waits until all is well, and asks what came of it.
 
+use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,11 +15,13 @@
 use crate::batch_client::{end, read_on, submit, sweep};
 use crate::events::Events;
 use crate::live_client::{judge_all, stream};
+use crate::moments::watch_logs;
 use crate::operator::{has_route, watch, Operator};
 use crate::plan::Plan;
+use crate::relay::start_relays;
 use crate::report::{Fault, SeedResult};
 use crate::schedule::drawn;
-use crate::troubles::{start, strike};
+use crate::troubles::{start, strike, strike_at};
 use crate::world::{Phase, Runs, World};
 
 /// The whole tier is ready within so long, or there is no run.
@@ -25,7 +29,10 @@
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Clients go on for so long before the first trouble.
 const WARM: Duration = Duration::from_millis(1_500);
+/// A batch job is asked for again and again for so long in the end.
 const SWEEP_WITHIN: Duration = Duration::from_secs(15);
+/// Readers at once in the end.
+const SWEEPERS: usize = 8;
 const TOLD_EVERY: Duration = Duration::from_secs(5);
 
 /// What is alike for all seeds.
@@ -53,6 +60,11 @@
     sleep(WARM).await;
 
     world.phase.set(Phase::Troubled);
+    let struck = world.clone();
+    let watching = watch_logs(world.clone(), move |target, aimed| {
+        spawn_local(strike_at(struck.clone(), target, aimed));
+    });
+    spawn_local(watching);
     let began = Instant::now();
     let mut under_way = Vec::new();
     for next in strikes {
@@ -64,6 +76,7 @@
         trouble.await.context("a trouble ended badly")?;
     }
     world.events.note("--- no more troubles");
+    world.links.heal();
     world.phase.set(Phase::Recovering);
     recovered(&world).await;
     judge_end(&world).await;
@@ -92,6 +105,7 @@
         platform: listener.local_addr()?,
         core: plan.core,
         losses: plan.losses,
+        relayed: plan.relayed,
     };
     start_platform(listener, platform.clone());
     let events = Events::create(&folder.join("events.log"))?;
@@ -103,6 +117,10 @@
         *server.observer.borrow_mut() = Some(runs.clone());
         world.platform.servers.borrow_mut().push(listing(&id, "model", address, "zone-0"));
     }
+    if world.plan.relayed {
+        let relayed = start_relays(&world.tier, &world.targets(), &world.links).await;
+        relayed.context("a relay's address is taken")?;
+    }
     for process in &world.processes {
         process.lock().await.start(world.programs.as_deref())?;
     }
@@ -195,15 +213,21 @@
     }
 }
 
-/// In the end, everything that was accepted is read once more through each data plane, and the newest configuration is everywhere.
-async fn judge_end(world: &World) {
-    let until = Instant::now() + SWEEP_WITHIN;
+/// In the end, everything that was accepted is read once more, and the newest configuration is everywhere.
+async fn judge_end(world: &Rc<World>) {
     let jobs = world.judge.borrow().accepted_jobs();
-    for (place, job) in jobs.iter().enumerate() {
-        let front = (place % usize::from(world.plan.data_planes)) as u8;
-        if !sweep(world, job, front, until).await {
-            world.blame("LOST", format!("{job} cannot be read in the end (through edge-{front})"));
-        }
+    let unread = Rc::new(RefCell::new(jobs.into_iter().enumerate().collect::<VecDeque<_>>()));
+    let all = unread.borrow().len();
+    let until = Instant::now() + Duration::from_secs_f64(world.plan.sweep_s);
+    let readers = (0..SWEEPERS).map(|_| spawn_local(sweep_on(world.clone(), unread.clone(), until)));
+    let readers: Vec<_> = readers.collect();
+    for reader in readers {
+        let _ = reader.await;
+    }
+    let left = unread.borrow().len();
+    world.not_read.set(left);
+    if left > 0 {
+        world.events.note(format_args!("{left} of {all} batch jobs were not asked for in the end"));
     }
     let now = world.events.now();
     world.judge.borrow_mut().close(now);
@@ -215,6 +239,22 @@
     }
 }
 
+/// Reads what is left until nothing is, or the time is up. A batch job that was asked for, and that nobody answers, is lost.
+async fn sweep_on(world: Rc<World>, unread: Rc<RefCell<VecDeque<(usize, String)>>>, until: Instant) {
+    let mut told = Instant::now();
+    while Instant::now() < until {
+        let Some((place, job)) = unread.borrow_mut().pop_front() else { return };
+        let front = (place % usize::from(world.plan.data_planes)) as u8;
+        if !sweep(&world, &job, front, Instant::now() + SWEEP_WITHIN).await {
+            world.blame("LOST", format!("{job} cannot be read in the end (through edge-{front})"));
+        }
+        if told.elapsed() > TOLD_EVERY {
+            told = Instant::now();
+            eprintln!("  final read: {} batch jobs are left", unread.borrow().len());
+        }
+    }
+}
+
 async fn ended(world: &World, seed: u64, troubles: usize, folder: &Path) -> SeedResult {
     let mut faults = world.faults.borrow().clone();
     let broken = world.judge.borrow().broken.clone();
@@ -243,6 +283,7 @@
         pages_read: judge.reads,
         live_answers: world.live_answers.get(),
         live_refused: world.live_refused.borrow().len() as u64,
+        jobs_not_read: world.not_read.get(),
         configurations: world.acknowledged.get(),
         folder: Some(folder.to_owned()),
         faults,
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use fastrand::Rng;
-use strum::Display;
+use strum::{Display, IntoEnumIterator};
 
+use crate::moments::{Aimed, Blow, Moment};
 use crate::plan::{Plan, Troubles};
 
 /// A kind of process, with its place among those of its kind.
@@ -21,13 +22,53 @@
 /// One trouble.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Trouble {
-    Kill { targets: Vec<Target>, down: Duration },
-    Freeze { target: Target, for_: Duration },
-    Restart { target: Target, down: Duration },
-    Hangup { target: Target },
-    Wipe { store: u8, down: Duration },
+    Kill {
+        targets: Vec<Target>,
+        down: Duration,
+    },
+    Freeze {
+        target: Target,
+        for_: Duration,
+    },
+    Restart {
+        target: Target,
+        down: Duration,
+    },
+    Hangup {
+        target: Target,
+    },
+    Wipe {
+        store: u8,
+        down: Duration,
+    },
     Configure,
-    PlatformSilent { for_: Duration },
+    PlatformSilent {
+        for_: Duration,
+    },
+    /// From the second one, or from all.
+    Cut {
+        target: Target,
+        from: Option<Target>,
+        for_: Duration,
+    },
+    CutOneWay {
+        target: Target,
+        for_: Duration,
+    },
+    SlowLinks {
+        target: Target,
+        by: Duration,
+        for_: Duration,
+    },
+    /// So many chunks of a hundred.
+    LossyLinks {
+        part: u8,
+        for_: Duration,
+    },
+    ResetLink {
+        target: Target,
+    },
+    Aimed(Aimed),
 }
 
 /// A trouble and when it strikes, from the beginning of the troubles.
@@ -67,8 +108,15 @@
         wipe_store,
         configure,
         platform_silent,
+        cut,
+        cut_one_way,
+        slow_links,
+        lossy_links,
+        reset_link,
+        aimed,
         ..
     } = plan.troubles;
+    let of_links = |weight: u32| if plan.relayed { weight } else { 0 };
     let weights = [
         kill_store,
         kill_stores,
@@ -80,6 +128,12 @@
         wipe_store,
         configure,
         platform_silent,
+        of_links(cut),
+        of_links(cut_one_way),
+        of_links(slow_links),
+        of_links(lossy_links),
+        of_links(reset_link),
+        of_links(aimed),
     ];
     let sum: u32 = weights.iter().sum();
     if sum == 0 {
@@ -110,7 +164,27 @@
         6 => Trouble::Hangup { target: any(plan, chance) },
         7 => Trouble::Wipe { store: chance.u8(0..plan.stores), down },
         8 => Trouble::Configure,
-        _ => Trouble::PlatformSilent { for_: down },
+        9 => Trouble::PlatformSilent { for_: down },
+        10 => {
+            let (target, other) = (any(plan, chance), any(plan, chance));
+            Trouble::Cut { target, from: (chance.bool() && other != target).then_some(other), for_: down }
+        }
+        11 => Trouble::CutOneWay { target: any(plan, chance), for_: down },
+        12 => {
+            let by = Duration::from_millis(chance.u64(5..=300));
+            Trouble::SlowLinks { target: any(plan, chance), by, for_: down }
+        }
+        13 => Trouble::LossyLinks { part: chance.u8(2..=20), for_: down },
+        14 => Trouble::ResetLink { target: any(plan, chance) },
+        _ => {
+            let moments: Vec<Moment> = Moment::iter().collect();
+            let blows: Vec<Blow> = Blow::iter().collect();
+            Trouble::Aimed(Aimed {
+                moment: moments[chance.usize(0..moments.len())],
+                blow: blows[chance.usize(0..blows.len())],
+                for_: down,
+            })
+        }
     })
 }
 
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -3,15 +3,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
+use crate::moments::{Aimed, Blow};
 use crate::operator::Operator;
 use crate::process::{ends, Signal};
+use crate::relay::{Harm, Harmed};
 use crate::schedule::{Target, Trouble};
 use crate::world::World;
 
 /// A process that is restarted in a planned way is back by itself within so long.
 const CONFIGURED_WITHIN: Duration = Duration::from_secs(30);
+/// A reset waits so long for something to be sent.
+const RESET_WAITS: Duration = Duration::from_secs(2);
 
 /// Carries one trouble out, from its beginning to its end.
 pub async fn strike(world: Rc<World>, operator: Rc<Operator>, trouble: Trouble) {
@@ -47,9 +51,53 @@
             sleep(for_).await;
             world.platform.silent.set(false);
         }
+        Trouble::Cut { target, from, for_ } => {
+            harm(&world, (Some(target), from), Harm::Cut, for_);
+            harm(&world, (from, Some(target)), Harm::Cut, for_);
+        }
+        Trouble::CutOneWay { target, for_ } => harm(&world, (Some(target), None), Harm::Cut, for_),
+        Trouble::SlowLinks { target, by, for_ } => {
+            harm(&world, (Some(target), None), Harm::Slow(by), for_);
+            harm(&world, (None, Some(target)), Harm::Slow(by), for_);
+        }
+        Trouble::LossyLinks { part, for_ } => harm(&world, (None, None), Harm::Lossy(part), for_),
+        Trouble::ResetLink { target } => harm(&world, (Some(target), None), Harm::Reset, RESET_WAITS),
+        Trouble::Aimed(aimed) => world.waiting.add(aimed),
+    }
+}
+
+/// Carries a blow out that has found its moment.
+pub async fn strike_at(world: Rc<World>, target: Target, aimed: Aimed) {
+    let for_ = aimed.for_;
+    match aimed.blow {
+        Blow::Kill => {
+            world.unplanned(for_);
+            kill(&world, target).await;
+            sleep(for_).await;
+            start(&world, target).await;
+        }
+        Blow::Freeze => {
+            world.unplanned(for_);
+            signal(&world, target, Signal::Stop).await;
+            sleep(for_).await;
+            signal(&world, target, Signal::Cont).await;
+        }
+        Blow::CutOff => {
+            harm(&world, (Some(target), None), Harm::Cut, for_);
+            harm(&world, (None, Some(target)), Harm::Cut, for_);
+        }
+        Blow::CutOneWay => harm(&world, (Some(target), None), Harm::Cut, for_),
+        Blow::Reset => harm(&world, (Some(target), None), Harm::Reset, RESET_WAITS),
+        Blow::Slow => harm(&world, (Some(target), None), Harm::Slow(for_ / 8), for_),
     }
 }
 
+/// Harms the links from some processes to others for a time.
+fn harm(world: &World, (from, to): (Option<Target>, Option<Target>), harm: Harm, for_: Duration) {
+    world.unplanned(for_);
+    world.links.harm(Harmed { from, to, harm, until: Instant::now() + for_ });
+}
+
 async fn kill(world: &World, target: Target) {
     if let Some(process) = world.process(target) {
         process.lock().await.kill().await;
--- a/crates/standins/examples/hollow.rs
+++ b/crates/standins/examples/hollow.rs
@@ -33,7 +33,14 @@
     let ports = Ports::free(std::process::id() + 100 * salt).expect("free ports");
     let folder = std::env::temp_dir().join(format!("fennelgauge-hollow-{}-{salt}", std::process::id()));
     let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let tier = Tier { ports, folder: folder.clone(), platform: listener.local_addr()?, core: 3, losses: 1 };
+    let tier = Tier {
+        ports,
+        folder: folder.clone(),
+        platform: listener.local_addr()?,
+        core: 3,
+        losses: 1,
+        relayed: false,
+    };
     start_platform(listener, Rc::new(Platform::default()));
     for machine in 0..3 {
         let settings = Tier::read(&tier.core_settings(machine))?;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -49,8 +49,14 @@
     let folder = folder.canonicalize()?;
     let ports = Ports::free(std::process::id()).context("no free ports on 127.0.0.1")?;
     let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let tier =
-        Tier { ports, folder, platform: listener.local_addr()?, core: MACHINES_OF_THE_CORE, losses: 1 };
+    let tier = Tier {
+        ports,
+        folder,
+        platform: listener.local_addr()?,
+        core: MACHINES_OF_THE_CORE,
+        losses: 1,
+        relayed: false,
+    };
     let platform = Rc::new(Platform::default());
     start_platform(listener, platform.clone());
     for id in ["i-1", "i-2"] {
