--- a/crates/standins/tests/whole.rs
+++ b/crates/standins/tests/whole.rs
@@ -21,6 +21,7 @@
     platform: Rc<Platform>,
     servers: Vec<Rc<ModelServer>>,
     core: Vec<JoinHandle<()>>,
+    stores: Vec<JoinHandle<()>>,
     client: awc::Client,
 }
 
@@ -37,8 +38,14 @@
         let folder = std::env::temp_dir().join(format!("fennelgauge-whole-{}-{salt}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let tier =
-            Tier { ports, folder, platform: listener.local_addr().expect("an address"), core: 3, losses: 1 };
+        let tier = Tier {
+            ports,
+            folder,
+            platform: listener.local_addr().expect("an address"),
+            core: 3,
+            losses: 1,
+            relayed: false,
+        };
         let platform = Rc::new(Platform::default());
         start_platform(listener, platform.clone());
         let mut servers = Vec::new();
@@ -48,16 +55,72 @@
             servers.push(server);
         }
         let core = (0..3).map(|machine| control(tier.core_settings(machine))).collect();
-        for machine in 0..3 {
-            control(tier.store_settings(machine));
-        }
+        let stores = (0..3).map(|machine| control(tier.store_settings(machine))).collect();
         data(tier.data_settings(0));
-        let whole = Self { tier, platform, servers, core, client: awc::Client::default() };
+        let whole = Self { tier, platform, servers, core, stores, client: awc::Client::default() };
         whole.order("Put", 0, &configuration(1)).await;
         whole.until("ready", || async { whole.get(whole.tier.ready(0), "/-/ready").await.0 == 200 }).await;
         whole
     }
 
+    /// What an operator is told of a group.
+    async fn group(&self, group: u16) -> Option<Value> {
+        for machine in 0..3 {
+            let (status, body) = self.get(self.tier.control(machine), &format!("/-/Group.Get/{group}")).await;
+            if status == 200 {
+                return serde_json::from_slice(&body).ok();
+            }
+        }
+        None
+    }
+
+    /// The group whose holders have told that they have entries.
+    async fn group_with_entries(&self) -> u16 {
+        let began = Instant::now();
+        loop {
+            for group in 0..64 {
+                let report = self.group(group).await.unwrap_or_default();
+                let holders = report["holders"].as_array().cloned().unwrap_or_default();
+                if !holders.is_empty() && holders.iter().all(|holder| holder["entries"].as_u64() > Some(0)) {
+                    return group;
+                }
+            }
+            assert!(began.elapsed() < PATIENCE, "nobody tells of entries");
+            sleep(Duration::from_millis(200)).await;
+        }
+    }
+
+    /// Gives a group up as it is told to be; the answer's status and reason.
+    async fn give_up(&self, report: &Value, force: bool) -> (u16, String) {
+        let holder = |holder: &Value| json!({ "node": holder["node"], "entries": holder["entries"] });
+        let holders: Vec<Value> = report["holders"].as_array().expect("holders").iter().map(holder).collect();
+        let order = json!({ "view": report["view"], "holders": holders, "force": force });
+        let began = Instant::now();
+        for machine in (0..3).cycle() {
+            let url = format!("http://{}/-/Group.GiveUp/{}", self.tier.control(machine), report["group"]);
+            let call = self.client.post(url).timeout(Duration::from_secs(3));
+            let (status, body) = read(call.send_json(&order).await).await;
+            if status < 500 {
+                return (status, String::from_utf8_lossy(&body).into_owned());
+            }
+            assert!(began.elapsed() < PATIENCE, "an order takes too long");
+        }
+        unreachable!("the loop is without end")
+    }
+
+    /// All stores lose their disks at once, more than is borne, and come back empty.
+    async fn lose_all_stores(&mut self) {
+        for store in self.stores.drain(..) {
+            store.abort();
+            let _ = store.await;
+        }
+        for machine in 0..3 {
+            std::fs::remove_dir_all(self.tier.folder.join(format!("store-{machine}"))).expect("a disk");
+            let settings = self.tier.store_settings(machine).replace("bootstrap = true", "bootstrap = false");
+            self.stores.push(control(settings));
+        }
+    }
+
     /// Waits for a condition.
     async fn until<F: Future<Output = bool>>(&self, name: &str, condition: impl Fn() -> F) {
         let began = Instant::now();
@@ -267,3 +330,55 @@
         assert_eq!(whole.all_results("job-1").await, results, "what is listed stays");
     });
 }
+
+#[test]
+fn a_group_whose_holders_are_lost_is_given_up_by_an_order() {
+    local(async {
+        let mut whole = Whole::start(4).await;
+        assert_eq!(whole.submit("job-1", &[("/batch/1", 10)]).await, 202);
+        let results = whole.all_results("job-1").await;
+        assert_eq!(results.len(), 1);
+        let group = whole.group_with_entries().await;
+        let open = whole.group(group).await.expect("known");
+        assert_eq!(open["open"], true, "{open}");
+        let (status, reason) = whole.give_up(&open, true).await;
+        assert!(status == 409 && reason.contains("is heard"), "{status}: {reason}");
+
+        whole.lose_all_stores().await;
+        let path = "/-/lots/job-1?start_after=0";
+        let front = whole.tier.front(0);
+        whole
+            .until("silence", || async {
+                let report = whole.group(group).await.unwrap_or_default();
+                report["holders"]
+                    .as_array()
+                    .is_some_and(|all| all.iter().all(|holder| holder["heard"] == false))
+            })
+            .await;
+        let lost = whole.group(group).await.expect("known");
+        assert!(whole.get(front, path).await.0 == 503, "nobody can be sure: it is not unknown");
+        let (status, reason) = whole.give_up(&lost, false).await;
+        assert!(status == 409 && reason.contains("may come back"), "{status}: {reason}");
+        let mut other = lost.clone();
+        other["holders"][0]["entries"] = json!(1_000);
+        assert_eq!(whole.give_up(&other, true).await.0, 409, "it was not looked at");
+        other = lost.clone();
+        other["view"] = json!(1);
+        assert_eq!(whole.give_up(&other, true).await.0, 412);
+
+        // The new stores have to be heard before anything can be begun on them.
+        let began = Instant::now();
+        while whole.give_up(&whole.group(group).await.expect("known"), true).await.0 != 200 {
+            assert!(began.elapsed() < PATIENCE, "it is not given up");
+            sleep(Duration::from_millis(200)).await;
+        }
+        whole.until("given up", || async { whole.get(front, path).await.0 == 410 }).await;
+        let (_, told) = whole.get(front, path).await;
+        assert!(String::from_utf8_lossy(&told).contains("given_up"));
+        assert_eq!(whole.submit("job-1", &[("/batch/1", 10)]).await, 410, "its name is not used again");
+        assert_eq!(whole.submit("job-2", &[("/batch/1", 10)]).await, 202, "new ones are taken");
+        assert_eq!(whole.all_results("job-2").await.len(), 1);
+        let report = whole.group(group).await.expect("known");
+        assert_eq!(report["given_up"].as_array().map(Vec::len), Some(1), "{report}");
+    });
+}
--- a/crates/upstream/src/known.rs
+++ b/crates/upstream/src/known.rs
@@ -6,10 +6,12 @@
 
 use fennelgauge_coordination::{StoreView, View};
 use fennelgauge_model::{Configuration, RoutingTable, ServerList};
-use fennelgauge_wire::{ConfigurationBytes, Have, News, Watch};
+use fennelgauge_wire::{ConfigurationNews, Have, News, Watch};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::texts::Texts;
+
 /// A source whose view was confirmed by a majority within this time is in touch.
 pub(crate) const IN_TOUCH: Duration = Duration::from_millis(1_500);
 
@@ -17,7 +19,9 @@
 #[derive(Default)]
 pub struct Known {
     table: RefCell<Option<Rc<RoutingTable>>>,
-    configuration: RefCell<(u64, Vec<u8>)>,
+    texts: RefCell<Texts>,
+    /// The next news of the configuration are to be whole.
+    wants_whole: Cell<bool>,
     servers: RefCell<ServerList>,
     servers_read: Cell<Option<Instant>>,
     stores: RefCell<Rc<StoreView>>,
@@ -27,13 +31,18 @@
 }
 
 impl Known {
+    /// Of a process that others watch: it keeps earlier configurations, so that watchers get changes only.
+    pub fn of_source() -> Self {
+        Self { texts: RefCell::new(Texts::with_earlier()), ..Self::default() }
+    }
+
     /// The configuration in force, ready for look-ups.
     pub fn table(&self) -> Option<Rc<RoutingTable>> {
         self.table.borrow().clone()
     }
 
     pub fn generation(&self) -> u64 {
-        self.configuration.borrow().0
+        self.texts.borrow().generation()
     }
 
     pub fn stores(&self) -> Rc<StoreView> {
@@ -76,12 +85,27 @@
             }
         };
         *self.table.borrow_mut() = Some(Rc::new(RoutingTable::new(configuration)));
-        *self.configuration.borrow_mut() = (generation, json);
+        self.texts.borrow_mut().put(generation, json);
         log::info!("configuration {generation} is in force");
         self.changed.notify_waiters();
         true
     }
 
+    /// Takes a configuration as a source sent it. Changes that do not fit are left alone: the whole text is asked for.
+    fn take_news(&self, news: &ConfigurationNews) {
+        let read = self.texts.borrow().read(news);
+        match read {
+            Ok(json) => {
+                self.wants_whole.set(false);
+                self.take_configuration(news.generation, json);
+            }
+            Err(reason) => {
+                log::warn!("configuration {}: {reason}", news.generation);
+                self.wants_whole.set(true);
+            }
+        }
+    }
+
     /// Takes a list of servers that was read `age` ago, unless a later reading is known.
     pub fn take_servers(&self, list: Option<ServerList>, age: Duration) {
         let Some(read) = Instant::now().checked_sub(age) else { return };
@@ -120,8 +144,8 @@
 
     /// Takes all that is newer.
     pub fn take(&self, news: News) {
-        if let Some((generation, ConfigurationBytes(json))) = news.configuration {
-            self.take_configuration(generation, json);
+        if let Some(configuration) = news.configuration {
+            self.take_news(&configuration);
         }
         self.take_servers(news.servers, Duration::from_millis(news.servers_age_ms));
         if let Some(stores) = news.stores {
@@ -137,7 +161,7 @@
     pub fn have(&self) -> Have {
         let servers = self.servers.borrow();
         Have {
-            generation: self.generation(),
+            generation: if self.wants_whole.get() { 0 } else { self.generation() },
             servers: (servers.reader, servers.version),
             stores: self.stores.borrow().epoch,
             view: self.view.borrow().as_ref().map_or(0, |view| view.epoch),
@@ -180,7 +204,7 @@
 
     fn is_newer_than(&self, have: &Have) -> bool {
         let own = self.have();
-        own.generation > have.generation
+        self.generation() > have.generation
             || own.stores > have.stores
             || own.view > have.view
             || (own.servers != have.servers && self.servers_read.get().is_some())
@@ -188,12 +212,9 @@
 
     fn news(&self, have: &Have) -> News {
         let own = self.have();
-        let configuration = (own.generation > have.generation).then(|| {
-            let (generation, json) = self.configuration.borrow().clone();
-            (generation, ConfigurationBytes(json))
-        });
+        let has_newer = self.generation() > have.generation;
         News {
-            configuration,
+            configuration: has_newer.then(|| self.texts.borrow_mut().news(have.generation)),
             servers: (own.servers != have.servers).then(|| self.servers.borrow().clone()),
             servers_age_ms: age_ms(self.servers_age()),
             stores: (own.stores > have.stores).then(|| StoreView::clone(&self.stores.borrow())),
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -17,6 +17,7 @@
 mod send;
 mod share;
 mod subscriber;
+mod texts;
 mod usual_time;
 
 pub use clock::{wall_clock, WallClock};
--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -1,22 +1,28 @@
 //! The calling side: one connection a peer, opened when needed, given up when a call on it finds no answer and nothing
-//! else came meanwhile.
+//! else came meanwhile. An answer that has begun to come is waited for longer.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::io::{AsyncRead, AsyncWriteExt, BufReader, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{timeout, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::frame::{framed, read_frame};
 use crate::messages::{Reply, Request, Tagged};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// An answer of which something came within this time is still coming.
+const STILL_COMING: Duration = Duration::from_millis(400);
+/// It is waited for so many times as long as others at most.
+const LONGEST_TIMES: u32 = 5;
 
 /// Why a call has no answer.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -29,11 +35,21 @@
     NoAnswer(SocketAddr),
 }
 
+/// What was sent since the beginning.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sent {
+    pub calls: u64,
+    pub bytes: u64,
+}
+
 /// Calls peers.
 #[derive(Clone, Default)]
 pub struct Caller {
     connections: Rc<RefCell<HashMap<SocketAddr, Rc<Connection>>>>,
     opening: Rc<RefCell<HashMap<SocketAddr, Rc<tokio::sync::Mutex<()>>>>>,
+    /// The address that calls leave from; none where the system may choose.
+    source: Option<IpAddr>,
+    sent: Rc<Cell<Sent>>,
 }
 
 struct Connection {
@@ -41,10 +57,22 @@
     waiting: RefCell<HashMap<u64, oneshot::Sender<Reply>>>,
     next: Cell<u64>,
     heard: Cell<Instant>,
+    /// Since when nothing more came of an answer that has begun; none between answers.
+    coming: Rc<Cell<Option<Instant>>>,
     closed: Cell<bool>,
 }
 
 impl Caller {
+    /// Calls that leave from an address.
+    pub fn leaving_from(source: Option<IpAddr>) -> Self {
+        Self { source, ..Self::default() }
+    }
+
+    /// What was sent by this and all its clones.
+    pub fn sent(&self) -> Sent {
+        self.sent.get()
+    }
+
     /// Asks a peer, for at most `within`.
     pub async fn call(
         &self,
@@ -57,12 +85,13 @@
             Ok(Some(connection)) => connection,
             _ => return Err(CallError::NotSent(peer)),
         };
-        let (number, answer) = connection.send(request).map_err(|()| CallError::NotSent(peer))?;
-        let left = within.saturating_sub(began.elapsed());
-        match timeout(left, answer).await {
-            Ok(Ok(reply)) => Ok(reply),
-            Ok(Err(_)) => Err(CallError::NoAnswer(peer)),
-            Err(_) => {
+        let (number, answer, bytes) = connection.send(request).map_err(|()| CallError::NotSent(peer))?;
+        let Sent { calls, bytes: before } = self.sent.get();
+        self.sent.set(Sent { calls: calls + 1, bytes: before + bytes as u64 });
+        match connection.answered(answer, began, within).await {
+            Some(Ok(reply)) => Ok(reply),
+            Some(Err(_)) => Err(CallError::NoAnswer(peer)),
+            None => {
                 connection.waiting.borrow_mut().remove(&number);
                 if connection.heard.get() < began {
                     self.give_up(peer, &connection);
@@ -81,13 +110,20 @@
         if let Some(open) = self.open_connection(peer) {
             return Some(open);
         }
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await.ok()?.ok()?;
+        let stream = timeout(CONNECT_TIMEOUT, self.connect(peer)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let connection = self.start(peer, stream);
         self.connections.borrow_mut().insert(peer, connection.clone());
         Some(connection)
     }
 
+    async fn connect(&self, peer: SocketAddr) -> std::io::Result<TcpStream> {
+        let Some(source) = self.source else { return TcpStream::connect(peer).await };
+        let socket = if source.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.bind(SocketAddr::new(source, 0))?;
+        socket.connect(peer).await
+    }
+
     fn open_connection(&self, peer: SocketAddr) -> Option<Rc<Connection>> {
         self.connections.borrow().get(&peer).filter(|connection| !connection.closed.get()).cloned()
     }
@@ -100,6 +136,7 @@
             waiting: RefCell::new(HashMap::new()),
             next: Cell::new(0),
             heard: Cell::new(Instant::now()),
+            coming: Rc::default(),
             closed: Cell::new(false),
         });
         let caller = self.clone();
@@ -126,22 +163,47 @@
 }
 
 impl Connection {
-    fn send(&self, request: Request) -> Result<(u64, oneshot::Receiver<Reply>), ()> {
+    /// The answer, or none when the time is up and nothing is coming.
+    async fn answered(
+        &self,
+        mut answer: oneshot::Receiver<Reply>,
+        began: Instant,
+        within: Duration,
+    ) -> Option<Result<Reply, oneshot::error::RecvError>> {
+        let mut until = began + within;
+        loop {
+            if let Ok(answered) = timeout_at(until, &mut answer).await {
+                return Some(answered);
+            }
+            let still_coming = self.coming.get().map(|at| at + STILL_COMING);
+            until = still_coming.filter(|next| *next > until)?.min(began + within * LONGEST_TIMES);
+            if until <= Instant::now() {
+                return None;
+            }
+        }
+    }
+
+    /// Hands a call over; gives its number, its answer to come, and its bytes.
+    fn send(&self, request: Request) -> Result<(u64, oneshot::Receiver<Reply>, usize), ()> {
         let number = self.next.get();
         self.next.set(number + 1);
         let frame = framed(&Tagged { number, body: request });
+        let bytes = frame.len();
         let (sender, answer) = oneshot::channel();
         self.waiting.borrow_mut().insert(number, sender);
         self.outgoing.send(frame).map_err(|_| ())?;
-        Ok((number, answer))
+        Ok((number, answer, bytes))
     }
 }
 
 async fn read_replies(read: OwnedReadHalf, connection: &Connection) {
-    let mut read = BufReader::new(read);
+    let mut read = BufReader::new(Noting { read, coming: connection.coming.clone() });
     loop {
         match read_frame::<Tagged<Reply>>(&mut read).await {
             Ok(reply) => {
+                if read.buffer().is_empty() {
+                    connection.coming.set(None);
+                }
                 connection.heard.set(Instant::now());
                 if let Some(waiting) = connection.waiting.borrow_mut().remove(&reply.number) {
                     let _ = waiting.send(reply.body);
@@ -152,6 +214,26 @@
     }
 }
 
+/// Notes when something came.
+struct Noting<R> {
+    read: R,
+    coming: Rc<Cell<Option<Instant>>>,
+}
+
+impl<R: AsyncRead + Unpin> AsyncRead for Noting<R> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let polled = Pin::new(&mut self.read).poll_read(context, buffer);
+        if polled.is_ready() {
+            self.coming.set(Some(Instant::now()));
+        }
+        polled
+    }
+}
+
 /// Writes frames until the connection fails or an empty frame asks for its end.
 pub(crate) async fn write_frames(mut write: OwnedWriteHalf, mut queue: mpsc::UnboundedReceiver<Vec<u8>>) {
     while let Some(mut frame) = queue.recv().await {
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -3,7 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 use fennelgauge_batch::{Job, Page};
-use fennelgauge_coordination::{Envelope, GroupNumber, Heard, StoreView, View};
+use fennelgauge_coordination::{
+    Envelope, GiveUp, GiveUpRefusal, GivenUp, GroupNumber, Heard, HolderSeen, StoreView, View,
+};
 use fennelgauge_model::ServerList;
 use fennelgauge_replication::{EntryBatch, EntryPosition, GroupCopy};
 use fennelgauge_sharing::{Report, Sums};
@@ -27,7 +29,7 @@
     /// Requests that began, to the head of the core.
     Usage(UsageReport),
     /// A store is there, and what it tells of its groups; to the head of the core.
-    StorePresence(Heard),
+    StorePresence(StorePresence),
     /// The servers that a process uses, to its home.
     Uses(Report),
 }
@@ -68,8 +70,7 @@
 /// What is newer, and how fresh the source is.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct News {
-    /// The configuration's generation and JSON.
-    pub configuration: Option<(u64, ConfigurationBytes)>,
+    pub configuration: Option<ConfigurationNews>,
     pub servers: Option<ServerList>,
     /// How long ago the list was read, in milliseconds.
     pub servers_age_ms: u64,
@@ -79,6 +80,19 @@
     pub confirmed_age_ms: u64,
 }
 
+/// A configuration on its way to a watcher: packed, and by its changes where the watcher has an earlier one that the source has, too.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationNews {
+    pub generation: u64,
+    /// The generation whose text the changes are for; none where the whole text is sent.
+    pub base: Option<u64>,
+    /// Of the text.
+    pub checksum: u32,
+    /// The text, or the parts of it in bincode.
+    #[serde(with = "serde_bytes")]
+    pub packed: Vec<u8>,
+}
+
 /// A configuration as the operator wrote it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigurationBytes(#[serde(with = "serde_bytes")] pub Vec<u8>);
@@ -96,6 +110,10 @@
     RetireState {
         node: String,
     },
+    /// What is known of a group of batch jobs, to the head.
+    Group(GroupNumber),
+    /// To give a group up, to the head.
+    GiveUp(GiveUp),
 }
 
 /// The operator's order.
@@ -120,6 +138,8 @@
     Ordered(OrderReply),
     Configuration(Option<ConfigurationBytes>),
     Retire(RetireReply),
+    Group(GroupReply),
+    GiveUp(GiveUpReply),
 }
 
 /// What became of an order.
@@ -146,6 +166,49 @@
     Unavailable,
 }
 
+/// What is known of a group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GroupReply {
+    Known(GroupReport),
+    UnknownGroup,
+    Unavailable,
+}
+
+/// A group of batch jobs as the head of the core sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupReport {
+    pub group: u16,
+    /// Of the stores.
+    pub view: u64,
+    pub is_open: bool,
+    pub holders: Vec<HolderSeen>,
+    pub joining: Vec<String>,
+    pub learner: Option<String>,
+    /// Oldest first.
+    pub given_up: Vec<GivenUp>,
+}
+
+/// What became of an order to give a group up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GiveUpReply {
+    Done,
+    Refused(GiveUpRefusal),
+    /// Not taken; ask again.
+    Unavailable,
+    /// May have been carried out.
+    Unknown,
+}
+
+/// A store is there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StorePresence {
+    pub heard: Heard,
+    /// Now and then: how many entries it has, by group.
+    pub entries: Vec<(GroupNumber, u64)>,
+    /// Batch jobs that it has taken as a head since it told last.
+    pub accepted: Vec<(GroupNumber, Vec<String>)>,
+}
+
 /// Requests of each tenant that began in each window, as one process counted them so far.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct UsageReport {
@@ -228,6 +291,23 @@
         group: GroupNumber,
         copy: GroupCopy,
     },
+    /// What the store has done since it began.
+    Costs,
+}
+
+/// What a store has done since it began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreCosts {
+    /// Files of the journal, each written and synced by itself.
+    pub syncs: u64,
+    pub synced_bytes: u64,
+    /// Calls to other processes.
+    pub calls: u64,
+    pub call_bytes: u64,
+    /// Entries made as a head.
+    pub entries: u64,
+    /// Results among them.
+    pub results: u64,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -241,6 +321,8 @@
     Page(Page),
     Body(serde_bytes::ByteBuf),
     NotFound,
+    /// The batch job was given up with its group, or there never was one of that name.
+    GivenUp,
     /// Nobody here can be sure.
     Unsure,
     /// Groups in which every further link is level and has the entries, too.
@@ -256,4 +338,5 @@
     Installed,
     Entries(EntryBatch),
     Copy(GroupCopy),
+    Costs(StoreCosts),
 }
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -137,3 +137,32 @@
     let many: Vec<String> = (0..9_000).map(|number| number.to_string()).collect();
     assert_eq!(decode::<Vec<String>>(&encode(&many)).expect("whole"), many);
 }
+
+/// A peer that answers the first call piece by piece: so many of ten pieces.
+async fn piecemeal(pieces: usize) -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.expect("a caller");
+        let configuration = CoreReply::Configuration(Some(ConfigurationBytes(vec![7; 1_000])));
+        let frame = crate::frame::framed(&messages::Tagged { number: 0, body: Reply::Core(configuration) });
+        for piece in frame.chunks(frame.len().div_ceil(10)).take(pieces) {
+            stream.write_all(piece).await.expect("written");
+            tokio::time::sleep(Duration::from_millis(25)).await;
+        }
+        std::future::pending::<()>().await;
+    });
+    address
+}
+
+#[test]
+fn an_answer_that_is_still_coming_is_waited_for() {
+    local(async {
+        let within = Duration::from_millis(90);
+        let whole = Caller::default().call(piecemeal(10).await, numbered(3), within).await;
+        assert!(matches!(whole, Ok(Reply::Core(CoreReply::Configuration(Some(_))))), "{whole:?}");
+        let peer = piecemeal(6).await;
+        let stuck = Caller::default().call(peer, numbered(3), within).await;
+        assert_eq!(stuck.expect_err("it comes no further"), CallError::NoAnswer(peer));
+    });
+}
