--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -24,6 +24,8 @@
 fennelgauge-simulate stores-planted [--most N] [--threads N] [--planted NAME]
                     the same for days of the stores; families of these: overlap, all-dark, halves, flap, repair, head-freeze, aimed,
                     disks, behind, given-up, mixed
+fennelgauge-simulate stores-cost
+                    syncs, messages, bytes and time of an item, by links, sync and items at once
 fennelgauge-simulate stores-exhaust [--events N] [--threads N] [--grain message|partition] [--planted NAME|all]
                     every order of N events among four stores, and then all come back
 families: cut-off, races, second-loss, many-changes, duels, mixed (they take turns where none is named)";
--- a/crates/simulation/src/stores/client.rs
+++ b/crates/simulation/src/stores/client.rs
@@ -14,7 +14,6 @@
 /// Tokens of one item, and how many a tenant may have queued.
 const TOKENS: u64 = 10;
 pub const MOST_QUEUED: u64 = 300;
-const MOST_ITEMS: usize = 4;
 const MOST_TRIES: u32 = 40;
 const ASK_AGAIN: (Micros, Micros) = (60 * MILLISECOND, 300 * MILLISECOND);
 const READ_EVERY: (Micros, Micros) = (40 * MILLISECOND, 220 * MILLISECOND);
@@ -45,7 +44,7 @@
         Self { duty, waits_for: None, asked: 0, plane: 0, made: 0 }
     }
 
-    fn new_job(&mut self, tenant: usize, chance: &mut Chance) -> Job {
+    fn new_job(&mut self, tenant: usize, most_items: usize, chance: &mut Chance) -> Job {
         self.made += 1;
         let id = format!("job-{tenant}-{}", self.made);
         let item = |place: usize| Item {
@@ -56,7 +55,7 @@
             tokens: TOKENS,
         };
         Job {
-            items: (0..1 + chance.below(MOST_ITEMS)).map(item).collect(),
+            items: (0..1 + chance.below(most_items)).map(item).collect(),
             tenant: tenant_name(tenant),
             route: "r".to_owned(),
             host: "h".to_owned(),
@@ -133,7 +132,7 @@
             Duty::Submit { tenant, job, tries } => {
                 let is_away = self.away.get(tenant).is_some_and(|until| self.now < *until);
                 if job.is_none() && self.may_submit() && !is_away {
-                    *job = Some(client.new_job(*tenant, &mut self.chance));
+                    *job = Some(client.new_job(*tenant, self.day.most_items, &mut self.chance));
                     *tries = 0;
                 }
                 let job = job.clone()?;
@@ -175,7 +174,7 @@
                 let chosen = chosen?;
                 let start = match self.is_sweeping() || self.chance.in_thousand(600) {
                     true => 0,
-                    false => self.chance.below(MOST_ITEMS) as u32,
+                    false => self.chance.below(self.day.most_items) as u32,
                 };
                 *job = Some((chosen.clone(), start));
                 let group = group_of(tenant_of(&chosen));
--- a/crates/simulation/src/stores/costs.rs
+++ b/crates/simulation/src/stores/costs.rs
@@ -15,6 +15,7 @@
 /// Counts of one day, among the stores.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Costs {
+    pub syncs: u64,
     pub appends: u64,
     pub questions: u64,
     pub copies: u64,
@@ -53,6 +54,10 @@
         }
     }
 
+    pub fn with_syncs(self, syncs: u64) -> Self {
+        Self { syncs, ..self }
+    }
+
     /// A run has ended with a result.
     pub fn done(&mut self, now: Micros, item: &str) {
         self.ended.insert(item.to_owned(), now);
--- a/crates/simulation/src/stores/day.rs
+++ b/crates/simulation/src/stores/day.rs
@@ -8,6 +8,8 @@
 use crate::day::{Micros, MILLISECOND, SECOND};
 
 const FIRST_TROUBLE: Micros = 4 * SECOND;
+const MOST_ITEMS: usize = 4;
+const ITEMS_AT_ONCE: usize = 4;
 
 /// What a day leans towards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString)]
@@ -222,6 +224,9 @@
     pub gives_up: bool,
     /// What a sync takes at each store; drawn where there is none.
     pub fixed_sync: Option<Micros>,
+    /// Items of a batch job at most, and how many run at once at a store.
+    pub most_items: usize,
+    pub items_at_once: usize,
 }
 
 /// A holder may be given up after so long, and a store goes on so long without the core: the program's times, made short.
@@ -254,6 +259,8 @@
             closing_wipes: chance.below(losses + 1),
             gives_up: family == StoreFamily::GivenUp,
             fixed_sync: None,
+            most_items: MOST_ITEMS,
+            items_at_once: ITEMS_AT_ONCE,
         };
         if day.gives_up {
             day.closing_wipes = 0;
@@ -268,6 +275,24 @@
         day
     }
 
+    /// A day without troubles, to see what an item costs: chains of so many links, so much for a sync, so many items at once.
+    pub fn calm(seed: u64, links: usize, sync: Micros, items: usize) -> Self {
+        Self {
+            losses: links.saturating_sub(2),
+            stores: links + 1,
+            zones: links,
+            tenants: 1,
+            pause: 700 * MILLISECOND,
+            strikes: Vec::new(),
+            closing: FIRST_TROUBLE + 30 * SECOND,
+            closing_wipes: 0,
+            fixed_sync: Some(sync),
+            most_items: items,
+            items_at_once: items,
+            ..Self::of_family(seed, StoreFamily::Overlap)
+        }
+    }
+
     fn trouble(&self, chance: &mut Chance) -> StoreTrouble {
         let kind = match self.family {
             StoreFamily::GivenUp => return self.of_given_up(chance),
--- a/crates/simulation/src/stores/exhaustive.rs
+++ b/crates/simulation/src/stores/exhaustive.rs
@@ -167,6 +167,7 @@
         let stores = (0..STORES).map(|place| {
             let mut store = SimStore::new(place, place, vec![GROUP], self.planted);
             store.lease = Some(LEASE);
+            store.items_at_once = ITEMS;
             Arc::new(store)
         });
         let planner_bug = match self.planted {
--- a/crates/simulation/src/stores/store.rs
+++ b/crates/simulation/src/stores/store.rs
@@ -125,8 +125,6 @@
     pub items_at_once: usize,
 }
 
-const ITEMS_AT_ONCE: usize = 4;
-
 impl SimStore {
     pub fn new(place: usize, zone: usize, groups: Vec<GroupNumber>, plant: Option<StorePlant>) -> Self {
         Self {
@@ -161,7 +159,7 @@
             early: Vec::new(),
             runs: 0,
             unlisted: Vec::new(),
-            items_at_once: ITEMS_AT_ONCE,
+            items_at_once: 1,
         }
     }
 
--- a/crates/simulation/src/stores/world.rs
+++ b/crates/simulation/src/stores/world.rs
@@ -273,6 +273,7 @@
         let mut store = SimStore::new(place, place % self.day.zones, groups, self.plant);
         store.lease = self.day.gives_up.then_some(STORE_LEASE);
         store.disk.fixed_sync = self.day.fixed_sync;
+        store.items_at_once = self.day.items_at_once;
         self.stores.push(store);
         let at = self.now + self.chance.between(0, 300 * MILLISECOND);
         self.at(at, Event::Start(place));
@@ -318,7 +319,7 @@
             views: self.views,
             shown_dropped: self.shown_dropped,
             trace: self.trace,
-            costs: self.costs,
+            costs: self.costs.with_syncs(self.stores.iter().map(|store| store.disk.syncs).sum()),
             forgotten: self.forgotten,
         }
     }
--- a/crates/simulation/src/stores_command.rs
+++ b/crates/simulation/src/stores_command.rs
@@ -42,6 +42,10 @@
             let only = planted.map(|name| plant_of(&name)).transpose()?;
             find_planted(most, threads, only)
         }
+        "stores-cost" => {
+            show_costs();
+            Ok(())
+        }
         "stores-exhaust" => {
             let events = arguments.opt_value_from_str("--events")?.unwrap_or(EVENTS);
             let grain = match arguments.opt_value_from_str::<_, String>("--grain")?.as_deref() {
@@ -56,7 +60,9 @@
             };
             exhaust(events, threads as usize, grain, &plants)
         }
-        other => bail!("{other} is no verb: give stores, stores-day, stores-planted or stores-exhaust"),
+        other => bail!(
+            "{other} is no verb: give stores, stores-day, stores-planted, stores-cost or stores-exhaust"
+        ),
     }
 }
 
@@ -209,3 +215,35 @@
         false => Ok(()),
     }
 }
+
+/// Links, what a sync takes in microseconds, and how many items run at once.
+const COST_LINKS: [usize; 2] = [3, 5];
+const COST_SYNCS: [u64; 2] = [500, 12_000];
+const COST_ITEMS: [usize; 3] = [1, 10, 60];
+const COST_SEED: u64 = 7;
+
+fn show_costs() {
+    println!("links, sync ms, items at once: items; syncs, appends, bytes an item; ms to listed, median and 99 in 100");
+    for links in COST_LINKS {
+        for sync in COST_SYNCS {
+            for items in COST_ITEMS {
+                let played = play_stores(&StoreDay::calm(COST_SEED, links, sync, items), None);
+                let mut waits = played.costs.waits.clone();
+                waits.sort_unstable();
+                let at =
+                    |part: usize| waits.get(waits.len() * part / 100).map_or(0.0, |wait| *wait as f64 / 1e3);
+                let each = |sum: u64| sum as f64 / waits.len().max(1) as f64;
+                println!(
+                    "{links}, {:.1}, {items}: {}; {:.2}, {:.2}, {:.0}; {:.1}, {:.1}",
+                    sync as f64 / 1e3,
+                    waits.len(),
+                    each(played.costs.syncs),
+                    each(played.costs.appends),
+                    each(played.costs.bytes),
+                    at(50),
+                    at(99)
+                );
+            }
+        }
+    }
+}
