--- a/crates/control-plane/src/core/tests.rs
+++ b/crates/control-plane/src/core/tests.rs
@@ -3,12 +3,14 @@
 use std::path::Path;
 
 use fennelgauge_wire::{serve, CoreReply, CoreRequest, Order, OrderKind, OrderReply, Reply, Watch};
-use tokio::net::TcpListener;
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 
 use super::*;
+use crate::test_ports::listeners;
 
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Other tests search their ports from other places.
+const CORE_SALT: u32 = 5;
 
 fn local<F: std::future::Future<Output = ()>>(test: F) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -31,10 +33,10 @@
 }
 
 /// Three machines that are each other's seeds.
-async fn three(salt: u16) -> Vec<Machine> {
-    let first = 21_000 + (std::process::id() as u16 % 900) * 40 + salt * 4;
+async fn three(salt: u32) -> Vec<Machine> {
+    let (first, listeners) = listeners(3, CORE_SALT + salt).await;
     let mut machines = Vec::new();
-    for number in 0..3_u16 {
+    for (number, listener) in listeners.into_iter().enumerate() {
         let ip = format!("127.0.0.{}", number + 1);
         let text = format!(
             "node = \"m{number}\"\nip = \"{ip}\"\nzone = \"z\"\nport_range = [{first}, {}]\nbootstrap = true\n\
@@ -45,7 +47,6 @@
         let settings = Rc::new(Settings::parse(&text, Path::new("test.toml")).expect("settings"));
         let peer = settings.control_peer_address();
         let core = Core::open(settings, Rc::default(), Caller::default(), peer).expect("opened");
-        let listener = TcpListener::bind(peer).await.expect("a port");
         let cut_off = Rc::new(Cell::new(false));
         let answering = (core.clone(), cut_off.clone());
         spawn_local(serve(listener, move |request| answer(answering.clone(), request)));
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -12,3 +12,5 @@
 pub mod scaling;
 pub mod state;
 pub mod store;
+#[cfg(test)]
+mod test_ports;
--- a/crates/simulation/src/stores/mod.rs
+++ b/crates/simulation/src/stores/mod.rs
@@ -13,11 +13,14 @@
 mod items;
 mod looking;
 mod moment;
+mod placing;
 mod plant;
 mod protocol;
+mod sending;
 mod store;
 mod strikes;
 mod task;
+mod turns;
 mod world;
 
 use crate::shrink::fewest;
--- /dev/null
+++ b/crates/simulation/src/stores/placing.rs
@@ -0,0 +1,120 @@
+//! What the core hears and decides in a simulated day, how the news of it spread, and quotas.
+
+use std::sync::Arc;
+
+use fennelgauge_coordination::{Heard, StoreView};
+
+use super::client::{group_of, with_overage};
+use super::core::{OfGroups, GATHER_FOR, PLAN_EVERY};
+use super::world::{Event, World, CLIENT_DELAY};
+use crate::day::{Micros, MILLISECOND, SECOND};
+use crate::network::Network;
+
+/// From the look at the stores to the word of the next view.
+const DECIDE_DELAY: (Micros, Micros) = (2 * MILLISECOND, 40 * MILLISECOND);
+/// A configuration is everywhere within this time.
+const CONVERGE: Micros = 2 * SECOND;
+/// A store's word may be so late.
+const LATE_PRESENCE: Micros = 600 * MILLISECOND;
+const NEWS_DELAY: (Micros, Micros) = (2 * MILLISECOND, 90 * MILLISECOND);
+
+impl World<'_> {
+    pub(super) fn tell(&mut self, store: usize, at: Micros) {
+        if self.stores[store].disk.is_in_trouble(self.now) || self.is_unheard(store) {
+            return;
+        }
+        let heard = self.stores[store].heard();
+        let of_groups = self.stores[store].of_groups();
+        self.told.insert(store, heard.clone());
+        let late = if self.chance.in_thousand(5) { self.chance.between(0, LATE_PRESENCE) } else { 0 };
+        let at = at + late + self.chance.between(CLIENT_DELAY.0, CLIENT_DELAY.1);
+        self.at(at, Event::Hear { heard, of_groups });
+    }
+
+    pub fn is_unheard(&self, store: usize) -> bool {
+        self.unheard.get(&store).is_some_and(|until| self.now < *until)
+    }
+
+    pub(super) fn plan(&mut self, again: bool) {
+        if again {
+            self.at(self.now + PLAN_EVERY, Event::Plan { again });
+            self.planes_ask();
+        }
+        let Some(heard) = self.core.look(self.now) else { return };
+        let at = self.now + self.chance.between(DECIDE_DELAY.0, DECIDE_DELAY.1);
+        self.strike_after_look();
+        self.at(at, Event::Decide { heard });
+    }
+
+    pub(super) fn decide(&mut self, heard: &[Heard]) {
+        let before = self.core.view.epoch;
+        if let Some(view) = self.core.plan(self.now, heard) {
+            if view.epoch > before {
+                self.spread(&view);
+            }
+        }
+        self.take_retired_away();
+    }
+
+    pub(super) fn hear(&mut self, heard: Heard, of_groups: OfGroups) {
+        let store = Network::machine(heard.member.peer);
+        if !self.core.is_dark(self.now) {
+            self.strike_first_word(store);
+        }
+        if self.core.hear(self.now, heard, of_groups) && self.core.view.has_closed_groups() {
+            self.at(self.now + GATHER_FOR, Event::Plan { again: false });
+        }
+    }
+
+    /// How much later than the others the next message of a store is.
+    pub(super) fn late_of(&mut self, store: usize) -> Micros {
+        match self.late.take_if(|(late, _)| *late == store) {
+            Some((_, by)) => by,
+            None => 0,
+        }
+    }
+
+    /// A quota changes: data planes know it sooner or later, within the time in which a configuration is everywhere.
+    pub fn change_quota(&mut self, most: u64) {
+        // Any quota that may still be in force somewhere counts.
+        let before = self.judge.most_queued();
+        self.judge.set_most_queued(with_overage(most).max(before));
+        self.quota = most;
+        for plane in 0..self.planes.len() {
+            let at = self.now + self.chance.between(0, CONVERGE);
+            self.at(at, Event::PlaneQuota { plane, most });
+        }
+        self.at(self.now + 2 * CONVERGE, Event::QuotaInForce { most });
+    }
+
+    /// The news of a view, to all stores and data planes.
+    pub fn spread(&mut self, view: &Arc<StoreView>) {
+        self.views += 1;
+        self.print(|| {
+            let groups = (0..self.day.tenants).filter_map(|tenant| view.group(group_of(tenant)));
+            format!("view {}: {:?}", view.epoch, groups.collect::<Vec<_>>())
+        });
+        for store in 0..self.stores.len() {
+            let at = self.now + self.chance.between(NEWS_DELAY.0, NEWS_DELAY.1);
+            self.at(at, Event::News { store, view: view.clone() });
+        }
+        for plane in 0..self.planes.len() {
+            let at = self.now + self.chance.between(NEWS_DELAY.0, NEWS_DELAY.1);
+            self.at(at, Event::PlaneNews { plane, view: view.clone() });
+        }
+        self.spring_at_view();
+    }
+
+    /// Data planes ask for news from time to time.
+    fn planes_ask(&mut self) {
+        if self.core.is_dark(self.now) {
+            return;
+        }
+        let view = self.core.view_as_of(self.now, PLAN_EVERY);
+        for plane in self.planes.iter_mut().filter(|plane| self.now >= plane.stale_until) {
+            if view.epoch > plane.view.epoch {
+                plane.view = view.clone();
+            }
+        }
+    }
+}
--- a/crates/simulation/src/stores/world.rs
+++ b/crates/simulation/src/stores/world.rs
@@ -7,7 +7,7 @@
 use fennelgauge_coordination::{Heard, StoreView};
 
 use super::client::{group_of, with_overage, Client, Duty, CLIENT_PATIENCE, MOST_QUEUED};
-use super::core::{OfGroups, SimCore, GATHER_FOR, PLAN_EVERY};
+use super::core::{OfGroups, SimCore, PLAN_EVERY};
 use super::costs::Costs;
 use super::day::{AtView, StoreDay, STORE_LEASE};
 use super::moment::{Aimed, Whom};
@@ -28,17 +28,10 @@
 const FINISH: Micros = 10 * SECOND;
 const SWEEP: Micros = 5 * SECOND;
 pub(super) const CLOSING_DARK: (Micros, Micros) = (300 * MILLISECOND, 900 * MILLISECOND);
-/// From the look at the stores to the word of the next view.
-const DECIDE_DELAY: (Micros, Micros) = (2 * MILLISECOND, 40 * MILLISECOND);
-/// A configuration is everywhere within this time.
-const CONVERGE: Micros = 2 * SECOND;
 pub(super) const OPERATOR_EVERY: Micros = 300 * MILLISECOND;
 const PLANES: usize = 3;
 const READERS: usize = 4;
-const CLIENT_DELAY: (Micros, Micros) = (MILLISECOND, 5 * MILLISECOND);
-/// A store's word may be so late.
-const LATE_PRESENCE: Micros = 600 * MILLISECOND;
-const NEWS_DELAY: (Micros, Micros) = (2 * MILLISECOND, 90 * MILLISECOND);
+pub(super) const CLIENT_DELAY: (Micros, Micros) = (MILLISECOND, 5 * MILLISECOND);
 const SETTLE: Micros = SECOND;
 const CANCEL: Micros = 3 * SECOND;
 /// More broken rules are not kept.
@@ -195,7 +188,7 @@
     pub wipes: usize,
     pub troubled_until: Micros,
     pub closed: bool,
-    told: BTreeMap<usize, Heard>,
+    pub told: BTreeMap<usize, Heard>,
     next_call: u64,
     shown_dropped: Vec<String>,
     trace: u64,
@@ -537,105 +530,6 @@
             self.tell(store, self.now);
         }
     }
-
-    fn tell(&mut self, store: usize, at: Micros) {
-        if self.stores[store].disk.is_in_trouble(self.now) || self.is_unheard(store) {
-            return;
-        }
-        let heard = self.stores[store].heard();
-        let of_groups = self.stores[store].of_groups();
-        self.told.insert(store, heard.clone());
-        let late = if self.chance.in_thousand(5) { self.chance.between(0, LATE_PRESENCE) } else { 0 };
-        let at = at + late + self.chance.between(CLIENT_DELAY.0, CLIENT_DELAY.1);
-        self.at(at, Event::Hear { heard, of_groups });
-    }
-
-    pub fn is_unheard(&self, store: usize) -> bool {
-        self.unheard.get(&store).is_some_and(|until| self.now < *until)
-    }
-
-    fn plan(&mut self, again: bool) {
-        if again {
-            self.at(self.now + PLAN_EVERY, Event::Plan { again });
-            self.planes_ask();
-        }
-        let Some(heard) = self.core.look(self.now) else { return };
-        let at = self.now + self.chance.between(DECIDE_DELAY.0, DECIDE_DELAY.1);
-        self.strike_after_look();
-        self.at(at, Event::Decide { heard });
-    }
-
-    fn decide(&mut self, heard: &[Heard]) {
-        let before = self.core.view.epoch;
-        if let Some(view) = self.core.plan(self.now, heard) {
-            if view.epoch > before {
-                self.spread(&view);
-            }
-        }
-        self.take_retired_away();
-    }
-
-    fn hear(&mut self, heard: Heard, of_groups: OfGroups) {
-        let store = Network::machine(heard.member.peer);
-        if !self.core.is_dark(self.now) {
-            self.strike_first_word(store);
-        }
-        if self.core.hear(self.now, heard, of_groups) && self.core.view.has_closed_groups() {
-            self.at(self.now + GATHER_FOR, Event::Plan { again: false });
-        }
-    }
-
-    /// How much later than the others the next message of a store is.
-    fn late_of(&mut self, store: usize) -> Micros {
-        match self.late.take_if(|(late, _)| *late == store) {
-            Some((_, by)) => by,
-            None => 0,
-        }
-    }
-
-    /// A quota changes: data planes know it sooner or later, within the time in which a configuration is everywhere.
-    pub fn change_quota(&mut self, most: u64) {
-        // Any quota that may still be in force somewhere counts.
-        let before = self.judge.most_queued();
-        self.judge.set_most_queued(with_overage(most).max(before));
-        self.quota = most;
-        for plane in 0..self.planes.len() {
-            let at = self.now + self.chance.between(0, CONVERGE);
-            self.at(at, Event::PlaneQuota { plane, most });
-        }
-        self.at(self.now + 2 * CONVERGE, Event::QuotaInForce { most });
-    }
-
-    /// The news of a view, to all stores and data planes.
-    pub fn spread(&mut self, view: &Arc<StoreView>) {
-        self.views += 1;
-        self.print(|| {
-            let groups = (0..self.day.tenants).filter_map(|tenant| view.group(group_of(tenant)));
-            format!("view {}: {:?}", view.epoch, groups.collect::<Vec<_>>())
-        });
-        for store in 0..self.stores.len() {
-            let at = self.now + self.chance.between(NEWS_DELAY.0, NEWS_DELAY.1);
-            self.at(at, Event::News { store, view: view.clone() });
-        }
-        for plane in 0..self.planes.len() {
-            let at = self.now + self.chance.between(NEWS_DELAY.0, NEWS_DELAY.1);
-            self.at(at, Event::PlaneNews { plane, view: view.clone() });
-        }
-        self.spring_at_view();
-    }
-
-    /// Data planes ask for news from time to time.
-    fn planes_ask(&mut self) {
-        if self.core.is_dark(self.now) {
-            return;
-        }
-        let view = self.core.view_as_of(self.now, PLAN_EVERY);
-        for plane in self.planes.iter_mut().filter(|plane| self.now >= plane.stale_until) {
-            if view.epoch > plane.view.epoch {
-                plane.view = view.clone();
-            }
-        }
-    }
 }
 
 fn brief(what: &impl std::fmt::Debug) -> String {
