--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -110,6 +110,9 @@
     /// A blow at a moment of which a process tells in its log.
     #[garde(skip)]
     pub aimed: u32,
+    /// A store is cut off from the core and the other stores, and a data plane from the core: it may ask that store still.
+    #[garde(skip)]
+    pub stale_reader: u32,
 }
 
 impl Default for Plan {
@@ -153,6 +156,7 @@
             lossy_links: 1,
             reset_link: 4,
             aimed: 6,
+            stale_reader: 3,
         }
     }
 }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -68,6 +68,11 @@
     ResetLink {
         target: Target,
     },
+    StaleReader {
+        store: u8,
+        data_plane: u8,
+        for_: Duration,
+    },
     Aimed(Aimed),
 }
 
@@ -114,6 +119,7 @@
         lossy_links,
         reset_link,
         aimed,
+        stale_reader,
         ..
     } = plan.troubles;
     let of_links = |weight: u32| if plan.relayed { weight } else { 0 };
@@ -134,6 +140,7 @@
         of_links(lossy_links),
         of_links(reset_link),
         of_links(aimed),
+        of_links(stale_reader),
     ];
     let sum: u32 = weights.iter().sum();
     if sum == 0 {
@@ -176,6 +183,10 @@
         }
         13 => Trouble::LossyLinks { part: chance.u8(2..=20), for_: down },
         14 => Trouble::ResetLink { target: any(plan, chance) },
+        16 => {
+            let (store, data_plane) = (chance.u8(0..plan.stores), chance.u8(0..plan.data_planes));
+            Trouble::StaleReader { store, data_plane, for_: 2 * down }
+        }
         _ => {
             let moments: Vec<Moment> = Moment::iter().collect();
             let blows: Vec<Blow> = Blow::iter().collect();
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -63,6 +63,23 @@
         Trouble::LossyLinks { part, for_ } => harm(&world, (None, None), Harm::Lossy(part), for_),
         Trouble::ResetLink { target } => harm(&world, (Some(target), None), Harm::Reset, RESET_WAITS),
         Trouble::Aimed(aimed) => world.waiting.add(aimed),
+        Trouble::StaleReader { store, data_plane, for_ } => stale_reader(&world, store, data_plane, for_),
+    }
+}
+
+/// A store and a data plane that reach each other and nobody who knows of a later view.
+fn stale_reader(world: &World, store: u8, data_plane: u8, for_: Duration) {
+    let (store, data_plane) = (Target::Store(store), Target::DataPlane(data_plane));
+    for other in world.targets() {
+        let is_core = matches!(other, Target::Core(_));
+        if is_core || (matches!(other, Target::Store(_)) && other != store) {
+            harm(world, (Some(store), Some(other)), Harm::Cut, for_);
+            harm(world, (Some(other), Some(store)), Harm::Cut, for_);
+        }
+        if is_core {
+            harm(world, (Some(data_plane), Some(other)), Harm::Cut, for_);
+            harm(world, (Some(other), Some(data_plane)), Harm::Cut, for_);
+        }
     }
 }
 
