Soak: the weights of troubles are listed once

Cause: a pattern and the array after it named the same seventeen weights. Change: the array reads them from the plan; the order and the draws of a seed are the same. Its tests import the type themselves. Ruled out: a list of pairs, which would hide the order that seeds depend on.

--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -6,7 +6,7 @@
 use strum::{Display, IntoEnumIterator};
 
 use crate::moments::{Aimed, Blow, Moment};
-use crate::plan::{Plan, Troubles};
+use crate::plan::Plan;
 
 /// A kind of process, with its place among those of its kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Display)]
@@ -102,45 +102,26 @@
 }
 
 fn trouble(plan: &Plan, chance: &mut Rng) -> Option<Trouble> {
-    let Troubles {
-        kill_store,
-        kill_stores,
-        kill_core,
-        kill_data_plane,
-        freeze,
-        restart,
-        hangup,
-        wipe_store,
-        configure,
-        platform_silent,
-        cut,
-        cut_one_way,
-        slow_links,
-        lossy_links,
-        reset_link,
-        aimed,
-        stale_reader,
-        ..
-    } = plan.troubles;
+    let troubles = &plan.troubles;
     let of_links = |weight: u32| if plan.relayed { weight } else { 0 };
     let weights = [
-        kill_store,
-        kill_stores,
-        kill_core,
-        kill_data_plane,
-        freeze,
-        restart,
-        hangup,
-        wipe_store,
-        configure,
-        platform_silent,
-        of_links(cut),
-        of_links(cut_one_way),
-        of_links(slow_links),
-        of_links(lossy_links),
-        of_links(reset_link),
-        of_links(aimed),
-        of_links(stale_reader),
+        troubles.kill_store,
+        troubles.kill_stores,
+        troubles.kill_core,
+        troubles.kill_data_plane,
+        troubles.freeze,
+        troubles.restart,
+        troubles.hangup,
+        troubles.wipe_store,
+        troubles.configure,
+        troubles.platform_silent,
+        of_links(troubles.cut),
+        of_links(troubles.cut_one_way),
+        of_links(troubles.slow_links),
+        of_links(troubles.lossy_links),
+        of_links(troubles.reset_link),
+        of_links(troubles.aimed),
+        of_links(troubles.stale_reader),
     ];
     let sum: u32 = weights.iter().sum();
     if sum == 0 {
--- a/crates/soak/src/schedule/tests.rs
+++ b/crates/soak/src/schedule/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::plan::Troubles;
 
 #[test]
 fn a_seed_draws_the_same_troubles_and_another_seed_others() {
