Store simulation: a strike at a view deals the same blows as one at a moment

Cause: five arms of spring_at_view repeated those of deal, and two loops repeated place_of. Change: deal takes a blow and its length; both call it. place_of serves all lookups in the newest view.

--- a/crates/simulation/src/stores/strikes.rs
+++ b/crates/simulation/src/stores/strikes.rs
@@ -136,8 +136,7 @@
     fn links(&self, strike: usize) -> Vec<usize> {
         let view = self.core.view.clone();
         let chain = view.group(group_of(strike % self.day.tenants)).map(|group| group.chain.clone());
-        let place = |number| Some(Network::machine(view.store(number)?.member.peer));
-        chain.unwrap_or_default().into_iter().filter_map(place).collect()
+        chain.unwrap_or_default().into_iter().filter_map(|number| self.place_of(number)).collect()
     }
 
     /// The stores by rank: the links of one group first, head to tail.
@@ -175,25 +174,16 @@
         let Some(store) = ranked.get(rank).copied() else { return };
         self.print(|| format!("--- s{store}, at the view: {how:?}"));
         match how {
-            AtView::Kill => self.power_off(store, for_),
             AtView::KillAllButJoining => {
                 for link in joined.unwrap_or_default() {
                     self.power_off(link, for_);
                 }
             }
-            AtView::Freeze => self.freeze(store, for_),
-            AtView::SlowLink => {
-                self.network.slow_down(store, self.now + for_, for_ / 2);
-                self.trouble(2 * for_);
-            }
-            AtView::Cut => {
-                self.network.cut(vec![store], self.now + for_, false);
-                self.trouble(for_);
-            }
-            AtView::Unheard => {
-                self.unheard.insert(store, self.now + for_);
-                self.trouble(for_);
-            }
+            AtView::Kill => self.deal(store, store, Blow::Kill, for_),
+            AtView::Freeze => self.deal(store, store, Blow::Freeze, for_),
+            AtView::SlowLink => self.deal(store, store, Blow::SlowLink, for_),
+            AtView::Cut => self.deal(store, store, Blow::Cut, for_),
+            AtView::Unheard => self.deal(store, store, Blow::Unheard, for_),
         }
     }
 
@@ -241,8 +231,7 @@
     fn lose_group(&mut self, strike: usize, cut_off: bool, for_: Micros) {
         let view = self.core.view.clone();
         let holders = view.holders_on_record(group_of(strike % self.day.tenants));
-        let place = |number| Some(Network::machine(view.store(number)?.member.peer));
-        let places: Vec<usize> = holders.into_iter().filter_map(place).collect();
+        let places: Vec<usize> = holders.into_iter().filter_map(|number| self.place_of(number)).collect();
         if places.len() + self.day.losses + 1 > self.stores.len() {
             return;
         }
@@ -301,7 +290,7 @@
         let aimed = self.aimed.swap_remove(place);
         self.print(|| format!("--- s{store} at {occasion:?}: {aimed:?}"));
         for struck in self.whom(store, occasion, aimed.whom) {
-            self.deal(struck, store, aimed);
+            self.deal(struck, store, aimed.blow, aimed.for_);
         }
     }
 
@@ -331,33 +320,33 @@
         }
     }
 
-    fn deal(&mut self, struck: usize, actor: usize, aimed: Aimed) {
-        let until = self.now + aimed.for_;
-        match aimed.blow {
-            Blow::Kill => self.power_off(struck, aimed.for_),
-            Blow::Freeze => self.freeze(struck, aimed.for_),
+    fn deal(&mut self, struck: usize, actor: usize, blow: Blow, for_: Micros) {
+        let until = self.now + for_;
+        match blow {
+            Blow::Kill => self.power_off(struck, for_),
+            Blow::Freeze => self.freeze(struck, for_),
             Blow::Cut | Blow::CutOneWay => {
-                self.network.cut(vec![struck], until, aimed.blow == Blow::CutOneWay);
-                self.trouble(aimed.for_);
+                self.network.cut(vec![struck], until, blow == Blow::CutOneWay);
+                self.trouble(for_);
             }
             Blow::Unheard => {
                 self.unheard.insert(struck, until);
-                self.trouble(aimed.for_);
+                self.trouble(for_);
             }
             Blow::SlowLink => {
-                self.network.slow_down(struck, until, aimed.for_ / 2);
-                self.trouble(2 * aimed.for_);
+                self.network.slow_down(struck, until, for_ / 2);
+                self.trouble(2 * for_);
             }
             Blow::LateMessage => {
-                self.late = Some((actor, aimed.for_));
-                self.trouble(aimed.for_);
+                self.late = Some((actor, for_));
+                self.trouble(for_);
             }
-            Blow::Wipe => self.wipe(struck, aimed.for_),
+            Blow::Wipe => self.wipe(struck, for_),
             Blow::SlowDisk => {
                 if let Some(store) = self.stores.get_mut(struck) {
                     store.disk.slow_down(until, SLOW_TIMES);
                 }
-                self.trouble(aimed.for_);
+                self.trouble(for_);
             }
         }
     }
