--- a/review/lib/tier.py
+++ b/review/lib/tier.py
@@ -17,6 +17,7 @@
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+# The programs of deploy/system.toml.
 CONTROL_PLANE = ROOT / "target/system/fennelgauge-control-plane"
 DATA_PLANE = ROOT / "target/system/fennelgauge-data-plane"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -499,12 +500,15 @@
         """Connections that are still open at the end are no fault."""
 
     async def limited():
-        asyncio.get_running_loop().set_exception_handler(quiet)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(quiet)
+        # So that the processes are ended, too, when this one is asked to stop.
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         return await asyncio.wait_for(main(record), 115)
 
     try:
         broken = asyncio.run(limited())
-    except (CannotRun, asyncio.TimeoutError) as reason:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, KeyboardInterrupt) as reason:
         record(f"could not run: {reason!r}")
         print(f"could not run: {reason!r}")
         sys.exit(2)
