--- a/crates/control-plane/src/duties.rs
+++ b/crates/control-plane/src/duties.rs
@@ -193,11 +193,13 @@
     duty: &str,
     body: &serde_json::Value,
 ) -> Option<StatusCode> {
+    let fence = core.epoch();
+    log::info!("platform call {duty:?} with fence {fence}: {body}");
     let call = client
         .post(format!("http://{platform}/{duty}"))
         .timeout(PLATFORM_CALL_TIMEOUT)
         .insert_header((LEASE_HOLDER, core.me.identity.node.as_str()))
-        .insert_header((FENCING_TOKEN, core.epoch().to_string()))
+        .insert_header((FENCING_TOKEN, fence.to_string()))
         .send_json(body);
     match call.await {
         Ok(response) => {
--- a/crates/upstream/src/subscriber.rs
+++ b/crates/upstream/src/subscriber.rs
@@ -19,6 +19,8 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Pause before the next attempt after a failed one.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Interval between warnings that no source knows the core.
+const WARNING_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Who subscribes, and which sources to try first.
 pub struct Subscription {
@@ -50,7 +52,12 @@
 /// Watches one source after the other and applies their replies to `state`. Never returns.
 pub async fn subscribe(state: Rc<TierState>, caller: Caller, subscription: Subscription) {
     let mut source = 0;
+    let mut warned_at = Instant::now();
     loop {
+        if state.core_view().is_none() && warned_at.elapsed() >= WARNING_INTERVAL {
+            warned_at = Instant::now();
+            log::warn!("no source has told a view of the core yet; seeds: {:?}", (subscription.seeds)());
+        }
         let Some(peer) = source_at(source, &state, &subscription) else {
             sleep(RETRY_DELAY).await;
             continue;
--- a/crates/upstream/src/tier_state.rs
+++ b/crates/upstream/src/tier_state.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fennelgauge_coordination::{StoreView, View};
+use fennelgauge_coordination::{Member, StoreView, View};
 use fennelgauge_model::{Configuration, RoutingTable, ServerList};
 use fennelgauge_wire::{ConfigurationUpdate, KnownVersions, WatchReply, WatchRequest};
 use tokio::sync::Notify;
@@ -145,6 +145,12 @@
     pub fn update_core_view(&self, view: &View) {
         let known_epoch = self.core_view.borrow().as_ref().map_or(0, |view| view.epoch);
         if view.epoch > known_epoch {
+            log::info!(
+                "core view {}: chain {}; voters {}",
+                view.epoch,
+                names(&view.chain),
+                names(&view.voters)
+            );
             *self.core_view.borrow_mut() = Some(Rc::new(view.clone()));
             self.changed.notify_waiters();
         }
@@ -252,3 +258,9 @@
 fn age_ms(age: Option<Duration>) -> u64 {
     age.map_or(UNKNOWN_AGE_MS, |age| age.as_millis() as u64)
 }
+
+/// Returns the node names of members, separated by spaces.
+fn names(members: &[Member]) -> String {
+    let names: Vec<&str> = members.iter().map(|member| member.identity.node.as_str()).collect();
+    names.join(" ")
+}
