Fix: machines with a view compare it with the seeds, so that a core is found again

Cause: a process without a view asks only the seeds of its settings. A machine that has a view on its disk talked to the voters of that view only; it turned to its seeds only while it lacked something itself. Seeds without a disk knew nothing after the restart, asked only each other, and nobody who knew the core ever told them.

Ruled out: the core does not form (it calls the platform 2.4 s after the start), and watchers refuse an unconfirmed source (they never had a view).

Change: every control plane, with a view or without, compares the epoch of its newest view with those of its seeds once a second (five times a second while it has none), and whoever has the later view gives it to the other. So all control planes learn the view if the lists of seeds connect them in either direction. The seeds are read anew from the settings each time; before, a running machine kept those of its start. The choice of a watcher's source is now a state machine without I/O, SourceSelector.

--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -96,9 +96,13 @@
         }))
     }
 
-    /// Tells the coordinator the time at an interval, which makes it send messages and change views. Never returns.
-    pub async fn run(self: Rc<Self>) {
+    /// Tells the coordinator the time at an interval, which makes it send messages and change views. Never returns. `seeds`
+    /// are looked up anew whenever the coordinator turns to them: the settings may change while the process runs.
+    pub async fn run(self: Rc<Self>, seeds: impl Fn() -> Vec<SocketAddr>) {
         loop {
+            if self.coordinator.borrow().is_view_comparison_due(self.started.elapsed()) {
+                self.coordinator.borrow_mut().set_seeds(seeds());
+            }
             self.run_step(|coordinator, now| ((), coordinator.tick(now))).await;
             sleep(TICK_INTERVAL).await;
         }
--- a/crates/control-plane/src/core/tests.rs
+++ b/crates/control-plane/src/core/tests.rs
@@ -52,7 +52,8 @@
         let is_isolated = Rc::new(Cell::new(false));
         let answering = (core.clone(), is_isolated.clone());
         spawn_local(serve(listener, move |request| answer(answering.clone(), request)));
-        let running = spawn_local(core.clone().run());
+        let seeds = core.settings.seed_peer_addresses();
+        let running = spawn_local(core.clone().run(move || seeds.clone()));
         machines.push(Machine { core, is_isolated, running });
     }
     machines
--- a/crates/control-plane/src/process.rs
+++ b/crates/control-plane/src/process.rs
@@ -47,13 +47,14 @@
         started: Instant::now(),
     };
     spawn_local(serve(listener, move |request| answer(context.clone(), request)));
-    spawn_local(core.clone().run());
+    let subscription = Subscription::new(&settings);
+    spawn_local(core.clone().run(Subscription::new(&settings).seeds));
     spawn_local(read_server_list(core.clone()));
     spawn_local(watch_head(core.clone()));
     spawn_local(maintain_placement(core.clone()));
     spawn_local(report_usage(core.clone(), collector.clone()));
     spawn_local(scale_services(core.clone(), collector));
-    spawn_local(subscribe(known, caller, Subscription::new(&settings)));
+    spawn_local(subscribe(known, caller, subscription));
     serve_operator(&settings, core).await
 }
 
--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -48,6 +48,7 @@
     replica: Replica<S>,
     timing: Timing,
     seeds: Vec<SocketAddr>,
+    views_compared_at: Option<Duration>,
     started_at: Duration,
     view_installed_at: Duration,
     epoch: u64,
@@ -67,7 +68,8 @@
 }
 
 impl<S: Replicated> Coordinator<S> {
-    /// Creates the coordinator of a replica. The `seeds` are the addresses to contact while no voters are known.
+    /// Creates the coordinator of a replica. The `seeds` are the addresses to contact while no voters are known, and
+    /// through which machines without a view find those that have one.
     pub fn new(replica: Replica<S>, timing: Timing, seeds: Vec<SocketAddr>, now: Duration) -> Self {
         Self {
             epoch: replica.view().epoch,
@@ -75,6 +77,7 @@
             replica,
             timing,
             seeds,
+            views_compared_at: None,
             started_at: now,
             view_installed_at: now,
             liveness: Liveness::default(),
@@ -90,6 +93,20 @@
         }
     }
 
+    /// Replaces the seeds: the operator's list changes while a machine runs.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// Whether this machine is to compare its view with those of the seeds; the seeds should be up to date then.
+    pub fn is_view_comparison_due(&self, now: Duration) -> bool {
+        let interval = match self.replica.latest_view().epoch {
+            0 => self.timing.catch_up_interval,
+            _ => self.timing.view_comparison_interval,
+        };
+        self.views_compared_at.is_none_or(|at| now >= at + interval)
+    }
+
     /// Returns the replica.
     pub fn replica(&self) -> &Replica<S> {
         &self.replica
@@ -202,6 +219,7 @@
             merge(&mut due, self.replica.resend_uncommitted());
         }
         self.joiners.retain(|_, joiner| now < joiner.at + self.timing.join_request_ttl);
+        merge(&mut due, self.compare_views(now));
         merge(&mut due, self.request_catch_up(now));
         merge(&mut due, self.continue_attempt(now));
         if self.replica.phase().is_none() && now >= self.next_attempt_at {
@@ -310,6 +328,17 @@
         joiners.filter(|joiner| self.replica.view().voter_index(joiner).is_none()).collect()
     }
 
+    /// Compares this machine's view with those of the seeds if that is due. Every machine does so, with a view or without:
+    /// a seed may have started without a disk after all machines were down, and a machine that starts asks only seeds.
+    fn compare_views(&mut self, now: Duration) -> Effects {
+        let is_planted = self.replica.has(PlantedBug::SeedsAreNotTold);
+        if !self.is_view_comparison_due(now) || is_planted {
+            return Effects::default();
+        }
+        self.views_compared_at = Some(now);
+        self.replica.start_view_comparison(&self.seeds)
+    }
+
     /// Requests catch-up if this machine is a learner or is fetching something, and a request is due.
     fn request_catch_up(&mut self, now: Duration) -> Effects {
         let wants_catch_up = self.replica.is_learner() || self.replica.is_catching_up();
--- a/crates/coordination/src/message.rs
+++ b/crates/coordination/src/message.rs
@@ -40,8 +40,9 @@
     Accepted { epoch: u64, ballot: Ballot },
     /// Announces a decided view.
     InstallView { view: View },
-    /// Asks for the newest view: the sender knows of none after `epoch`.
-    ViewRequest { epoch: u64 },
+    /// Tells the epoch of the newest view that the sender knows, 0 if it knows none. Whoever of the two has the later view
+    /// gives it to the other.
+    CompareViews { epoch: u64 },
     /// A write passed down the chain; without an entry the receiver fetches what it lacks from the sender.
     Append { epoch: u64, version: Version, entry: Option<LogEntry> },
     /// This version is durable on every link.
--- a/crates/coordination/src/replica/mod.rs
+++ b/crates/coordination/src/replica/mod.rs
@@ -256,7 +256,7 @@
             Message::Accept { epoch, ballot, view } => self.accept(from, epoch, &ballot, &view),
             Message::Accepted { epoch, ballot } => self.accepted(from, epoch, &ballot),
             Message::InstallView { view } => self.install(view),
-            Message::ViewRequest { epoch } => self.send_view_if_later(from, epoch),
+            Message::CompareViews { epoch } => self.compare_views(from, epoch),
             Message::Append { epoch, version, entry } => self.append(from, epoch, version, entry),
             Message::Committed { epoch, version } => self.learn_committed(epoch, version),
             Message::CatchUpRequest { epoch, current, snapshot_progress, target, .. } => {
@@ -308,11 +308,29 @@
             self.send_view_if_later(from, epoch);
         }
         if epoch > newest {
-            self.send(from.peer, Message::ViewRequest { epoch: newest });
+            self.send(from.peer, Message::CompareViews { epoch: newest });
         }
         epoch == self.view().epoch
     }
 
+    /// Handles the epoch of the newest view that another machine knows: gives it a later view, or asks for one.
+    fn compare_views(&mut self, from: &Member, epoch: u64) {
+        let newest = self.latest_view().epoch;
+        match epoch > newest {
+            true => self.send(from.peer, Message::CompareViews { epoch: newest }),
+            false => self.send_view_if_later(from, epoch),
+        }
+    }
+
+    /// Tells a machine, which need not be a voter, the epoch of the newest view that this machine knows.
+    pub fn start_view_comparison(&mut self, peers: &[SocketAddr]) -> Effects {
+        let epoch = self.latest_view().epoch;
+        for peer in peers.iter().filter(|peer| **peer != self.own_member.peer) {
+            self.effects.sends.push((*peer, Message::CompareViews { epoch }));
+        }
+        self.finish()
+    }
+
     /// Queues a message; a message to this machine itself is handled before the effects are returned.
     pub(crate) fn send(&mut self, to: SocketAddr, message: Message) {
         match to == self.own_member.peer {
--- a/crates/coordination/src/replica/planted.rs
+++ b/crates/coordination/src/replica/planted.rs
@@ -37,6 +37,8 @@
     FollowerGetsUncommitted,
     /// Every machine counts as caught up, even an empty one.
     EmptyIsLevel,
+    /// A machine with a view does not tell the seeds of it.
+    SeedsAreNotTold,
     /// The tail announces a write as committed without writing it to its disk.
     TailCommitsUnwritten,
 }
--- a/crates/coordination/src/timing.rs
+++ b/crates/coordination/src/timing.rs
@@ -25,6 +25,8 @@
     pub takeover_stagger: Duration,
     /// Interval between the catch-up requests of a learner.
     pub catch_up_interval: Duration,
+    /// Interval at which a machine that knows a view compares it with those of the seeds.
+    pub view_comparison_interval: Duration,
     /// A machine counts as a joiner for this long after its last catch-up request.
     pub join_request_ttl: Duration,
     /// After this long without enough machines, the first view is formed with fewer voters than configured.
@@ -47,6 +49,7 @@
             persist_timeout: millis(8_000),
             takeover_stagger: millis(200),
             catch_up_interval: millis(200),
+            view_comparison_interval: millis(1_000),
             join_request_ttl: millis(1_500),
             bootstrap_grace_period: millis(2_500),
             snapshot_idle_timeout: millis(5_000),
--- a/crates/upstream/src/stats_exchange.rs
+++ b/crates/upstream/src/stats_exchange.rs
@@ -4,11 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fennelgauge_coordination::SourceOutcome;
 use fennelgauge_sharing::{ServerKey, ServerStats, StatsReport, StatsTotals};
 use fennelgauge_wire::{Caller, Reply, Request};
 use tokio::time::{sleep, Instant};
 
-use crate::subscriber::source_at;
 use crate::{ServerPool, Subscription, TierState};
 
 /// Interval between reports, unless their size requires a longer one.
@@ -83,15 +83,15 @@
     if !pool.policy.shared_uses {
         return;
     }
-    let mut source = 0;
+    let mut selector = subscription.selector();
     let mut sequence = 0;
     let mut interval = MIN_REPORT_INTERVAL;
     loop {
         sleep(interval).await;
         if sequence % RETURN_TO_FIRST_SOURCE_AFTER == 0 {
-            source = 0;
+            selector.return_to_first();
         }
-        let Some(aggregator) = source_at(source, &state, &subscription) else { continue };
+        let Some(aggregator) = subscription.source(&selector, &state) else { continue };
         sequence += 1;
         let report = StatsReport { incarnation, sequence, servers: pool.own_stats() };
         let reported = report.servers.len();
@@ -100,7 +100,7 @@
                 pool.apply_peer_totals(&totals);
                 interval = report_interval(reported + totals.servers.len());
             }
-            _ => source += 1,
+            _ => selector.record(SourceOutcome::NoReply),
         }
     }
 }
--- a/crates/upstream/src/subscriber.rs
+++ b/crates/upstream/src/subscriber.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fennelgauge_model::stable_hash;
+use fennelgauge_coordination::{SourceOutcome, SourceSelector};
 use fennelgauge_settings::Settings;
 use fennelgauge_wire::{Caller, Reply, Request, WatchRequest};
 use tokio::time::{sleep, Instant};
@@ -47,75 +47,57 @@
             }),
         }
     }
+
+    /// Creates a selector of this process's sources.
+    pub(crate) fn selector(&self) -> SourceSelector {
+        SourceSelector::new(self.node.clone(), self.zone.clone())
+    }
+
+    /// Returns the source to ask now; `None` if there is none.
+    pub(crate) fn source(&self, selector: &SourceSelector, state: &TierState) -> Option<SocketAddr> {
+        selector.source(state.core_view().as_deref(), &self.seeds)
+    }
 }
 
 /// Watches one source after the other and applies their replies to `state`. Never returns.
 pub async fn subscribe(state: Rc<TierState>, caller: Caller, subscription: Subscription) {
-    let mut source = 0;
+    let mut selector = subscription.selector();
     let mut warned_at = Instant::now();
     loop {
         if state.core_view().is_none() && warned_at.elapsed() >= WARNING_INTERVAL {
             warned_at = Instant::now();
             log::warn!("no source has told a view of the core yet; seeds: {:?}", (subscription.seeds)());
         }
-        let Some(peer) = source_at(source, &state, &subscription) else {
+        let Some(source) = subscription.source(&selector, &state) else {
             sleep(RETRY_DELAY).await;
             continue;
         };
-        let watch = Request::Watch(WatchRequest {
-            known: state.known_versions(),
-            wait_ms: WATCH_WAIT.as_millis() as u64,
-        });
         let started = Instant::now();
-        match caller.call(peer, watch, REPLY_TIMEOUT).await {
-            Ok(Reply::Watch(reply)) => {
-                let is_unconfirmed = reply.confirmed_age_ms > CONFIRMATION_TTL.as_millis() as u64;
-                let previous_view = state.known_versions().core_view;
-                state.apply_update(*reply);
-                if state.known_versions().core_view > previous_view {
-                    // The chain of the new view is a better choice than the next source of the old one.
-                    source = 0;
-                } else if is_unconfirmed {
-                    source += 1;
-                    sleep(RETRY_DELAY).await;
-                }
-            }
-            _ => {
-                source += 1;
-                if started.elapsed() < RETRY_DELAY {
-                    sleep(RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-}
-
-/// Returns the source at position `index` in this process's order of preference, which starts over after the last
-/// one: the members of the core, then the seeds. `None` if there are no sources.
-pub(crate) fn source_at(index: usize, state: &TierState, subscription: &Subscription) -> Option<SocketAddr> {
-    let mut sources = core_sources(state, subscription);
-    if let Some(source) = sources.get(index) {
-        return Some(*source);
-    }
-    // The seeds are read from the settings file, so they are used only if all members of the core have failed.
-    for seed in (subscription.seeds)() {
-        if !sources.contains(&seed) {
-            sources.push(seed);
+        let outcome = watch(&state, &caller, source).await;
+        selector.record(outcome);
+        match outcome {
+            SourceOutcome::Unconfirmed => sleep(RETRY_DELAY).await,
+            SourceOutcome::NoReply if started.elapsed() < RETRY_DELAY => sleep(RETRY_DELAY).await,
+            _ => {}
         }
     }
-    sources.get(index.checked_rem(sources.len())?).copied()
 }
 
-/// Returns the members of the core in order of preference: the chain, with members in the own zone first and
-/// otherwise in an order that depends on the node, so that watchers spread over them; then the other voters.
-fn core_sources(state: &TierState, subscription: &Subscription) -> Vec<SocketAddr> {
-    let Some(view) = state.core_view() else { return Vec::new() };
-    let mut chain: Vec<_> = view.chain.iter().collect();
-    chain.sort_by_key(|member| {
-        let node_pair = format!("{}/{}", subscription.node, member.identity.node);
-        (member.zone != subscription.zone, stable_hash(&node_pair))
+/// Sends one watch request to a source and applies its reply.
+async fn watch(state: &TierState, caller: &Caller, source: SocketAddr) -> SourceOutcome {
+    let watch = Request::Watch(WatchRequest {
+        known: state.known_versions(),
+        wait_ms: WATCH_WAIT.as_millis() as u64,
     });
-    let is_in_chain = |peer| view.chain.iter().any(|member| member.peer == peer);
-    let other_voters = view.voters.iter().filter(|voter| !is_in_chain(voter.peer));
-    chain.into_iter().chain(other_voters).map(|member| member.peer).collect()
+    let Ok(Reply::Watch(reply)) = caller.call(source, watch, REPLY_TIMEOUT).await else {
+        return SourceOutcome::NoReply;
+    };
+    let is_confirmed = reply.confirmed_age_ms <= CONFIRMATION_TTL.as_millis() as u64;
+    let previous_view = state.known_versions().core_view;
+    state.apply_update(*reply);
+    match is_confirmed {
+        _ if state.known_versions().core_view > previous_view => SourceOutcome::LaterView,
+        true => SourceOutcome::Confirmed,
+        false => SourceOutcome::Unconfirmed,
+    }
 }
