Platform calls take their fence from the coordinator; no change of behaviour

The decisions whether this machine holds the head's duties, and under which fence it calls, move from the tasks of the control plane into the coordinator, where they can be tested on a simulated clock. The fence is still that of the view at the time of each call; the next commit changes that.

--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -14,7 +14,8 @@
 use std::time::Duration;
 
 use fennelgauge_coordination::{
-    Coordinator, Effects, Envelope, Identity, Member, Message, Progress, Replica, Timing, View, ViewRules,
+    Coordinator, Effects, Envelope, FencingToken, Identity, Member, Message, Progress, Replica, Timing, View,
+    ViewRules,
 };
 use fennelgauge_settings::Settings;
 use fennelgauge_upstream::TierState;
@@ -36,8 +37,6 @@
 const DISK_RETRY_INTERVAL: Duration = Duration::from_millis(400);
 /// Largest number of messages that wait while this member is busy with its disk; more are dropped.
 const MAX_QUEUED_MESSAGES: usize = 256;
-/// Longest time since a majority confirmed the view for which the head's tasks still rely on it.
-const CONFIRMATION_MAX_AGE: Duration = Duration::from_millis(1_200);
 
 /// One member of the core.
 pub struct Core {
@@ -189,7 +188,7 @@
         self.coordinator.borrow().replica().latest_view().clone()
     }
 
-    /// Returns the epoch of the view that this member votes in; as head, its fencing token towards the platform.
+    /// Returns the epoch of the view that this member votes in.
     pub fn epoch(&self) -> u64 {
         self.coordinator.borrow().replica().view().epoch
     }
@@ -214,10 +213,20 @@
         self.started.elapsed().saturating_sub(self.coordinator.borrow().view_installed_at())
     }
 
-    /// Returns true if a majority confirmed this member's view within `CONFIRMATION_MAX_AGE`.
+    /// Returns true if a majority confirmed this member's view recently.
     pub fn is_confirmed(&self) -> bool {
-        let confirmed = self.coordinator.borrow().quorum_confirmed_at();
-        confirmed.is_some_and(|at| self.started.elapsed().saturating_sub(at) < CONFIRMATION_MAX_AGE)
+        self.coordinator.borrow().is_confirmed(self.started.elapsed())
+    }
+
+    /// Returns the fencing token of the head's duties if this member holds them, and has been in its view for at least
+    /// `settling_time`.
+    pub fn duty_token(&self, settling_time: Duration) -> Option<FencingToken> {
+        self.coordinator.borrow().duty_token(self.started.elapsed(), settling_time)
+    }
+
+    /// Returns the fencing token for a call that follows from holding `held`, if this member still holds that.
+    pub fn authorize_call(&self, held: FencingToken) -> Option<FencingToken> {
+        self.coordinator.borrow().authorize_call(self.started.elapsed(), held)
     }
 
     /// Asks a majority whether this member's view is still current, and returns true if it confirms that in time. Then
--- a/crates/control-plane/src/duties.rs
+++ b/crates/control-plane/src/duties.rs
@@ -1,28 +1,31 @@
 //! Calls to the platform that only the head of the core makes: reporting usage and scaling services.
 //!
 //! The counts of a usage window are committed through the chain before they are first sent, so that a later head sends
-//! the same counts. The epoch of the core's view is the fencing token of each call, so that the platform can refuse a
-//! head that has been replaced.
+//! the same counts. Each call bears the fencing token that was taken when the work was found to be due, so that the
+//! platform can refuse a head that has been replaced.
+
+mod platform_calls;
+#[cfg(test)]
+mod tests;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use awc::http::StatusCode;
+use fennelgauge_coordination::FencingToken;
 use fennelgauge_model::{ServerState, Service};
-use fennelgauge_upstream::{platform_client, wall_clock, FENCING_TOKEN, LEASE_HOLDER};
+use fennelgauge_upstream::wall_clock;
 use fennelgauge_wire::{ServiceTimeliness, UsageReport};
 use tokio::time::{sleep, Instant};
 
 use crate::core::Core;
 use crate::scaling::{Scaler, ServiceLoad};
+use platform_calls::{Duty, PlatformCaller};
 
 /// How often the head looks for usage windows that are ready to be reported.
 const USAGE_REPORT_INTERVAL: Duration = Duration::from_millis(300);
-/// Timeout of a call to the platform.
-const PLATFORM_CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time from the end of a usage window until its counts are committed, if every live process has reported since the
 /// end. Processes report four times a second. In seconds.
 const COMMIT_DELAY_S: f64 = 4.0;
@@ -126,17 +129,15 @@
 /// Reports usage windows to the platform while this machine is the head. Returns at once if the settings name no
 /// platform or do not list the duty; otherwise never.
 pub async fn report_usage(core: Rc<Core>, collector: Rc<UsageCollector>) {
-    let Some(platform) = core.settings.cloud.addr else { return };
+    let Some(address) = core.settings.cloud.addr else { return };
     if !core.settings.cloud.duties.iter().any(|duty| duty == "usage_report") {
         return;
     }
-    let client = platform_client();
+    let platform = PlatformCaller::new(core.clone(), address);
     let mut last_reported: Option<u64> = None;
     loop {
         sleep(USAGE_REPORT_INTERVAL).await;
-        if !core.is_head() || !core.is_confirmed() || core.time_in_view() < NEW_HEAD_DELAY {
-            continue;
-        }
+        let Some(token) = core.duty_token(NEW_HEAD_DELAY) else { continue };
         let width = core.settings.bounds.usage_window_s;
         let now_s = wall_clock().as_secs_f64();
         let Some(newest) = (((now_s - COMMIT_DELAY_S) / width) as u64).checked_sub(1) else { continue };
@@ -147,7 +148,7 @@
             if now_s < end_s + COMMIT_DEADLINE_S && !collector.is_window_complete(end_s, now_s) {
                 break;
             }
-            if !report_window(&core, &collector, &client, platform, window).await {
+            if !report_window(&core, &collector, &platform, token, window).await {
                 break;
             }
             last_reported = Some(window);
@@ -160,8 +161,8 @@
 async fn report_window(
     core: &Rc<Core>,
     collector: &UsageCollector,
-    client: &awc::Client,
-    platform: SocketAddr,
+    platform: &PlatformCaller,
+    token: FencingToken,
     window: u64,
 ) -> bool {
     let Some(state) = core.committed_state() else { return false };
@@ -178,39 +179,11 @@
     let Some(state) = core.committed_state() else { return false };
     let Some(counts) = state.metadata.usage.get(&window) else { return false };
     let report = serde_json::json!({ "window": window, "counts": counts });
-    match call_platform(core, client, platform, "usage", &report).await {
-        Some(status) => status.is_success() || status == StatusCode::CONFLICT,
-        None => false,
-    }
-}
-
-/// Calls the platform in the name of the head, with the view's epoch as fencing token. Returns the status of the
-/// response, or `None` if there was none.
-async fn call_platform(
-    core: &Core,
-    client: &awc::Client,
-    platform: SocketAddr,
-    duty: &str,
-    body: &serde_json::Value,
-) -> Option<StatusCode> {
-    let fence = core.epoch();
-    log::info!("platform call {duty:?} with fence {fence}: {body}");
-    let call = client
-        .post(format!("http://{platform}/{duty}"))
-        .timeout(PLATFORM_CALL_TIMEOUT)
-        .insert_header((LEASE_HOLDER, core.me.identity.node.as_str()))
-        .insert_header((FENCING_TOKEN, fence.to_string()))
-        .send_json(body);
-    match call.await {
-        Ok(response) => {
-            if !response.status().is_success() {
-                log::warn!("platform call {duty:?} with {body}: response status {}", response.status());
-            }
-            Some(response.status())
-        }
+    match platform.call(token, Duty::Usage, &report).await {
+        Ok(status) => status.is_success() || status == StatusCode::CONFLICT,
         Err(reason) => {
-            log::warn!("platform call {duty:?} with {body} failed: {reason}");
-            None
+            log::warn!("usage window {window}: {reason}");
+            false
         }
     }
 }
@@ -218,34 +191,47 @@
 /// Scales the services that have autoscaling bounds while this machine is the head. Returns at once if the settings
 /// name no platform or do not list the duty; otherwise never.
 pub async fn scale_services(core: Rc<Core>, collector: Rc<UsageCollector>) {
-    let Some(platform) = core.settings.cloud.addr else { return };
+    let Some(address) = core.settings.cloud.addr else { return };
     if !core.settings.cloud.duties.iter().any(|duty| duty == "autoscale") {
         return;
     }
-    let client = platform_client();
+    let platform = PlatformCaller::new(core.clone(), address);
     let started = Instant::now();
     let mut scalers: HashMap<String, Scaler> = HashMap::new();
     loop {
         sleep(SCALING_INTERVAL).await;
         let Some(table) = core.known.routing_table() else { continue };
-        if !core.is_head() || !core.is_confirmed() || core.time_in_view() < NEW_HEAD_DELAY {
+        let Some(token) = core.duty_token(NEW_HEAD_DELAY) else {
             scalers.clear();
             continue;
-        }
+        };
         for service in &table.configuration.services {
             let Some(bounds) = service.autoscale else { continue };
             let load = service_load(&core, &collector, service);
             let orders =
                 scalers.entry(service.name.clone()).or_default().scale(started.elapsed(), &load, bounds);
             for (zone, desired) in orders {
-                log::info!("service {}: scaling to {desired} servers in zone {zone}", service.name);
-                let order = serde_json::json!({ "backend": service.name, "zone": zone, "desired": desired });
-                call_platform(&core, &client, platform, "scale", &order).await;
+                order_servers(&platform, token, &service.name, &zone, desired).await;
             }
         }
     }
 }
 
+/// Orders the number of servers of a service in a zone.
+async fn order_servers(
+    platform: &PlatformCaller,
+    token: FencingToken,
+    service: &str,
+    zone: &str,
+    desired: u32,
+) {
+    log::info!("service {service}: scaling to {desired} servers in zone {zone}");
+    let order = serde_json::json!({ "backend": service, "zone": zone, "desired": desired });
+    if let Err(reason) = platform.call(token, Duty::Scale, &order).await {
+        log::warn!("service {service}: order of {desired} servers in zone {zone}: {reason}");
+    }
+}
+
 /// Returns a service's responses since the last decision and its ready servers by zone.
 fn service_load(core: &Core, collector: &UsageCollector, service: &Service) -> ServiceLoad {
     let (responses, late_responses) = collector.take_timeliness(&service.name);
@@ -258,6 +244,3 @@
     }
     ServiceLoad { responses, late_responses, ready_servers }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -107,6 +107,11 @@
         self.views_compared_at.is_none_or(|at| now >= at + interval)
     }
 
+    /// Returns the intervals and timeouts.
+    pub(crate) fn timing(&self) -> &Timing {
+        &self.timing
+    }
+
     /// Returns the replica.
     pub fn replica(&self) -> &Replica<S> {
         &self.replica
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod acceptor;
 mod coordinator;
+mod duty;
 mod giving_up;
 mod identity;
 mod liveness;
@@ -19,6 +20,7 @@
 
 pub use acceptor::{Acceptor, Ballot};
 pub use coordinator::{Coordinator, Progress, QuorumCheck};
+pub use duty::FencingToken;
 pub use giving_up::{
     GiveUpError, GiveUpRecord, GiveUpRequest, HolderStatus, LastHolder, MIN_SILENCE_BEFORE_GIVE_UP,
     STORE_LEASE_DURATION,
--- a/crates/coordination/src/timing.rs
+++ b/crates/coordination/src/timing.rs
@@ -27,6 +27,8 @@
     pub catch_up_interval: Duration,
     /// Interval at which a machine that knows a view compares it with those of the seeds.
     pub view_comparison_interval: Duration,
+    /// Longest time since a majority confirmed the view for which the head's duties still rely on it.
+    pub confirmation_max_age: Duration,
     /// A machine counts as a joiner for this long after its last catch-up request.
     pub join_request_ttl: Duration,
     /// After this long without enough machines, the first view is formed with fewer voters than configured.
@@ -50,6 +52,7 @@
             takeover_stagger: millis(200),
             catch_up_interval: millis(200),
             view_comparison_interval: millis(1_000),
+            confirmation_max_age: millis(1_200),
             join_request_ttl: millis(1_500),
             bootstrap_grace_period: millis(2_500),
             snapshot_idle_timeout: millis(5_000),
