Fix: a duty's calls carry the fencing token that was taken with the check of the right

Cause: the head checked once, before a loop over its orders, that it is the head of a confirmed view, and each call then read the epoch of the view that the machine votes in at that moment. A head frozen among its orders adopts the next views as a voter when it wakes, and sent the rest with the epoch of a view whose head is another machine.

Ruled out: two heads in one view (each view is the same in all logs), and a successor that takes over the old fence.

Change: the token is taken together with the check (duty_token), carried through the loop, and asked for again right before each call (authorize_call): the call is made under that very token or not at all. Both duties call through PlatformCaller, which has no other way to a fence.

--- a/crates/coordination/src/duty.rs
+++ b/crates/coordination/src/duty.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use crate::replica::PlantedBug;
 use crate::{Coordinator, Replicated};
 
 /// The right to carry out the head's duties in one view. It is taken together with the check of that right and carried by
@@ -30,8 +31,10 @@
     /// Returns the token to send with a call, if the right that `held` stands for still holds: this machine is still the head
     /// of the same view, and a majority confirmed that recently. To be asked right before each call.
     pub fn authorize_call(&self, now: Duration, held: FencingToken) -> Option<FencingToken> {
-        let _ = (now, held);
-        Some(FencingToken { epoch: self.replica().view().epoch })
+        if self.replica().has(PlantedBug::FenceReadAtCall) {
+            return Some(FencingToken { epoch: self.replica().view().epoch });
+        }
+        self.confirmed_head_token(now).filter(|current| *current == held)
     }
 
     /// Whether a majority confirmed this machine's view recently.
--- a/crates/coordination/src/replica/planted.rs
+++ b/crates/coordination/src/replica/planted.rs
@@ -39,6 +39,8 @@
     EmptyIsLevel,
     /// A machine with a view does not tell the seeds of it.
     SeedsAreNotTold,
+    /// A call to the platform bears the fence of the view at the time of the call, whoever its head is.
+    FenceReadAtCall,
     /// The tail announces a write as committed without writing it to its disk.
     TailCommitsUnwritten,
 }
