--- a/crates/simulation/src/day.rs
+++ b/crates/simulation/src/day.rs
@@ -1,7 +1,7 @@
 //! Days: simulated test scenarios of the core, with faults that are injected at given times. A day is generated from a seed; its
 //! family makes some kinds of fault more frequent.
 
-use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
+use strum::{Display, EnumString};
 
 use crate::chance::SeededRng;
 
@@ -15,11 +15,18 @@
 
 /// A replaced or wiped machine counts as lost until it and all others have been back for this time, as the deployments require.
 pub const CATCH_UP_TIME: Micros = 5_200 * MILLISECOND;
+/// The time until the platform answers is a multiple of this, up to so many times.
+const PLATFORM_DELAY_STEP: Micros = 150 * MILLISECOND;
+const PLATFORM_DELAY_STEPS: u64 = 8;
+/// Largest number of seeds that the settings name.
+const MAX_SEEDS: usize = 3;
+/// Largest number of machines that are replaced on a day.
+const MAX_REPLACEMENTS: usize = 2;
 /// When the first fault is injected.
 const FIRST_TROUBLE_AT: Micros = 4 * SECOND;
 
 /// The kinds of fault that are frequent on a day. Its names are values of the command line, in kebab case.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Family {
     /// A machine is partitioned for a long time while orders continue.
@@ -34,6 +41,18 @@
     Duels,
     /// All kinds of fault.
     Mixed,
+    /// The settings name other seeds, some of them machines without a disk, and all processes end at once.
+    NewSeeds,
+    /// The head freezes among its calls to the platform.
+    FrozenCalls,
+}
+
+impl Family {
+    /// The families of faults of the core alone. A new family does not belong here: it would change the days of all seeds.
+    pub const ROTATION: [Self; 6] =
+        [Self::CutOff, Self::Races, Self::SecondLoss, Self::ManyChanges, Self::Duels, Self::Mixed];
+    /// The families of faults between the core and those around it: watchers, and the platform.
+    pub const AROUND_THE_CORE: [Self; 2] = [Self::NewSeeds, Self::FrozenCalls];
 }
 
 /// A fault to inject. `for_` is its duration. Variants and fields are printed under their names.
@@ -64,13 +83,17 @@
     Behind { cut: usize, wiped: usize, missed_for: Micros, dark_for: Micros },
     /// The next machine that acknowledges an order loses power `within` later, and with `wipe` also its disk.
     AfterAck { wipe: bool, for_: Micros, within: Micros },
+    /// The settings of all processes name these machines as seeds from now on.
+    NewSeeds { seeds: Vec<usize> },
+    /// The next machine that calls the platform freezes right after its call.
+    FreezeCaller { for_: Micros },
     /// Of 1000 responses to operators, `lost` are lost.
     AnswersLost { for_: Micros, lost: u64 },
 }
 
 impl Trouble {
-    /// Returns the time from the start of the fault until everything that it affects works again. For `AfterAck` the time counts
-    /// from the acknowledgement.
+    /// Returns the time from the start of the fault until everything that it affects works again. For `AfterAck` and
+    /// `FreezeCaller` the time counts from the acknowledgement or the call.
     pub fn lasts(&self) -> Micros {
         match self {
             Self::Kill { for_, .. }
@@ -80,12 +103,13 @@
             | Self::Lossy { for_, .. }
             | Self::SlowLink { for_, .. }
             | Self::SlowDisk { for_, .. }
+            | Self::FreezeCaller { for_ }
             | Self::AfterAck { for_, .. } => *for_,
             Self::Wipe { for_, dark, dark_for, .. } if !dark.is_empty() => *for_.max(dark_for),
             Self::Wipe { for_, .. } => *for_,
             Self::Replace { gap, .. } => *gap,
             Self::Behind { missed_for, dark_for, .. } => missed_for + dark_for,
-            Self::AnswersLost { .. } => 0,
+            Self::AnswersLost { .. } | Self::NewSeeds { .. } => 0,
         }
     }
 }
@@ -104,8 +128,14 @@
     pub family: Family,
     /// Number of simultaneous disk losses that the core must tolerate.
     pub losses: usize,
-    /// Number of machines at the start; replacements get the following numbers.
+    /// Number of machines with a disk at the start.
     pub machines: usize,
+    /// Number of control planes without a disk, which follow the machines with one; replacements get the numbers after these.
+    pub diskless: usize,
+    /// Number of processes outside the core that watch it, besides the control planes without a disk.
+    pub watchers: usize,
+    /// Time until the platform answers a call.
+    pub platform_delay: Micros,
     /// Number of operators that send orders; one more only reads.
     pub operators: usize,
     /// Mean time between an acknowledgement and the operator's next order.
@@ -119,9 +149,17 @@
 }
 
 impl Day {
-    /// Generates the day of a seed. The families alternate from seed to seed.
+    /// Generates the day of a seed. The families of [`Family::ROTATION`] alternate from seed to seed.
     pub fn drawn(seed: u64) -> Self {
-        let families: Vec<Family> = Family::iter().collect();
+        Self::of_rotation(seed, &Family::ROTATION)
+    }
+
+    /// Generates the day of a seed in one of the families of processes around the core, which alternate.
+    pub fn around_the_core(seed: u64) -> Self {
+        Self::of_rotation(seed, &Family::AROUND_THE_CORE)
+    }
+
+    fn of_rotation(seed: u64, families: &[Family]) -> Self {
         Self::of_family(seed, families[(seed % families.len() as u64) as usize])
     }
 
@@ -131,6 +169,20 @@
     }
 }
 
+/// The machines among which faults are drawn.
+#[derive(Clone, Copy)]
+struct Machines {
+    with_disk: usize,
+    diskless: usize,
+}
+
+impl Machines {
+    /// Returns a number that no machine of the day reaches, replacements included.
+    fn all_with_replacements(self) -> usize {
+        self.with_disk + self.diskless + MAX_REPLACEMENTS
+    }
+}
+
 /// Generates a day. The order of the random draws determines the day, so it must not change.
 struct DayGenerator {
     rng: SeededRng,
@@ -150,10 +202,15 @@
             Family::ManyChanges => self.rng.between(8, 40) * MILLISECOND,
             _ => self.rng.between(40, 500) * MILLISECOND,
         };
+        let (diskless, watchers) = match family {
+            Family::NewSeeds => (1 + self.rng.below(3), 1 + self.rng.below(3)),
+            _ => (0, 0),
+        };
+        let platform_delay = PLATFORM_DELAY_STEP * (1 + seed % PLATFORM_DELAY_STEPS);
         let mut strikes = Vec::new();
         let mut at = FIRST_TROUBLE_AT;
         while at < length {
-            let trouble = self.random_trouble(family, machines, losses);
+            let trouble = self.random_trouble(family, Machines { with_disk: machines, diskless }, losses);
             self.busy_until = self.busy_until.max(at + trouble.lasts());
             strikes.push(Strike { at, trouble });
             let longest = if family == Family::Duels { SECOND } else { 6 * SECOND };
@@ -176,6 +233,9 @@
             family,
             losses,
             machines,
+            diskless,
+            watchers,
+            platform_delay,
             operators: 2 + self.rng.below(2),
             pause,
             strikes,
@@ -197,7 +257,8 @@
         chosen
     }
 
-    fn random_trouble(&mut self, family: Family, machines: usize, losses: usize) -> Trouble {
+    fn random_trouble(&mut self, family: Family, among: Machines, losses: usize) -> Trouble {
+        let machines = among.with_disk;
         let kinds: &[usize] = match family {
             Family::CutOff => &[2, 2, 2, 2, 1, 0, 9, 11],
             Family::Races => &[8, 8, 10, 10, 3, 0, 2, 11],
@@ -205,6 +266,8 @@
             Family::ManyChanges => &[0, 2, 1, 6, 9, 4, 5],
             Family::Duels => &[11, 11, 4, 4, 4, 1, 3, 2],
             Family::Mixed => &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 11],
+            Family::NewSeeds => &[12, 12, 12, 0, 0, 14, 14, 2, 1, 6, 7, 9],
+            Family::FrozenCalls => &[13, 13, 13, 13, 1, 4, 2, 0, 11],
         };
         let kind = *self.rng.choose(kinds).unwrap_or(&0);
         let machine = self.rng.below(machines);
@@ -220,7 +283,7 @@
             4 => Trouble::SlowLink { machine, for_: duration, delay: self.rng.between(5, 900) * MILLISECOND },
             5 => Trouble::SlowDisk { machine, for_: duration, times: self.rng.between(0, 60) },
             6 => self.random_wipe(machines, losses),
-            7 if self.replaced.len() < 2 => {
+            7 if self.replaced.len() < MAX_REPLACEMENTS => {
                 let gap = self.rng.between(200, 2_500) * MILLISECOND;
                 self.replaced.push(machine);
                 Trouble::Replace { machine, gap, planned: self.rng.per_mille(400) }
@@ -234,6 +297,9 @@
                 pair: [machine, (machine + 1 + self.rng.below(machines - 1)) % machines],
                 for_: self.rng.between(500, 8_000) * MILLISECOND,
             },
+            12 => Trouble::NewSeeds { seeds: self.random_machines(machines + among.diskless, MAX_SEEDS) },
+            13 => Trouble::FreezeCaller { for_: self.rng.between(300, 6_000) * MILLISECOND },
+            14 => Trouble::Kill { machines: (0..among.all_with_replacements()).collect(), for_: duration },
             10 => Trouble::AnswersLost { for_: duration, lost: self.rng.between(300, 900) },
             _ => {
                 let is_all = self.rng.per_mille(250);
--- a/crates/simulation/src/judge.rs
+++ b/crates/simulation/src/judge.rs
@@ -25,6 +25,10 @@
     OneView,
     /// A machine published an older version than before, without a restart in between.
     WentBack,
+    /// Two machines called the platform for one subject with the same fence.
+    OneHolder,
+    /// After the recovery time at the end of the day, a process outside the core has no source that is in touch with the core.
+    CoreNotFound,
     /// After the recovery time at the end of the day, no changes or reads succeed, or too few machines are caught up.
     NotRecovered,
 }
@@ -95,6 +99,16 @@
         }
     }
 
+    /// Records that two machines used one fence.
+    pub fn record_shared_fence(&mut self, at: Micros, description: String) {
+        self.report(Rule::OneHolder, at, description);
+    }
+
+    /// Records that a process does not find the core.
+    pub fn record_lost_watcher(&mut self, at: Micros, description: String) {
+        self.report(Rule::CoreNotFound, at, description);
+    }
+
     /// Records the end of a process. After a restart it may publish older versions than before.
     pub fn record_end(&mut self, of: &Identity) {
         self.published.remove(of);
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -13,11 +13,15 @@
 mod network;
 mod operator;
 mod plant;
+mod platform;
 mod shrink;
 mod stores;
 mod threads;
+mod watcher;
 mod world;
 
+pub use fennelgauge_coordination::PlantedBug;
+
 pub use chance::SeededRng;
 pub use day::{Day, Family, Micros, Strike, Trouble, MILLISECOND, SECOND};
 pub use exhaustive::{Exhaustive, Grain, Searched};
--- a/crates/simulation/src/machine.rs
+++ b/crates/simulation/src/machine.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use fennelgauge_coordination::{
-    Coordinator, DurableState, Effects, Identity, Member, Message, Progress, QuorumCheck, Replica, Timing,
-    Version, ViewRules, VotingRecord,
+    Coordinator, DurableState, Effects, FencingToken, Identity, Member, Message, Progress, QuorumCheck,
+    Replica, Timing, Version, ViewRules, VotingRecord,
 };
 
 use crate::chance::SeededRng;
@@ -17,6 +17,8 @@
 use crate::network::Network;
 use crate::operator::{Answer, Ask};
 use crate::plant::SimulationBug;
+use crate::platform::{PlatformCall, SUBJECTS};
+use crate::watcher::WatchReply;
 
 /// Minimum and maximum duration of one write to a disk without faults.
 const WRITE_TIME: (Micros, Micros) = (400, 2_400);
@@ -27,6 +29,11 @@
 /// Inputs that arrive while this number waits for a write are dropped.
 const MAX_INBOX_LENGTH: usize = 4_000;
 
+/// Interval between two rounds of calls to the platform.
+const DUTY_INTERVAL: Micros = 1_500 * MILLISECOND;
+/// Time for which a new head waits before it calls the platform.
+const DUTY_SETTLING_TIME: Duration = Duration::from_millis(2_200);
+
 /// A request of an operator to a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Call {
@@ -53,6 +60,8 @@
     Answer(Call, Answer),
     /// The request is passed on to another machine.
     Forward(SocketAddr, Call),
+    /// A call to the platform.
+    Platform(PlatformCall),
 }
 
 /// What a pending call waits for.
@@ -74,6 +83,14 @@
     state: CallState,
 }
 
+/// A round of calls to the platform, for one subject after the other.
+struct DutyRound {
+    /// The right under which the round began.
+    token: FencingToken,
+    next_subject: usize,
+    next_call_at: Micros,
+}
+
 /// Writes that have begun, and the messages to send when they are done.
 struct WriteInProgress {
     value: Option<(Version, Arc<SimulatedConfig>)>,
@@ -91,6 +108,10 @@
     pub published: Option<Version>,
     /// The epoch of the view that was last reported to the checker.
     pub published_epoch: u64,
+    duty_round: Option<DutyRound>,
+    /// When the next round of calls to the platform is due.
+    duty_due_at: Micros,
+    platform_delay: Micros,
 }
 
 /// A simulated machine.
@@ -110,11 +131,19 @@
     pub frozen_until: Micros,
     /// Until when writes are slow, and by which factor; with 0 they complete only at that time.
     disk_slowdown: (Micros, u64),
+    has_disk: bool,
+    /// Time until the platform answers a call.
+    pub platform_delay: Micros,
     rules: ViewRules,
     bug: Option<SimulationBug>,
 }
 
 impl Machine {
+    /// Makes this a machine without a disk: it never becomes a voter and forgets everything when its process ends.
+    pub fn without_disk(self) -> Self {
+        Self { has_disk: false, ..self }
+    }
+
     /// Creates a stopped machine with an empty disk. With `bootstrap`, the `seeds` form the first view.
     pub fn new(
         number: usize,
@@ -136,11 +165,18 @@
             wipe_on_power_off: false,
             frozen_until: 0,
             disk_slowdown: (0, 1),
+            has_disk: true,
+            platform_delay: 0,
             rules,
             bug,
         }
     }
 
+    /// Returns the machine's number.
+    pub fn number(&self) -> usize {
+        self.number
+    }
+
     /// Returns whether the process is running.
     pub fn is_up(&self) -> bool {
         self.process.is_some()
@@ -168,7 +204,7 @@
         }
         self.incarnation += 1;
         let stored = self.read_disk();
-        let mut replica = Replica::new(self.member(), true, self.rules, stored);
+        let mut replica = Replica::new(self.member(), self.has_disk, self.rules, stored);
         if let Some(SimulationBug::Core(bug)) = self.bug {
             replica.plant(bug);
         }
@@ -180,6 +216,9 @@
             pending_calls: Vec::new(),
             published: None,
             published_epoch: 0,
+            duty_round: None,
+            duty_due_at: now,
+            platform_delay: self.platform_delay,
         });
     }
 
@@ -203,7 +242,7 @@
     /// Ends the process. A random number of its unfinished writes reach the disk, the voting record before the value.
     pub fn power_off(&mut self, rng: &mut SeededRng) {
         self.incarnation += 1;
-        if std::mem::take(&mut self.wipe_on_power_off) {
+        if std::mem::take(&mut self.wipe_on_power_off) || !self.has_disk {
             self.process = None;
             return self.wipe();
         }
@@ -333,6 +372,7 @@
             Input::Tick => {
                 let effects = self.coordinator.tick(time(now));
                 self.perform(effects);
+                self.carry_out_duties(now, outputs);
             }
             Input::Message(from, message) => {
                 let effects = self.coordinator.handle(time(now), &from, *message);
@@ -345,6 +385,41 @@
         }
     }
 
+    /// Begins a round of calls to the platform if this machine holds the duties, or makes the next call of the present round.
+    fn carry_out_duties(&mut self, now: Micros, outputs: &mut Vec<Output>) {
+        if self.duty_round.is_none() && now >= self.duty_due_at {
+            self.duty_due_at = now + DUTY_INTERVAL;
+            let token = self.coordinator.duty_token(time(now), DUTY_SETTLING_TIME);
+            self.duty_round = token.map(|token| DutyRound { token, next_subject: 0, next_call_at: now });
+        }
+        let Some(round) = self.duty_round.as_mut().filter(|round| now >= round.next_call_at) else { return };
+        let token = self.coordinator.authorize_call(time(now), round.token);
+        let Some(token) = token.filter(|_| round.next_subject < SUBJECTS) else {
+            self.duty_round = None;
+            return;
+        };
+        outputs.push(Output::Platform(PlatformCall { subject: round.next_subject, fence: token.number() }));
+        round.next_subject += 1;
+        round.next_call_at = now + self.platform_delay;
+    }
+
+    /// Tells the coordinator the seeds of the settings if it is about to turn to them.
+    pub fn update_seeds(&mut self, now: Micros, seeds: impl FnOnce() -> Vec<SocketAddr>) {
+        if self.coordinator.is_view_comparison_due(time(now)) {
+            self.coordinator.set_seeds(seeds());
+        }
+    }
+
+    /// Returns the newest view that this process knows, and when a majority confirmed it last.
+    pub fn watch_reply(&self) -> WatchReply {
+        let view = self.coordinator.replica().latest_view();
+        let confirmed_at = self.coordinator.quorum_confirmed_at();
+        WatchReply {
+            view: (view.epoch > 0).then(|| view.clone()),
+            confirmed_at: confirmed_at.map(|at| at.as_micros() as Micros),
+        }
+    }
+
     /// Collects what is to be written and sent; the effects of one input are merged.
     fn perform(&mut self, effects: Effects) {
         let replica = self.coordinator.replica();
--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -8,7 +8,8 @@
 
 use anyhow::{bail, Context};
 use fennelgauge_simulation::{
-    play, play_and_print, play_days_on_threads, shrink_day, Day, Exhaustive, Family, Grain, SimulationBug,
+    play, play_and_print, play_days_on_threads, shrink_day, Day, Exhaustive, Family, Grain, Rule,
+    SimulationBug,
 };
 
 const HELP: &str = "fennelgauge-simulate days [--from N] [--count N] [--family NAME] [--threads N]
@@ -28,7 +29,8 @@
                     syncs, messages, bytes and time of an item, by links, sync and items at once
 fennelgauge-simulate stores-exhaust [--events N] [--threads N] [--grain message|partition] [--planted NAME|all]
                     every order of N events among four stores, and then all come back
-families: cut-off, races, second-loss, many-changes, duels, mixed (they take turns where none is named)";
+families: cut-off, races, second-loss, many-changes, duels, mixed (they take turns where none is named), new-seeds,
+                    frozen-calls";
 
 const SHOWN: usize = 3;
 const DAYS: u64 = 1_000;
@@ -197,22 +199,34 @@
     Ok(())
 }
 
+/// Returns the first of `most` days that a planted mistake breaks, and the rule that it breaks first.
+fn first_broken_day(
+    plant: SimulationBug,
+    most: u64,
+    threads: u64,
+    drawn: impl Fn(u64) -> Day + Sync,
+) -> Option<(Day, Rule)> {
+    let found: Mutex<Option<(Day, Rule)>> = Mutex::new(None);
+    play_days_on_threads(1, most, threads, drawn, Some(plant), |day, played| {
+        let Some(first) = played.broken.first() else { return true };
+        if let Ok(mut found) = found.lock() {
+            let earlier = found.as_ref().is_none_or(|(known, _)| day.seed < known.seed);
+            if earlier {
+                *found = Some((day.clone(), first.rule));
+            }
+        }
+        false
+    });
+    found.into_inner().ok().flatten()
+}
+
 fn find_planted(most: u64, threads: u64) -> anyhow::Result<()> {
     let mut missed = Vec::new();
     for plant in SimulationBug::all() {
-        let found = Mutex::new(None);
-        play_days_on_threads(1, most, threads, Day::drawn, Some(plant), |day, played| {
-            let Some(first) = played.broken.first() else { return true };
-            if let Ok(mut found) = found.lock() {
-                let earlier = found.as_ref().is_none_or(|(seed, _)| day.seed < *seed);
-                if earlier {
-                    *found = Some((day.seed, first.rule));
-                }
-            }
-            false
-        });
-        match found.into_inner().ok().flatten() {
-            Some((seed, rule)) => println!("{plant:?}: found on day {seed} ({rule})"),
+        let found = first_broken_day(plant, most, threads, Day::drawn);
+        let found = found.or_else(|| first_broken_day(plant, most, threads, Day::around_the_core));
+        match found {
+            Some((day, rule)) => println!("{plant:?}: found on day {} of {} ({rule})", day.seed, day.family),
             None => {
                 println!("{plant:?}: not found in {most} days");
                 missed.push(plant);
--- a/crates/simulation/src/plant.rs
+++ b/crates/simulation/src/plant.rs
@@ -48,6 +48,8 @@
             FollowerGetsUncommitted,
             EmptyIsLevel,
             TailCommitsUnwritten,
+            SeedsAreNotTold,
+            FenceReadAtCall,
         ];
         let mut all: Vec<Self> = core.into_iter().map(Self::Core).collect();
         all.extend([
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -1,6 +1,7 @@
 //! Runs a day: a discrete event simulation with one queue of events in the order of simulated time.
 
 mod strikes;
+mod watching;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -15,7 +16,11 @@
 use crate::network::Network;
 use crate::operator::{Answer, Operator, RESPONSE_TIMEOUT};
 use crate::plant::SimulationBug;
+use crate::platform::{Platform, PlatformCall};
+use crate::watcher::{WatchReply, Watcher};
 
+/// Number of the first separate watcher in the network, above those of all machines.
+const FIRST_WATCHER_NODE: usize = 200;
 /// Time between two ticks of a machine.
 const TICK_INTERVAL: Micros = 50 * MILLISECOND;
 /// The machines start at random times of this interval.
@@ -43,6 +48,10 @@
     pub views: u64,
     /// Time from the return of all machines at the end of the day to the first acknowledgement.
     pub recovered_after: Option<Micros>,
+    /// Calls to the platform that were carried out.
+    pub platform_calls: u64,
+    /// Calls to the platform that were refused because of a lower fence.
+    pub refused_platform_calls: u64,
     /// A hash of the times and numbers of all events, to compare two runs of the same day.
     pub trace: u64,
 }
@@ -73,6 +82,9 @@
     Answer { call: Call, answer: Answer },
     Ask { operator: usize },
     ResponseTimeout { operator: usize, attempt: u64 },
+    Watch { watcher: usize },
+    WatchRequest { machine: usize, watcher: usize, attempt: u64 },
+    WatchReply { watcher: usize, attempt: u64, reply: Option<WatchReply> },
     Strike(usize),
     PowerOff { machine: usize, incarnation: u64, wipe: bool, for_: Micros },
     Remove(usize),
@@ -93,6 +105,9 @@
     machines: Vec<Machine>,
     network: Network,
     operators: Vec<Operator>,
+    /// The watchers: first those of the control planes without a disk, in the order of their numbers, then separate processes.
+    watchers: Vec<Watcher>,
+    platform: Platform,
     checker: InvariantChecker,
     rules: ViewRules,
     bug: Option<SimulationBug>,
@@ -100,6 +115,10 @@
     answer_loss: (Micros, u64),
     /// A fault for the next machine that acknowledges an order: whether its disk is lost, for how long it has no power, and how soon.
     ack_trap: Option<(bool, Micros, Micros)>,
+    /// For how long the next machine that calls the platform freezes.
+    call_trap: Option<Micros>,
+    /// The machines that the settings name as seeds since these have changed.
+    new_seeds: Option<Vec<usize>>,
     /// The addresses that form the first view.
     first_seeds: Vec<SocketAddr>,
     /// When the faults that were injected so far will be over.
@@ -120,8 +139,17 @@
     fn new(day: &'a Day, bug: Option<SimulationBug>) -> Self {
         let rules = ViewRules::tolerating(day.losses);
         let first_seeds: Vec<SocketAddr> = (0..3).map(Network::address).collect();
-        let machines =
-            (0..day.machines).map(|number| Machine::new(number, &first_seeds, true, rules, bug)).collect();
+        let mut machines: Vec<Machine> = (0..day.machines + day.diskless)
+            .map(|number| Machine::new(number, &first_seeds, true, rules, bug))
+            .map(|machine| match machine.number() < day.machines {
+                true => machine,
+                false => machine.without_disk(),
+            })
+            .collect();
+        machines.iter_mut().for_each(|machine| machine.platform_delay = day.platform_delay);
+        let watcher_nodes =
+            (day.machines..machines.len()).chain(FIRST_WATCHER_NODE..FIRST_WATCHER_NODE + day.watchers);
+        let watchers = watcher_nodes.map(Watcher::new).collect();
         let mut operators: Vec<Operator> = (0..day.operators).map(|_| Operator::new(false)).collect();
         operators.push(Operator::new(true));
         Self {
@@ -133,11 +161,15 @@
             machines,
             network: Network::default(),
             operators,
+            watchers,
+            platform: Platform::default(),
             checker: InvariantChecker::default(),
             rules,
             bug,
             answer_loss: (0, 0),
             ack_trap: None,
+            call_trap: None,
+            new_seeds: None,
             first_seeds,
             busy_until: 0,
             disks_lost: 0,
@@ -172,6 +204,9 @@
             let time = FIRST_REQUEST_AT + self.rng.between(0, SECOND);
             self.schedule(time, Event::Ask { operator });
         }
+        for watcher in 0..self.watchers.len() {
+            self.schedule(START_SPREAD, Event::Watch { watcher });
+        }
         for (number, strike) in self.day.strikes.iter().enumerate() {
             self.schedule(strike.at, Event::Strike(number));
         }
@@ -204,6 +239,11 @@
                     self.ask(operator);
                 }
             }
+            Event::Watch { watcher } => self.watch(watcher),
+            Event::WatchRequest { machine, watcher, attempt } => {
+                self.answer_watcher(machine, watcher, attempt)
+            }
+            Event::WatchReply { watcher, attempt, reply } => self.take_reply(watcher, attempt, reply),
             Event::Strike(number) => self.strike(&self.day.strikes[number].trouble),
             Event::PowerOff { machine, incarnation, wipe, for_ } => {
                 if self.machines[machine].incarnation == incarnation {
@@ -223,12 +263,7 @@
     }
 
     fn start(&mut self, machine: usize) {
-        let running: Vec<SocketAddr> = (0..self.machines.len())
-            .filter(|other| !self.machines[*other].removed && *other != machine)
-            .map(Network::address)
-            .take(3)
-            .collect();
-        let seeds = if self.now <= START_SPREAD { self.first_seeds.clone() } else { running };
+        let seeds = self.seeds_in_settings(Some(machine));
         let now = self.now;
         let started = &mut self.machines[machine];
         if started.is_up() || started.removed {
@@ -247,6 +282,10 @@
         if self.now < frozen_until {
             return self.schedule(frozen_until, Event::Tick { machine, incarnation });
         }
+        let seeds = self.seeds_in_settings(Some(machine));
+        if let Some(process) = &mut self.machines[machine].process {
+            process.update_seeds(self.now, || seeds);
+        }
         self.deliver_input(machine, Input::Tick);
         self.schedule(self.now + TICK_INTERVAL, Event::Tick { machine, incarnation });
     }
@@ -315,10 +354,23 @@
                     }
                 }
                 Output::Answer(call, answer) => self.send_answer(machine, call, answer),
+                Output::Platform(call) => self.call_platform(machine, call),
             }
         }
     }
 
+    /// Passes a call to the platform. A call in a trap freezes its machine right after it.
+    fn call_platform(&mut self, machine: usize, call: PlatformCall) {
+        self.print(|| format!("{machine} calls the platform: {call:?}"));
+        if let Some(description) = self.platform.handle_call(machine, call) {
+            self.checker.record_shared_fence(self.now, description);
+        }
+        if let Some(for_) = self.call_trap.take() {
+            self.machines[machine].frozen_until = self.now + for_;
+            self.busy_until = self.busy_until.max(self.now + for_);
+        }
+    }
+
     fn send_answer(&mut self, machine: usize, call: Call, answer: Answer) {
         self.print(|| format!("{machine} answers {:?} with {answer:?}", call.ask));
         // A definite answer counts from the moment it is sent, even if it is lost on its way.
@@ -458,6 +510,7 @@
             );
             self.checker.record_no_recovery(now, description);
         }
+        self.check_watchers(view.epoch);
         let committed = self.machines.iter().filter_map(|machine| {
             let replica = machine.process.as_ref()?.coordinator.replica();
             replica.committed_version().map(|committed| committed.sequence)
@@ -476,6 +529,8 @@
             broken: self.checker.violations,
             views: views.unwrap_or(0),
             recovered_after: self.recovered_after,
+            platform_calls: self.platform.accepted,
+            refused_platform_calls: self.platform.refused,
             trace: self.trace,
         }
     }
--- a/crates/simulation/src/world/strikes.rs
+++ b/crates/simulation/src/world/strikes.rs
@@ -45,6 +45,9 @@
         self.busy_until = self.busy_until.max(now + trouble.lasts());
         match trouble {
             Trouble::Kill { machines, for_ } => {
+                if machines.len() >= self.day.machines + self.day.diskless {
+                    self.restart_watchers(*for_);
+                }
                 for machine in machines {
                     self.power_off(*machine, false, *for_);
                 }
@@ -70,6 +73,8 @@
                 self.schedule(now + missed_for, wiped);
             }
             Trouble::AfterAck { wipe, for_, within } => self.ack_trap = Some((*wipe, *for_, *within)),
+            Trouble::NewSeeds { seeds } => self.new_seeds = Some(seeds.clone()),
+            Trouble::FreezeCaller { for_ } => self.call_trap = Some(*for_),
             Trouble::AnswersLost { for_, lost } => self.answer_loss = (now + for_, *lost),
         }
     }
@@ -90,7 +95,9 @@
         }
         self.busy_until = self.busy_until.max(self.now + gap);
         let number = self.machines.len();
-        self.machines.push(Machine::new(number, &[], false, self.rules, self.bug));
+        let mut new_machine = Machine::new(number, &[], false, self.rules, self.bug);
+        new_machine.platform_delay = self.day.platform_delay;
+        self.machines.push(new_machine);
         let (removal_delay, start_delay) = if planned { (gap, 0) } else { (0, gap) };
         self.schedule(self.now + start_delay, Event::Start(number));
         match removal_delay {
@@ -113,6 +120,7 @@
     pub(super) fn close(&mut self) {
         self.network.clear_faults();
         self.ack_trap = None;
+        self.call_trap = None;
         self.answer_loss = (0, 0);
         // Decided before any power loss, because `power_off` extends `busy_until` and would keep earlier losses counted.
         let wipes =
@@ -127,6 +135,7 @@
             }
             self.power_off(machine, false, outage);
         }
+        self.restart_watchers(MAX_CLOSING_OUTAGE);
         self.all_back_at = self.now + MAX_CLOSING_OUTAGE;
         self.schedule(self.all_back_at + RECOVERY_TIMEOUT, Event::Check);
     }
