A head that loses its duty among its orders forgets that it made them

The orders that were not sent because the right to them had gone counted as made, so a machine that went on as the head, confirmed again after a freeze, would have waited for the effect of servers that nobody ordered.

--- a/crates/control-plane/src/duties.rs
+++ b/crates/control-plane/src/duties.rs
@@ -22,7 +22,7 @@
 
 use crate::core::Core;
 use crate::scaling::{Scaler, ServiceLoad};
-use platform_calls::{Duty, PlatformCaller};
+use platform_calls::{Duty, PlatformCallError, PlatformCaller};
 
 /// How often the head looks for usage windows that are ready to be reported.
 const USAGE_REPORT_INTERVAL: Duration = Duration::from_millis(300);
@@ -210,26 +210,35 @@
             let load = service_load(&core, &collector, service);
             let orders =
                 scalers.entry(service.name.clone()).or_default().scale(started.elapsed(), &load, bounds);
-            for (zone, desired) in orders {
-                order_servers(&platform, token, &service.name, &zone, desired).await;
+            if let Err(reason) = order_servers(&platform, token, &service.name, orders).await {
+                log::warn!("service {}: orders of servers: {reason}", service.name);
+                scalers.clear();
+                break;
             }
         }
     }
 }
 
-/// Orders the number of servers of a service in a zone.
+/// Orders the number of servers of a service in each of some zones. A zone's order without a response is not repeated.
+///
+/// # Errors
+/// If this machine no longer holds the duty; the remaining orders were not sent.
 async fn order_servers(
     platform: &PlatformCaller,
     token: FencingToken,
     service: &str,
-    zone: &str,
-    desired: u32,
-) {
-    log::info!("service {service}: scaling to {desired} servers in zone {zone}");
-    let order = serde_json::json!({ "backend": service, "zone": zone, "desired": desired });
-    if let Err(reason) = platform.call(token, Duty::Scale, &order).await {
-        log::warn!("service {service}: order of {desired} servers in zone {zone}: {reason}");
+    orders: BTreeMap<String, u32>,
+) -> Result<(), PlatformCallError> {
+    for (zone, desired) in orders {
+        log::info!("service {service}: scaling to {desired} servers in zone {zone}");
+        let order = serde_json::json!({ "backend": service, "zone": zone, "desired": desired });
+        match platform.call(token, Duty::Scale, &order).await {
+            Err(PlatformCallError::NotHolder) => return Err(PlatformCallError::NotHolder),
+            Err(reason) => log::warn!("service {service}: order for zone {zone}: {reason}"),
+            Ok(_) => {}
+        }
     }
+    Ok(())
 }
 
 /// Returns a service's responses since the last decision and its ready servers by zone.
