Fix: a refusal counts only if the view in which it was decided is confirmed

Callers would have seen CONFIG: an acknowledged change refused when it is sent again.

The quorum check is now begun in the step that decides, and the answer is bound to it, for changes, retirements and giving up a group; reads by the head check in one step that this machine is the head and begin the check.

Test: refusal_decided_in_a_view_that_has_ended_is_not_confirmed_by_the_next_view failed before (Conflict instead of Unavailable).

--- a/crates/control-plane/src/core/groups.rs
+++ b/crates/control-plane/src/core/groups.rs
@@ -10,7 +10,7 @@
 use fennelgauge_upstream::wall_clock;
 use fennelgauge_wire::{GiveUpReply, GroupStatus, GroupStatusReply};
 
-use super::requests::WriteError;
+use super::requests::{Declined, WriteError};
 use super::Core;
 use crate::placement::NEW_HEAD_HEARTBEAT_WAIT;
 use crate::state::{ControlState, StateChange};
@@ -26,7 +26,7 @@
 impl Core {
     /// Returns the state of a group, if this member is the head and its view is current.
     pub(super) async fn group_status(self: &Rc<Self>, group: GroupNumber) -> GroupStatusReply {
-        if !self.is_head() || !self.has_heard_from_stores() || !self.is_view_current().await {
+        if !self.has_heard_from_stores() || !self.is_current_head().await {
             return GroupStatusReply::Unavailable;
         }
         let Some(state) = self.committed_state() else { return GroupStatusReply::Unavailable };
@@ -76,11 +76,12 @@
                 );
                 GiveUpReply::Done
             }
-            Ok(Err(GiveUpRejection::AlreadyDone)) => GiveUpReply::Done,
-            Ok(Err(GiveUpRejection::Refused(reason))) if self.is_view_current().await => {
-                GiveUpReply::Refused(reason)
-            }
-            Ok(Err(GiveUpRejection::Refused(_))) | Err(WriteError::NotAccepted) => GiveUpReply::Unavailable,
+            Ok(Err(Declined { answer: GiveUpRejection::AlreadyDone, .. })) => GiveUpReply::Done,
+            Ok(Err(declined)) => match self.confirmed_answer(declined).await {
+                Some(GiveUpRejection::Refused(reason)) => GiveUpReply::Refused(reason),
+                Some(GiveUpRejection::AlreadyDone) | None => GiveUpReply::Unavailable,
+            },
+            Err(WriteError::NotAccepted) => GiveUpReply::Unavailable,
             Err(WriteError::OutcomeUnknown) => GiveUpReply::OutcomeUnknown,
         }
     }
--- a/crates/control-plane/src/core/requests.rs
+++ b/crates/control-plane/src/core/requests.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fennelgauge_coordination::Progress;
+use fennelgauge_coordination::{Progress, QuorumCheck};
 use fennelgauge_wire::{
     ChangeReply, ConfigurationBytes, ConfigurationChange, CoreReply, CoreRequest, RetireReply,
 };
@@ -30,6 +30,15 @@
     OutcomeUnknown,
 }
 
+/// An answer that was decided instead of a change. Unless the state that it was decided on is certainly the newest, it
+/// may be given only once a majority has confirmed the view of the decision.
+pub struct Declined<A> {
+    /// The answer.
+    pub answer: A,
+    /// Check of the view, begun together with the decision.
+    check: QuorumCheck,
+}
+
 impl Core {
     /// Answers a request from another process or from the operator's API.
     pub async fn answer(self: &Rc<Self>, request: CoreRequest) -> CoreReply {
@@ -46,11 +55,14 @@
     }
 
     /// Changes the control state, if this member is the head. `change` is given the newest state, all of which is
-    /// committed, and returns either the change or a result of its own that ends the call without one.
+    /// committed, and returns either the change or an answer of its own that ends the call without one.
+    ///
+    /// # Errors
+    /// If the change was not made, or its outcome is unknown.
     pub async fn write<A>(
         self: &Rc<Self>,
         change: impl FnOnce(&ControlState) -> Result<StateChange, A>,
-    ) -> Result<Result<(), A>, WriteError> {
+    ) -> Result<Result<(), Declined<A>>, WriteError> {
         let until = Instant::now() + WRITE_LOCK_TIMEOUT;
         let guard = timeout_at(until, self.write_lock.lock()).await;
         let _guard = guard.map_err(|_| WriteError::NotAccepted)?;
@@ -69,7 +81,10 @@
                 return (Err(WriteError::NotAccepted), Default::default());
             }
             match change(replica.value()) {
-                Err(answer) => (Ok(Err(answer)), Default::default()),
+                Err(answer) => {
+                    let (check, effects) = coordinator.start_quorum_check(now);
+                    (Ok(Err(Declined { answer, check })), effects)
+                }
                 Ok(change) => match coordinator.write(now, change.encode_for_chain()) {
                     Ok((version, outcome)) => (Ok(Ok(version)), outcome),
                     Err(reason) => {
@@ -81,7 +96,7 @@
         });
         let version = match started.await? {
             Ok(version) => version,
-            Err(answer) => return Ok(Err(answer)),
+            Err(declined) => return Ok(Err(declined)),
         };
         let until = Instant::now() + COMMIT_TIMEOUT;
         match self.wait_for_progress(until, |coordinator| coordinator.write_progress(version)).await {
@@ -90,12 +105,39 @@
         }
     }
 
-    /// Returns true if a majority confirms this member's view now. A negative answer may be given only then: a head that
-    /// was replaced may have an old state.
-    pub(super) async fn is_view_current(self: &Rc<Self>) -> bool {
+    /// Returns true if a majority confirms this member's view now.
+    async fn is_view_current(self: &Rc<Self>) -> bool {
         self.confirm_view(Instant::now() + CONFIRM_TIMEOUT).await
     }
 
+    /// Returns true if this member is the head and a majority confirms its view. Then its committed state is the newest.
+    pub(super) async fn is_current_head(self: &Rc<Self>) -> bool {
+        let started = self.run_step(|coordinator, now| match coordinator.replica().is_head() {
+            true => {
+                let (check, effects) = coordinator.start_quorum_check(now);
+                (Some(check), effects)
+            }
+            false => (None, Default::default()),
+        });
+        match started.await {
+            Some(check) => self.is_confirmed_by_majority(check).await,
+            None => false,
+        }
+    }
+
+    /// Returns the answer of a declined change if a majority confirms the view in which it was decided, else `None`: a head
+    /// that was replaced may have decided on an old state.
+    pub(super) async fn confirmed_answer<A>(&self, declined: Declined<A>) -> Option<A> {
+        self.is_confirmed_by_majority(declined.check).await.then_some(declined.answer)
+    }
+
+    /// Waits for a quorum check; returns true if it succeeds in time, without a change of view in between.
+    async fn is_confirmed_by_majority(&self, check: QuorumCheck) -> bool {
+        let until = Instant::now() + CONFIRM_TIMEOUT;
+        self.wait_for_progress(until, |coordinator| coordinator.quorum_check_progress(check)).await
+            == Progress::Done
+    }
+
     /// Applies a configuration change, if this member is the head.
     pub(super) async fn change_configuration(self: &Rc<Self>, change: &ConfigurationChange) -> ChangeReply {
         let written = self
@@ -110,9 +152,8 @@
         match written {
             Ok(Ok(())) => ChangeReply::Acknowledged,
             // A remembered change is committed, so no later view can lose it.
-            Ok(Err(ChangeReply::Acknowledged)) => ChangeReply::Acknowledged,
-            Ok(Err(answer)) if self.is_view_current().await => answer,
-            Ok(Err(_)) => ChangeReply::Unavailable,
+            Ok(Err(Declined { answer: ChangeReply::Acknowledged, .. })) => ChangeReply::Acknowledged,
+            Ok(Err(declined)) => self.confirmed_answer(declined).await.unwrap_or(ChangeReply::Unavailable),
             Err(WriteError::NotAccepted) => ChangeReply::Unavailable,
             Err(WriteError::OutcomeUnknown) => ChangeReply::OutcomeUnknown,
         }
@@ -134,14 +175,14 @@
         let written = self.write(|state| retirement_change(state, node, min_stores)).await;
         match written {
             Ok(Ok(())) => RetireReply::Running,
-            Ok(Err(answer)) if self.is_view_current().await => answer,
-            _ => RetireReply::Unavailable,
+            Ok(Err(declined)) => self.confirmed_answer(declined).await.unwrap_or(RetireReply::Unavailable),
+            Err(_) => RetireReply::Unavailable,
         }
     }
 
     /// Returns the progress of a store's retirement, if this member is the head.
     pub(super) async fn retirement_status(self: &Rc<Self>, node: &str) -> RetireReply {
-        if !self.is_head() || !self.is_view_current().await {
+        if !self.is_current_head().await {
             return RetireReply::Unavailable;
         }
         let Some(state) = self.committed_state() else { return RetireReply::Unavailable };
--- a/crates/control-plane/src/core/tests.rs
+++ b/crates/control-plane/src/core/tests.rs
@@ -167,3 +167,38 @@
         assert!(!old.core.is_confirmed());
     });
 }
+
+/// Guards against a refusal that was decided as the head of one view and confirmed by the voters of the next one, in which
+/// another head may have taken the same change.
+#[test]
+fn refusal_decided_in_a_view_that_has_ended_is_not_confirmed_by_the_next_view() {
+    run_local(async {
+        let machines = start_three(2).await;
+        let head = until(&machines, "a head", |core| core.is_head()).await;
+        apply_change(&head, &put(0, 7)).await;
+        let refused = put(0, 9);
+        // The change waits for its turn before the news of the next view, as after a freeze.
+        let other_step = head.step_lock.lock().await;
+        let changing = head.clone();
+        let reply = spawn_local(async move { changing.change_configuration(&refused).await });
+        tokio::task::yield_now().await;
+        let next = next_view_without_head(&head);
+        for machine in &machines {
+            let from = machine.core.me.clone();
+            let message = Message::InstallView { view: next.clone() };
+            spawn_local(machine.core.clone().handle_message(Envelope { from, message }));
+        }
+        tokio::task::yield_now().await;
+        drop(other_step);
+        assert_eq!(reply.await.expect("a reply"), ChangeReply::Unavailable);
+        assert!(head.epoch() >= next.epoch, "the next view was installed before the refusal was confirmed");
+    });
+}
+
+/// Returns the view that follows the head's, in which the head is a voter only.
+fn next_view_without_head(head: &Core) -> View {
+    let view = head.view();
+    let chain = view.chain.iter().filter(|link| **link != head.me).cloned().collect();
+    let start = head.coordinator.borrow().replica().version();
+    View { epoch: view.epoch + 1, chain, start, ..view }
+}
