Fix: an order to give up a group whose holder was never heard no longer panics

The step that decides on the order asked for the time in the view from the coordinator that the step had borrowed, whenever this head has no report of one of the holders: the task panicked, the operator got no answer. The time and the epoch now come from the step itself, and whether the head has heard from the stores is checked there, not before the wait for its turn. Found by reading every path that checks a right before an await.

Test: order_to_give_up_a_group_whose_holders_were_never_heard_is_answered failed before ("RefCell already mutably borrowed").

--- a/crates/control-plane/src/core/groups.rs
+++ b/crates/control-plane/src/core/groups.rs
@@ -17,6 +17,8 @@
 
 /// Why an order to give up a group leads to no change.
 enum GiveUpRejection {
+    /// This member is the head for too short a time to know which stores are silent.
+    TooEarly,
     /// The same order was carried out before.
     AlreadyDone,
     /// The order does not fit the state of the group.
@@ -38,7 +40,7 @@
             group: group.0,
             view: view.epoch,
             is_open: held.is_open(),
-            holders: self.holder_states(view, group),
+            holders: self.holder_states(view, group, self.time_in_view()),
             joining: names(held.joining.iter().map(|newcomer| newcomer.store).collect()),
             learner: held.learner.and_then(|learner| node(&learner.store)),
             given_up: state.metadata.given_up_records(group),
@@ -53,12 +55,16 @@
         let live_stores = self.heartbeats.live_stores();
         let tolerated_failures = self.settings.tolerate.tolerated_failures();
         let written = self
-            .write(|state| {
+            .write_as_head(|head| {
+                let state = head.state;
+                if !has_heard_from_stores(head.time_in_view, head.epoch) {
+                    return Err(GiveUpRejection::TooEarly);
+                }
                 if state.metadata.has_given_up(order) {
                     return Err(GiveUpRejection::AlreadyDone);
                 }
                 let view = &state.metadata.stores;
-                let seen = self.holder_states(view, order.group);
+                let seen = self.holder_states(view, order.group, head.time_in_view);
                 let planner = Planner::new(tolerated_failures, &live_stores, false);
                 let job_ids = self.known_job_ids(state, order.group);
                 let next = planner.give_up(view, order, &seen, job_ids, MIN_SILENCE_BEFORE_GIVE_UP);
@@ -79,7 +85,9 @@
             Ok(Err(Declined { answer: GiveUpRejection::AlreadyDone, .. })) => GiveUpReply::Done,
             Ok(Err(declined)) => match self.confirmed_answer(declined).await {
                 Some(GiveUpRejection::Refused(reason)) => GiveUpReply::Refused(reason),
-                Some(GiveUpRejection::AlreadyDone) | None => GiveUpReply::Unavailable,
+                Some(GiveUpRejection::AlreadyDone | GiveUpRejection::TooEarly) | None => {
+                    GiveUpReply::Unavailable
+                }
             },
             Err(WriteError::NotAccepted) => GiveUpReply::Unavailable,
             Err(WriteError::OutcomeUnknown) => GiveUpReply::OutcomeUnknown,
@@ -96,19 +104,24 @@
     /// Returns true if this member has been the head for long enough to have a heartbeat from every live store. The first
     /// view of the core needs no wait.
     fn has_heard_from_stores(&self) -> bool {
-        self.time_in_view() >= NEW_HEAD_HEARTBEAT_WAIT || self.epoch() == 1
+        has_heard_from_stores(self.time_in_view(), self.epoch())
     }
 
     /// Returns the holders of a group with how long each has been silent. A store without a heartbeat here counts as
-    /// silent for as long as this member has been in its view.
-    fn holder_states(&self, view: &StoreView, group: GroupNumber) -> Vec<HolderStatus> {
+    /// silent for as long as this member has been in its view, `time_in_view`.
+    fn holder_states(
+        &self,
+        view: &StoreView,
+        group: GroupNumber,
+        time_in_view: Duration,
+    ) -> Vec<HolderStatus> {
         let seen = |number: StoreNumber| {
             let identity = &view.store(number)?.member.identity;
             let report = self.heartbeats.last_report(identity, group);
             let silent_for = match report.silent_for {
                 Some(silent_for) if silent_for < crate::placement::STORE_LIVENESS_TIMEOUT => None,
                 Some(silent_for) => Some(silent_for),
-                None => Some(self.time_in_view()),
+                None => Some(time_in_view),
             };
             let holder = LastHolder { node: identity.node.clone(), entries: report.entries };
             Some(HolderStatus { holder, silent_for: silent_for.map(whole_seconds) })
@@ -117,6 +130,11 @@
     }
 }
 
+/// Returns true if a head that has been in the view of this epoch for `time_in_view` has a heartbeat from every live store.
+fn has_heard_from_stores(time_in_view: Duration, epoch: u64) -> bool {
+    time_in_view >= NEW_HEAD_HEARTBEAT_WAIT || epoch == 1
+}
+
 /// Rounds a duration down to whole seconds.
 fn whole_seconds(time: Duration) -> Duration {
     Duration::from_secs(time.as_secs())
--- a/crates/control-plane/src/core/requests.rs
+++ b/crates/control-plane/src/core/requests.rs
@@ -39,6 +39,16 @@
     check: QuorumCheck,
 }
 
+/// What a head decides on: the newest state, all of which is committed, and its view.
+pub struct HeadState<'a> {
+    /// The newest state.
+    pub state: &'a ControlState,
+    /// Epoch of the view.
+    pub epoch: u64,
+    /// Time for which this member has been in the view.
+    pub time_in_view: Duration,
+}
+
 impl Core {
     /// Answers a request from another process or from the operator's API.
     pub async fn answer(self: &Rc<Self>, request: CoreRequest) -> CoreReply {
@@ -62,6 +72,17 @@
     pub async fn write<A>(
         self: &Rc<Self>,
         change: impl FnOnce(&ControlState) -> Result<StateChange, A>,
+    ) -> Result<Result<(), Declined<A>>, WriteError> {
+        self.write_as_head(|head| change(head.state)).await
+    }
+
+    /// Like [`Core::write`], for changes that also depend on the view in which they are made.
+    ///
+    /// # Errors
+    /// If the change was not made, or its outcome is unknown.
+    pub(super) async fn write_as_head<A>(
+        self: &Rc<Self>,
+        change: impl FnOnce(&HeadState) -> Result<StateChange, A>,
     ) -> Result<Result<(), Declined<A>>, WriteError> {
         let until = Instant::now() + WRITE_LOCK_TIMEOUT;
         let guard = timeout_at(until, self.write_lock.lock()).await;
@@ -80,7 +101,12 @@
             if replica.check_writable().is_err() {
                 return (Err(WriteError::NotAccepted), Default::default());
             }
-            match change(replica.value()) {
+            let head = HeadState {
+                state: replica.value(),
+                epoch: replica.view().epoch,
+                time_in_view: now.saturating_sub(coordinator.view_installed_at()),
+            };
+            match change(&head) {
                 Err(answer) => {
                     let (check, effects) = coordinator.start_quorum_check(now);
                     (Ok(Err(Declined { answer, check })), effects)
--- a/crates/control-plane/src/core/tests.rs
+++ b/crates/control-plane/src/core/tests.rs
@@ -2,12 +2,14 @@
 
 use std::path::Path;
 
+use fennelgauge_coordination::{GiveUpRequest, GroupNumber, Planner, StoreReport, StoreView};
 use fennelgauge_wire::{
     serve, ChangeKind, ChangeReply, ConfigurationChange, CoreReply, CoreRequest, Reply, WatchRequest,
 };
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 
 use super::*;
+use crate::state::StateChange;
 use crate::test_ports::listeners;
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
@@ -202,3 +204,28 @@
     let start = head.coordinator.borrow().replica().version();
     View { epoch: view.epoch + 1, chain, start, ..view }
 }
+
+/// Guards against a panic of the head at an order to give up a group of which it never heard a holder.
+#[test]
+fn order_to_give_up_a_group_whose_holders_were_never_heard_is_answered() {
+    run_local(async {
+        let machines = start_three(3).await;
+        let head = until(&machines, "a head", |core| core.is_head()).await;
+        let reports: Vec<StoreReport> = (0..3).map(store_report).collect();
+        let stores = Planner::new(1, &reports, true).plan(&StoreView::default()).expect("a placement");
+        let epoch = stores.epoch;
+        let placement = StateChange::Placement { stores: Some(stores), emptied: Vec::new() };
+        let written = head.write(|_| Ok::<_, ()>(placement)).await;
+        assert!(matches!(written, Ok(Ok(()))));
+        let order = GiveUpRequest { group: GroupNumber(0), epoch, holders: Vec::new(), forced: true };
+        let reply = head.give_up_group(&order).await;
+        assert!(matches!(reply, fennelgauge_wire::GiveUpReply::Refused(_)), "{reply:?}");
+    });
+}
+
+fn store_report(number: u8) -> StoreReport {
+    let identity = Identity { node: format!("store-{number}"), disk: 1 };
+    let peer = SocketAddr::from(([127, 0, 1, number], 7360));
+    let member = Member { identity, peer, zone: format!("z{number}"), region: String::new() };
+    StoreReport { member, copied_groups: Vec::new(), held_groups: Vec::new() }
+}
