Fix: items are given up only by a configuration that the core confirms

Cause: a store compared its generation with that of the job. The data plane that accepted the job may be behind, too, and a configuration may change after the acceptance, so a store at the job's generation may be behind the newest.

Change: members of the core hand out up to when their configuration is known to be the newest (a majority confirmed the view, no write is in flight); watchers count it from their request, and not if an update could not be applied. A store gives an item up only if that moment lies after the one at which it first was to be given up. Until then the item waits and takes no place of others.

Ruled out: confirming at each acceptance (adds a round to every 202).

--- a/crates/batch/src/item_step.rs
+++ b/crates/batch/src/item_step.rs
@@ -2,6 +2,15 @@
 
 use crate::Job;
 
+/// The configuration that a store knows, by which it decides about an item.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KnownConfiguration {
+    /// Its generation; 0 before the first one.
+    pub generation: u64,
+    /// Whether the core confirmed, after the decision had become due, that no newer configuration was acknowledged.
+    pub is_confirmed: bool,
+}
+
 /// What the configuration that a store knows says about the route of an item.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteStatus {
@@ -12,33 +21,52 @@
         /// Wall-clock time from which on an unfinished item is given up, in milliseconds since the Unix epoch; `None` if the
         /// route sets no such time.
         expires_ms: Option<u64>,
+        /// Number of failures at servers after which an item is given up.
+        max_failures: u32,
     },
 }
 
+impl RouteStatus {
+    /// Returns whether an unfinished item that has failed so often is to be given up at `now_ms`.
+    fn gives_up(self, failures: u32, now_ms: u64) -> bool {
+        match self {
+            Self::Absent => true,
+            Self::InForce { expires_ms, max_failures } => {
+                failures >= max_failures || expires_ms.is_some_and(|expires_ms| now_ms > expires_ms)
+            }
+        }
+    }
+}
+
 /// What to do next with an unfinished item.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ItemStep {
     /// Send it to a server.
     Run,
-    /// Wait for a configuration at least as new as that by which its job was accepted.
+    /// Wait until the core confirms the configuration or a newer one is known.
     AwaitConfiguration,
-    /// Give it up: its route has ended, or its time is up.
+    /// Give it up: its route has ended, its time is up, or it has failed too often.
     DeadLetter,
 }
 
 impl Job {
-    /// Returns what to do next with an unfinished item of this job. A route that a configuration older than the job lacks has
-    /// not ended: it may have been added since. `now_ms` is wall-clock time in milliseconds since the Unix epoch.
-    pub fn next_item_step(&self, known_generation: u64, route: RouteStatus, now_ms: u64) -> ItemStep {
-        if known_generation < self.generation {
-            return ItemStep::AwaitConfiguration;
-        }
-        match route {
-            RouteStatus::Absent => ItemStep::DeadLetter,
-            RouteStatus::InForce { expires_ms: Some(expires_ms) } if now_ms > expires_ms => {
-                ItemStep::DeadLetter
-            }
-            RouteStatus::InForce { .. } => ItemStep::Run,
+    /// Returns what to do next with an unfinished item of this job that has failed `failures` times. `now_ms` is wall-clock
+    /// time in milliseconds since the Unix epoch.
+    ///
+    /// A newer configuration than the known one may have the route that this one lacks, or give the item more time or more
+    /// attempts. So an item is given up only by a confirmed configuration, and runs by one that is as new as that by which the
+    /// job was accepted. A confirmed one that is older nevertheless is in force: the other one was lost with the core's disks.
+    pub fn next_item_step(
+        &self,
+        known: KnownConfiguration,
+        route: RouteStatus,
+        failures: u32,
+        now_ms: u64,
+    ) -> ItemStep {
+        match route.gives_up(failures, now_ms) {
+            true if known.is_confirmed => ItemStep::DeadLetter,
+            false if known.is_confirmed || known.generation >= self.generation => ItemStep::Run,
+            _ => ItemStep::AwaitConfiguration,
         }
     }
 }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -7,7 +7,7 @@
 mod job;
 mod state;
 
-pub use item_step::{ItemStep, RouteStatus};
+pub use item_step::{ItemStep, KnownConfiguration, RouteStatus};
 pub use job::{Item, ItemOutcome, ItemResult, Job, JobError};
 pub use state::{Admission, Command, GroupState, JobState, Page, MAX_PAGE_TEXT_BYTES};
 
--- a/crates/batch/src/tests.rs
+++ b/crates/batch/src/tests.rs
@@ -132,23 +132,52 @@
     }
 }
 
+const NOW_MS: u64 = 1_000;
+
+/// Returns the next step of an item of a job that configuration 7 accepted, for a store that knows another configuration.
+fn step(generation: u64, is_confirmed: bool, route: RouteStatus, failures: u32) -> ItemStep {
+    let accepted = Job { generation: 7, ..job("j", "t", &[1]) };
+    accepted.next_item_step(KnownConfiguration { generation, is_confirmed }, route, failures, NOW_MS)
+}
+
+fn in_force(expires_ms: Option<u64>) -> RouteStatus {
+    RouteStatus::InForce { expires_ms, max_failures: 2 }
+}
+
 /// Guards against items that are given up because a store does not know a route yet that was added after its configuration.
 #[test]
 fn items_of_a_route_that_the_store_does_not_know_yet_wait_for_its_configuration() {
-    const NOW_MS: u64 = 1_000;
-    let in_force = |expires_ms| RouteStatus::InForce { expires_ms };
     let cases = [
         ("older configuration, no route", 6, RouteStatus::Absent, ItemStep::AwaitConfiguration),
         ("older configuration, another route", 6, in_force(None), ItemStep::AwaitConfiguration),
         ("older configuration, time is up", 6, in_force(Some(NOW_MS - 1)), ItemStep::AwaitConfiguration),
-        ("the job's configuration, no route", 7, RouteStatus::Absent, ItemStep::DeadLetter),
-        ("later configuration, the route has ended", 8, RouteStatus::Absent, ItemStep::DeadLetter),
         ("the job's configuration", 7, in_force(None), ItemStep::Run),
         ("later configuration", 8, in_force(Some(NOW_MS)), ItemStep::Run),
-        ("time is up", 7, in_force(Some(NOW_MS - 1)), ItemStep::DeadLetter),
     ];
-    let accepted = Job { generation: 7, ..job("j", "t", &[1]) };
-    for (name, known_generation, route, expected) in cases {
-        assert_eq!(accepted.next_item_step(known_generation, route, NOW_MS), expected, "{name}");
+    for (name, generation, route, expected) in cases {
+        assert_eq!(step(generation, false, route, 0), expected, "{name}");
+    }
+}
+
+/// Guards against items that are given up by a configuration that was replaced: the route was added again, or changed.
+#[test]
+fn items_are_given_up_only_by_a_configuration_that_the_core_confirms() {
+    let expired = in_force(Some(NOW_MS - 1));
+    let cases = [
+        ("the job's configuration, no route", 7, RouteStatus::Absent, 0),
+        ("later configuration, no route: it may have been added again", 8, RouteStatus::Absent, 0),
+        ("time is up: the retention may have been raised", 8, expired, 0),
+        ("failed too often: the retries may have been raised", 8, in_force(None), 2),
+    ];
+    for (name, generation, route, failures) in cases {
+        assert_eq!(step(generation, false, route, failures), ItemStep::AwaitConfiguration, "{name}");
+        assert_eq!(step(generation, true, route, failures), ItemStep::DeadLetter, "{name}, confirmed");
     }
 }
+
+/// Guards against items that wait for ever: their configuration was lost with the core's disks, and generations start over.
+#[test]
+fn items_go_by_a_confirmed_configuration_although_its_generation_is_lower() {
+    assert_eq!(step(1, true, in_force(None), 0), ItemStep::Run);
+    assert_eq!(step(1, true, RouteStatus::Absent, 0), ItemStep::DeadLetter);
+}
--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -178,6 +178,10 @@
         if state.generation() > self.known.generation() {
             self.known.update_configuration(state.generation(), state.configuration.json().to_vec());
         }
+        let is_published = self.known.generation() >= state.generation();
+        if let Some(confirmed) = coordinator.committed_value_confirmed_at().filter(|_| is_published) {
+            self.known.update_configuration_confirmation(self.started + confirmed);
+        }
         if state.metadata.stores.epoch > self.known.store_view().epoch {
             self.known.update_store_view(state.metadata.stores.clone());
         }
--- /dev/null
+++ b/crates/control-plane/src/store/configuration_wait.rs
@@ -0,0 +1,90 @@
+//! Decides by the configuration known to a store what its items do next, and remembers which batch jobs wait until the core
+//! confirms that configuration or sends a newer one.
+
+use fennelgauge_batch::{ItemStep, Job, KnownConfiguration, RouteStatus};
+use fennelgauge_coordination::GroupNumber;
+use fennelgauge_model::Route;
+use tokio::time::Instant;
+
+use super::{wall_clock_ms, Store};
+
+/// Factor on the route's `retries` that gives the number of failures allowed to an item of a job that this store
+/// accepted, and so has run alone. A later head, which does not know these failures, allows `retries` more, which
+/// keeps the total within three times `retries`.
+const FAILURE_LIMIT_FACTOR: u32 = 2;
+/// Time after the end of its retention at which an unfinished item is dead-lettered, because clocks differ. In
+/// milliseconds.
+const RETENTION_MARGIN_MS: u64 = 6_000;
+
+impl Store {
+    /// Returns what to do next with an item that has failed `failures` times at servers. `route` is its route in the
+    /// configuration known here; its job awaits a configuration since `awaiting_since`.
+    pub(super) fn next_item_step(
+        &self,
+        job: &Job,
+        route: Option<&Route>,
+        failures: u32,
+        awaiting_since: Option<Instant>,
+    ) -> ItemStep {
+        let known = KnownConfiguration {
+            generation: self.known.generation(),
+            is_confirmed: awaiting_since.is_some_and(|since| self.is_configuration_confirmed_since(since)),
+        };
+        job.next_item_step(known, self.route_status(job, route), failures, wall_clock_ms())
+    }
+
+    /// Returns whether the items of a job are not to be started, because they would only wait for a configuration and take
+    /// the place of others. Remembers since when they wait.
+    pub(super) fn is_held_for_configuration(
+        &self,
+        group: GroupNumber,
+        job: &Job,
+        route: Option<&Route>,
+    ) -> bool {
+        let key = (group, job.id.clone());
+        let mut awaiting = self.awaiting_configuration.borrow_mut();
+        if self.next_item_step(job, route, 0, None) != ItemStep::AwaitConfiguration {
+            awaiting.remove(&key);
+            return false;
+        }
+        let since = *awaiting.entry(key).or_insert_with(Instant::now);
+        !self.is_configuration_confirmed_since(since)
+    }
+
+    /// Returns since when the items of a job await a configuration.
+    pub(super) fn awaiting_since(&self, group: GroupNumber, job: &str) -> Option<Instant> {
+        self.awaiting_configuration.borrow().get(&(group, job.to_owned())).copied()
+    }
+
+    /// Forgets jobs that do not await a configuration any more, because they are complete or their group is not headed here.
+    pub(super) fn forget_settled_jobs(&self, headed: &[GroupNumber]) {
+        self.awaiting_configuration.borrow_mut().retain(|(group, job), _| {
+            let replica = self.replica(*group).borrow();
+            headed.contains(group) && replica.state().job(job).is_some_and(|state| !state.is_complete())
+        });
+    }
+
+    /// Returns whether the core confirmed after `since` that the configuration known here is the newest.
+    fn is_configuration_confirmed_since(&self, since: Instant) -> bool {
+        self.known.configuration_confirmed_at().is_some_and(|confirmed_at| confirmed_at > since)
+    }
+
+    /// Returns what the configuration known here says about the route of a job's items.
+    fn route_status(&self, job: &Job, route: Option<&Route>) -> RouteStatus {
+        let Some(route) = route else { return RouteStatus::Absent };
+        let expires_ms = job.received_ms + (route.retention_s * 1_000.0) as u64 + RETENTION_MARGIN_MS;
+        RouteStatus::InForce {
+            expires_ms: (route.retention_s > 0.0).then_some(expires_ms),
+            max_failures: self.max_failures(job, route),
+        }
+    }
+
+    /// Returns the number of failures at servers after which an item is dead-lettered.
+    fn max_failures(&self, job: &Job, route: &Route) -> u32 {
+        let retries = route.retries.max(1);
+        match self.settings.policy.patient_items && self.accepted_here.borrow().contains_key(&job.id) {
+            true => retries * FAILURE_LIMIT_FACTOR,
+            false => retries,
+        }
+    }
+}
--- a/crates/control-plane/src/store/item_run.rs
+++ b/crates/control-plane/src/store/item_run.rs
@@ -7,7 +7,7 @@
 use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::http::{Method, StatusCode};
 use actix_web::web::Bytes;
-use fennelgauge_batch::{Item, ItemOutcome, ItemResult, ItemStep, RouteStatus};
+use fennelgauge_batch::{Item, ItemOutcome, ItemResult, ItemStep};
 use fennelgauge_model::{stable_fraction, Route};
 use fennelgauge_upstream::{
     is_hop_by_hop, EventOrder, EventParser, InFlightGuard, OutgoingRequest, RequestProfile, SendError,
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use super::runner::{batch_route, ItemKey};
-use super::{wall_clock_ms, Store};
+use super::Store;
 
 /// Pause between two attempts, or between two looks for a server with room.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
@@ -28,15 +28,8 @@
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// Mean load of a service's servers, as a share of their slots, above which items wait.
 const MAX_MEAN_LOAD: f64 = 0.8;
-/// Factor on the route's `retries` that gives the number of failures allowed to an item of a job that this store
-/// accepted, and so has run alone. A later head, which does not know these failures, allows `retries` more, which
-/// keeps the total within three times `retries`.
-const FAILURE_LIMIT_FACTOR: u32 = 2;
 /// Priority header of items: behind all interactive requests.
 const ITEM_PRIORITY: &str = "9";
-/// Time after the end of its retention at which an unfinished item is dead-lettered, because clocks differ. In
-/// milliseconds.
-const RETENTION_MARGIN_MS: u64 = 6_000;
 
 /// An unfinished item with what a run needs of its batch job.
 struct UnfinishedItem {
@@ -64,12 +57,14 @@
         let mut event_data: Vec<String> = Vec::new();
         let mut event_order = EventOrder::default();
         let mut failures = 0;
+        let mut awaiting_since = self.awaiting_since(key.group, &key.job);
         let mut excluded_servers = Vec::new();
         if !self.job_is_committed(key).await {
             return None;
         }
         loop {
-            let UnfinishedItem { item, route, step, tenant, host } = self.unfinished_item(key)?;
+            let UnfinishedItem { item, route, step, tenant, host } =
+                self.unfinished_item(key, failures, awaiting_since)?;
             let dead_letter = ItemResult {
                 item_index: key.item_index,
                 outcome: ItemOutcome::DeadLettered,
@@ -78,11 +73,13 @@
             let route = match (step, route) {
                 (ItemStep::Run, Some(route)) => route,
                 (ItemStep::AwaitConfiguration, _) => {
+                    awaiting_since = awaiting_since.or(Some(Instant::now()));
                     sleep(RETRY_DELAY).await;
                     continue;
                 }
                 (ItemStep::Run | ItemStep::DeadLetter, _) => return Some(dead_letter),
             };
+            awaiting_since = None;
             let service = route.pick_service(stable_fraction(&item.id));
             if self.pool.mean_load(service).is_some_and(|load| load > MAX_MEAN_LOAD) {
                 sleep(RETRY_DELAY).await;
@@ -106,12 +103,7 @@
                     });
                 }
                 Attempt::Finished(ItemOutcome::DeadLettered) => return Some(dead_letter),
-                Attempt::Failed => {
-                    failures += 1;
-                    if failures >= self.max_failures(key, &route) {
-                        return Some(dead_letter);
-                    }
-                }
+                Attempt::Failed => failures += 1,
                 Attempt::Retry => {}
             }
             excluded_servers = vec![ticket.server.id.clone()];
@@ -120,15 +112,6 @@
         }
     }
 
-    /// Returns the number of failures at servers after which an item is dead-lettered.
-    fn max_failures(&self, key: &ItemKey, route: &Route) -> u32 {
-        let retries = route.retries.max(1);
-        match self.settings.policy.patient_items && self.accepted_here.borrow().contains_key(&key.job) {
-            true => retries * FAILURE_LIMIT_FACTOR,
-            false => retries,
-        }
-    }
-
     /// Waits until all entries of the group up to now, with the acceptance of the item's job, are committed. Returns
     /// false if that takes too long.
     async fn job_is_committed(&self, key: &ItemKey) -> bool {
@@ -136,8 +119,14 @@
         self.wait_committed(key.group, position, Instant::now() + COMMIT_TIMEOUT).await
     }
 
-    /// Returns the item with the current route, or `None` if it has a result or its job was cancelled or removed.
-    fn unfinished_item(&self, key: &ItemKey) -> Option<UnfinishedItem> {
+    /// Returns the item with the current route and the next step, or `None` if it has a result or its job was cancelled or
+    /// removed. `failures` counts its failures at servers; it awaits a configuration since `awaiting_since`.
+    fn unfinished_item(
+        &self,
+        key: &ItemKey,
+        failures: u32,
+        awaiting_since: Option<Instant>,
+    ) -> Option<UnfinishedItem> {
         let replica = self.replica(key.group).borrow();
         let state = replica.state().job(&key.job).filter(|state| !state.cancelled)?;
         let item = state.job.items.get(key.item_index as usize)?.clone();
@@ -146,8 +135,7 @@
         }
         let table = self.known.routing_table()?;
         let route = batch_route(&table, &state.job, &item);
-        let status = route_status(route.as_deref(), state.job.received_ms);
-        let step = state.job.next_item_step(self.known.generation(), status, wall_clock_ms());
+        let step = self.next_item_step(&state.job, route.as_deref(), failures, awaiting_since);
         Some(UnfinishedItem {
             item,
             route,
@@ -193,13 +181,6 @@
     }
 }
 
-/// Returns the status of an item's route for a job that was submitted at `received_ms`.
-fn route_status(route: Option<&Route>, received_ms: u64) -> RouteStatus {
-    let Some(route) = route else { return RouteStatus::Absent };
-    let expires_ms = received_ms + (route.retention_s * 1_000.0) as u64 + RETENTION_MARGIN_MS;
-    RouteStatus::InForce { expires_ms: (route.retention_s > 0.0).then_some(expires_ms) }
-}
-
 /// Collects the events of a response. If it breaks off, the events received whole are kept for the next attempt.
 async fn read_events(
     mut response: UpstreamResponse,
--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -3,6 +3,7 @@
 
 mod catch_up;
 mod concurrency;
+mod configuration_wait;
 mod counters;
 mod heartbeat;
 mod item_run;
@@ -88,6 +89,8 @@
     concurrency_windows: RefCell<HashMap<String, concurrency::ConcurrencyWindow>>,
     /// Batch jobs that this store accepted as the head, and whose groups it has headed ever since.
     accepted_here: RefCell<HashMap<String, GroupNumber>>,
+    /// Batch jobs whose items wait until the core confirms the configuration known here or sends a newer one, since when.
+    awaiting_configuration: RefCell<HashMap<(GroupNumber, String), Instant>>,
     run_durations: RefCell<run_durations::RunDurations>,
     entry_counters: counters::EntryCounters,
     disk_health: Rc<DiskHealth>,
@@ -172,6 +175,7 @@
             running_counts: RefCell::default(),
             concurrency_windows: RefCell::default(),
             accepted_here: RefCell::default(),
+            awaiting_configuration: RefCell::default(),
             run_durations: RefCell::default(),
             entry_counters: counters::EntryCounters::default(),
             disk_health: Rc::default(),
--- a/crates/control-plane/src/store/runner.rs
+++ b/crates/control-plane/src/store/runner.rs
@@ -106,6 +106,7 @@
                 last_housekeeping = Instant::now();
                 self.sender.retain_servers(&self.known.server_list().servers);
                 self.remove_expired_jobs(&view);
+                self.forget_settled_jobs(&self.headed_groups(&view));
             }
             let mut candidates = self.candidates(&view);
             let elapsed_s = last_credit_update.elapsed().as_secs_f64().min(POLL_INTERVAL.as_secs_f64());
@@ -209,12 +210,12 @@
             if replica.commit_position_unknown() {
                 continue;
             }
-            // An item of a job that a newer configuration accepted would only wait for that, and hold up others.
-            let known_generation = self.known.generation();
-            let is_ready = |job: &Job| job.generation <= known_generation;
             let unfinished = replica.state().jobs().filter(|state| !state.is_complete());
-            for state in unfinished.filter(|state| is_ready(&state.job)) {
+            for state in unfinished {
                 let route = table.configuration.routes.iter().find(|route| route.name == state.job.route);
+                if self.is_held_for_configuration(group, &state.job, route) {
+                    continue;
+                }
                 let due_ms = state.job.received_ms + route.map_or(0, |route| route.batch_target_ms);
                 for item_index in state.unfinished_items() {
                     let key = ItemKey { group, job: state.job.id.clone(), item_index };
--- a/crates/control-plane/src/store/tests.rs
+++ b/crates/control-plane/src/store/tests.rs
@@ -1,3 +1,4 @@
+mod configuration_wait;
 mod stable_reads;
 
 use super::journal::{Journal, Record};
--- /dev/null
+++ b/crates/control-plane/src/store/tests/configuration_wait.rs
@@ -0,0 +1,167 @@
+//! Items are given up only by a configuration that is the newest. A store runs its items on simulated time, without a
+//! network; the test is its core.
+
+use std::path::Path;
+
+use fennelgauge_batch::{Command, Item, ItemOutcome, Job};
+use fennelgauge_coordination::{Group, StoreNumber};
+use tokio::task::LocalSet;
+
+use super::super::*;
+
+const GROUP: GroupNumber = GroupNumber(3);
+const JOB: &str = "job";
+/// Much longer than any wait of a store that is in touch with the core.
+const LONG: Duration = Duration::from_secs(20);
+/// Time within which a store that is in touch gives up what is to be given up.
+const SOON: Duration = Duration::from_secs(2);
+/// Age of the job in milliseconds: a retention of a second is over, whatever the margin for clocks that differ.
+const AGE_MS: u64 = 30_000;
+const NO_ROUTE: &str = "";
+const ROUTE: &str =
+    r#"{"name":"r","host":"h","path_prefix":"/p/","kind":"batch","timeout_ms":1000,"backend":"s"}"#;
+const SHORT_RETENTION: &str = r#"{"name":"r","host":"h","path_prefix":"/p/","kind":"batch","timeout_ms":1000,"backend":"s","retention_s":1}"#;
+
+/// A store that heads all groups and has accepted a job by configuration 5.
+struct RunningStore(Rc<Store>);
+
+impl RunningStore {
+    async fn start() -> Self {
+        let text = "node = \"s0\"\nip = \"127.0.0.1\"\nzone = \"z\"\nport_range = [1, 2]\n[tolerate]\nmachines = 0\n";
+        let settings = Rc::new(Settings::parse(text, Path::new("test.toml")).expect("settings"));
+        let identity = Identity { node: settings.node.clone(), disk: 1 };
+        let store = Self(Store::open(settings, identity).expect("opened"));
+        spawn_local(store.0.clone().flush_entries());
+        spawn_local(store.0.clone().repair_successors());
+        spawn_local(store.0.clone().run_items());
+        store.0.known.update_store_view(store.own_view());
+        store.accept_job();
+        store
+    }
+
+    fn own_view(&self) -> StoreView {
+        let number = StoreNumber(0);
+        let group = Group { chain: vec![number], unchanged_since: vec![1], ..Group::default() };
+        let mut view = StoreView::default();
+        view.epoch = 1;
+        view.stores.push(fennelgauge_coordination::Store {
+            number,
+            member: self.0.me.clone(),
+            retiring: false,
+        });
+        view.groups = vec![group; usize::from(GROUP_COUNT)];
+        view
+    }
+
+    fn accept_job(&self) {
+        self.0.known.update_view_confirmation(Duration::ZERO);
+        let item = Item { id: "i".into(), path: "/p/".into(), headers: vec![], body: vec![], tokens: 1 };
+        let job = Job {
+            id: JOB.into(),
+            tenant: "t".into(),
+            route: "r".into(),
+            host: "h".into(),
+            received_ms: wall_clock_ms() - AGE_MS,
+            generation: 5,
+            items: vec![item],
+        };
+        self.0.append_command(&self.0.view(), GROUP, Command::Accept(job));
+    }
+
+    fn configure(&self, generation: u64, routes: &str) {
+        let json =
+            format!(r#"{{"generation":{generation},"routes":[{routes}],"services":[{{"name":"s"}}]}}"#);
+        assert!(self.0.known.update_configuration(generation, json.into_bytes()));
+    }
+
+    /// The core confirms that the configuration known to the store is the newest.
+    fn confirm_configuration(&self) {
+        self.0.known.update_configuration_confirmation(Instant::now());
+    }
+
+    /// Lets time pass in which the store takes part in its view.
+    async fn pass(&self, time: Duration) {
+        self.0.known.update_view_confirmation(Duration::ZERO);
+        sleep(time).await;
+    }
+
+    fn outcomes(&self) -> Vec<ItemOutcome> {
+        let replica = self.0.replica(GROUP).borrow();
+        let state = replica.state().job(JOB).expect("the job");
+        state.results.iter().map(|result| result.outcome).collect()
+    }
+}
+
+fn run_local<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Guards against items that are given up because their route had ended, although it was added again in a configuration that
+/// the store does not know yet; the data plane that accepted the job knew neither change.
+#[test]
+fn items_of_a_route_that_was_removed_and_added_again_are_not_given_up() {
+    run_local(async {
+        let store = RunningStore::start().await;
+        store.configure(6, NO_ROUTE);
+        store.pass(LONG).await;
+        assert_eq!(store.outcomes(), [], "cut from the core, the store cannot know whether 6 is the newest");
+        store.configure(7, ROUTE);
+        store.confirm_configuration();
+        store.pass(LONG).await;
+        assert_eq!(store.outcomes(), [], "the route is in force; there is no server");
+    });
+}
+
+/// Guards against items that are given up after a retention that was raised in a configuration that the store does not know.
+#[test]
+fn items_whose_retention_was_raised_are_not_given_up_by_the_old_one() {
+    run_local(async {
+        let store = RunningStore::start().await;
+        store.configure(6, SHORT_RETENTION);
+        store.pass(LONG).await;
+        assert_eq!(store.outcomes(), [], "cut from the core, the store cannot know whether 6 is the newest");
+        store.configure(7, ROUTE);
+        store.confirm_configuration();
+        store.pass(LONG).await;
+        assert_eq!(store.outcomes(), [], "the route sets no retention any more");
+    });
+}
+
+/// Guards against items that wait for ever although the core confirms that their route has ended or their time is up.
+#[test]
+fn items_are_given_up_once_the_core_confirms_the_configuration() {
+    for routes in [NO_ROUTE, SHORT_RETENTION] {
+        run_local(async {
+            let store = RunningStore::start().await;
+            store.confirm_configuration();
+            store.configure(6, routes);
+            store.pass(SOON).await;
+            assert_eq!(store.outcomes(), [], "confirmed only before the item was to be given up");
+            store.confirm_configuration();
+            store.pass(SOON).await;
+            assert_eq!(store.outcomes(), [ItemOutcome::DeadLettered], "{routes}");
+        });
+    }
+}
+
+/// Guards against items that wait for ever in a store without a configuration, or whose configuration was lost with the disks
+/// of the core, so that generations start over.
+#[test]
+fn items_of_a_store_that_restarted_without_a_configuration_go_by_the_next_one() {
+    run_local(async {
+        let store = RunningStore::start().await;
+        store.pass(LONG).await;
+        assert_eq!(store.outcomes(), [], "no configuration");
+        store.configure(1, NO_ROUTE);
+        store.pass(LONG).await;
+        assert_eq!(store.outcomes(), [], "older than the job's, and not confirmed");
+        store.confirm_configuration();
+        store.pass(SOON).await;
+        assert_eq!(store.outcomes(), [ItemOutcome::DeadLettered], "generations start over");
+    });
+}
--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -122,6 +122,12 @@
         self.quorum_confirmed_at
     }
 
+    /// Returns a moment up to which every acknowledged change is in the committed value. Returns `None` while a write is not
+    /// known here to be committed, since the head may have acknowledged it already.
+    pub fn committed_value_confirmed_at(&self) -> Option<Duration> {
+        self.replica.committed_value().and(self.quorum_confirmed_at)
+    }
+
     /// Returns when this machine entered its view.
     pub fn view_installed_at(&self) -> Duration {
         self.view_installed_at
--- a/crates/coordination/tests/duty.rs
+++ b/crates/coordination/tests/duty.rs
@@ -1,4 +1,5 @@
-//! The right to carry out the head's duties, on a simulated clock.
+//! What a machine may do and say because a majority confirmed its view, on a simulated clock: the head's duties, and that a
+//! value is the newest.
 
 mod common;
 
@@ -131,3 +132,20 @@
     let second = head.duty_token(now, SETTLING_TIME).expect("the head holds the duties");
     assert!(second.number() > first.number());
 }
+
+/// Guards against a value that is handed out as the newest by a link that does not know yet that a later one was committed.
+#[test]
+fn a_value_is_confirmed_as_the_newest_only_while_no_write_is_in_flight() {
+    let now = SETTLING_TIME;
+    let mut head = confirmed_head(now);
+    let committed = version(1, 1, "a");
+    head.handle(now, &member(3, 1), Message::Committed { epoch: 1, version: committed });
+    assert_eq!(head.committed_value_confirmed_at(), Some(now));
+    let later = now + Duration::from_millis(200);
+    let (written, _) = head.write(later, b"b".to_vec()).expect("the head takes a write");
+    confirm(&mut head, 1, later);
+    assert_eq!(head.quorum_confirmed_at(), Some(later), "the view is confirmed");
+    assert_eq!(head.committed_value_confirmed_at(), None, "the write may be committed already");
+    head.handle(later, &member(3, 1), Message::Committed { epoch: 1, version: written });
+    assert_eq!(head.committed_value_confirmed_at(), Some(later));
+}
--- a/crates/simulation/src/stores/items.rs
+++ b/crates/simulation/src/stores/items.rs
@@ -1,6 +1,6 @@
 //! The items that a simulated store runs as a head.
 
-use fennelgauge_batch::{Command, ItemOutcome, ItemResult, ItemStep, Job, RouteStatus};
+use fennelgauge_batch::{Command, ItemOutcome, ItemResult, ItemStep, Job, KnownConfiguration, RouteStatus};
 use fennelgauge_coordination::GroupNumber;
 
 use super::core::generation_at;
@@ -49,11 +49,12 @@
         let known_generation = generation_at(self.configured_at.unwrap_or(0));
         let route = match known_generation < job.generation {
             true => RouteStatus::Absent,
-            false => RouteStatus::InForce { expires_ms: None },
+            false => RouteStatus::InForce { expires_ms: None, max_failures: 1 },
         };
+        let known = |generation, is_confirmed| KnownConfiguration { generation, is_confirmed };
         match self.has(StorePlant::UnknownRouteIsEnded) {
-            true => job.next_item_step(u64::MAX, route, 0),
-            false => job.next_item_step(known_generation, route, 0),
+            true => job.next_item_step(known(u64::MAX, true), route, 0, 0),
+            false => job.next_item_step(known(known_generation, false), route, 0, 0),
         }
     }
 
--- a/crates/upstream/src/subscriber.rs
+++ b/crates/upstream/src/subscriber.rs
@@ -89,12 +89,13 @@
         known: state.known_versions(),
         wait_ms: WATCH_WAIT.as_millis() as u64,
     });
+    let requested_at = Instant::now();
     let Ok(Reply::Watch(reply)) = caller.call(source, watch, REPLY_TIMEOUT).await else {
         return SourceOutcome::NoReply;
     };
     let is_confirmed = reply.confirmed_age_ms <= CONFIRMATION_TTL.as_millis() as u64;
     let previous_view = state.known_versions().core_view;
-    state.apply_update(*reply);
+    state.apply_update(*reply, requested_at);
     match is_confirmed {
         _ if state.known_versions().core_view > previous_view => SourceOutcome::LaterView,
         true => SourceOutcome::Confirmed,
--- a/crates/upstream/src/tests.rs
+++ b/crates/upstream/src/tests.rs
@@ -228,3 +228,76 @@
         assert_eq!(mix.long_prompt_fraction().is_some(), reserved, "{name}");
     }
 }
+
+fn on_simulated_time(test: impl std::future::Future<Output = ()>) {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap()
+        .block_on(test);
+}
+
+fn configuration_json(generation: u64) -> Vec<u8> {
+    format!(r#"{{"generation":{generation},"routes":[],"services":[]}}"#).into_bytes()
+}
+
+/// Returns a core member's state with this configuration, which a majority confirms now.
+fn confirmed_source(generation: u64, json: Vec<u8>) -> TierState {
+    let source = TierState::for_source();
+    assert!(source.update_configuration(generation, json));
+    source.update_view_confirmation(Duration::ZERO);
+    source.update_configuration_confirmation(tokio::time::Instant::now());
+    source
+}
+
+/// Returns the reply of a source to this watcher.
+async fn reply_of(source: &TierState, watcher: &TierState) -> fennelgauge_wire::WatchReply {
+    let watch = fennelgauge_wire::WatchRequest { known: watcher.known_versions(), wait_ms: 0 };
+    source.wait_for_confirmed_update(&watch).await
+}
+
+/// Guards against an older configuration that is taken for the newest, because the confirmation that came with a newer one
+/// counts from the moment when a late reply came.
+#[test]
+fn the_confirmation_of_a_configuration_counts_from_the_request() {
+    on_simulated_time(async {
+        let watcher = TierState::default();
+        let requested_at = tokio::time::Instant::now();
+        let reply = reply_of(&confirmed_source(7, configuration_json(7)), &watcher).await;
+        tokio::time::advance(Duration::from_millis(900)).await;
+        watcher.apply_update(reply, requested_at);
+        assert_eq!(watcher.generation(), 7);
+        assert!(watcher
+            .configuration_confirmed_at()
+            .is_some_and(|confirmed_at| confirmed_at <= requested_at));
+    });
+}
+
+/// Guards against an older configuration that is taken for the newest, because the source or the watcher left the newer one out.
+#[test]
+fn a_reply_without_the_newest_configuration_confirms_none() {
+    on_simulated_time(async {
+        tokio::time::advance(Duration::from_secs(60)).await;
+        let source = confirmed_source(7, configuration_json(7));
+        let watcher = TierState::default();
+        let mut undecodable = reply_of(&source, &watcher).await;
+        undecodable.configuration.as_mut().expect("a configuration").checksum ^= 1;
+        watcher.apply_update(undecodable, tokio::time::Instant::now());
+        assert_eq!(watcher.configuration_confirmed_at(), None, "an update that cannot be decoded");
+
+        let mut malformed = reply_of(&source, &watcher).await;
+        let update = malformed.configuration.as_mut().expect("a configuration");
+        (update.compressed, update.checksum) =
+            (fennelgauge_encoding::compress(b"{"), fennelgauge_encoding::checksum(b"{"));
+        watcher.apply_update(malformed, tokio::time::Instant::now());
+        assert_eq!(watcher.configuration_confirmed_at(), None, "a configuration that cannot be parsed");
+
+        let known = source.configuration_confirmed_at().expect("confirmed");
+        tokio::time::advance(Duration::from_secs(30)).await;
+        let withheld = reply_of(&source, &watcher).await;
+        assert!(withheld.configuration.is_none(), "the source's view is not confirmed any more");
+        watcher.apply_update(withheld, tokio::time::Instant::now());
+        assert!(watcher.configuration_confirmed_at().is_none_or(|confirmed_at| confirmed_at < known));
+    });
+}
--- a/crates/upstream/src/tier_state.rs
+++ b/crates/upstream/src/tier_state.rs
@@ -33,6 +33,8 @@
     store_view: RefCell<Rc<StoreView>>,
     core_view: RefCell<Option<Rc<View>>>,
     view_confirmed_at: Cell<Option<Instant>>,
+    /// Every configuration that was acknowledged before this moment is known here, or a newer one is.
+    configuration_confirmed_at: Cell<Option<Instant>>,
     changed: Notify,
 }
 
@@ -78,6 +80,11 @@
         self.view_confirmed_at.get().map(|confirmed_at| confirmed_at.elapsed())
     }
 
+    /// Returns a moment up to which every acknowledged configuration is known here, or a newer one; `None` if there is none.
+    pub fn configuration_confirmed_at(&self) -> Option<Instant> {
+        self.configuration_confirmed_at.get()
+    }
+
     /// Waits for the next change of the configuration, the server list, the stores or the view.
     pub async fn changed(&self) {
         self.changed.notified().await;
@@ -104,8 +111,8 @@
     }
 
     /// Applies a configuration update from a source. If it cannot be decoded, the next watch request asks for the
-    /// complete text.
-    fn apply_configuration_update(&self, update: &ConfigurationUpdate) {
+    /// complete text. Returns whether this configuration or a newer one is in force afterwards.
+    fn apply_configuration_update(&self, update: &ConfigurationUpdate) -> bool {
         let json = self.texts.borrow().decode_update(update);
         match json {
             Ok(json) => {
@@ -117,6 +124,7 @@
                 self.needs_full_text.set(true);
             }
         }
+        self.generation() >= update.generation
     }
 
     /// Records that the server list was read from the platform `age` ago, and replaces it if `list` is given. Ignored
@@ -164,10 +172,21 @@
         }
     }
 
-    /// Applies the reply of a source to a watch request; whatever is not newer than the own state is ignored.
-    pub fn apply_update(&self, reply: WatchReply) {
-        if let Some(update) = reply.configuration {
-            self.apply_configuration_update(&update);
+    /// Records that every configuration that was acknowledged before `confirmed_at` is known here, or a newer one.
+    pub fn update_configuration_confirmation(&self, confirmed_at: Instant) {
+        let known = self.configuration_confirmed_at.get();
+        self.configuration_confirmed_at.set(known.max(Some(confirmed_at)));
+    }
+
+    /// Applies the reply of a source to a watch request that was sent at `requested_at`; whatever is not newer than the own
+    /// state is ignored.
+    pub fn apply_update(&self, reply: WatchReply, requested_at: Instant) {
+        let has_configuration =
+            reply.configuration.is_none_or(|update| self.apply_configuration_update(&update));
+        // How long the reply was under way is unknown, so the age counts from the request.
+        let age = Duration::from_millis(reply.configuration_confirmed_age_ms);
+        if let Some(confirmed_at) = requested_at.checked_sub(age).filter(|_| has_configuration) {
+            self.update_configuration_confirmation(confirmed_at);
         }
         self.update_server_list(reply.server_list, Duration::from_millis(reply.server_list_age_ms));
         if let Some(stores) = reply.store_view {
@@ -221,11 +240,18 @@
         };
         if !self.is_view_confirmed() {
             reply.configuration = None;
+            reply.configuration_confirmed_age_ms = UNKNOWN_AGE_MS;
             reply.store_view = None;
         }
         reply
     }
 
+    /// Returns the age of the configuration's confirmation in milliseconds, rounded up, or [`UNKNOWN_AGE_MS`].
+    fn configuration_confirmed_age_ms(&self) -> u64 {
+        let confirmed_at = self.configuration_confirmed_at.get();
+        confirmed_at.map_or(UNKNOWN_AGE_MS, |confirmed_at| confirmed_at.elapsed().as_millis() as u64 + 1)
+    }
+
     fn is_newer_than(&self, known: &KnownVersions) -> bool {
         let own = self.known_versions();
         self.generation() > known.generation
@@ -250,11 +276,12 @@
                 .filter(|_| own.core_view > known.core_view)
                 .map(|view| View::clone(view)),
             confirmed_age_ms: age_ms(self.view_confirmation_age()),
+            configuration_confirmed_age_ms: self.configuration_confirmed_age_ms(),
         }
     }
 }
 
-/// Returns an age in milliseconds, or [`UNKNOWN_AGE_MS`].
+/// Returns an age in milliseconds, rounded down, or [`UNKNOWN_AGE_MS`].
 fn age_ms(age: Option<Duration>) -> u64 {
     age.map_or(UNKNOWN_AGE_MS, |age| age.as_millis() as u64)
 }
