Fix: items keep the retention and retries that their job was accepted with

Cause: a store gave items up by the newest limits of the route alone.

Change: a job carries the limits of the route that took it; an item is given up only where these and the newest ones allow it. The stores' messages and journals have a new format.

Test seen red with the union taken out (items_whose_retention_was_lowered_...: DeadLettered instead of nothing); a table of cases for the union. Ruled out: the limits of the acceptance alone (a retention that was raised would not count).

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -23,6 +23,29 @@
     pub tokens: u64,
 }
 
+/// How long and how often a route lets an item be tried before it may be given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ItemLimits {
+    /// Time after the submission from which on an unfinished item may be given up, in milliseconds; `None`: never.
+    pub retention_ms: Option<u64>,
+    /// Number of failures at servers after which an item may be given up; at least 1.
+    pub retries: u32,
+}
+
+impl ItemLimits {
+    /// Returns the limits that allow an item to be given up only where both of these do.
+    pub fn union(self, other: Self) -> Self {
+        let retention_ms = self.retention_ms.zip(other.retention_ms).map(|(own, other)| own.max(other));
+        Self { retention_ms, retries: self.retries.max(other.retries) }
+    }
+}
+
+impl Default for ItemLimits {
+    fn default() -> Self {
+        Self { retention_ms: None, retries: 1 }
+    }
+}
+
 /// A batch job: items that one tenant submitted together for one route.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Job {
@@ -38,6 +61,8 @@
     pub received_ms: u64,
     /// Generation of the configuration by which the submission was taken, or a later one.
     pub generation: u64,
+    /// Limits of the route by which the submission was taken.
+    pub limits: ItemLimits,
     /// Items in the order of the submission; results refer to them by index.
     pub items: Vec<Item>,
 }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -8,7 +8,7 @@
 mod state;
 
 pub use item_step::{ItemStep, KnownConfiguration, RouteStatus};
-pub use job::{Item, ItemOutcome, ItemResult, Job, JobError};
+pub use job::{Item, ItemLimits, ItemOutcome, ItemResult, Job, JobError};
 pub use state::{Admission, Command, GroupState, JobState, Page, MAX_PAGE_TEXT_BYTES};
 
 #[cfg(test)]
--- a/crates/batch/src/tests.rs
+++ b/crates/batch/src/tests.rs
@@ -15,6 +15,7 @@
         host: "h".to_owned(),
         received_ms: 0,
         generation: 0,
+        limits: Default::default(),
         items: tokens.iter().enumerate().map(item).collect(),
     }
 }
@@ -181,3 +182,18 @@
     assert_eq!(step(1, true, in_force(None), 0), ItemStep::Run);
     assert_eq!(step(1, true, RouteStatus::Absent, 0), ItemStep::DeadLetter);
 }
+
+/// Guards against items that are given up sooner than their job was accepted with, or than the route allows now.
+#[test]
+fn an_item_may_be_given_up_only_where_both_limits_allow_it() {
+    let limits = |retention_ms, retries| ItemLimits { retention_ms, retries };
+    let cases = [
+        (limits(Some(1), 3), limits(Some(2), 2), limits(Some(2), 3)),
+        (limits(Some(2), 2), limits(Some(1), 3), limits(Some(2), 3)),
+        (limits(None, 1), limits(Some(1), 1), limits(None, 1)),
+        (limits(Some(1), 1), limits(None, 1), limits(None, 1)),
+    ];
+    for (accepted, newest, expected) in cases {
+        assert_eq!(accepted.union(newest), expected, "{accepted:?}, {newest:?}");
+    }
+}
--- a/crates/control-plane/src/store/configuration_wait.rs
+++ b/crates/control-plane/src/store/configuration_wait.rs
@@ -1,7 +1,7 @@
 //! Decides by the configuration known to a store what its items do next, and remembers which batch jobs wait until the core
 //! confirms that configuration or sends a newer one.
 
-use fennelgauge_batch::{ItemStep, Job, KnownConfiguration, RouteStatus};
+use fennelgauge_batch::{ItemLimits, ItemStep, Job, KnownConfiguration, RouteStatus};
 use fennelgauge_coordination::GroupNumber;
 use fennelgauge_model::Route;
 use tokio::time::Instant;
@@ -72,19 +72,21 @@
     /// Returns what the configuration known here says about the route of a job's items.
     fn route_status(&self, job: &Job, route: Option<&Route>) -> RouteStatus {
         let Some(route) = route else { return RouteStatus::Absent };
-        let expires_ms = job.received_ms + (route.retention_s * 1_000.0) as u64 + RETENTION_MARGIN_MS;
+        let own = ItemLimits { retention_ms: route.retention_ms(), retries: route.max_failures() };
+        // What was promised with the acceptance holds, too, if the route changed since.
+        let limits = job.limits.union(own);
+        let expires_ms = |retention_ms| job.received_ms + retention_ms + RETENTION_MARGIN_MS;
         RouteStatus::InForce {
-            expires_ms: (route.retention_s > 0.0).then_some(expires_ms),
-            max_failures: self.max_failures(job, route),
+            expires_ms: limits.retention_ms.map(expires_ms),
+            max_failures: limits.retries * self.failure_limit_factor(job),
         }
     }
 
-    /// Returns the number of failures at servers after which an item is dead-lettered.
-    fn max_failures(&self, job: &Job, route: &Route) -> u32 {
-        let retries = route.retries.max(1);
+    /// Returns how many times its `retries` an item may fail at servers before it is dead-lettered.
+    fn failure_limit_factor(&self, job: &Job) -> u32 {
         match self.settings.policy.patient_items && self.accepted_here.borrow().contains_key(&job.id) {
-            true => retries * FAILURE_LIMIT_FACTOR,
-            false => retries,
+            true => FAILURE_LIMIT_FACTOR,
+            false => 1,
         }
     }
 }
--- a/crates/control-plane/src/store/tests.rs
+++ b/crates/control-plane/src/store/tests.rs
@@ -17,6 +17,7 @@
         host: "h".into(),
         received_ms: 0,
         generation: 0,
+        limits: Default::default(),
         items: vec![item],
     })
 }
--- a/crates/control-plane/src/store/tests/configuration_wait.rs
+++ b/crates/control-plane/src/store/tests/configuration_wait.rs
@@ -3,7 +3,7 @@
 
 use std::path::Path;
 
-use fennelgauge_batch::{Command, Item, ItemOutcome, Job};
+use fennelgauge_batch::{Command, Item, ItemLimits, ItemOutcome, Job};
 use fennelgauge_coordination::{Group, StoreNumber};
 use tokio::task::LocalSet;
 
@@ -27,6 +27,11 @@
 
 impl RunningStore {
     async fn start() -> Self {
+        Self::start_with_job(Some(1_000)).await
+    }
+
+    /// Starts a store that has accepted a job with this retention.
+    async fn start_with_job(retention_ms: Option<u64>) -> Self {
         let text = "node = \"s0\"\nip = \"127.0.0.1\"\nzone = \"z\"\nport_range = [1, 2]\n[tolerate]\nmachines = 0\n";
         let settings = Rc::new(Settings::parse(text, Path::new("test.toml")).expect("settings"));
         let identity = Identity { node: settings.node.clone(), disk: 1 };
@@ -35,7 +40,7 @@
         spawn_local(store.0.clone().repair_successors());
         spawn_local(store.0.clone().run_items());
         store.0.known.update_store_view(store.own_view());
-        store.accept_job();
+        store.accept_job(retention_ms);
         store
     }
 
@@ -53,7 +58,7 @@
         view
     }
 
-    fn accept_job(&self) {
+    fn accept_job(&self, retention_ms: Option<u64>) {
         self.0.known.update_view_confirmation(Duration::ZERO);
         let item = Item { id: "i".into(), path: "/p/".into(), headers: vec![], body: vec![], tokens: 1 };
         let job = Job {
@@ -63,6 +68,7 @@
             host: "h".into(),
             received_ms: wall_clock_ms() - AGE_MS,
             generation: 5,
+            limits: ItemLimits { retention_ms, retries: 1 },
             items: vec![item],
         };
         self.0.append_command(&self.0.view(), GROUP, Command::Accept(job));
@@ -165,3 +171,18 @@
         assert_eq!(store.outcomes(), [ItemOutcome::DeadLettered], "generations start over");
     });
 }
+
+/// Guards against items that are given up before the time that their job was accepted with, because the retention of the route
+/// was lowered since.
+#[test]
+fn items_whose_retention_was_lowered_are_not_given_up_before_that_of_the_acceptance() {
+    run_local(async {
+        const HOUR_MS: u64 = 3_600_000;
+        let store = RunningStore::start_with_job(Some(HOUR_MS)).await;
+        store.configure(6, SHORT_RETENTION);
+        store.pass(SOON).await;
+        store.confirm_configuration();
+        store.pass(LONG).await;
+        assert_eq!(store.outcomes(), [], "the job was accepted with a retention of an hour");
+    });
+}
--- a/crates/control-plane/src/store/tests/stable_reads.rs
+++ b/crates/control-plane/src/store/tests/stable_reads.rs
@@ -105,6 +105,7 @@
         host: "h".into(),
         received_ms: 0,
         generation: 0,
+        limits: Default::default(),
         items: (0..2).map(item).collect(),
     }
 }
--- a/crates/data-plane/src/batch.rs
+++ b/crates/data-plane/src/batch.rs
@@ -7,9 +7,9 @@
 use actix_web::web::{self, Bytes, Data};
 use actix_web::{HttpRequest, HttpResponse};
 use base64::prelude::{Engine, BASE64_STANDARD};
-use fennelgauge_batch::{Item, ItemOutcome, Job, Page};
+use fennelgauge_batch::{Item, ItemLimits, ItemOutcome, Job, Page};
 use fennelgauge_coordination::{GroupNumber, Store, StoreView};
-use fennelgauge_model::{stable_hash, Access, Denial};
+use fennelgauge_model::{stable_hash, Access, Denial, Route};
 use fennelgauge_upstream::{wall_clock, POLL_WAIT, REQUEST_ID};
 use fennelgauge_wire::{CallError, Reply, Request, StoreReply, StoreRequest};
 use serde::Deserialize;
@@ -91,12 +91,18 @@
         host: frontend::host(request).to_owned(),
         received_ms: wall_clock().as_millis() as u64,
         generation: plane.tier_state.generation(),
+        limits: item_limits(&access.route),
         items,
     };
     job.validate(&access.route.path_prefix).map_err(|reason| reason.to_string())?;
     Ok(job)
 }
 
+/// Returns the limits that a batch route sets for its items.
+fn item_limits(route: &Route) -> ItemLimits {
+    ItemLimits { retention_ms: route.retention_ms(), retries: route.max_failures() }
+}
+
 fn parse_item(item: SubmittedItem) -> Result<Item, String> {
     let body = BASE64_STANDARD.decode(&item.body);
     let body = body.map_err(|reason| format!("item {:?}: its body is no base64: {reason}", item.id))?;
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -101,6 +101,17 @@
         }
     }
 
+    /// Returns the time after the submission from which on an unfinished item of a batch job may be given up, in
+    /// milliseconds; `None`: never.
+    pub fn retention_ms(&self) -> Option<u64> {
+        (self.retention_s > 0.0).then_some((self.retention_s * 1_000.0) as u64)
+    }
+
+    /// Returns the number of failures at servers after which an item of a batch job may be given up.
+    pub fn max_failures(&self) -> u32 {
+        self.retries.max(1)
+    }
+
     /// Returns the names of the services that requests of this route may be sent to.
     pub fn services(&self) -> impl Iterator<Item = &str> {
         let split = self.split.iter().filter(|part| part.weight > 0.0).map(|part| part.backend.as_str());
--- a/crates/replication/tests/decisions.rs
+++ b/crates/replication/tests/decisions.rs
@@ -23,6 +23,7 @@
         host: "h".into(),
         received_ms: 0,
         generation: 0,
+        limits: Default::default(),
         items: vec![item],
     }
 }
--- a/crates/simulation/src/stores/client.rs
+++ b/crates/simulation/src/stores/client.rs
@@ -1,6 +1,6 @@
 //! Clients: what each of them does, and what they send and get.
 
-use fennelgauge_batch::{Item, ItemOutcome, Job, Page};
+use fennelgauge_batch::{Item, ItemLimits, ItemOutcome, Job, Page};
 use fennelgauge_batch_judge::{ListedResult, Outcome, ResultPage, SubmittedItem, SubmittedJob};
 use fennelgauge_coordination::GroupNumber;
 
@@ -59,6 +59,7 @@
             host: "h".to_owned(),
             received_ms: 0,
             generation,
+            limits: ItemLimits::default(),
             id,
         }
     }
--- a/crates/simulation/src/stores/exhaustive/world.rs
+++ b/crates/simulation/src/stores/exhaustive/world.rs
@@ -289,6 +289,7 @@
             host: "h".to_owned(),
             received_ms: 0,
             generation: 0,
+            limits: Default::default(),
             items: (0..ITEMS).map(item).collect(),
         };
         self.seen.submitted = true;
