Fix: batch jobs can be read after the last route of their host was removed

Cause: the data plane asked whether the host has a route before it looked at the key.

Change: RoutingTable::batch_owner identifies the tenant by a known key alone; with an unknown key a host without routes is answered 503 as before, since its configuration may not have arrived yet, and one with routes 401.

Test seen red with the earlier order of the checks (NoRoute instead of the tenant).

--- a/crates/data-plane/src/batch.rs
+++ b/crates/data-plane/src/batch.rs
@@ -170,16 +170,11 @@
     }
 }
 
-/// Returns the name of the tenant whose key a request carries; empty if the configuration has no tenants. Errs if the host
-/// has no route or the key is unknown.
+/// Returns the name of the tenant whose key a request carries; empty if the configuration has no tenants. Errs before the
+/// first configuration, or if the key is unknown.
 fn authenticate(plane: &DataPlane, request: &HttpRequest) -> Result<String, Denial> {
     let table = plane.tier_state.routing_table().ok_or(Denial::NoRoute)?;
-    table.routes_for_host(frontend::host(request)).ok_or(Denial::NoRoute)?;
-    match table.tenant_from_authorization(frontend::authorization(request)) {
-        Some(tenant) => Ok(tenant.name.clone()),
-        None if table.configuration.tenants.is_none() => Ok(String::new()),
-        None => Err(Denial::UnknownKey),
-    }
+    table.batch_owner(frontend::host(request), frontend::authorization(request))
 }
 
 /// The tenant that a request comes from and the group that holds its batch jobs.
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -92,6 +92,21 @@
         Ok(Access { route, tenant: Some(tenant) })
     }
 
+    /// Returns the name of the tenant whose batch jobs a request may read and cancel: the one whose API key it carries, or an
+    /// empty name if the configuration has no tenants. Batch jobs outlive their routes, so the host needs to have none.
+    ///
+    /// # Errors
+    /// If the key is missing or unknown; [`Denial::NoRoute`] if the host has no route either, since the configuration with
+    /// both may not have arrived yet.
+    pub fn batch_owner(&self, host: &str, authorization: Option<&str>) -> Result<String, Denial> {
+        match self.tenant_from_authorization(authorization) {
+            Some(tenant) => Ok(tenant.name.clone()),
+            None if !self.requires_keys => Ok(String::new()),
+            None if self.routes_for_host(host).is_none() => Err(Denial::NoRoute),
+            None => Err(Denial::UnknownKey),
+        }
+    }
+
     /// Returns the tenant whose API key an `Authorization` header of the form `Bearer KEY` carries.
     pub fn tenant_from_authorization(&self, authorization: Option<&str>) -> Option<Rc<Tenant>> {
         let (scheme, key) = authorization?.split_once(' ')?;
--- a/crates/model/src/tests.rs
+++ b/crates/model/src/tests.rs
@@ -66,6 +66,26 @@
     }
 }
 
+/// Guards against batch jobs that cannot be read or cancelled any more once the last route of their host was removed.
+#[test]
+fn batch_jobs_of_a_host_without_routes_belong_to_the_tenant_of_the_key() {
+    let table = RoutingTable::new(parse(&example_document(), 0).unwrap().configuration);
+    let cases = [
+        ("a.example", Some("Bearer k3"), Ok("u")),
+        ("without-routes.example", Some("Bearer k3"), Ok("u")),
+        ("a.example", Some("Bearer no"), Err(Denial::UnknownKey)),
+        ("a.example", None, Err(Denial::UnknownKey)),
+        ("without-routes.example", Some("Bearer no"), Err(Denial::NoRoute)),
+    ];
+    for (host, key, expected) in cases {
+        assert_eq!(table.batch_owner(host, key).as_deref().map_err(|denial| *denial), expected, "{host}");
+    }
+    let mut without_tenants = example_document();
+    without_tenants.as_object_mut().unwrap().remove("tenants");
+    let table = RoutingTable::new(parse(&without_tenants, 0).unwrap().configuration);
+    assert_eq!(table.batch_owner("without-routes.example", None).as_deref(), Ok(""));
+}
+
 #[test]
 fn a_patch_replaces_adds_and_removes_items_by_name_and_keeps_unknown_keys() {
     let patch = serde_json::json!({
