Fix: an item belongs to the route of its job while that covers its path

Cause: a store looked for an item's route by host and path alone and gave the item up where the longest prefix takes no batch jobs.

Change: the route that took the job comes first, as long as it is a batch route that covers host and path; else the one that covers them now, as after a renaming.

Test seen red with the earlier search (items_stay_with_the_route_...: DeadLettered instead of nothing); a table of cases. Ruled out: the route by name alone (a renamed route would end its jobs).

--- a/crates/control-plane/src/store/runner.rs
+++ b/crates/control-plane/src/store/runner.rs
@@ -343,5 +343,5 @@
 /// Returns the batch route of an item, or `None` if the configuration has no such route any more.
 pub(super) fn batch_route(table: &RoutingTable, job: &Job, item: &Item) -> Option<Rc<Route>> {
     let path = item.path.split('?').next().unwrap_or("");
-    table.find_route(&job.host, path).filter(|route| route.kind == RouteKind::Batch)
+    table.find_batch_route(&job.route, &job.host, path)
 }
--- a/crates/control-plane/src/store/tests/configuration_wait.rs
+++ b/crates/control-plane/src/store/tests/configuration_wait.rs
@@ -20,6 +20,8 @@
 const NO_ROUTE: &str = "";
 const ROUTE: &str =
     r#"{"name":"r","host":"h","path_prefix":"/p/","kind":"batch","timeout_ms":1000,"backend":"s"}"#;
+const NESTED_ROUTE: &str =
+    r#"{"name":"n","host":"h","path_prefix":"/p/i/","kind":"streaming","timeout_ms":1000,"backend":"s"}"#;
 const SHORT_RETENTION: &str = r#"{"name":"r","host":"h","path_prefix":"/p/","kind":"batch","timeout_ms":1000,"backend":"s","retention_s":1}"#;
 
 /// A store that heads all groups and has accepted a job by configuration 5.
@@ -60,7 +62,7 @@
 
     fn accept_job(&self, retention_ms: Option<u64>) {
         self.0.known.update_view_confirmation(Duration::ZERO);
-        let item = Item { id: "i".into(), path: "/p/".into(), headers: vec![], body: vec![], tokens: 1 };
+        let item = Item { id: "i".into(), path: "/p/i/1".into(), headers: vec![], body: vec![], tokens: 1 };
         let job = Job {
             id: JOB.into(),
             tenant: "t".into(),
@@ -186,3 +188,16 @@
         assert_eq!(store.outcomes(), [], "the job was accepted with a retention of an hour");
     });
 }
+
+/// Guards against items that are given up although their route stands, because a route with a longer prefix was added.
+#[test]
+fn items_stay_with_the_route_of_their_job_when_another_covers_their_path() {
+    run_local(async {
+        let store = RunningStore::start().await;
+        store.configure(6, &format!("{ROUTE},{NESTED_ROUTE}"));
+        store.pass(SOON).await;
+        store.confirm_configuration();
+        store.pass(LONG).await;
+        assert_eq!(store.outcomes(), [], "the route of the job is in force; there is no server");
+    });
+}
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use crate::{Configuration, Route, Tenant};
+use crate::{Configuration, Route, RouteKind, Tenant};
 
 /// A configuration indexed for lookups by host and by API key.
 #[derive(Debug)]
@@ -70,6 +70,16 @@
         routes.iter().find(|route| path.starts_with(&route.path_prefix)).cloned()
     }
 
+    /// Returns the batch route of an item whose job was taken by the route `name`: that one as long as it covers `host` and
+    /// `path`, though another may have a longer prefix, else the one that requests for `host` and `path` go to now.
+    pub fn find_batch_route(&self, name: &str, host: &str, path: &str) -> Option<Rc<Route>> {
+        let routes = self.routes_for_host(host)?;
+        let covers = |route: &&Rc<Route>| path.starts_with(&route.path_prefix);
+        let is_batch = |route: &&Rc<Route>| route.kind == RouteKind::Batch;
+        let own = routes.iter().filter(covers).filter(is_batch).find(|route| route.name == name);
+        own.or_else(|| routes.iter().find(covers).filter(is_batch)).cloned()
+    }
+
     /// Returns all routes of `host`, longest path prefix first. A port in `host` is ignored.
     pub fn routes_for_host(&self, host: &str) -> Option<&Vec<Rc<Route>>> {
         let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
--- a/crates/model/src/tests.rs
+++ b/crates/model/src/tests.rs
@@ -86,6 +86,33 @@
     assert_eq!(table.batch_owner("without-routes.example", None).as_deref(), Ok(""));
 }
 
+#[test]
+fn an_item_belongs_to_the_route_of_its_job_while_that_covers_it() {
+    let mut document = example_document();
+    document["routes"][0]["kind"] = "batch".into();
+    let both_batch = RoutingTable::new(parse(&document, 0).unwrap().configuration);
+    document["routes"][1]["kind"] = "streaming".into();
+    let nested_streaming = RoutingTable::new(parse(&document, 0).unwrap().configuration);
+    let cases = [
+        ("the job's route, not the longer one", &both_batch, "a", "/x/y/1", Some("a")),
+        ("the same, where the longer one takes no batch jobs", &nested_streaming, "a", "/x/y/1", Some("a")),
+        ("renamed: the one that covers the path", &both_batch, "former", "/x/1", Some("a")),
+        (
+            "removed, and the one that covers the path is no batch route",
+            &nested_streaming,
+            "former",
+            "/x/y/1",
+            None,
+        ),
+        ("the prefix changed", &both_batch, "b", "/x/1", Some("a")),
+        ("no route covers the path", &both_batch, "a", "/z/1", None),
+    ];
+    for (case, table, name, path, expected) in cases {
+        let found = table.find_batch_route(name, "a.example", path);
+        assert_eq!(found.as_ref().map(|route| route.name.as_str()), expected, "{case}");
+    }
+}
+
 #[test]
 fn a_patch_replaces_adds_and_removes_items_by_name_and_keeps_unknown_keys() {
     let patch = serde_json::json!({
