Fix: the quota is that of the newer configuration of data plane and store

What callers would have seen: after max_queued was lowered, a data plane that did not know it had batch jobs accepted beyond the quota (QUOTA) by a store that knew; after it was raised, jobs that fit were refused.

Cause: the limit came with the submission, and the store went by it whatever it knew itself.

Change: where the store's configuration is newer than the one that took the submission and has the route, its limit counts.

Test seen red without it (the_quota_of_a_submission_...). Ruled out: a confirmation of the configuration at each acceptance: a round to the core before every 202; where both are behind, the older limit holds.

--- a/crates/control-plane/src/store/serving.rs
+++ b/crates/control-plane/src/store/serving.rs
@@ -5,6 +5,7 @@
 
 use fennelgauge_batch::{Command, Job};
 use fennelgauge_coordination::{GroupNumber, StoreView};
+use fennelgauge_model::RouteKind;
 use fennelgauge_replication::{CancelDecision, ReadOperation, ReadQuery, ReadStep, Role, SubmissionDecision};
 use fennelgauge_wire::StoreReply;
 use tokio::time::{timeout_at, Instant};
@@ -24,6 +25,7 @@
         max_queued_tokens: u64,
     ) -> StoreReply {
         let Some(view) = self.wait_for_view(epoch).await else { return StoreReply::NotAccepted };
+        let max_queued_tokens = self.newest_quota(&job).unwrap_or(max_queued_tokens);
         let role = self.role(&view, group);
         let submission =
             self.replica(group).borrow().decide_submission(role.as_ref(), &job, max_queued_tokens);
@@ -44,6 +46,14 @@
         }
     }
 
+    /// Returns the limit of queued tokens of a submitted job's route, if the configuration known here is newer than the one by
+    /// which the data plane took the submission and still has the route.
+    fn newest_quota(&self, job: &Job) -> Option<u64> {
+        let table = self.known.routing_table().filter(|_| self.known.generation() > job.generation)?;
+        let route = table.configuration.routes.iter().find(|route| route.name == job.route)?;
+        (route.kind == RouteKind::Batch).then_some(route.max_queued)
+    }
+
     /// Returns true if this store is the group's head, enough stores hold the group, and the group here is not one that was
     /// given up.
     pub(super) fn accepts_changes(&self, view: &StoreView, group: GroupNumber) -> bool {
--- a/crates/control-plane/src/store/tests/configuration_wait.rs
+++ b/crates/control-plane/src/store/tests/configuration_wait.rs
@@ -24,6 +24,21 @@
     r#"{"name":"n","host":"h","path_prefix":"/p/i/","kind":"streaming","timeout_ms":1000,"backend":"s"}"#;
 const SHORT_RETENTION: &str = r#"{"name":"r","host":"h","path_prefix":"/p/","kind":"batch","timeout_ms":1000,"backend":"s","retention_s":1}"#;
 
+/// Returns a job of one item with one token that configuration 5 accepted.
+fn job(id: &str, limits: ItemLimits) -> Job {
+    let item = Item { id: "i".into(), path: "/p/i/1".into(), headers: vec![], body: vec![], tokens: 1 };
+    Job {
+        id: id.into(),
+        tenant: "t".into(),
+        route: "r".into(),
+        host: "h".into(),
+        received_ms: wall_clock_ms() - AGE_MS,
+        generation: 5,
+        limits,
+        items: vec![item],
+    }
+}
+
 /// A store that heads all groups and has accepted a job by configuration 5.
 struct RunningStore(Rc<Store>);
 
@@ -62,18 +77,8 @@
 
     fn accept_job(&self, retention_ms: Option<u64>) {
         self.0.known.update_view_confirmation(Duration::ZERO);
-        let item = Item { id: "i".into(), path: "/p/i/1".into(), headers: vec![], body: vec![], tokens: 1 };
-        let job = Job {
-            id: JOB.into(),
-            tenant: "t".into(),
-            route: "r".into(),
-            host: "h".into(),
-            received_ms: wall_clock_ms() - AGE_MS,
-            generation: 5,
-            limits: ItemLimits { retention_ms, retries: 1 },
-            items: vec![item],
-        };
-        self.0.append_command(&self.0.view(), GROUP, Command::Accept(job));
+        let limits = ItemLimits { retention_ms, retries: 1 };
+        self.0.append_command(&self.0.view(), GROUP, Command::Accept(job(JOB, limits)));
     }
 
     fn configure(&self, generation: u64, routes: &str) {
@@ -201,3 +206,28 @@
         assert_eq!(store.outcomes(), [], "the route of the job is in force; there is no server");
     });
 }
+
+/// Guards against jobs that are accepted beyond a quota that was lowered, because their data plane does not know that yet.
+#[test]
+fn the_quota_of_a_submission_is_that_of_the_newest_configuration_of_data_plane_and_store() {
+    const QUOTA_OF_2: &str = r#"{"name":"r","host":"h","path_prefix":"/p/","kind":"batch","timeout_ms":1000,"backend":"s","max_queued":2}"#;
+    run_local(async {
+        let is_accepted = |reply| matches!(reply, StoreReply::Accepted);
+        let cases = [
+            ("the store knows what the data plane knows", 5, QUOTA_OF_2, 1, false),
+            ("raised", 6, QUOTA_OF_2, 1, true),
+            ("lifted", 6, ROUTE, 1, true),
+            ("the route has ended", 6, NO_ROUTE, 1, false),
+            ("lowered", 6, QUOTA_OF_2, 1_000, true),
+        ];
+        for (case, generation, routes, quota_of_data_plane, expected) in cases {
+            let store = RunningStore::start().await;
+            store.configure(generation, routes);
+            store.pass(SOON).await;
+            let submit = |id| store.0.submit(1, GROUP, job(id, ItemLimits::default()), quota_of_data_plane);
+            assert_eq!(is_accepted(submit("second").await), expected, "{case}");
+            let has_no_quota = routes == ROUTE;
+            assert_eq!(is_accepted(submit("third").await), has_no_quota, "{case}: the third job");
+        }
+    });
+}
