Fix: a watcher pauses when it cannot apply a source's configuration

What callers would have seen: processes that watch a source whose configuration they cannot parse keep a processor and the source busy without end.

Cause: the reply counted as confirmed, so the next request followed at once, and was answered at once because something is newer.

Change: a reply that could not be applied counts as unconfirmed: the next source is asked after the usual pause.

Test: a table of cases for the outcome of a reply; with the old order (no case for what was not applied) the last two rows fail, by construction. Ruled out: asking for the complete text again, which is what the source sends already.

--- a/crates/upstream/src/subscriber.rs
+++ b/crates/upstream/src/subscriber.rs
@@ -95,10 +95,21 @@
     };
     let is_confirmed = reply.confirmed_age_ms <= CONFIRMATION_TTL.as_millis() as u64;
     let previous_view = state.known_versions().core_view;
-    state.apply_update(*reply, requested_at);
-    match is_confirmed {
-        _ if state.known_versions().core_view > previous_view => SourceOutcome::LaterView,
-        true => SourceOutcome::Confirmed,
+    let is_applied = state.apply_update(*reply, requested_at);
+    let has_later_view = state.known_versions().core_view > previous_view;
+    outcome_of_reply(has_later_view, is_confirmed, is_applied)
+}
+
+/// Returns what came of a reply. A source whose configuration cannot be applied sends it again at once, so the next one is asked
+/// after a pause.
+fn outcome_of_reply(has_later_view: bool, is_confirmed: bool, is_applied: bool) -> SourceOutcome {
+    match is_applied {
         false => SourceOutcome::Unconfirmed,
+        true if has_later_view => SourceOutcome::LaterView,
+        true if is_confirmed => SourceOutcome::Confirmed,
+        true => SourceOutcome::Unconfirmed,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/upstream/src/tier_state.rs
+++ b/crates/upstream/src/tier_state.rs
@@ -179,8 +179,8 @@
     }
 
     /// Applies the reply of a source to a watch request that was sent at `requested_at`; whatever is not newer than the own
-    /// state is ignored.
-    pub fn apply_update(&self, reply: WatchReply, requested_at: Instant) {
+    /// state is ignored. Returns false if a newer configuration came that could not be applied.
+    pub fn apply_update(&self, reply: WatchReply, requested_at: Instant) -> bool {
         let has_configuration =
             reply.configuration.is_none_or(|update| self.apply_configuration_update(&update));
         // How long the reply was under way is unknown, so the age counts from the request.
@@ -196,6 +196,7 @@
             self.update_core_view(&view);
         }
         self.update_view_confirmation(Duration::from_millis(reply.confirmed_age_ms));
+        has_configuration
     }
 
     /// Returns the versions that a watch request reports. The generation is 0 if the complete configuration is
