Fix: boundless times of a route neither panic a store nor wrap around

Cause: plain additions and a multiplication of values that the operator sets.

Change: they saturate.

Test seen red before (items_of_a_route_with_boundless_times_...: "attempt to add with overflow", the task has panicked).

--- a/crates/control-plane/src/store/configuration_wait.rs
+++ b/crates/control-plane/src/store/configuration_wait.rs
@@ -75,10 +75,11 @@
         let own = ItemLimits { retention_ms: route.retention_ms(), retries: route.max_failures() };
         // What was promised with the acceptance holds, too, if the route changed since.
         let limits = job.limits.union(own);
-        let expires_ms = |retention_ms| job.received_ms + retention_ms + RETENTION_MARGIN_MS;
+        let expires_ms =
+            |retention_ms| job.received_ms.saturating_add(retention_ms).saturating_add(RETENTION_MARGIN_MS);
         RouteStatus::InForce {
             expires_ms: limits.retention_ms.map(expires_ms),
-            max_failures: limits.retries * self.failure_limit_factor(job),
+            max_failures: limits.retries.saturating_mul(self.failure_limit_factor(job)),
         }
     }
 
--- a/crates/control-plane/src/store/runner.rs
+++ b/crates/control-plane/src/store/runner.rs
@@ -216,13 +216,14 @@
                 if self.is_held_for_configuration(group, &state.job, route) {
                     continue;
                 }
-                let due_ms = state.job.received_ms + route.map_or(0, |route| route.batch_target_ms);
+                let target_ms = route.map_or(0, |route| route.batch_target_ms);
+                let due_ms = state.job.received_ms.saturating_add(target_ms);
                 for item_index in state.unfinished_items() {
                     let key = ItemKey { group, job: state.job.id.clone(), item_index };
                     if !running.contains_key(&key) {
                         let tokens = state.job.items[item_index as usize].tokens;
                         let late = self.settings.policy.late_items_last
-                            && now_ms + run_durations.upper_estimate_ms(tokens) > due_ms;
+                            && now_ms.saturating_add(run_durations.upper_estimate_ms(tokens)) > due_ms;
                         candidates.push(Candidate { late, due_ms, key });
                     }
                 }
--- a/crates/control-plane/src/store/tests/configuration_wait.rs
+++ b/crates/control-plane/src/store/tests/configuration_wait.rs
@@ -5,7 +5,7 @@
 
 use fennelgauge_batch::{Command, Item, ItemLimits, ItemOutcome, Job};
 use fennelgauge_coordination::{Group, StoreNumber};
-use tokio::task::LocalSet;
+use tokio::task::{JoinHandle, LocalSet};
 
 use super::super::*;
 
@@ -40,7 +40,7 @@
 }
 
 /// A store that heads all groups and has accepted a job by configuration 5.
-struct RunningStore(Rc<Store>);
+struct RunningStore(Rc<Store>, JoinHandle<()>);
 
 impl RunningStore {
     async fn start() -> Self {
@@ -52,10 +52,11 @@
         let text = "node = \"s0\"\nip = \"127.0.0.1\"\nzone = \"z\"\nport_range = [1, 2]\n[tolerate]\nmachines = 0\n";
         let settings = Rc::new(Settings::parse(text, Path::new("test.toml")).expect("settings"));
         let identity = Identity { node: settings.node.clone(), disk: 1 };
-        let store = Self(Store::open(settings, identity).expect("opened"));
-        spawn_local(store.0.clone().flush_entries());
-        spawn_local(store.0.clone().repair_successors());
-        spawn_local(store.0.clone().run_items());
+        let store = Store::open(settings, identity).expect("opened");
+        spawn_local(store.clone().flush_entries());
+        spawn_local(store.clone().repair_successors());
+        let runner = spawn_local(store.clone().run_items());
+        let store = Self(store, runner);
         store.0.known.update_store_view(store.own_view());
         store.accept_job(retention_ms);
         store
@@ -99,6 +100,7 @@
     }
 
     fn outcomes(&self) -> Vec<ItemOutcome> {
+        assert!(!self.1.is_finished(), "the task that runs items has panicked");
         let replica = self.0.replica(GROUP).borrow();
         let state = replica.state().job(JOB).expect("the job");
         state.results.iter().map(|result| result.outcome).collect()
@@ -231,3 +233,18 @@
         }
     });
 }
+
+/// Guards against items that are given up at once, or a panic, because times that an operator set beyond all bounds wrap around.
+#[test]
+fn items_of_a_route_with_boundless_times_are_not_given_up() {
+    const BOUNDLESS: &str = r#"{"name":"r","host":"h","path_prefix":"/p/","kind":"batch","timeout_ms":1000,"backend":"s","retention_s":1e30,
+        "retries":4294967295,"batch_target_ms":18446744073709551615}"#;
+    run_local(async {
+        let store = RunningStore::start().await;
+        store.configure(6, BOUNDLESS);
+        store.pass(SOON).await;
+        store.confirm_configuration();
+        store.pass(LONG).await;
+        assert_eq!(store.outcomes(), [], "there is no server");
+    });
+}
