Fix: the wait for a confirmation begins anew with each configuration

What callers would have seen: an item given up by a configuration that had itself been replaced, if the store's wait began under the configuration before it and the confirmation was that one's.

Cause: a wait remembered since when, not for which configuration.

Change: a wait carries the generation; with another one it begins anew.

Test seen red without it (the_wait_for_a_confirmation_begins_anew_...: DeadLettered instead of nothing). Found by reading.

--- a/crates/control-plane/src/store/configuration_wait.rs
+++ b/crates/control-plane/src/store/configuration_wait.rs
@@ -16,19 +16,28 @@
 /// milliseconds.
 const RETENTION_MARGIN_MS: u64 = 6_000;
 
+/// A wait for the core to confirm the configuration known to a store, or to send a newer one.
+#[derive(Clone, Copy, Debug)]
+pub struct ConfigurationWait {
+    /// When it was first found that this configuration gives items up, or is older than their job.
+    since: Instant,
+    /// Generation of that configuration; with another one the wait begins anew.
+    generation: u64,
+}
+
 impl Store {
     /// Returns what to do next with an item that has failed `failures` times at servers. `route` is its route in the
-    /// configuration known here; its job awaits a configuration since `awaiting_since`.
+    /// configuration known here; `wait` is its wait for a configuration, if there was one before.
     pub(super) fn next_item_step(
         &self,
         job: &Job,
         route: Option<&Route>,
         failures: u32,
-        awaiting_since: Option<Instant>,
+        wait: Option<ConfigurationWait>,
     ) -> ItemStep {
         let known = KnownConfiguration {
             generation: self.known.generation(),
-            is_confirmed: awaiting_since.is_some_and(|since| self.is_configuration_confirmed_since(since)),
+            is_confirmed: wait.is_some_and(|wait| self.is_confirmed(wait)),
         };
         job.next_item_step(known, self.route_status(job, route), failures, wall_clock_ms())
     }
@@ -47,12 +56,20 @@
             awaiting.remove(&key);
             return false;
         }
-        let since = *awaiting.entry(key).or_insert_with(Instant::now);
-        !self.is_configuration_confirmed_since(since)
+        let wait = self.continued_wait(awaiting.get(&key).copied());
+        awaiting.insert(key, wait);
+        !self.is_confirmed(wait)
+    }
+
+    /// Returns the wait for the configuration known here, which goes on or begins now.
+    pub(super) fn continued_wait(&self, wait: Option<ConfigurationWait>) -> ConfigurationWait {
+        let generation = self.known.generation();
+        let begun = ConfigurationWait { since: Instant::now(), generation };
+        wait.filter(|wait| wait.generation == generation).unwrap_or(begun)
     }
 
-    /// Returns since when the items of a job await a configuration.
-    pub(super) fn awaiting_since(&self, group: GroupNumber, job: &str) -> Option<Instant> {
+    /// Returns the wait for a configuration of the items of a job.
+    pub(super) fn wait_of_job(&self, group: GroupNumber, job: &str) -> Option<ConfigurationWait> {
         self.awaiting_configuration.borrow().get(&(group, job.to_owned())).copied()
     }
 
@@ -64,9 +81,11 @@
         });
     }
 
-    /// Returns whether the core confirmed after `since` that the configuration known here is the newest.
-    fn is_configuration_confirmed_since(&self, since: Instant) -> bool {
-        self.known.configuration_confirmed_at().is_some_and(|confirmed_at| confirmed_at > since)
+    /// Returns whether the core confirmed, after the wait began, that the configuration known here is the newest.
+    fn is_confirmed(&self, wait: ConfigurationWait) -> bool {
+        let confirmed_at = self.known.configuration_confirmed_at();
+        wait.generation == self.known.generation()
+            && confirmed_at.is_some_and(|confirmed_at| confirmed_at > wait.since)
     }
 
     /// Returns what the configuration known here says about the route of a job's items.
--- a/crates/control-plane/src/store/item_run.rs
+++ b/crates/control-plane/src/store/item_run.rs
@@ -15,6 +15,7 @@
 };
 use tokio::time::{sleep, timeout, Instant};
 
+use super::configuration_wait::ConfigurationWait;
 use super::runner::{batch_route, ItemKey};
 use super::Store;
 
@@ -57,14 +58,14 @@
         let mut event_data: Vec<String> = Vec::new();
         let mut event_order = EventOrder::default();
         let mut failures = 0;
-        let mut awaiting_since = self.awaiting_since(key.group, &key.job);
+        let mut wait = self.wait_of_job(key.group, &key.job);
         let mut excluded_servers = Vec::new();
         if !self.job_is_committed(key).await {
             return None;
         }
         loop {
             let UnfinishedItem { item, route, step, tenant, host } =
-                self.unfinished_item(key, failures, awaiting_since)?;
+                self.unfinished_item(key, failures, wait)?;
             let dead_letter = ItemResult {
                 item_index: key.item_index,
                 outcome: ItemOutcome::DeadLettered,
@@ -73,13 +74,13 @@
             let route = match (step, route) {
                 (ItemStep::Run, Some(route)) => route,
                 (ItemStep::AwaitConfiguration, _) => {
-                    awaiting_since = awaiting_since.or(Some(Instant::now()));
+                    wait = Some(self.continued_wait(wait));
                     sleep(RETRY_DELAY).await;
                     continue;
                 }
                 (ItemStep::Run | ItemStep::DeadLetter, _) => return Some(dead_letter),
             };
-            awaiting_since = None;
+            wait = None;
             let service = route.pick_service(stable_fraction(&item.id));
             if self.pool.mean_load(service).is_some_and(|load| load > MAX_MEAN_LOAD) {
                 sleep(RETRY_DELAY).await;
@@ -120,12 +121,12 @@
     }
 
     /// Returns the item with the current route and the next step, or `None` if it has a result or its job was cancelled or
-    /// removed. `failures` counts its failures at servers; it awaits a configuration since `awaiting_since`.
+    /// removed. `failures` counts its failures at servers; `wait` is its wait for a configuration.
     fn unfinished_item(
         &self,
         key: &ItemKey,
         failures: u32,
-        awaiting_since: Option<Instant>,
+        wait: Option<ConfigurationWait>,
     ) -> Option<UnfinishedItem> {
         let replica = self.replica(key.group).borrow();
         let state = replica.state().job(&key.job).filter(|state| !state.cancelled)?;
@@ -135,7 +136,7 @@
         }
         let table = self.known.routing_table()?;
         let route = batch_route(&table, &state.job, &item);
-        let step = self.next_item_step(&state.job, route.as_deref(), failures, awaiting_since);
+        let step = self.next_item_step(&state.job, route.as_deref(), failures, wait);
         Some(UnfinishedItem {
             item,
             route,
--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -89,8 +89,8 @@
     concurrency_windows: RefCell<HashMap<String, concurrency::ConcurrencyWindow>>,
     /// Batch jobs that this store accepted as the head, and whose groups it has headed ever since.
     accepted_here: RefCell<HashMap<String, GroupNumber>>,
-    /// Batch jobs whose items wait until the core confirms the configuration known here or sends a newer one, since when.
-    awaiting_configuration: RefCell<HashMap<(GroupNumber, String), Instant>>,
+    /// Waits of batch jobs whose items are to wait until the core confirms the configuration known here or sends a newer one.
+    awaiting_configuration: RefCell<HashMap<(GroupNumber, String), configuration_wait::ConfigurationWait>>,
     run_durations: RefCell<run_durations::RunDurations>,
     entry_counters: counters::EntryCounters,
     disk_health: Rc<DiskHealth>,
--- a/crates/control-plane/src/store/tests/configuration_wait.rs
+++ b/crates/control-plane/src/store/tests/configuration_wait.rs
@@ -248,3 +248,21 @@
         assert_eq!(store.outcomes(), [], "there is no server");
     });
 }
+
+/// Guards against items that are given up by a configuration that was confirmed only before it became known to the store: the
+/// confirmation was that of the configuration before it.
+#[test]
+fn the_wait_for_a_confirmation_begins_anew_with_each_configuration() {
+    run_local(async {
+        let store = RunningStore::start().await;
+        store.configure(6, NO_ROUTE);
+        store.pass(SOON).await;
+        store.confirm_configuration();
+        store.configure(7, SHORT_RETENTION);
+        store.pass(LONG).await;
+        assert_eq!(store.outcomes(), [], "7 is not confirmed");
+        store.confirm_configuration();
+        store.pass(SOON).await;
+        assert_eq!(store.outcomes(), [ItemOutcome::DeadLettered]);
+    });
+}
