Gateway test: counts among members on lossy links are judged on a simulated clock

Cause: the test, not the gateway. A counter call that waits makes the members count, as they are to; the test claimed that none waits, which a busy machine does not keep.

--- a/crates/gateway/tests/lab.rs
+++ b/crates/gateway/tests/lab.rs
@@ -16,6 +16,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+/// Seed of the play with processes, and the first of the simulated ones.
+const FIRST_SEED: u64 = 11;
+const SIMULATED_PLAYS: u64 = 10;
+
 /// Six gateways, six servers in two zones, three bands; long work, so that jobs are out whenever a fault comes.
 const FLEET: &str = "
 name = 'fleet'
@@ -115,6 +119,28 @@
     trace.records.iter().filter(|record| is(&record.event)).map(|record| secs(record.at)).collect()
 }
 
+/// Guards against relays of a gateway that is stopped. Only on a simulated clock does a relay come when it is sent: on a busy machine,
+/// or over a slow link, one that was sent before the stop comes long after it.
+#[test]
+fn a_stopped_gateway_sends_no_relay_while_it_stands() {
+    const STOP: &str = "[[fault]]\nat_s = 2.5\nwhat = 'stop'\non = 'gateway 2'\nfor_s = 2.0\n";
+    const SLOW_LINK: &str =
+        "[[fault]]\nat_s = 1.0\nwhat = 'link'\nfrom = 'gateway 2'\nto = 'servers'\ndelay_ms = 1500.0\nfor_s = 4.0\n";
+    let relays_while_stopped = |seed: u64, faults: &str| {
+        let scenario = Scenario::parse("fleet.toml", &format!("{FLEET}{faults}")).unwrap();
+        let trace = fennelgauge_lab::sim::play(&Scenario { seed, ..scenario }, &mut |_| ());
+        let (stopped, continued) = (life(&trace, 2, Life::Stopped)[0], life(&trace, 2, Life::Continued)[0]);
+        assert!(!relays(&trace, 2, continued, 60.0).is_empty(), "seed {seed}");
+        relays(&trace, 2, stopped + 0.5, continued).len()
+    };
+    let mut late = 0;
+    for seed in FIRST_SEED..FIRST_SEED + SIMULATED_PLAYS {
+        assert_eq!(relays_while_stopped(seed, STOP), 0, "seed {seed}");
+        late += relays_while_stopped(seed, &format!("{STOP}{SLOW_LINK}"));
+    }
+    assert!(late > 0, "relays that were sent before the stop come late over a slow link");
+}
+
 #[test]
 fn gateways_killed_stopped_and_restarted_in_the_middle_of_jobs() {
     let trace = played(
@@ -126,9 +152,8 @@
     let (down, ready) = (life(&trace, 1, Life::Down), life(&trace, 1, Life::Ready));
     assert_eq!((down.len(), ready.len()), (1, 2), "{down:?} {ready:?}");
     assert!(!relays(&trace, 1, ready[1], 60.0).is_empty());
-    // The stopped one sent nothing while it stood; what came meanwhile was answered afterwards.
-    let (stopped, continued) = (life(&trace, 2, Life::Stopped)[0], life(&trace, 2, Life::Continued)[0]);
-    assert!(relays(&trace, 2, stopped + 0.5, continued).is_empty());
+    // What came while the stopped one stood was answered afterwards.
+    let continued = life(&trace, 2, Life::Continued)[0];
     assert!(!relays(&trace, 2, continued, 60.0).is_empty());
     // The restarted one answered all that it had taken, then began anew.
     let ready = life(&trace, 3, Life::Ready);
--- a/crates/gateway/tests/members.rs
+++ b/crates/gateway/tests/members.rs
@@ -7,6 +7,10 @@
 use fennelgauge_lab::run::{play, Run};
 use fennelgauge_lab::scenario::Scenario;
 
+/// Seed of the play with processes, and the first of the simulated ones.
+const FIRST_SEED: u64 = 21;
+const SIMULATED_PLAYS: u64 = 10;
+
 /// Eight gateways in two zones, each quota shared by all of them.
 const FLEET: &str = "
 name = 'members'
@@ -42,8 +46,12 @@
 over_cost = 1.0
 ";
 
+fn scenario(faults: &str) -> Scenario {
+    Scenario::parse("members.toml", &format!("{FLEET}{faults}")).unwrap()
+}
+
 fn played(faults: &str) -> Trace {
-    let scenario = Scenario::parse("members.toml", &format!("{FLEET}{faults}")).unwrap();
+    let scenario = scenario(faults);
     let run = Run { gateway: Some(env!("CARGO_BIN_EXE_fennelgauge-gateway").into()), folder: None };
     let trace = play(&scenario, &run, &mut |_| ()).unwrap();
     let report = report(&trace);
@@ -98,17 +106,34 @@
     assert!(of_other > 8 && of_other == failed.len(), "{failed:?}");
 }
 
-/// A link that is cut one way, one in ten datagrams lost, some that come twice or late: nobody is given up for it.
+/// A link that is cut one way, one in ten datagrams lost, some that come twice or late.
+const LOSSY_LINKS: &str =
+    "[[fault]]\nat_s = 0.5\nwhat = 'link'\nfrom = 'gateway 2'\nto = 'gateway 5'\ncut = 'forth'\nfor_s = 11.0\n\
+     [[fault]]\nat_s = 0.5\nwhat = 'link'\nfrom = 'gateways'\nto = 'gateways'\n\
+     loss = 0.1\ntwice = 0.2\njitter_ms = 80.0\nfor_s = 11.0\n";
+
+/// Nobody is given up for lossy links.
 #[test]
 fn loss_repeats_and_a_link_cut_one_way_make_nobody_fail() {
-    let trace = played(
-        "[[fault]]\nat_s = 0.5\nwhat = 'link'\nfrom = 'gateway 2'\nto = 'gateway 5'\ncut = 'forth'\nfor_s = 11.0\n\
-         [[fault]]\nat_s = 0.5\nwhat = 'link'\nfrom = 'gateways'\nto = 'gateways'\n\
-         loss = 0.1\ntwice = 0.2\njitter_ms = 80.0\nfor_s = 11.0\n",
-    );
-    assert_eq!(failed(&trace), []);
-    // The counter is well and no call waits: not one datagram tells a count.
-    assert_eq!(counts(&trace), 0);
+    assert_eq!(failed(&played(LOSSY_LINKS)), []);
+}
+
+/// Guards against members that count though the counter is well and no call waits, which only a simulated clock can promise: where
+/// processors are busy, calls are late, and members count as they are to.
+#[test]
+fn members_count_on_lossy_links_only_while_the_counter_is_late() {
+    const SLOW_COUNTER: &str = "[[fault]]\nat_s = 2.0\nwhat = 'counter-slow'\nsize = 200.0\nfor_s = 0.3\n";
+    for seed in FIRST_SEED..FIRST_SEED + SIMULATED_PLAYS {
+        let simulated = |faults: &str| {
+            let scenario = Scenario { seed, ..scenario(faults) };
+            fennelgauge_lab::sim::play(&scenario, &mut |_| ())
+        };
+        let on_time = simulated(LOSSY_LINKS);
+        assert_eq!(failed(&on_time), [], "seed {seed}");
+        assert_eq!(counts(&on_time), 0, "seed {seed}: not one datagram tells a count");
+        let late = simulated(&format!("{LOSSY_LINKS}{SLOW_COUNTER}"));
+        assert!(counts(&late) > 0, "seed {seed}: the counter was late");
+    }
 }
 
 /// The counter says nothing for some seconds: the members count, and jobs go on.
