Fix: only a recent confirmation of the configuration gives items up

What callers would have seen: items listed as dead_lettered by a configuration that was confirmed while the group took no changes and has been replaced since, by a store that has lost touch with the core (MIXED).

Cause: the confirmation was compared with the beginning of the wait, not with the moment of acting.

Change: it counts for two seconds, which holds in touch (two held watch requests and a round of pings).

Test seen red before (items_are_not_given_up_by_a_confirmation_of_long_ago: DeadLettered instead of nothing). Found by reading.

--- a/crates/control-plane/src/store/configuration_wait.rs
+++ b/crates/control-plane/src/store/configuration_wait.rs
@@ -1,6 +1,8 @@
 //! Decides by the configuration known to a store what its items do next, and remembers which batch jobs wait until the core
 //! confirms that configuration or sends a newer one.
 
+use std::time::Duration;
+
 use fennelgauge_batch::{ItemLimits, ItemStep, Job, KnownConfiguration, RouteStatus};
 use fennelgauge_coordination::GroupNumber;
 use fennelgauge_model::Route;
@@ -16,6 +18,10 @@
 /// milliseconds.
 const RETENTION_MARGIN_MS: u64 = 6_000;
 
+/// Age up to which a confirmation of the configuration counts. While a store is in touch with the core, the newest one is
+/// at most two held watch requests and a round of the core's pings old.
+const CONFIRMATION_MAX_AGE: Duration = Duration::from_millis(2_000);
+
 /// A wait for the core to confirm the configuration known to a store, or to send a newer one.
 #[derive(Clone, Copy, Debug)]
 pub struct ConfigurationWait {
@@ -81,11 +87,13 @@
         });
     }
 
-    /// Returns whether the core confirmed, after the wait began, that the configuration known here is the newest.
+    /// Returns whether the core confirmed, after the wait began and not long ago, that the configuration known here is the
+    /// newest.
     fn is_confirmed(&self, wait: ConfigurationWait) -> bool {
-        let confirmed_at = self.known.configuration_confirmed_at();
+        let Some(confirmed_at) = self.known.configuration_confirmed_at() else { return false };
         wait.generation == self.known.generation()
-            && confirmed_at.is_some_and(|confirmed_at| confirmed_at > wait.since)
+            && confirmed_at > wait.since
+            && confirmed_at.elapsed() <= CONFIRMATION_MAX_AGE
     }
 
     /// Returns what the configuration known here says about the route of a job's items.
--- a/crates/control-plane/src/store/tests/configuration_wait.rs
+++ b/crates/control-plane/src/store/tests/configuration_wait.rs
@@ -57,23 +57,26 @@
         spawn_local(store.clone().repair_successors());
         let runner = spawn_local(store.clone().run_items());
         let store = Self(store, runner);
-        store.0.known.update_store_view(store.own_view());
+        store.publish_view(1, true);
         store.accept_job(retention_ms);
         store
     }
 
-    fn own_view(&self) -> StoreView {
+    /// Publishes a view in which the store heads all groups; they take no changes unless `is_open`.
+    fn publish_view(&self, epoch: u64, is_open: bool) {
+        const SILENT_HOLDER: StoreNumber = StoreNumber(9);
         let number = StoreNumber(0);
-        let group = Group { chain: vec![number], unchanged_since: vec![1], ..Group::default() };
+        let absent = if is_open { Vec::new() } else { vec![SILENT_HOLDER] };
+        let group = Group { chain: vec![number], unchanged_since: vec![1], absent, ..Group::default() };
         let mut view = StoreView::default();
-        view.epoch = 1;
+        view.epoch = epoch;
         view.stores.push(fennelgauge_coordination::Store {
             number,
             member: self.0.me.clone(),
             retiring: false,
         });
         view.groups = vec![group; usize::from(GROUP_COUNT)];
-        view
+        self.0.known.update_store_view(view);
     }
 
     fn accept_job(&self, retention_ms: Option<u64>) {
@@ -266,3 +269,23 @@
         assert_eq!(store.outcomes(), [ItemOutcome::DeadLettered]);
     });
 }
+
+/// Guards against items that are given up by a confirmation of long ago: it came after the wait had begun, but before the group took
+/// changes, and the store has lost touch with the core since.
+#[test]
+fn items_are_not_given_up_by_a_confirmation_of_long_ago() {
+    run_local(async {
+        let store = RunningStore::start().await;
+        store.configure(6, NO_ROUTE);
+        store.pass(SOON).await;
+        store.publish_view(2, false);
+        store.confirm_configuration();
+        store.pass(LONG).await;
+        store.publish_view(3, true);
+        store.pass(LONG).await;
+        assert_eq!(store.outcomes(), [], "6 may have been replaced since it was confirmed");
+        store.confirm_configuration();
+        store.pass(SOON).await;
+        assert_eq!(store.outcomes(), [ItemOutcome::DeadLettered]);
+    });
+}
