Fix: that an item is given up is decided when it can be recorded

Cause: the run of an item ended with the decision, and the result waited for the group.

Change: an item that the configuration gives up is returned from its run only while its group takes changes, and recorded in the same step; until then it is looked at again.

Test seen red before (items_are_given_up_by_the_configuration_of_the_moment_...: DeadLettered instead of nothing). Found by reading.

--- a/crates/control-plane/src/store/item_run.rs
+++ b/crates/control-plane/src/store/item_run.rs
@@ -53,7 +53,8 @@
 }
 
 impl Store {
-    /// Runs an item until it has a result. Returns `None` if it need not run any more.
+    /// Runs an item until it has a result. Returns `None` if it need not run any more. One that the configuration gives up is
+    /// returned only while its group takes changes, and is to be recorded at once.
     pub(super) async fn run_item(self: &Rc<Self>, key: &ItemKey) -> Option<ItemResult> {
         let mut event_data: Vec<String> = Vec::new();
         let mut event_order = EventOrder::default();
@@ -78,6 +79,13 @@
                     sleep(RETRY_DELAY).await;
                     continue;
                 }
+                // Decided anew once the result can be recorded: the configuration may have been replaced by then.
+                (ItemStep::Run | ItemStep::DeadLetter, _)
+                    if !self.accepts_changes(&self.view(), key.group) =>
+                {
+                    sleep(RETRY_DELAY).await;
+                    continue;
+                }
                 (ItemStep::Run | ItemStep::DeadLetter, _) => return Some(dead_letter),
             };
             wait = None;
--- a/crates/control-plane/src/store/tests/configuration_wait.rs
+++ b/crates/control-plane/src/store/tests/configuration_wait.rs
@@ -289,3 +289,22 @@
         assert_eq!(store.outcomes(), [ItemOutcome::DeadLettered]);
     });
 }
+
+/// Guards against results that were decided by a configuration which is replaced before the group takes changes again.
+#[test]
+fn items_are_given_up_by_the_configuration_of_the_moment_at_which_that_is_recorded() {
+    run_local(async {
+        let store = RunningStore::start_with_job(None).await;
+        store.configure(6, ROUTE);
+        store.pass(SOON).await;
+        store.publish_view(2, false);
+        store.configure(7, NO_ROUTE);
+        store.pass(SOON).await;
+        store.confirm_configuration();
+        store.pass(SOON).await;
+        store.configure(8, ROUTE);
+        store.publish_view(3, true);
+        store.pass(LONG).await;
+        assert_eq!(store.outcomes(), [], "the route was added again before the result could be recorded");
+    });
+}
