Fix: a source confirms only the configuration that it has itself

What callers would have seen: after the core's disks are lost and generations start over, a process with a configuration of before takes it for confirmed, and gives items up by it.

Cause: a reply without a newer configuration was taken as a confirmation of the watcher's, whatever the source has.

Change: a reply names the source's generation, and its confirmation counts only where the watcher has the same; a core member confirms what it has published only where that is its committed one.

Test seen red before (a_source_confirms_only_...: a confirmation instead of none). Messages have a new format. Found by reading.

--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -178,7 +178,7 @@
         if state.generation() > self.known.generation() {
             self.known.update_configuration(state.generation(), state.configuration.json().to_vec());
         }
-        let is_published = self.known.generation() >= state.generation();
+        let is_published = self.known.generation() == state.generation();
         if let Some(confirmed) = coordinator.committed_value_confirmed_at().filter(|_| is_published) {
             self.known.update_configuration_confirmation(self.started + confirmed);
         }
--- a/crates/upstream/src/tests.rs
+++ b/crates/upstream/src/tests.rs
@@ -274,6 +274,21 @@
     });
 }
 
+/// Guards against a configuration that was lost with the core's disks and is taken for the newest, because a member of the new core
+/// confirms its own, whose generation is lower.
+#[test]
+fn a_source_confirms_only_the_configuration_that_it_has_itself() {
+    on_simulated_time(async {
+        tokio::time::advance(Duration::from_secs(60)).await;
+        let watcher = TierState::default();
+        assert!(watcher.update_configuration(100, configuration_json(100)));
+        let reply = reply_of(&confirmed_source(1, configuration_json(1)), &watcher).await;
+        watcher.apply_update(reply, tokio::time::Instant::now());
+        assert_eq!(watcher.generation(), 100);
+        assert_eq!(watcher.configuration_confirmed_at(), None);
+    });
+}
+
 /// Guards against an older configuration that is taken for the newest, because the source or the watcher left the newer one out.
 #[test]
 fn a_reply_without_the_newest_configuration_confirms_none() {
--- a/crates/upstream/src/tier_state.rs
+++ b/crates/upstream/src/tier_state.rs
@@ -181,11 +181,11 @@
     /// Applies the reply of a source to a watch request that was sent at `requested_at`; whatever is not newer than the own
     /// state is ignored. Returns false if a newer configuration came that could not be applied.
     pub fn apply_update(&self, reply: WatchReply, requested_at: Instant) -> bool {
-        let has_configuration =
-            reply.configuration.is_none_or(|update| self.apply_configuration_update(&update));
+        let is_applied = reply.configuration.is_none_or(|update| self.apply_configuration_update(&update));
         // How long the reply was under way is unknown, so the age counts from the request.
         let age = Duration::from_millis(reply.configuration_confirmed_age_ms);
-        if let Some(confirmed_at) = requested_at.checked_sub(age).filter(|_| has_configuration) {
+        let is_same = self.generation() == reply.generation;
+        if let Some(confirmed_at) = requested_at.checked_sub(age).filter(|_| is_same) {
             self.update_configuration_confirmation(confirmed_at);
         }
         self.update_server_list(reply.server_list, Duration::from_millis(reply.server_list_age_ms));
@@ -196,7 +196,7 @@
             self.update_core_view(&view);
         }
         self.update_view_confirmation(Duration::from_millis(reply.confirmed_age_ms));
-        has_configuration
+        is_applied
     }
 
     /// Returns the versions that a watch request reports. The generation is 0 if the complete configuration is
@@ -277,6 +277,7 @@
                 .filter(|_| own.core_view > known.core_view)
                 .map(|view| View::clone(view)),
             confirmed_age_ms: age_ms(self.view_confirmation_age()),
+            generation: self.generation(),
             configuration_confirmed_age_ms: self.configuration_confirmed_age_ms(),
         }
     }
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -98,6 +98,8 @@
     pub core_view: Option<View>,
     /// Time since a majority confirmed the core's view that the source has, in milliseconds.
     pub confirmed_age_ms: u64,
+    /// Generation of the configuration that the source has; 0 if it has none.
+    pub generation: u64,
     /// Age of the newest confirmation, in milliseconds, that no configuration was acknowledged that the source lacks.
     pub configuration_confirmed_age_ms: u64,
 }
