Stores log how often a server failed an item, and why an item waits

Both are warnings, so that they show at the level that deployments run with: one for each failure at a server, one for each wait and reason. No logic changes.

--- a/crates/control-plane/src/store/item_run.rs
+++ b/crates/control-plane/src/store/item_run.rs
@@ -13,6 +13,7 @@
     is_hop_by_hop, EventOrder, EventParser, InFlightGuard, OutgoingRequest, RequestProfile, SendError,
     UpstreamResponse, LAST_EVENT_ID, PREFIX_HASH, PRIORITY, TENANT,
 };
+use strum::Display;
 use tokio::time::{sleep, timeout, Instant};
 
 use super::configuration_wait::ConfigurationWait;
@@ -52,6 +53,17 @@
     Retry,
 }
 
+/// Why an unfinished item is not sent to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+enum WaitReason {
+    /// The core has not confirmed the configuration by which the item is to be given up, or runs.
+    #[strum(to_string = "the core has not confirmed the configuration")]
+    Configuration,
+    /// The item is to be given up, but its group takes no changes.
+    #[strum(to_string = "its group takes no changes")]
+    GroupClosed,
+}
+
 impl Store {
     /// Runs an item until it has a result. Returns `None` if it need not run any more. One that the configuration gives up is
     /// returned only while its group takes changes, and is to be recorded at once.
@@ -60,6 +72,7 @@
         let mut event_order = EventOrder::default();
         let mut failures = 0;
         let mut wait = self.wait_of_job(key.group, &key.job);
+        let mut logged_wait = None;
         let mut excluded_servers = Vec::new();
         if !self.job_is_committed(key).await {
             return None;
@@ -75,6 +88,7 @@
             let route = match (step, route) {
                 (ItemStep::Run, Some(route)) => route,
                 (ItemStep::AwaitConfiguration, _) => {
+                    self.log_wait(key, &item, failures, &mut logged_wait, WaitReason::Configuration);
                     wait = Some(self.continued_wait(wait));
                     sleep(RETRY_DELAY).await;
                     continue;
@@ -83,12 +97,14 @@
                 (ItemStep::Run | ItemStep::DeadLetter, _)
                     if !self.accepts_changes(&self.view(), key.group) =>
                 {
+                    self.log_wait(key, &item, failures, &mut logged_wait, WaitReason::GroupClosed);
                     sleep(RETRY_DELAY).await;
                     continue;
                 }
                 (ItemStep::Run | ItemStep::DeadLetter, _) => return Some(dead_letter),
             };
             wait = None;
+            logged_wait = None;
             let service = route.pick_service(stable_fraction(&item.id));
             if self.pool.mean_load(service).is_some_and(|load| load > MAX_MEAN_LOAD) {
                 sleep(RETRY_DELAY).await;
@@ -112,7 +128,10 @@
                     });
                 }
                 Attempt::Finished(ItemOutcome::DeadLettered) => return Some(dead_letter),
-                Attempt::Failed => failures += 1,
+                Attempt::Failed => {
+                    failures += 1;
+                    self.log_failure(key, &item, failures, &ticket.server.id);
+                }
                 Attempt::Retry => {}
             }
             excluded_servers = vec![ticket.server.id.clone()];
@@ -121,6 +140,38 @@
         }
     }
 
+    /// Logs that a server failed an item, with what decides how often it may be sent again.
+    fn log_failure(&self, key: &ItemKey, item: &Item, failures: u32, server: &str) {
+        log::warn!(
+            "item {} of batch job {}: server {server} failed it; {failures} failures so far, view {}, configuration {}",
+            item.id,
+            key.job,
+            self.view().epoch,
+            self.known.generation()
+        );
+    }
+
+    /// Logs why an item waits, once for each reason in a row.
+    fn log_wait(
+        &self,
+        key: &ItemKey,
+        item: &Item,
+        failures: u32,
+        logged: &mut Option<WaitReason>,
+        reason: WaitReason,
+    ) {
+        if logged.replace(reason) == Some(reason) {
+            return;
+        }
+        log::warn!(
+            "item {} of batch job {} waits: {reason}; {failures} failures so far, view {}, configuration {}",
+            item.id,
+            key.job,
+            self.view().epoch,
+            self.known.generation()
+        );
+    }
+
     /// Waits until all entries of the group up to now, with the acceptance of the item's job, are committed. Returns
     /// false if that takes too long.
     async fn job_is_committed(&self, key: &ItemKey) -> bool {
