Fix: items are given up while the configuration changes again and again

Cause: an item is given up only by a configuration that the core confirms, by a request that was sent after the wait for it began, and a wait began anew with each generation. The request that brings a generation was sent before; an unchanged one is confirmed only after 0.4 s without a change. So no confirmation ever counted while changes came faster.

As of the confirmed moment everything acknowledged before is known, so what is known then was in force while the item was to be given up.

--- a/crates/control-plane/src/store/configuration_wait.rs
+++ b/crates/control-plane/src/store/configuration_wait.rs
@@ -22,13 +22,20 @@
 /// at most two held watch requests and a round of the core's pings old.
 const CONFIRMATION_MAX_AGE: Duration = Duration::from_millis(2_000);
 
-/// A wait for the core to confirm the configuration known to a store, or to send a newer one.
+/// A wait for the core to confirm the configuration known to a store, or to send one by which items run. It goes on while
+/// configurations follow each other that all give the items up or are all older than their job: one that a source confirms
+/// as of a later moment than the begin of the wait was in force while the items were to be given up.
 #[derive(Clone, Copy, Debug)]
 pub struct ConfigurationWait {
-    /// When it was first found that this configuration gives items up, or is older than their job.
+    /// When it was first found that the configuration gives items up, or is older than their job.
     since: Instant,
-    /// Generation of that configuration; with another one the wait begins anew.
-    generation: u64,
+}
+
+impl ConfigurationWait {
+    /// Begins a wait now.
+    pub(super) fn begin() -> Self {
+        Self { since: Instant::now() }
+    }
 }
 
 impl Store {
@@ -62,18 +69,10 @@
             awaiting.remove(&key);
             return false;
         }
-        let wait = self.continued_wait(awaiting.get(&key).copied());
-        awaiting.insert(key, wait);
+        let wait = *awaiting.entry(key).or_insert_with(ConfigurationWait::begin);
         !self.is_confirmed(wait)
     }
 
-    /// Returns the wait for the configuration known here, which goes on or begins now.
-    pub(super) fn continued_wait(&self, wait: Option<ConfigurationWait>) -> ConfigurationWait {
-        let generation = self.known.generation();
-        let begun = ConfigurationWait { since: Instant::now(), generation };
-        wait.filter(|wait| wait.generation == generation).unwrap_or(begun)
-    }
-
     /// Returns the wait for a configuration of the items of a job.
     pub(super) fn wait_of_job(&self, group: GroupNumber, job: &str) -> Option<ConfigurationWait> {
         self.awaiting_configuration.borrow().get(&(group, job.to_owned())).copied()
@@ -87,13 +86,11 @@
         });
     }
 
-    /// Returns whether the core confirmed, after the wait began and not long ago, that the configuration known here is the
-    /// newest.
+    /// Returns whether the core confirmed that the configuration known here is the newest, as of a moment after the wait began
+    /// and not long ago.
     fn is_confirmed(&self, wait: ConfigurationWait) -> bool {
         let Some(confirmed_at) = self.known.configuration_confirmed_at() else { return false };
-        wait.generation == self.known.generation()
-            && confirmed_at > wait.since
-            && confirmed_at.elapsed() <= CONFIRMATION_MAX_AGE
+        confirmed_at > wait.since && confirmed_at.elapsed() <= CONFIRMATION_MAX_AGE
     }
 
     /// Returns what the configuration known here says about the route of a job's items.
--- a/crates/control-plane/src/store/item_run.rs
+++ b/crates/control-plane/src/store/item_run.rs
@@ -89,7 +89,7 @@
                 (ItemStep::Run, Some(route)) => route,
                 (ItemStep::AwaitConfiguration, _) => {
                     self.log_wait(key, &item, failures, &mut logged_wait, WaitReason::Configuration);
-                    wait = Some(self.continued_wait(wait));
+                    wait = Some(wait.unwrap_or_else(ConfigurationWait::begin));
                     sleep(RETRY_DELAY).await;
                     continue;
                 }
--- a/crates/simulation/src/stores/configuration.rs
+++ b/crates/simulation/src/stores/configuration.rs
@@ -87,12 +87,10 @@
     }
 }
 
-/// A store's wait for the core to confirm its configuration, or to send a newer one.
+/// A store's wait for the core to confirm its configuration, or to send one by which items run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ConfigurationWait {
     pub since: Micros,
-    /// Generation of the store's configuration; with another one the wait begins anew.
-    pub generation: u64,
 }
 
 /// What becomes of an item at servers, whatever store sends it. It stands in the first byte of the item's body.
--- a/crates/simulation/src/stores/items.rs
+++ b/crates/simulation/src/stores/items.rs
@@ -68,17 +68,9 @@
         job.next_item_step(self.planted_knowledge(known, job), route, failures, now / MILLISECOND)
     }
 
-    /// Returns the wait for the configuration known here, which goes on or begins now.
-    fn continued_wait(&self, wait: Option<ConfigurationWait>, now: Micros) -> ConfigurationWait {
-        let generation = self.configuration.as_ref().map_or(0, |known| known.generation);
-        let begun = ConfigurationWait { since: now, generation };
-        wait.filter(|wait| wait.generation == generation).unwrap_or(begun)
-    }
-
     fn is_confirmed(&self, wait: ConfigurationWait, now: Micros) -> bool {
-        let is_known = self.configuration.as_ref().is_some_and(|known| known.generation == wait.generation);
         let counts = |at: Micros| at > wait.since && now <= at + CONFIRMATION_MAX_AGE;
-        is_known && self.configuration_confirmed_at.is_some_and(counts)
+        self.configuration_confirmed_at.is_some_and(counts)
     }
 
     fn planted_knowledge(&self, known: KnownConfiguration, job: &Job) -> KnownConfiguration {
@@ -124,8 +116,8 @@
         }
         let mut held = BTreeSet::new();
         for job in awaiting {
-            let wait = self.continued_wait(self.awaiting_configuration.get(&job).copied(), now);
-            self.awaiting_configuration.insert(job.clone(), wait);
+            let begun = ConfigurationWait { since: now };
+            let wait = *self.awaiting_configuration.entry(job.clone()).or_insert(begun);
             if !self.is_confirmed(wait, now) {
                 held.insert(job);
             }
@@ -177,7 +169,7 @@
                 step.effects.push(Effect::Wake { at: until });
                 return Running::AtServer { until, failures };
             }
-            Some(ItemStep::AwaitConfiguration) => Some(self.continued_wait(wait, now)),
+            Some(ItemStep::AwaitConfiguration) => Some(wait.unwrap_or(ConfigurationWait { since: now })),
             Some(ItemStep::Run) | None => None,
         };
         let until = now + RETRY_DELAY;
--- a/crates/upstream/src/tier_state.rs
+++ b/crates/upstream/src/tier_state.rs
@@ -35,6 +35,8 @@
     view_confirmed_at: Cell<Option<Instant>>,
     /// Every configuration that was acknowledged before this moment is known here, or a newer one is.
     configuration_confirmed_at: Cell<Option<Instant>>,
+    /// Generation that was known here at the last confirmation.
+    confirmed_generation: Cell<u64>,
     changed: Notify,
 }
 
@@ -80,9 +82,11 @@
         self.view_confirmed_at.get().map(|confirmed_at| confirmed_at.elapsed())
     }
 
-    /// Returns a moment up to which every acknowledged configuration is known here, or a newer one; `None` if there is none.
+    /// Returns a moment up to which every acknowledged configuration is known here, or a newer one. Returns `None` if no
+    /// source has confirmed the configuration that is known now.
     pub fn configuration_confirmed_at(&self) -> Option<Instant> {
-        self.configuration_confirmed_at.get()
+        let is_confirmed = self.confirmed_generation.get() == self.generation();
+        self.configuration_confirmed_at.get().filter(|_| is_confirmed)
     }
 
     /// Waits for the next change of the configuration, the server list, the stores or the view.
@@ -176,6 +180,7 @@
     pub fn update_configuration_confirmation(&self, confirmed_at: Instant) {
         let known = self.configuration_confirmed_at.get();
         self.configuration_confirmed_at.set(known.max(Some(confirmed_at)));
+        self.confirmed_generation.set(self.generation());
     }
 
     /// Applies the reply of a source to a watch request that was sent at `requested_at`; whatever is not newer than the own
