Fix: a store that lost its disk joins no chain in which its former self is still a link

What callers would see: a batch job that was answered 202 is not found any more (LOST), where a store loses its disk and is back, empty, before the core takes its former self for silent (1.1 s).

Cause: the planner took the empty store, a new identity at the old address, as learner and link beside its former self. Entries that a head sends to the address of the former link reach the new one, which may be the tail: it answers that the chain has them, though the links between do not.

Change: a store is not picked for a chain that has a link of the same machine. Test seen red before (a_store_that_lost_its_disk_does_not_join_...).

--- a/crates/coordination/src/placement.rs
+++ b/crates/coordination/src/placement.rs
@@ -160,20 +160,19 @@
     }
 
     /// Returns the usable store to add to a chain: one in the zone with the fewest links, ties broken by the group's own
-    /// ranking of the stores.
+    /// ranking of the stores. A store of the same machine as a link has another disk and the same address: messages to the
+    /// link would reach it.
     pub(crate) fn pick_store(
         &self,
         view: &StoreView,
         group: GroupNumber,
         chain: &[StoreNumber],
     ) -> Option<StoreNumber> {
-        let zones: Vec<&str> = chain
-            .iter()
-            .filter_map(|number| view.store(*number))
-            .map(|store| store.member.zone.as_str())
-            .collect();
-        let candidates =
-            view.stores.iter().filter(|store| self.is_usable(store) && !chain.contains(&store.number));
+        let links: Vec<&Store> = chain.iter().filter_map(|number| view.store(*number)).collect();
+        let zones: Vec<&str> = links.iter().map(|link| link.member.zone.as_str()).collect();
+        let has_link =
+            |store: &Store| links.iter().any(|link| link.member.identity.node == store.member.identity.node);
+        let candidates = view.stores.iter().filter(|store| self.is_usable(store) && !has_link(store));
         let rank = |store: &&Store| {
             let same_zone = zones.iter().filter(|zone| **zone == store.member.zone).count();
             (same_zone, store_rank(group, store.number))
--- a/crates/coordination/tests/stores.rs
+++ b/crates/coordination/tests/stores.rs
@@ -331,3 +331,28 @@
     };
     view.groups.iter().enumerate().flat_map(of_group).collect()
 }
+
+/// Guards against entries that count as replicated though a link lacks them: two links of a chain had one address, since a
+/// store that lost its disk came back before its former self was found to be gone.
+#[test]
+fn a_store_that_lost_its_disk_does_not_join_a_chain_in_which_its_former_self_is_a_link() {
+    let mut fleet = Fleet::new(&["a1", "b1", "c1"], 2);
+    let empty = member("c1", 2, "c");
+    fleet.alive.push(empty.clone());
+    fleet.all.push(empty.clone());
+    fleet.settle();
+    let addresses = |fleet: &Fleet| -> Vec<usize> {
+        let of_link = |number: &StoreNumber| fleet.view.store(*number).expect("a store").member.peer;
+        let distinct = |chain: &Vec<StoreNumber>| chain.iter().map(of_link).collect::<BTreeSet<_>>().len();
+        fleet.view.groups.iter().map(|group| group.chain.len() - distinct(&group.chain)).collect()
+    };
+    assert!(addresses(&fleet).iter().all(|shared| *shared == 0), "both are heard");
+    fleet.alive.retain(|member| member.identity.node != "c1" || *member == empty);
+    fleet.settle();
+    assert!(addresses(&fleet).iter().all(|shared| *shared == 0));
+    assert_eq!(
+        fleet.chain_lengths(),
+        BTreeSet::from([3]),
+        "the empty store joins in the place of its former self"
+    );
+}
