Fix: attempts at an item are recorded in its group, and bounded through any loss of heads

Cause: the count of failures was a local of one run. A loss of power, an abort or a lost head began it anew, and an attempt with an unknown outcome was not counted at all; the factor for accepted jobs reckoned with one later head. The class: a bound that is kept only while one process remembers.

Change: each attempt has a permit that is committed before it. One comes with the acceptance of the job, so that a first run costs no record; a failure is recorded with the permit for the next attempt; a new head, or an attempt whose answer was lost, takes another. Servers have failed an item at least failures and at most failures + open permits times: the first decides when it may be given up, the second when it must not be sent. Between them it rests: three seconds if no failure is known (or it cannot have failed too often), else until its time is up. A response that has begun ends the doubt. Journals and messages of the stores have a new format.

The judge of batch jobs has the upper side (BUDGET), over all stores.

--- a/crates/batch-judge/src/lib.rs
+++ b/crates/batch-judge/src/lib.rs
@@ -15,6 +15,11 @@
 pub use seen::{ListedResult, Outcome, SubmittedItem, SubmittedJob};
 use strum::Display;
 
+/// Factor on a route's `retries`: after so many failures an item must not reach a server again.
+const MAX_FAILURES_FACTOR: usize = 3;
+/// After so many rejections an item must not reach a server again.
+const MAX_REJECTIONS: usize = 3;
+
 /// A time or a duration in microseconds.
 pub type Micros = u64;
 
@@ -33,6 +38,8 @@
     Quota,
     /// A server started an item of a cancelled job, or an item that no client submitted.
     Unasked,
+    /// A server received an item again after three times the route's `retries` failures, or after three rejections.
+    Budget,
     /// A store that is in touch with the core started an item of a route that had ended.
     Config,
     /// At the end of the run, an item of an accepted job that was neither cancelled nor given up has no result: it waits or runs
@@ -180,6 +187,23 @@
         if observed.cancelled.is_some_and(|cancelled| at > cancelled + self.limits.cancellation_grace) {
             self.report(Rule::Unasked, at, format!("{item} starts although its batch job was cancelled"));
         }
+        self.check_attempts(at, item);
+    }
+
+    /// Checks that an item that starts has not failed, or been rejected, too often at all servers together.
+    fn check_attempts(&mut self, at: Micros, item: &str) {
+        let Some(observed) = self.items.get(item).and_then(|job| self.jobs.get(job)) else { return };
+        let failures = observed.failures.get(item).map_or(0, Vec::len);
+        let rejections = observed.rejections.get(item).copied().unwrap_or(0);
+        let SubmittedJob { route, submitted_at, .. } = &observed.submitted;
+        let retries = self.routes.most_retries(route, *submitted_at, at);
+        let has_failed_too_often =
+            retries.is_some_and(|retries| failures >= MAX_FAILURES_FACTOR * retries.max(1));
+        if has_failed_too_often || rejections >= MAX_REJECTIONS {
+            let description =
+                format!("{item} starts after {failures} failures and {rejections} rejections by servers");
+            self.report(Rule::Budget, at, description);
+        }
     }
 
     /// Records that a configuration with these batch routes is acknowledged.
@@ -208,7 +232,7 @@
     /// Records that a server rejected an item for good.
     pub fn record_item_rejection(&mut self, item: &str) {
         if let Some(observed) = self.items.get(item).and_then(|job| self.jobs.get_mut(job)) {
-            observed.rejected.insert(item.to_owned());
+            *observed.rejections.entry(item.to_owned()).or_default() += 1;
         }
     }
 
--- a/crates/batch-judge/src/routes.rs
+++ b/crates/batch-judge/src/routes.rs
@@ -44,6 +44,16 @@
         })
     }
 
+    /// Returns the largest number of failures that a configuration in force from `since` until `until` named for a route; `None` if
+    /// none of them has the route.
+    pub fn most_retries(&self, route: &str, since: Micros, until: Micros) -> Option<usize> {
+        let in_force = self.0.iter().enumerate().filter(|(index, (from, _))| {
+            let replaced_at = self.0.get(index + 1).map_or(Micros::MAX, |(at, _)| *at);
+            *from <= until && replaced_at > since
+        });
+        in_force.filter_map(|(_, (_, routes))| routes.get(route)).map(|terms| terms.retries).max()
+    }
+
     /// Returns since when the newest configuration at `at` and those right before it have not had a route; `None` if it has it.
     pub fn absent_since(&self, route: &str, at: Micros) -> Option<Micros> {
         let known = self.0.iter().rev().filter(|(from, _)| *from <= at);
--- a/crates/batch-judge/src/seen.rs
+++ b/crates/batch-judge/src/seen.rs
@@ -1,6 +1,6 @@
 //! What was observed of one batch job, and the checks of its result pages.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::routes::{RouteHistory, UnfinishedItem};
 use crate::{Limits, Micros, ResultPage, Rule};
@@ -64,8 +64,8 @@
     pub outputs: BTreeMap<String, Vec<String>>,
     /// When servers failed to run items, by item id.
     pub failures: BTreeMap<String, Vec<Micros>>,
-    /// Ids of items that a server rejected for good.
-    pub rejected: BTreeSet<String>,
+    /// How often servers rejected items for good, by item id.
+    pub rejections: BTreeMap<String, usize>,
 }
 
 impl ObservedJob {
@@ -80,7 +80,7 @@
             listed: BTreeMap::new(),
             outputs: BTreeMap::new(),
             failures: BTreeMap::new(),
-            rejected: BTreeSet::new(),
+            rejections: BTreeMap::new(),
         }
     }
 
@@ -91,7 +91,7 @@
             submitted_at: self.submitted.submitted_at,
             failures: self.failures.get(item).map_or(&[], |failures| failures),
         };
-        self.rejected.contains(item) || routes.has_cause_to_give_up(&item_of_route, at)
+        self.rejections.contains_key(item) || routes.has_cause_to_give_up(&item_of_route, at)
     }
 
     /// Returns the tokens of all items that no server has completed and that may not have been given up by `at`; 0 unless the
--- a/crates/batch/src/item_step.rs
+++ b/crates/batch/src/item_step.rs
@@ -1,6 +1,6 @@
 //! What a store does next with an unfinished item, given the configuration that it knows.
 
-use crate::Job;
+use crate::{Attempts, FailureLimits, Job};
 
 /// The configuration that a store knows, by which it decides about an item.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,21 +21,38 @@
         /// Wall-clock time from which on an unfinished item is given up, in milliseconds since the Unix epoch; `None` if the
         /// route sets no such time.
         expires_ms: Option<u64>,
-        /// Number of failures at servers after which an item is given up.
-        max_failures: u32,
+        /// How often servers may fail the item.
+        failures: FailureLimits,
     },
 }
 
 impl RouteStatus {
-    /// Returns whether an unfinished item that has failed so often is to be given up at `now_ms`.
-    fn gives_up(self, failures: u32, now_ms: u64) -> bool {
+    /// Returns whether an unfinished item with these attempts is to be given up at `now_ms`.
+    fn gives_up(self, attempts: Attempts, now_ms: u64) -> bool {
         match self {
             Self::Absent => true,
-            Self::InForce { expires_ms, max_failures } => {
-                failures >= max_failures || expires_ms.is_some_and(|expires_ms| now_ms > expires_ms)
+            Self::InForce { expires_ms, failures } => {
+                failures.give_up(attempts) || expires_ms.is_some_and(|expires_ms| now_ms > expires_ms)
             }
         }
     }
+
+    /// Returns whether an unfinished item with these attempts may be sent to a server.
+    fn allows_attempt(self, attempts: Attempts, has_rested: bool) -> bool {
+        match self {
+            Self::Absent => false,
+            Self::InForce { failures, .. } => failures.allow_attempt(attempts, has_rested),
+        }
+    }
+}
+
+/// What a head knows of the past of an unfinished item.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ItemPast {
+    /// The recorded attempts, without a permit that the head itself holds.
+    pub attempts: Attempts,
+    /// Whether the item has rested, see [`FailureLimits::allow_attempt`].
+    pub has_rested: bool,
 }
 
 /// What to do next with an unfinished item.
@@ -45,13 +62,15 @@
     Run,
     /// Wait until the core confirms the configuration or a newer one is known.
     AwaitConfiguration,
+    /// Leave it alone for a while: the outcome of so many attempts is unknown that it may have failed too often.
+    Rest,
     /// Give it up: its route has ended, its time is up, or it has failed too often.
     DeadLetter,
 }
 
 impl Job {
-    /// Returns what to do next with an unfinished item of this job that has failed `failures` times. `now_ms` is wall-clock
-    /// time in milliseconds since the Unix epoch.
+    /// Returns what to do next with an unfinished item of this job. `now_ms` is wall-clock time in milliseconds since the Unix
+    /// epoch.
     ///
     /// A newer configuration than the known one may have the route that this one lacks, or give the item more time or more
     /// attempts. So an item is given up only by a confirmed configuration, and runs by one that is as new as that by which the
@@ -60,12 +79,17 @@
         &self,
         known: KnownConfiguration,
         route: RouteStatus,
-        failures: u32,
+        past: ItemPast,
         now_ms: u64,
     ) -> ItemStep {
-        match route.gives_up(failures, now_ms) {
+        match route.gives_up(past.attempts, now_ms) {
             true if known.is_confirmed => ItemStep::DeadLetter,
-            false if known.is_confirmed || known.generation >= self.generation => ItemStep::Run,
+            false if known.is_confirmed || known.generation >= self.generation => {
+                match route.allows_attempt(past.attempts, past.has_rested) {
+                    true => ItemStep::Run,
+                    false => ItemStep::Rest,
+                }
+            }
             _ => ItemStep::AwaitConfiguration,
         }
     }
--- a/crates/batch/src/state.rs
+++ b/crates/batch/src/state.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Item, ItemResult, Job};
+use crate::{AttemptEvent, Attempts, Item, ItemResult, Job};
 
 /// Limit on the text in one page of results, in bytes. A page whose first result alone is longer exceeds it.
 pub const MAX_PAGE_TEXT_BYTES: usize = 900_000;
@@ -40,6 +40,15 @@
         /// Ids of the lost jobs, as far as they are known.
         given_up_jobs: BTreeSet<String>,
     },
+    /// Changes what is recorded of the attempts at items; no effect on an item that has a result.
+    RecordAttempts {
+        /// Id of the job.
+        job: String,
+        /// Index of the item in the job.
+        item_index: u32,
+        /// What happened.
+        event: AttemptEvent,
+    },
 }
 
 /// A batch job with its results so far.
@@ -53,12 +62,19 @@
     pub has_result: Vec<bool>,
     /// Whether the job's owner cancelled it.
     pub cancelled: bool,
+    /// The attempts at unfinished items, by item index; without items of which nothing was recorded since the acceptance.
+    attempts: BTreeMap<u32, Attempts>,
 }
 
 impl JobState {
     fn new(job: Job) -> Self {
         let has_result = vec![false; job.items.len()];
-        Self { job, results: Vec::new(), has_result, cancelled: false }
+        Self { job, results: Vec::new(), has_result, cancelled: false, attempts: BTreeMap::new() }
+    }
+
+    /// Returns what is recorded of the attempts at an item.
+    pub fn attempts(&self, item_index: u32) -> Attempts {
+        self.attempts.get(&item_index).copied().unwrap_or_default()
     }
 
     /// Returns true if no item is left to run: every item has a result, or the job was cancelled.
@@ -183,6 +199,9 @@
             Command::Recreate { epoch, given_up_jobs } => {
                 *self = Self { recreated_in_epoch: epoch, given_up_jobs, ..Self::default() }
             }
+            Command::RecordAttempts { job, item_index, event } => {
+                self.record_attempt(&job, item_index, event);
+            }
         }
     }
 
@@ -202,6 +221,7 @@
             if std::mem::replace(has_result, true) {
                 continue;
             }
+            state.attempts.remove(&result.item_index);
             let item: &mut Item = &mut state.job.items[result.item_index as usize];
             item.body = Vec::new();
             released += if state.cancelled { 0 } else { item.tokens };
@@ -211,10 +231,18 @@
         self.release(key, released);
     }
 
+    fn record_attempt(&mut self, id: &str, item_index: u32, event: AttemptEvent) {
+        let Some(state) = self.jobs.get_mut(id).filter(|state| !state.cancelled) else { return };
+        if state.has_result.get(item_index as usize) == Some(&false) {
+            state.attempts.entry(item_index).or_default().apply(event);
+        }
+    }
+
     fn cancel(&mut self, id: &str) {
         let Some(state) = self.jobs.get_mut(id) else { return };
         let released = state.queued_tokens();
         state.cancelled = true;
+        state.attempts.clear();
         for item in &mut state.job.items {
             item.body = Vec::new();
         }
--- a/crates/batch/src/tests.rs
+++ b/crates/batch/src/tests.rs
@@ -138,11 +138,16 @@
 /// Returns the next step of an item of a job that configuration 7 accepted, for a store that knows another configuration.
 fn step(generation: u64, is_confirmed: bool, route: RouteStatus, failures: u32) -> ItemStep {
     let accepted = Job { generation: 7, ..job("j", "t", &[1]) };
-    accepted.next_item_step(KnownConfiguration { generation, is_confirmed }, route, failures, NOW_MS)
+    let past = ItemPast { attempts: attempts(failures, 0), has_rested: false };
+    accepted.next_item_step(KnownConfiguration { generation, is_confirmed }, route, past, NOW_MS)
+}
+
+fn attempts(failures: u32, open_permits: u32) -> Attempts {
+    Attempts { failures, open_permits, has_responded: false }
 }
 
 fn in_force(expires_ms: Option<u64>) -> RouteStatus {
-    RouteStatus::InForce { expires_ms, max_failures: 2 }
+    RouteStatus::InForce { expires_ms, failures: FailureLimits::new(2, 2, false) }
 }
 
 /// Guards against items that are given up because a store does not know a route yet that was added after its configuration.
@@ -197,3 +202,64 @@
         assert_eq!(accepted.union(newest), expected, "{accepted:?}, {newest:?}");
     }
 }
+
+/// Guards against items that are given up before a server failed them `retries` times, or sent again after three times that, or
+/// after three rejections, however the outcomes of attempts were lost.
+#[test]
+fn failures_and_unknown_outcomes_decide_whether_an_item_is_given_up_or_sent_again() {
+    const RESPONDED: bool = true;
+    const RESTED: bool = true;
+    use ItemStep::{DeadLetter, Rest, Run};
+    let cases = [
+        ("never tried", 2, 2, attempts(0, 0), false, Run),
+        ("failed once less", 2, 2, attempts(1, 0), false, Run),
+        ("failed often enough, patient", 2, 2, attempts(2, 0), false, Run),
+        ("failed twice as often", 2, 2, attempts(4, 0), false, DeadLetter),
+        ("failed often enough, an outcome is unknown", 2, 2, attempts(2, 1), false, DeadLetter),
+        ("two outcomes are unknown", 2, 2, attempts(0, 2), false, Run),
+        ("three outcomes are unknown", 2, 2, attempts(0, 3), false, Rest),
+        ("three outcomes are unknown, rested", 2, 2, attempts(0, 3), RESTED, Run),
+        ("one failure, two outcomes are unknown: three in all", 1, 1, attempts(0, 3), false, Rest),
+        ("two known failures, three outcomes are unknown", 3, 3, attempts(2, 3), false, Rest),
+        ("two known failures, three outcomes are unknown, rested", 3, 3, attempts(2, 3), RESTED, Run),
+        ("two known failures, seven outcomes are unknown, rested", 3, 3, attempts(2, 7), RESTED, Rest),
+        ("a server has responded", 2, 2, Attempts { has_responded: RESPONDED, ..attempts(1, 9) }, false, Run),
+        ("patience ends at the limit", 1, 1, attempts(2, 0), false, DeadLetter),
+        ("retries were raised", 1, 3, attempts(2, 0), false, Run),
+        ("retries were raised: three times the lower is the limit", 1, 3, attempts(3, 0), false, DeadLetter),
+        ("retries were lowered", 3, 1, attempts(2, 0), false, Run),
+        ("retries were raised beyond three times", 1, 9, attempts(8, 0), false, Run),
+        ("all of them failed", 1, 9, attempts(9, 0), false, DeadLetter),
+    ];
+    for (name, accepted, current, attempts, has_rested, expected) in cases {
+        let known = KnownConfiguration { generation: 0, is_confirmed: true };
+        let failures = FailureLimits::new(accepted, current, true);
+        let route = RouteStatus::InForce { expires_ms: None, failures };
+        let past = ItemPast { attempts, has_rested };
+        let next = job("j", "t", &[1]).next_item_step(known, route, past, NOW_MS);
+        assert_eq!(next, expected, "{name}");
+    }
+}
+
+#[test]
+fn attempts_are_counted_until_the_item_has_a_result() {
+    use AttemptEvent::{Failed, Permitted, Responded};
+    let record = |event| Command::RecordAttempts { job: "j".to_owned(), item_index: 1, event };
+    let mut state = GroupState::default();
+    state.apply(record(Failed));
+    state.apply(Command::Accept(job("j", "t", &[1, 1])));
+    let steps = [
+        (record(Failed), attempts(1, 1)),
+        (record(Permitted), attempts(1, 2)),
+        (record(Responded), Attempts { has_responded: true, ..attempts(1, 2) }),
+        (record_results("j", vec![result(1, "x")]), attempts(0, 1)),
+        (record(Failed), attempts(0, 1)),
+    ];
+    for (command, expected) in steps {
+        let name = format!("{command:?}");
+        state.apply(command);
+        let recorded = state.job("j").expect("the job");
+        assert_eq!(recorded.attempts(1), expected, "{name}");
+        assert_eq!(recorded.attempts(0), Attempts::default(), "{name}: another item");
+    }
+}
--- a/crates/control-plane/src/store/configuration_wait.rs
+++ b/crates/control-plane/src/store/configuration_wait.rs
@@ -3,17 +3,15 @@
 
 use std::time::Duration;
 
-use fennelgauge_batch::{ItemLimits, ItemStep, Job, KnownConfiguration, RouteStatus};
+use fennelgauge_batch::{
+    FailureLimits, ItemLimits, ItemPast, ItemStep, Job, KnownConfiguration, RouteStatus,
+};
 use fennelgauge_coordination::GroupNumber;
 use fennelgauge_model::Route;
 use tokio::time::Instant;
 
 use super::{wall_clock_ms, Store};
 
-/// Factor on the route's `retries` that gives the number of failures allowed to an item of a job that this store
-/// accepted, and so has run alone. A later head, which does not know these failures, allows `retries` more, which
-/// keeps the total within three times `retries`.
-const FAILURE_LIMIT_FACTOR: u32 = 2;
 /// Time after the end of its retention at which an unfinished item is dead-lettered, because clocks differ. In
 /// milliseconds.
 const RETENTION_MARGIN_MS: u64 = 6_000;
@@ -39,20 +37,20 @@
 }
 
 impl Store {
-    /// Returns what to do next with an item that has failed `failures` times at servers. `route` is its route in the
-    /// configuration known here; `wait` is its wait for a configuration, if there was one before.
+    /// Returns what to do next with an item that has this past. `route` is its route in the configuration known here; `wait` is
+    /// its wait for a configuration, if there was one before.
     pub(super) fn next_item_step(
         &self,
         job: &Job,
         route: Option<&Route>,
-        failures: u32,
+        past: ItemPast,
         wait: Option<ConfigurationWait>,
     ) -> ItemStep {
         let known = KnownConfiguration {
             generation: self.known.generation(),
             is_confirmed: wait.is_some_and(|wait| self.is_confirmed(wait)),
         };
-        job.next_item_step(known, self.route_status(job, route), failures, wall_clock_ms())
+        job.next_item_step(known, self.route_status(job, route), past, wall_clock_ms())
     }
 
     /// Returns whether the items of a job are not to be started, because they would only wait for a configuration and take
@@ -65,7 +63,7 @@
     ) -> bool {
         let key = (group, job.id.clone());
         let mut awaiting = self.awaiting_configuration.borrow_mut();
-        if self.next_item_step(job, route, 0, None) != ItemStep::AwaitConfiguration {
+        if self.next_item_step(job, route, ItemPast::default(), None) != ItemStep::AwaitConfiguration {
             awaiting.remove(&key);
             return false;
         }
@@ -103,15 +101,7 @@
             |retention_ms| job.received_ms.saturating_add(retention_ms).saturating_add(RETENTION_MARGIN_MS);
         RouteStatus::InForce {
             expires_ms: limits.retention_ms.map(expires_ms),
-            max_failures: limits.retries.saturating_mul(self.failure_limit_factor(job)),
-        }
-    }
-
-    /// Returns how many times its `retries` an item may fail at servers before it is dead-lettered.
-    fn failure_limit_factor(&self, job: &Job) -> u32 {
-        match self.settings.policy.patient_items && self.accepted_here.borrow().contains_key(&job.id) {
-            true => FAILURE_LIMIT_FACTOR,
-            false => 1,
+            failures: FailureLimits::new(job.limits.retries, own.retries, self.settings.policy.patient_items),
         }
     }
 }
--- a/crates/control-plane/src/store/item_run.rs
+++ b/crates/control-plane/src/store/item_run.rs
@@ -7,12 +7,13 @@
 use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::http::{Method, StatusCode};
 use actix_web::web::Bytes;
-use fennelgauge_batch::{Item, ItemOutcome, ItemResult, ItemStep};
+use fennelgauge_batch::{AttemptEvent, Attempts, Item, ItemOutcome, ItemPast, ItemResult, ItemStep};
 use fennelgauge_model::{stable_fraction, Route};
 use fennelgauge_upstream::{
     is_hop_by_hop, EventOrder, EventParser, InFlightGuard, OutgoingRequest, RequestProfile, SendError,
     UpstreamResponse, LAST_EVENT_ID, PREFIX_HASH, PRIORITY, TENANT,
 };
+use fennelgauge_wire::EntryPosition;
 use strum::Display;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -39,6 +40,7 @@
     /// `None` if the configuration known here has no such route.
     route: Option<Rc<Route>>,
     step: ItemStep,
+    past: ItemPast,
     tenant: String,
     host: String,
 }
@@ -49,10 +51,26 @@
     Finished(ItemOutcome),
     /// The server executed the item and failed; counts towards the item's failure limit.
     Failed,
+    /// No response came: the server may have executed the item and failed.
+    Lost,
     /// The response broke off, or the server refused the item or was not reached: try again, after the last event.
     Retry,
 }
 
+/// What a run knows of its item, from one attempt to the next.
+#[derive(Default)]
+struct ItemRun {
+    /// Entry that permits the next attempt; `None` if a permit has to be taken first.
+    permit: Option<EntryPosition>,
+    /// Whether the last attempt failed, and that is not recorded yet.
+    has_unrecorded_failure: bool,
+    wait: Option<ConfigurationWait>,
+    logged_wait: Option<WaitReason>,
+    excluded_servers: Vec<String>,
+    event_data: Vec<String>,
+    event_order: EventOrder,
+}
+
 /// Why an unfinished item is not sent to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 enum WaitReason {
@@ -62,111 +80,139 @@
     /// The item is to be given up, but its group takes no changes.
     #[strum(to_string = "its group takes no changes")]
     GroupClosed,
+    /// The outcome of so many attempts is unknown that the item may have failed too often.
+    #[strum(to_string = "the outcome of too many attempts is unknown")]
+    UnknownOutcomes,
 }
 
 impl Store {
-    /// Runs an item until it has a result. Returns `None` if it need not run any more. One that the configuration gives up is
-    /// returned only while its group takes changes, and is to be recorded at once.
+    /// Runs an item until it has a result. Returns `None` if it need not run any more, or is to rest. One that the
+    /// configuration gives up is returned only while its group takes changes, and is to be recorded at once.
     pub(super) async fn run_item(self: &Rc<Self>, key: &ItemKey) -> Option<ItemResult> {
-        let mut event_data: Vec<String> = Vec::new();
-        let mut event_order = EventOrder::default();
-        let mut failures = 0;
-        let mut wait = self.wait_of_job(key.group, &key.job);
-        let mut logged_wait = None;
-        let mut excluded_servers = Vec::new();
         if !self.job_is_committed(key).await {
             return None;
         }
+        let mut run = ItemRun {
+            permit: self.take_first_permit(key),
+            wait: self.wait_of_job(key.group, &key.job),
+            ..ItemRun::default()
+        };
         loop {
-            let UnfinishedItem { item, route, step, tenant, host } =
-                self.unfinished_item(key, failures, wait)?;
-            let dead_letter = ItemResult {
-                item_index: key.item_index,
-                outcome: ItemOutcome::DeadLettered,
-                text: String::new(),
-            };
-            let route = match (step, route) {
-                (ItemStep::Run, Some(route)) => route,
+            let unfinished = self.unfinished_item(key, &run)?;
+            if run.has_unrecorded_failure {
+                self.record_failure(key, &mut run, &unfinished).await;
+                continue;
+            }
+            match (unfinished.step, &unfinished.route) {
+                (ItemStep::Run, Some(_)) => {}
                 (ItemStep::AwaitConfiguration, _) => {
-                    self.log_wait(key, &item, failures, &mut logged_wait, WaitReason::Configuration);
-                    wait = Some(wait.unwrap_or_else(ConfigurationWait::begin));
+                    self.log_wait(key, &unfinished, &mut run, WaitReason::Configuration);
+                    run.wait = Some(run.wait.unwrap_or_else(ConfigurationWait::begin));
                     sleep(RETRY_DELAY).await;
                     continue;
                 }
+                (ItemStep::Rest, _) => {
+                    self.log_wait(key, &unfinished, &mut run, WaitReason::UnknownOutcomes);
+                    self.begin_rest(key);
+                    return None;
+                }
                 // Decided anew once the result can be recorded: the configuration may have been replaced by then.
                 (ItemStep::Run | ItemStep::DeadLetter, _)
                     if !self.accepts_changes(&self.view(), key.group) =>
                 {
-                    self.log_wait(key, &item, failures, &mut logged_wait, WaitReason::GroupClosed);
+                    self.log_wait(key, &unfinished, &mut run, WaitReason::GroupClosed);
                     sleep(RETRY_DELAY).await;
                     continue;
                 }
-                (ItemStep::Run | ItemStep::DeadLetter, _) => return Some(dead_letter),
-            };
-            wait = None;
-            logged_wait = None;
-            let service = route.pick_service(stable_fraction(&item.id));
-            if self.pool.mean_load(service).is_some_and(|load| load > MAX_MEAN_LOAD) {
-                sleep(RETRY_DELAY).await;
-                continue;
+                (ItemStep::Run | ItemStep::DeadLetter, _) => return Some(dead_letter(key)),
             }
-            let Some(ticket) = self.pool.choose(service, &excluded_servers, &demand(&item)) else {
-                excluded_servers.clear();
-                sleep(RETRY_DELAY).await;
+            (run.wait, run.logged_wait) = (None, None);
+            if !self.is_permit_committed(key, run.permit) {
+                run.permit = self.obtain_permit(key, run.permit).await;
                 continue;
-            };
-            let outgoing = outgoing(&item, &tenant, &host, event_order.last_id());
-            let started = Instant::now();
-            match self.attempt(service, &ticket, &outgoing, &mut event_data, &mut event_order).await {
-                Attempt::Finished(ItemOutcome::Succeeded) => {
-                    self.run_durations.borrow_mut().record(item.tokens, started.elapsed());
-                    let text = event_data.join("\n");
-                    return Some(ItemResult {
-                        item_index: key.item_index,
-                        outcome: ItemOutcome::Succeeded,
-                        text,
-                    });
-                }
-                Attempt::Finished(ItemOutcome::DeadLettered) => return Some(dead_letter),
-                Attempt::Failed => {
-                    failures += 1;
-                    self.log_failure(key, &item, failures, &ticket.server.id);
+            }
+            match self.send_to_server(key, &mut run, &unfinished).await {
+                Some(Attempt::Finished(ItemOutcome::Succeeded)) => {
+                    let text = run.event_data.join("\n");
+                    let outcome = ItemOutcome::Succeeded;
+                    return Some(ItemResult { item_index: key.item_index, outcome, text });
                 }
-                Attempt::Retry => {}
+                Some(Attempt::Finished(ItemOutcome::DeadLettered)) => return Some(dead_letter(key)),
+                Some(Attempt::Failed) => run.has_unrecorded_failure = true,
+                Some(Attempt::Lost) => run.permit = None,
+                Some(Attempt::Retry) | None => {}
             }
-            excluded_servers = vec![ticket.server.id.clone()];
-            drop(ticket);
             sleep(RETRY_DELAY).await;
         }
     }
 
+    /// Makes one attempt at an item under the run's permit. Returns `None` if no server has room.
+    async fn send_to_server(
+        &self,
+        key: &ItemKey,
+        run: &mut ItemRun,
+        unfinished: &UnfinishedItem,
+    ) -> Option<Attempt> {
+        let UnfinishedItem { item, route, tenant, host, .. } = unfinished;
+        let service = route.as_ref()?.pick_service(stable_fraction(&item.id));
+        if self.pool.mean_load(service).is_some_and(|load| load > MAX_MEAN_LOAD) {
+            return None;
+        }
+        let Some(ticket) = self.pool.choose(service, &run.excluded_servers, &demand(item)) else {
+            run.excluded_servers.clear();
+            return None;
+        };
+        self.end_rest(key);
+        let outgoing = outgoing(item, tenant, host, run.event_order.last_id());
+        let started = Instant::now();
+        let attempt = self.attempt(key, service, &ticket, &outgoing, run).await;
+        match &attempt {
+            Attempt::Finished(ItemOutcome::Succeeded) => {
+                self.run_durations.borrow_mut().record(item.tokens, started.elapsed());
+            }
+            Attempt::Failed => self.log_failure(key, unfinished, &ticket.server.id),
+            _ => {}
+        }
+        run.excluded_servers = vec![ticket.server.id.clone()];
+        Some(attempt)
+    }
+
+    /// Records that the last attempt failed, which renews the permit, once the group takes changes.
+    async fn record_failure(&self, key: &ItemKey, run: &mut ItemRun, unfinished: &UnfinishedItem) {
+        match self.record_attempt_event(key, AttemptEvent::Failed) {
+            Some(entry) => {
+                run.permit = Some(entry);
+                run.has_unrecorded_failure = false;
+            }
+            None => {
+                self.log_wait(key, unfinished, run, WaitReason::GroupClosed);
+                sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+
     /// Logs that a server failed an item, with what decides how often it may be sent again.
-    fn log_failure(&self, key: &ItemKey, item: &Item, failures: u32, server: &str) {
+    fn log_failure(&self, key: &ItemKey, unfinished: &UnfinishedItem, server: &str) {
         log::warn!(
-            "item {} of batch job {}: server {server} failed it; {failures} failures so far, view {}, configuration {}",
-            item.id,
+            "item {} of batch job {}: server {server} failed it after {}, view {}, configuration {}",
+            unfinished.item.id,
             key.job,
+            describe(unfinished.past.attempts),
             self.view().epoch,
             self.known.generation()
         );
     }
 
     /// Logs why an item waits, once for each reason in a row.
-    fn log_wait(
-        &self,
-        key: &ItemKey,
-        item: &Item,
-        failures: u32,
-        logged: &mut Option<WaitReason>,
-        reason: WaitReason,
-    ) {
-        if logged.replace(reason) == Some(reason) {
+    fn log_wait(&self, key: &ItemKey, unfinished: &UnfinishedItem, run: &mut ItemRun, reason: WaitReason) {
+        if run.logged_wait.replace(reason) == Some(reason) {
             return;
         }
         log::warn!(
-            "item {} of batch job {} waits: {reason}; {failures} failures so far, view {}, configuration {}",
-            item.id,
+            "item {} of batch job {} waits: {reason}; {}, view {}, configuration {}",
+            unfinished.item.id,
             key.job,
+            describe(unfinished.past.attempts),
             self.view().epoch,
             self.known.generation()
         );
@@ -179,14 +225,9 @@
         self.wait_committed(key.group, position, Instant::now() + COMMIT_TIMEOUT).await
     }
 
-    /// Returns the item with the current route and the next step, or `None` if it has a result or its job was cancelled or
-    /// removed. `failures` counts its failures at servers; `wait` is its wait for a configuration.
-    fn unfinished_item(
-        &self,
-        key: &ItemKey,
-        failures: u32,
-        wait: Option<ConfigurationWait>,
-    ) -> Option<UnfinishedItem> {
+    /// Returns the item of a run with the current route and the next step, or `None` if it has a result or its job was cancelled
+    /// or removed.
+    fn unfinished_item(&self, key: &ItemKey, run: &ItemRun) -> Option<UnfinishedItem> {
         let replica = self.replica(key.group).borrow();
         let state = replica.state().job(&key.job).filter(|state| !state.cancelled)?;
         let item = state.job.items.get(key.item_index as usize)?.clone();
@@ -195,11 +236,18 @@
         }
         let table = self.known.routing_table()?;
         let route = batch_route(&table, &state.job, &item);
-        let step = self.next_item_step(&state.job, route.as_deref(), failures, wait);
+        let recorded = state.attempts(key.item_index);
+        let attempts = match run.permit {
+            Some(_) => recorded.without_own_permit(),
+            None => recorded,
+        };
+        let past = ItemPast { attempts, has_rested: self.has_rested(key) };
+        let step = self.next_item_step(&state.job, route.as_deref(), past, run.wait);
         Some(UnfinishedItem {
             item,
             route,
             step,
+            past,
             tenant: state.job.tenant.clone(),
             host: state.job.host.clone(),
         })
@@ -208,11 +256,11 @@
     /// Sends the item to one server and collects the events of its response.
     async fn attempt(
         &self,
+        key: &ItemKey,
         service: &str,
         ticket: &InFlightGuard,
         outgoing: &OutgoingRequest,
-        event_data: &mut Vec<String>,
-        event_order: &mut EventOrder,
+        run: &mut ItemRun,
     ) -> Attempt {
         let started = Instant::now();
         let sent = self.sender.send(&ticket.server, outgoing, ATTEMPT_TIMEOUT, IDLE_TIMEOUT).await;
@@ -228,12 +276,18 @@
                         ticket.server.id
                     );
                 }
-                return Attempt::Retry;
+                return match error {
+                    SendError::MayHaveExecuted | SendError::TimedOut => Attempt::Lost,
+                    SendError::NotSent | SendError::NotExecuted(_) => Attempt::Retry,
+                };
             }
         };
         self.pool.record_response(ticket, &response);
         match response.status() {
-            status if status.is_success() => read_events(response, event_data, event_order).await,
+            status if status.is_success() => {
+                self.record_response_begun(key);
+                read_events(response, &mut run.event_data, &mut run.event_order).await
+            }
             StatusCode::UNPROCESSABLE_ENTITY => Attempt::Finished(ItemOutcome::DeadLettered),
             StatusCode::INTERNAL_SERVER_ERROR => Attempt::Failed,
             _ => Attempt::Retry,
@@ -241,6 +295,16 @@
     }
 }
 
+/// Returns the result of an item that is given up.
+fn dead_letter(key: &ItemKey) -> ItemResult {
+    ItemResult { item_index: key.item_index, outcome: ItemOutcome::DeadLettered, text: String::new() }
+}
+
+/// Describes recorded attempts in the log.
+fn describe(attempts: Attempts) -> String {
+    format!("{} failures, {} unknown outcomes so far", attempts.failures, attempts.open_permits)
+}
+
 /// Collects the events of a response. If it breaks off, the events received whole are kept for the next attempt.
 async fn read_events(
     mut response: UpstreamResponse,
--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -9,6 +9,7 @@
 mod item_run;
 mod journal;
 mod learner;
+mod permits;
 mod replication;
 mod run_durations;
 mod runner;
@@ -88,7 +89,9 @@
     /// Limits on running items by service.
     concurrency_windows: RefCell<HashMap<String, concurrency::ConcurrencyWindow>>,
     /// Batch jobs that this store accepted as the head, and whose groups it has headed ever since.
-    accepted_here: RefCell<HashMap<String, GroupNumber>>,
+    accepted_here: RefCell<HashMap<String, permits::AcceptedJob>>,
+    /// Items that are left alone, each since when.
+    resting_since: RefCell<HashMap<runner::ItemKey, Instant>>,
     /// Waits of batch jobs whose items are to wait until the core confirms the configuration known here or sends a newer one.
     awaiting_configuration: RefCell<HashMap<(GroupNumber, String), configuration_wait::ConfigurationWait>>,
     run_durations: RefCell<run_durations::RunDurations>,
@@ -175,6 +178,7 @@
             running_counts: RefCell::default(),
             concurrency_windows: RefCell::default(),
             accepted_here: RefCell::default(),
+            resting_since: RefCell::default(),
             awaiting_configuration: RefCell::default(),
             run_durations: RefCell::default(),
             entry_counters: counters::EntryCounters::default(),
--- a/crates/control-plane/src/store/runner.rs
+++ b/crates/control-plane/src/store/runner.rs
@@ -106,7 +106,9 @@
                 last_housekeeping = Instant::now();
                 self.sender.retain_servers(&self.known.server_list().servers);
                 self.remove_expired_jobs(&view);
-                self.forget_settled_jobs(&self.headed_groups(&view));
+                let headed = self.headed_groups(&view);
+                self.forget_settled_jobs(&headed);
+                self.forget_settled_rests(&headed);
             }
             let mut candidates = self.candidates(&view);
             let elapsed_s = last_credit_update.elapsed().as_secs_f64().min(POLL_INTERVAL.as_secs_f64());
@@ -220,7 +222,7 @@
                 let due_ms = state.job.received_ms.saturating_add(target_ms);
                 for item_index in state.unfinished_items() {
                     let key = ItemKey { group, job: state.job.id.clone(), item_index };
-                    if !running.contains_key(&key) {
+                    if !running.contains_key(&key) && !self.is_resting(&key) {
                         let tokens = state.job.items[item_index as usize].tokens;
                         let late = self.settings.policy.late_items_last
                             && now_ms.saturating_add(run_durations.upper_estimate_ms(tokens)) > due_ms;
@@ -311,7 +313,7 @@
     /// Stops the running items of groups that this store no longer heads.
     fn stop_items_of_lost_groups(&self, view: &StoreView) {
         let headed = self.headed_groups(view);
-        self.accepted_here.borrow_mut().retain(|_, group| headed.contains(group));
+        self.accepted_here.borrow_mut().retain(|_, accepted| headed.contains(&accepted.group));
         self.running.borrow_mut().retain(|key, task| {
             let is_headed = headed.contains(&key.group);
             if !is_headed {
--- a/crates/control-plane/src/store/serving.rs
+++ b/crates/control-plane/src/store/serving.rs
@@ -10,6 +10,7 @@
 use fennelgauge_wire::StoreReply;
 use tokio::time::{timeout_at, Instant};
 
+use super::permits::AcceptedJob;
 use super::Store;
 
 /// Longest wait for an entry to be committed before the reply.
@@ -35,8 +36,10 @@
             SubmissionDecision::GivenUp => return StoreReply::GivenUp,
             SubmissionDecision::AlreadyAccepted(entry) => entry,
             SubmissionDecision::Accept if self.has_room(&job) => {
-                self.accepted_here.borrow_mut().insert(job.id.clone(), group);
-                self.append_command(&view, group, Command::Accept(job))
+                let entry = self.append_command(&view, group, Command::Accept(job.clone()));
+                let accepted = AcceptedJob::new(group, entry, &job);
+                self.accepted_here.borrow_mut().insert(job.id, accepted);
+                entry
             }
             SubmissionDecision::Accept => return StoreReply::NotAccepted,
         };
--- a/crates/simulation/src/stores/answering.rs
+++ b/crates/simulation/src/stores/answering.rs
@@ -71,7 +71,12 @@
                     SubmissionDecision::OverQuota => return Some(Answer::OverQuota),
                     SubmissionDecision::GivenUp => return Some(Answer::GivenUp),
                     SubmissionDecision::AlreadyAccepted(entry) => entry,
-                    SubmissionDecision::Accept => self.change(group, Command::Accept(job), step),
+                    SubmissionDecision::Accept => {
+                        let (id, items) = (job.id.clone(), (0..job.items.len() as u32).collect());
+                        let entry = self.change(group, Command::Accept(job), step);
+                        self.accepted_here.insert(id, (entry, items));
+                        entry
+                    }
                 };
                 self.wait_for_commit(group, entry, call, step);
                 None
--- a/crates/simulation/src/stores/day.rs
+++ b/crates/simulation/src/stores/day.rs
@@ -12,6 +12,10 @@
 const MOST_ITEMS: usize = 4;
 const ITEMS_AT_ONCE: usize = 4;
 
+/// On days with failing items a head is lost each time after so long.
+const HEAD_LOST_EVERY: (Micros, Micros) = (200 * MILLISECOND, 4 * SECOND);
+const MOST_LOST_ANSWERS_PER_MILLE: u64 = 20;
+
 /// What a day leans towards.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString)]
 #[strum(serialize_all = "kebab-case")]
@@ -230,6 +234,10 @@
     pub items_at_once: usize,
     /// Whether an operator keeps adding, removing and changing batch routes.
     pub changes_routes: bool,
+    /// Whether most items fail at each run or are rejected, and configurations follow each other without a pause.
+    pub has_failing_items: bool,
+    /// Of a thousand answers of servers to stores, so many are lost.
+    pub lost_answers_per_mille: u64,
 }
 
 /// A holder may be given up after so long, and a store goes on so long without the core: the program's times, made short.
@@ -254,6 +262,35 @@
         Self { changes_routes: true, items_at_once: ITEMS_AT_ONCE * MAX_ROUTES, ..self }
     }
 
+    /// The day of a seed with changing routes, on which items fail, and heads are lost again and again.
+    pub fn with_failing_items(seed: u64) -> Self {
+        Self::with_changing_routes(seed).failing_items()
+    }
+
+    /// The same day with items that fail at each run or are rejected, changes each tenth of a second, lost answers, and heads, or
+    /// all stores, that lose power again and again.
+    pub fn failing_items(self) -> Self {
+        let mut chance = SeededRng::new(self.seed ^ 0x6661_696c);
+        let mut day = Self {
+            has_failing_items: true,
+            lost_answers_per_mille: chance.between(0, MOST_LOST_ANSWERS_PER_MILLE),
+            ..self
+        };
+        let most_between = chance.between(HEAD_LOST_EVERY.0, HEAD_LOST_EVERY.1);
+        let mut at = FIRST_TROUBLE;
+        while at < day.closing {
+            let back = |chance: &mut SeededRng| chance.between(50 * MILLISECOND, 900 * MILLISECOND);
+            let trouble = match chance.per_mille(300) {
+                true => StoreTrouble::AllDark { back: (0..day.stores).map(|_| back(&mut chance)).collect() },
+                false => StoreTrouble::Kill { stores: vec![0], for_: back(&mut chance) },
+            };
+            day.strikes.push(StoreStrike { at, trouble });
+            at += chance.between(HEAD_LOST_EVERY.0, most_between);
+        }
+        day.strikes.sort_by_key(|strike| strike.at);
+        day
+    }
+
     pub fn of_family(seed: u64, family: StoreFamily) -> Self {
         let mut chance = SeededRng::new(seed ^ 0x7374_6f72);
         let losses = 1 + chance.below(2);
@@ -273,6 +310,8 @@
             closing_wipes: chance.below(losses + 1),
             gives_up: family == StoreFamily::GivenUp,
             changes_routes: false,
+            has_failing_items: false,
+            lost_answers_per_mille: 0,
             fixed_sync: None,
             most_items: MOST_ITEMS,
             items_at_once: ITEMS_AT_ONCE,
--- a/crates/simulation/src/stores/placing.rs
+++ b/crates/simulation/src/stores/placing.rs
@@ -18,6 +18,7 @@
 pub(super) const CONVERGE: Micros = 2 * SECOND;
 /// Between two changes of the batch routes.
 const CHANGE_EVERY: (Micros, Micros) = (150 * MILLISECOND, 900 * MILLISECOND);
+const CHANGE_EVERY_IN_SERIES: Micros = 100 * MILLISECOND;
 /// Age of what a source that is in touch with the core sends.
 const SOURCE_AGE: (Micros, Micros) = (2 * MILLISECOND, 400 * MILLISECOND);
 /// A store's word may be so late.
@@ -95,7 +96,10 @@
 
     /// An operator changes the batch routes, unless the core takes no orders; data planes know it sooner or later.
     pub(super) fn change_routes(&mut self) {
-        let every = self.chance.between(CHANGE_EVERY.0, CHANGE_EVERY.1);
+        let every = match self.day.has_failing_items {
+            true => CHANGE_EVERY_IN_SERIES,
+            false => self.chance.between(CHANGE_EVERY.0, CHANGE_EVERY.1),
+        };
         if !self.may_submit() {
             return;
         }
--- a/crates/simulation/src/stores/plant.rs
+++ b/crates/simulation/src/stores/plant.rs
@@ -49,6 +49,18 @@
     FailuresAreForgotten,
     /// Items of a route that has ended run on.
     EndedRouteRunsOn,
+    /// Failures at servers are counted by each run anew.
+    FailuresEndWithTheRun,
+    /// Items are sent without a permit, so that attempts with an unknown outcome are not counted.
+    PermitsAreNotTaken,
+    /// Items are sent before their permit is committed.
+    PermitsAreNotCommitted,
+    /// After a lost answer an item is sent again under the same permit.
+    LostAnswersKeepThePermit,
+    /// Attempts with an unknown outcome count as failures.
+    UnknownOutcomesAreFailures,
+    /// An item rests without end if the outcome of too many attempts is unknown.
+    RestsWithoutEnd,
 }
 
 impl StorePlant {
@@ -67,6 +79,19 @@
         )
     }
 
+    /// Whether the mistake shows only on days with items that fail.
+    pub fn needs_failing_items(self) -> bool {
+        matches!(
+            self,
+            Self::FailuresEndWithTheRun
+                | Self::PermitsAreNotTaken
+                | Self::PermitsAreNotCommitted
+                | Self::LostAnswersKeepThePermit
+                | Self::UnknownOutcomesAreFailures
+                | Self::RestsWithoutEnd
+        )
+    }
+
     pub fn all() -> Vec<Self> {
         let replica = ReplicaBug::iter().map(Self::Replica);
         let planner = PlannerBug::iter().map(Self::Planner);
@@ -91,6 +116,12 @@
             Self::RetentionIsEndless,
             Self::FailuresAreForgotten,
             Self::EndedRouteRunsOn,
+            Self::FailuresEndWithTheRun,
+            Self::PermitsAreNotTaken,
+            Self::PermitsAreNotCommitted,
+            Self::LostAnswersKeepThePermit,
+            Self::UnknownOutcomesAreFailures,
+            Self::RestsWithoutEnd,
         ];
         replica.chain(planner).chain(around).collect()
     }
--- a/crates/simulation/src/stores/store.rs
+++ b/crates/simulation/src/stores/store.rs
@@ -1,7 +1,7 @@
 //! One simulated store: memory, disk, what is under way. What it decides, it asks `fennelgauge-replication`; here and in the files
 //! beside stands only what the program's tasks do around that: writing, sending, waiting.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use fennelgauge_coordination::{
@@ -114,6 +114,10 @@
     pub(super) configuration_confirmed_at: Option<Micros>,
     /// Batch jobs that wait until the core confirms the configuration or sends a newer one.
     pub(super) awaiting_configuration: BTreeMap<String, ConfigurationWait>,
+    /// Batch jobs that this store accepted as the head: the entry that did, and the items whose permit is not used.
+    pub(super) accepted_here: BTreeMap<String, (EntryPosition, BTreeSet<u32>)>,
+    /// Items that are left alone, each since when.
+    pub(super) resting_since: BTreeMap<(String, u32), Micros>,
     has_lease: bool,
     pub(super) replicas: BTreeMap<GroupNumber, Replica>,
     pub(super) checked: BTreeMap<GroupNumber, u64>,
@@ -138,6 +142,8 @@
     pub items_at_once: usize,
     /// Whether it goes by the configurations that it is sent; else there is one that does not change.
     pub changes_routes: bool,
+    /// Of a thousand answers of servers, so many are lost on the way.
+    pub lost_answers_per_mille: u64,
 }
 
 impl SimStore {
@@ -160,6 +166,8 @@
             configuration: None,
             configuration_confirmed_at: None,
             awaiting_configuration: BTreeMap::new(),
+            accepted_here: BTreeMap::new(),
+            resting_since: BTreeMap::new(),
             has_lease: true,
             replicas: BTreeMap::new(),
             checked: BTreeMap::new(),
@@ -179,6 +187,7 @@
             unlisted: Vec::new(),
             items_at_once: 1,
             changes_routes: false,
+            lost_answers_per_mille: 0,
         }
     }
 
@@ -230,6 +239,7 @@
             core_heard: step.now,
             items_at_once: self.items_at_once,
             changes_routes: self.changes_routes,
+            lost_answers_per_mille: self.lost_answers_per_mille,
             disk,
             is_up: true,
             ..fresh
--- a/crates/simulation/src/stores/task.rs
+++ b/crates/simulation/src/stores/task.rs
@@ -84,6 +84,27 @@
     WritingCopy { write: u64, end: EntryPosition },
 }
 
+/// What a run knows of its item, from one attempt to the next.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct RunMemory {
+    /// Entry that permits the next attempt.
+    pub permit: Option<EntryPosition>,
+    /// Whether the last attempt failed, and that is not recorded yet.
+    pub has_unrecorded_failure: bool,
+    pub wait: Option<ConfigurationWait>,
+    /// Failures of this run alone, for a planted mistake.
+    pub failures: u32,
+}
+
+/// What a store gets of a server's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum ServerAnswer {
+    Failed,
+    Rejected,
+    Succeeded { text: String },
+    Lost,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Running {
     Committing {
@@ -92,12 +113,22 @@
     },
     /// Not to be started yet: it waits for a configuration, or a server.
     Waiting {
-        failures: u32,
-        wait: Option<ConfigurationWait>,
+        memory: RunMemory,
+        until: Micros,
+    },
+    /// Waits until the permit of its next attempt is committed.
+    Permitting {
+        memory: RunMemory,
         until: Micros,
     },
     AtServer {
-        failures: u32,
+        memory: RunMemory,
+        until: Micros,
+    },
+    /// The server has answered; its answer is on the way, or lost.
+    Answering {
+        memory: RunMemory,
+        answer: ServerAnswer,
         until: Micros,
     },
     /// Done, while the group may not be changed.
@@ -124,7 +155,8 @@
     /// Whether it is the run of an item that takes the place of another. One that waits for a server or a configuration does
     /// not, so that what is left at the end of a day waits without end, and not for its turn.
     pub fn is_running_item(&self) -> bool {
-        matches!(self, Self::Run { stage, .. } if !matches!(stage, Running::Waiting { .. }))
+        let waits = |stage: &Running| matches!(stage, Running::Waiting { .. } | Running::Permitting { .. });
+        matches!(self, Self::Run { stage, .. } if !waits(stage))
     }
 
     /// Whether it goes on when something else changes, and is to be looked at then.
--- a/crates/simulation/src/stores/turns.rs
+++ b/crates/simulation/src/stores/turns.rs
@@ -47,7 +47,12 @@
             return Some(client.new_job(tenant, self.day.most_items, route, runs, &mut self.chance));
         }
         let route = String::clone(self.chance.choose(&routes)?);
-        let natures = |chance: &mut SeededRng| ItemNature::drawn(&route, chance);
+        let has_failing_items = self.day.has_failing_items;
+        let natures = |chance: &mut SeededRng| match has_failing_items && chance.per_mille(600) {
+            true if chance.per_mille(700) => ItemNature::Fails,
+            true => ItemNature::Rejected,
+            false => ItemNature::drawn(&route, chance),
+        };
         Some(client.new_job(tenant, self.day.most_items, &route, natures, &mut self.chance))
     }
 
--- a/crates/simulation/src/stores/world.rs
+++ b/crates/simulation/src/stores/world.rs
@@ -304,6 +304,7 @@
         store.disk.fixed_sync = self.day.fixed_sync;
         store.items_at_once = self.day.items_at_once;
         store.changes_routes = self.day.changes_routes;
+        store.lost_answers_per_mille = self.day.lost_answers_per_mille;
         self.stores.push(store);
         let at = self.now + self.chance.between(0, 300 * MILLISECOND);
         self.at(at, Event::Start(place));
--- a/crates/simulation/src/stores_command.rs
+++ b/crates/simulation/src/stores_command.rs
@@ -18,7 +18,11 @@
 /// Runs `stores`, `stores-day` or `stores-planted`.
 pub fn command(verb: &str, mut arguments: pico_args::Arguments) -> anyhow::Result<()> {
     let family: Option<StoreFamily> = arguments.opt_value_from_str("--family")?;
-    let days = Days { family, changes_routes: arguments.contains("--changing-routes") };
+    let days = Days {
+        family,
+        changes_routes: arguments.contains("--changing-routes"),
+        has_failing_items: arguments.contains("--failing-items"),
+    };
     let threads: u64 = arguments.opt_value_from_str("--threads")?.unwrap_or(4);
     let planted: Option<String> = arguments.opt_value_from_str("--planted")?;
     match verb {
@@ -81,14 +85,17 @@
     family: Option<StoreFamily>,
     /// Whether an operator changes the batch routes.
     changes_routes: bool,
+    /// Whether items fail besides, and heads are lost again and again.
+    has_failing_items: bool,
 }
 
 impl Days {
     fn drawn(self, seed: u64) -> StoreDay {
         let drawn = |family| StoreDay::of_family(seed, family);
         let day = self.family.map_or_else(|| StoreDay::drawn(seed), drawn);
-        match self.changes_routes {
-            true => day.changing_routes(),
+        match self.has_failing_items {
+            true => day.changing_routes().failing_items(),
+            false if self.changes_routes => day.changing_routes(),
             false => day,
         }
     }
@@ -177,6 +184,7 @@
         let found: Mutex<Option<(u64, StoreFamily, Rule)>> = Mutex::new(None);
         run_seeds_on_threads(1, most, threads, |seed| {
             let day = match plant.needs_changing_routes() {
+                _ if plant.needs_failing_items() => StoreDay::with_failing_items(seed),
                 true => StoreDay::with_changing_routes(seed),
                 false => StoreDay::drawn(seed),
             };
