Fix: a late copy for a learner changes nothing on a link that is caught up

What callers would see: a result that was read is gone, or another stands in its place (LOST, TWICE), after a store has copied a group as a learner, joined its chain, and a second copy that it had asked for before comes late.

Cause: entries for a learner are dropped once the store is caught up in the view; a whole copy was dropped only if it lacked something. One that has more made the link exceed its predecessor and still count as caught up, so that as the tail it showed readers what the links before it lack; a head without these entries then replaced them.

Change: a copy for a learner is not installed once the store has been caught up since the view in which it asked. Test seen red before (a_late_copy_for_a_learner_changes_nothing_...: Installed instead of Outdated).

--- a/crates/control-plane/src/store/learner.rs
+++ b/crates/control-plane/src/store/learner.rs
@@ -67,7 +67,7 @@
                 replica.may_report_copied(batch.end, missing_count)
             }
             Some(StoreReply::Snapshot(copy)) => {
-                let installed = self.replica(group).borrow_mut().install_snapshot(epoch, &copy);
+                let installed = self.replica(group).borrow_mut().install_snapshot_as_learner(epoch, &copy);
                 self.write_installed(group, after, installed, &copy).await;
                 false
             }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -243,6 +243,15 @@
         }
     }
 
+    /// Installs a snapshot that this store requested as a learner in the view of `epoch`, unless it has been caught up since that
+    /// view: as a link it has no more than its predecessor.
+    pub fn install_snapshot_as_learner(&mut self, epoch: u64, snapshot: &GroupSnapshot) -> InstallResult {
+        match self.was_caught_up_since(epoch) && !self.has(ReplicaBug::LearnsThoughLevel) {
+            true => InstallResult::Outdated,
+            false => self.install_snapshot(epoch, snapshot),
+        }
+    }
+
     /// Installs a snapshot of another store. A snapshot that lacks entries that are here is installed only if this replica has not
     /// been caught up since the view of `caught_up_since`: that of its role for a link, that of the request for a learner. A
     /// snapshot from before the group was given up is never installed.
--- a/crates/replication/tests/replica.rs
+++ b/crates/replication/tests/replica.rs
@@ -96,6 +96,20 @@
     assert_eq!(ids(&old), ["a", "kept", "last"]);
 }
 
+/// Guards against a tail that shows readers entries which the link before it lacks: a copy that it had asked for as a learner came
+/// late, when it was a link that was caught up.
+#[test]
+fn a_late_copy_for_a_learner_changes_nothing_on_a_caught_up_link() {
+    let (head, entries) = head(1, &["a", "b"]);
+    let mut tail = Replica::default();
+    tail.append_from_predecessor(&link(2), &batch(EntryPosition::default(), &entries[..1]));
+    assert_eq!(tail.install_snapshot_as_learner(1, &head.snapshot()), InstallResult::Outdated);
+    assert_eq!(ids(&tail), ["a"]);
+    let mut learner = Replica::default();
+    let installed = learner.install_snapshot_as_learner(1, &head.snapshot());
+    assert_eq!(installed, InstallResult::Installed { lost_read: None });
+}
+
 #[test]
 fn a_snapshot_replaces_no_entries_of_a_caught_up_link() {
     let (mut head, entries) = head(1, &["a", "b"]);
--- a/crates/simulation/src/stores/continuing.rs
+++ b/crates/simulation/src/stores/continuing.rs
@@ -47,7 +47,7 @@
                     }
                     Answer::Copy(copy) => {
                         let end = copy.position;
-                        let installed = self.replica(group).install_snapshot(epoch, &copy);
+                        let installed = self.replica(group).install_snapshot_as_learner(epoch, &copy);
                         let write = self.write_installed(installed, group, copy, step)?;
                         Learning::WritingCopy { write, end }
                     }
