Judge, simulation and soak: the upper side of attempts, mistakes on both sides, failing items

The judge counts failures and rejections of an item over all stores.

In the soak one item of sixteen fails at each run and one is rejected, and both sides are judged.

--- a/crates/batch-judge/tests/judge.rs
+++ b/crates/batch-judge/tests/judge.rs
@@ -221,3 +221,51 @@
     checker.check_route_of_start(20 * SECOND, "a");
     assert_eq!(rules(&checker), [Rule::Config], "added again");
 }
+
+/// The job is submitted at 1 s; its item `a` starts at 20 s. Configurations follow each other each 2 s, the first one at 0 s.
+#[test]
+fn an_item_must_not_start_again_after_too_many_failures_or_rejections() {
+    let cases: [(&str, &[Routes], usize, usize, bool); 8] = [
+        ("never failed", &[route(30, 2)], 0, 0, true),
+        ("one failure less than three times the retries", &[route(30, 2)], 5, 0, true),
+        ("three times the retries", &[route(30, 2)], 6, 0, false),
+        ("the retries were raised", &[route(30, 1), route(30, 2)], 5, 0, true),
+        ("the retries were lowered", &[route(30, 2), route(30, 1)], 5, 0, true),
+        ("too often by any configuration", &[route(30, 2), route(30, 1)], 6, 0, false),
+        ("rejected twice", &[route(30, 9)], 0, 2, true),
+        ("rejected three times", &[route(30, 9)], 0, 3, false),
+    ];
+    for (case, configurations, failures, rejections, is_allowed) in cases {
+        let mut checker = checker_with_accepted_job();
+        for (index, routes) in configurations.iter().enumerate() {
+            checker.record_configuration(index as u64 * 2 * SECOND, routes.clone());
+        }
+        for _ in 0..failures {
+            checker.record_item_failure(10 * SECOND, "a");
+        }
+        for _ in 0..rejections {
+            checker.record_item_rejection("a");
+        }
+        checker.record_item_start(20 * SECOND, "b");
+        checker.record_item_start(20 * SECOND, "a");
+        let expected: &[Rule] = if is_allowed { &[] } else { &[Rule::Budget] };
+        assert_eq!(rules(&checker), expected, "{case}");
+    }
+}
+
+/// A data plane may not know yet that the configuration by which it takes a job was replaced.
+#[test]
+fn retries_that_were_lowered_shortly_before_the_submission_still_bound_the_attempts() {
+    for (lowered_before, expected) in [(2 * SECOND - 1, [].as_slice()), (2 * SECOND, &[Rule::Budget])] {
+        let mut checker = checker_with_accepted_job();
+        let submitted_at = 10 * SECOND;
+        checker.record_configuration(0, route(30, 2));
+        checker.record_configuration(submitted_at - lowered_before, route(30, 1));
+        checker.record_submission(&SubmittedJob { submitted_at, ..job("k", &["c"]) });
+        for _ in 0..3 {
+            checker.record_item_failure(11 * SECOND, "c");
+        }
+        checker.record_item_start(12 * SECOND, "c");
+        assert_eq!(rules(&checker), expected, "lowered {lowered_before} us before");
+    }
+}
--- a/crates/soak/src/batch_client.rs
+++ b/crates/soak/src/batch_client.rs
@@ -62,10 +62,19 @@
     }
 }
 
+/// The path of an item: of each sixteen, one fails at each run and one is rejected, at each submission alike.
+fn item_path(item: &str) -> &'static str {
+    match item.bytes().map(u32::from).sum::<u32>() % 16 {
+        0 => "/batch/fail/x",
+        1 => "/batch/poison/x",
+        _ => "/batch/run/slow/x",
+    }
+}
+
 /// Offers a batch job until it is taken or clearly refused; true if it was taken.
 async fn submitted(world: &Rc<World>, job: &SubmittedJob) -> bool {
     let body = |item: &SubmittedItem| {
-        json!({ "id": item.id, "path": "/batch/run/slow/x", "headers": {}, "tokens": item.tokens,
+        json!({ "id": item.id, "path": item_path(&item.id), "headers": {}, "tokens": item.tokens,
                 "body": BASE64_STANDARD.encode(&item.id) })
     };
     let requests: Vec<_> = job.items.iter().map(body).collect();
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -37,6 +37,12 @@
 
     /// A run sent all its events. `events` is the data of the events after `after`.
     fn run_completed(&self, id: &str, after: u64, events: &[String]);
+
+    /// A run is answered with 500.
+    fn run_failed(&self, _id: &str) {}
+
+    /// A run is answered with 422.
+    fn run_rejected(&self, _id: &str) {}
 }
 
 /// A running server's state, shared with the test.
@@ -89,9 +95,15 @@
     response.insert_header(("X-Fennelgauge-Response-Signature", format!("signed-{}", server.id)));
     let path = request.path();
     if path.contains("/poison/") {
+        if let Some(observer) = &observer {
+            observer.run_rejected(&id);
+        }
         return response.status(StatusCode::UNPROCESSABLE_ENTITY).finish();
     }
     if path.contains("/fail/") {
+        if let Some(observer) = &observer {
+            observer.run_failed(&id);
+        }
         return response.status(StatusCode::INTERNAL_SERVER_ERROR).finish();
     }
     let breaks = path.contains("/break/") && after == 0;
