Test that fails: an item whose answers are all lost is sent once after each rest, without end

Found by reading once more: an item without a known failure is sent again each three seconds, however many attempts are in doubt.

--- a/crates/control-plane/src/store/tests/failures.rs
+++ b/crates/control-plane/src/store/tests/failures.rs
@@ -21,6 +21,13 @@
 const LOSSES_OF_POWER: u64 = 12;
 const ROUTE: &str = r#"{"name":"r","host":"h","path_prefix":"/p/","kind":"batch","timeout_ms":1000,"backend":"s","retries":2}"#;
 
+/// The same route with a retention that does not end during a test.
+const ROUTE_WITH_RETENTION: &str = r#"{"name":"r","host":"h","path_prefix":"/p/","kind":"batch","timeout_ms":1000,"backend":"s","retries":2,"retention_s":3600}"#;
+const RETENTION_MS: u64 = 3_600_000;
+const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+/// Longer than an item rests.
+const LONG_LIFE: Duration = Duration::from_secs(10);
+
 /// What a server answers to each request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Answer {
@@ -28,6 +35,8 @@
     Rejects,
     /// The connection breaks.
     Nothing,
+    /// The answer is lost on its way, while the connection stays.
+    Withheld,
     Succeeds,
 }
 
@@ -36,7 +45,7 @@
         match self {
             Self::Fails => "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n",
             Self::Rejects => "HTTP/1.1 422 Unprocessable Entity\r\ncontent-length: 0\r\n\r\n",
-            Self::Nothing => "",
+            Self::Nothing | Self::Withheld => "",
             Self::Succeeds => {
                 "HTTP/1.1 200 OK\r\nx-fennelgauge-request-id: i\r\ncontent-length: 20\r\n\r\nid: 1\ndata: a text\n\n"
             }
@@ -83,6 +92,9 @@
             self.answer_count.set(self.answer_count.get() + 1);
             let recorded = self.store.borrow().as_ref().map(|store| store.replica(GROUP).borrow().snapshot());
             *self.recorded_at_answer.borrow_mut() = recorded;
+            if self.answer.get() == Answer::Withheld {
+                std::future::pending::<()>().await;
+            }
             let response = self.answer.get().response();
             if response.is_empty() || stream.write_all(response.as_bytes()).await.is_err() {
                 return;
@@ -118,6 +130,23 @@
     store.recorded()
 }
 
+/// Like [`live`], on the route with a retention and for longer than an item rests. The store loses power as a server answers.
+async fn live_until_answered(server: &StandIn, recorded: &GroupSnapshot, epoch: u64) -> GroupSnapshot {
+    let store = RunningStore::recover(recorded, epoch);
+    store.configure(5 + epoch, ROUTE_WITH_RETENTION);
+    server.serve_store(&store);
+    let before = server.answer_count.get();
+    let ends_at = Instant::now() + LONG_LIFE;
+    while server.answer_count.get() == before && Instant::now() < ends_at {
+        store.pass(LOOK_INTERVAL).await;
+    }
+    store.lose_power();
+    match server.answer_count.get() > before {
+        true => server.recorded_at_answer.take().expect("recorded"),
+        false => store.recorded(),
+    }
+}
+
 /// Runs a store by a configuration that the core confirms again and again, and returns the outcome of its item.
 async fn outcome_in_the_end(server: &StandIn, recorded: &GroupSnapshot) -> Vec<ItemOutcome> {
     let store = RunningStore::recover(recorded, 100);
@@ -133,7 +162,11 @@
 }
 
 async fn recorded_job() -> GroupSnapshot {
-    let store = RunningStore::start_with_job(None).await;
+    recorded_job_with_retention(None).await
+}
+
+async fn recorded_job_with_retention(retention_ms: Option<u64>) -> GroupSnapshot {
+    let store = RunningStore::start_with_job(retention_ms).await;
     store.pass(SOON).await;
     store.lose_power();
     store.recorded()
@@ -175,6 +208,23 @@
     }
 }
 
+/// Guards against an item that is sent once more after each rest, without end, because no answer ever comes to be recorded: each head
+/// is lost as a server answers, or each connection breaks.
+#[test]
+fn an_item_whose_answers_are_all_lost_is_not_sent_too_often_however_often_it_rests() {
+    for answer in [Answer::Withheld, Answer::Nothing] {
+        run_local(async {
+            let server = StandIn::start(answer).await;
+            let mut recorded = recorded_job_with_retention(Some(RETENTION_MS)).await;
+            for loss in 1..=LOSSES_OF_POWER {
+                recorded = live_until_answered(&server, &recorded, 1 + loss).await;
+            }
+            let answers = server.answer_count.get();
+            assert!(answers <= MAX_FAILURES, "{answer:?}: {answers} answers");
+        });
+    }
+}
+
 /// Guards against an item that is left for ever because the answers to several attempts were lost.
 #[test]
 fn an_item_whose_answers_were_lost_runs_in_the_end() {
