Fix: however often an item rests, its attempts in doubt stay within three times its retries

Cause: after a rest an item without a known failure was sent whatever the number of attempts in doubt, so that one that was cut off is not left.

Change: after a rest the possible rejections (422) do not hold an item back any more, the possible failures (500) still do; then it rests until its time is up and is given up, which the rule allows. The table of next steps has each case with time left, with time up and without end.

--- a/crates/batch/src/attempts.rs
+++ b/crates/batch/src/attempts.rs
@@ -92,16 +92,28 @@
         attempts.failures >= if is_certain { self.patient } else { self.required }
     }
 
-    /// Returns whether an item may be sent to a server under a further permit. `has_rested` tells that the item has not been sent
-    /// for some time although it was ready: it is then sent once more if no failure of it is known, so that one whose attempts were
-    /// all cut off is not left for ever, or if it cannot have failed too often, as one that is known to fail is not rejected.
-    pub fn allow_attempt(self, attempts: Attempts, has_rested: bool) -> bool {
+    /// Returns whether an item may be sent to a server under a further permit. `rest` tells whether the item has not been sent for
+    /// some time although it was ready. After that the possible rejections do not hold it back any more, so that one whose
+    /// attempts were cut off is not left; the possible failures do, unless its time never ends.
+    pub fn allow_attempt(self, attempts: Attempts, rest: Rest) -> bool {
         let Attempts { failures, open_permits, has_responded } = attempts;
         let most_failures = failures.saturating_add(open_permits);
-        match has_responded {
-            true => failures < self.max,
-            false if has_rested => failures == 0 || most_failures < self.max_by_larger,
-            false => open_permits < MAX_OPEN_PERMITS && most_failures < self.max,
+        match rest {
+            _ if has_responded => failures < self.max,
+            Rest::None => open_permits < MAX_OPEN_PERMITS && most_failures < self.max,
+            Rest::Over => most_failures < self.max_by_larger,
+            Rest::OverAndEndless => true,
         }
     }
 }
+
+/// Whether an item has rested, because the outcome of too many of its attempts is unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rest {
+    /// It has not, or not for long enough.
+    None,
+    /// It has, and is given up once its time is up.
+    Over,
+    /// It has, and its route sets no time after which it is given up.
+    OverAndEndless,
+}
--- a/crates/batch/src/item_step.rs
+++ b/crates/batch/src/item_step.rs
@@ -1,6 +1,6 @@
 //! What a store does next with an unfinished item, given the configuration that it knows.
 
-use crate::{Attempts, FailureLimits, Job};
+use crate::{Attempts, FailureLimits, Job, Rest};
 
 /// The configuration that a store knows, by which it decides about an item.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +41,14 @@
     fn allows_attempt(self, attempts: Attempts, has_rested: bool) -> bool {
         match self {
             Self::Absent => false,
-            Self::InForce { failures, .. } => failures.allow_attempt(attempts, has_rested),
+            Self::InForce { failures, expires_ms } => {
+                let rest = match (has_rested, expires_ms) {
+                    (false, _) => Rest::None,
+                    (true, Some(_)) => Rest::Over,
+                    (true, None) => Rest::OverAndEndless,
+                };
+                failures.allow_attempt(attempts, rest)
+            }
         }
     }
 }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -8,7 +8,7 @@
 mod job;
 mod state;
 
-pub use attempts::{AttemptEvent, Attempts, FailureLimits};
+pub use attempts::{AttemptEvent, Attempts, FailureLimits, Rest};
 pub use item_step::{ItemPast, ItemStep, KnownConfiguration, RouteStatus};
 pub use job::{Item, ItemLimits, ItemOutcome, ItemResult, Job, JobError};
 pub use state::{Admission, Command, GroupState, JobState, Page, MAX_PAGE_TEXT_BYTES};
--- a/crates/batch/src/tests.rs
+++ b/crates/batch/src/tests.rs
@@ -219,7 +219,9 @@
         ("two outcomes are unknown", 2, 2, attempts(0, 2), false, Run),
         ("three outcomes are unknown", 2, 2, attempts(0, 3), false, Rest),
         ("three outcomes are unknown, rested", 2, 2, attempts(0, 3), RESTED, Run),
-        ("one failure, two outcomes are unknown: three in all", 1, 1, attempts(0, 3), false, Rest),
+        ("five outcomes are unknown, rested", 2, 2, attempts(0, 5), RESTED, Run),
+        ("six outcomes are unknown, rested", 2, 2, attempts(0, 6), RESTED, Rest),
+        ("three outcomes are unknown and three are the bound, rested", 1, 1, attempts(0, 3), RESTED, Rest),
         ("two known failures, three outcomes are unknown", 3, 3, attempts(2, 3), false, Rest),
         ("two known failures, three outcomes are unknown, rested", 3, 3, attempts(2, 3), RESTED, Run),
         ("two known failures, seven outcomes are unknown, rested", 3, 3, attempts(2, 7), RESTED, Rest),
@@ -234,10 +236,15 @@
     for (name, accepted, current, attempts, has_rested, expected) in cases {
         let known = KnownConfiguration { generation: 0, is_confirmed: true };
         let failures = FailureLimits::new(accepted, current, true);
-        let route = RouteStatus::InForce { expires_ms: None, failures };
         let past = ItemPast { attempts, has_rested };
-        let next = job("j", "t", &[1]).next_item_step(known, route, past, NOW_MS);
-        assert_eq!(next, expected, "{name}");
+        let next = |expires_ms| {
+            let route = RouteStatus::InForce { expires_ms, failures };
+            job("j", "t", &[1]).next_item_step(known, route, past, NOW_MS)
+        };
+        assert_eq!(next(Some(NOW_MS)), expected, "{name}");
+        assert_eq!(next(Some(NOW_MS - 1)), DeadLetter, "{name}, and its time is up");
+        let is_left = expected == Rest && has_rested;
+        assert_eq!(next(None), if is_left { Run } else { expected }, "{name}, and its time never ends");
     }
 }
 
