Fix: a newer configuration is not confirmed by the confirmation of the one before

What callers could see: an item given up by a configuration whose own confirmation is older than the wait for it, where a source's reply brings that configuration with an old confirmation (MIXED, if it was replaced since).

Change: with another configuration only its own confirmed moment counts. Test seen red before (a_newer_configuration_is_not_confirmed_by_...). Found by reading.

--- a/crates/upstream/src/tests.rs
+++ b/crates/upstream/src/tests.rs
@@ -316,3 +316,22 @@
         assert!(watcher.configuration_confirmed_at().is_none_or(|confirmed_at| confirmed_at < known));
     });
 }
+
+/// Guards against a configuration that is taken for the newest as of a moment at which the one before it was confirmed.
+#[test]
+fn a_newer_configuration_is_not_confirmed_by_the_confirmation_of_the_one_before() {
+    on_simulated_time(async {
+        tokio::time::advance(Duration::from_secs(60)).await;
+        let source = confirmed_source(8, configuration_json(8));
+        let confirmed_at = source.configuration_confirmed_at().expect("confirmed");
+        tokio::time::advance(Duration::from_secs(5)).await;
+        source.update_view_confirmation(Duration::ZERO);
+        let watcher = TierState::default();
+        assert!(watcher.update_configuration(7, configuration_json(7)));
+        watcher.update_configuration_confirmation(tokio::time::Instant::now());
+        let reply = reply_of(&source, &watcher).await;
+        watcher.apply_update(reply, tokio::time::Instant::now());
+        assert_eq!(watcher.generation(), 8);
+        assert!(watcher.configuration_confirmed_at().is_some_and(|known| known <= confirmed_at));
+    });
+}
--- a/crates/upstream/src/tier_state.rs
+++ b/crates/upstream/src/tier_state.rs
@@ -176,10 +176,11 @@
         }
     }
 
-    /// Records that every configuration that was acknowledged before `confirmed_at` is known here, or a newer one.
+    /// Records that every configuration that was acknowledged before `confirmed_at` is known here, or a newer one. A confirmation
+    /// of the configuration before the known one does not count any more.
     pub fn update_configuration_confirmation(&self, confirmed_at: Instant) {
-        let known = self.configuration_confirmed_at.get();
-        self.configuration_confirmed_at.set(known.max(Some(confirmed_at)));
+        let earlier = self.configuration_confirmed_at();
+        self.configuration_confirmed_at.set(earlier.max(Some(confirmed_at)));
         self.confirmed_generation.set(self.generation());
     }
 
