Tests: permits on one head, broken connections, and a bound of 422 that is tight

The job of the tests was accepted with one retry, so that the bound for 500 hid that for 422; it has the route's two now. Two tests are new: connections that all break under one head, runs that are stopped again and again.

--- a/crates/control-plane/src/store/tests/failures.rs
+++ b/crates/control-plane/src/store/tests/failures.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use fennelgauge_batch::ItemOutcome;
+use fennelgauge_batch::{ItemLimits, ItemOutcome};
 use fennelgauge_model::{Server, ServerList, ServerState};
 use fennelgauge_upstream::TierState;
 use fennelgauge_wire::{GroupSnapshot, WatchRequest};
@@ -11,9 +11,8 @@
 use tokio::net::TcpStream;
 
 use super::super::*;
-use super::running_store::{run_local, RunningStore, GROUP, SOON};
+use super::running_store::{job, run_local, RunningStore, GROUP, JOB, RETRIES, SOON};
 
-const RETRIES: u32 = 2;
 /// An item must not reach a server again after so many answers of 500.
 const MAX_FAILURES: u32 = 3 * RETRIES;
 /// An item must not reach a server again after so many answers of 422.
@@ -225,6 +224,49 @@
     }
 }
 
+/// Guards against an item that is sent again and again by one head, whose connections to servers all break.
+#[test]
+fn an_item_whose_connections_break_is_not_sent_too_often_by_one_head() {
+    run_local(async {
+        let server = StandIn::start(Answer::Nothing).await;
+        let store = RunningStore::recover(&recorded_job_with_retention(Some(RETENTION_MS)).await, 2);
+        store.configure(7, ROUTE_WITH_RETENTION);
+        server.serve_store(&store);
+        for _ in 0..LOSSES_OF_POWER {
+            store.pass(LONG_LIFE).await;
+        }
+        store.lose_power();
+        let answers = server.answer_count.get();
+        assert!((MAX_REJECTIONS..=MAX_FAILURES).contains(&answers), "{answers} attempts");
+    });
+}
+
+/// Guards against a permit that is used once more by each run of an item on the head that accepted its job.
+#[test]
+fn an_item_whose_runs_are_stopped_again_and_again_is_not_sent_too_often() {
+    run_local(async {
+        let server = StandIn::start(Answer::Withheld).await;
+        let store = RunningStore::start_empty();
+        store.publish_view(2, true);
+        store.0.known.update_view_confirmation(Duration::ZERO);
+        store.configure(7, ROUTE_WITH_RETENTION);
+        server.serve_store(&store);
+        let limits = ItemLimits { retention_ms: Some(RETENTION_MS), retries: RETRIES };
+        assert!(matches!(store.0.submit(2, GROUP, job(JOB, limits), 0).await, StoreReply::Accepted));
+        for _ in 0..LOSSES_OF_POWER {
+            let before = server.answer_count.get();
+            let ends_at = Instant::now() + SOON;
+            while server.answer_count.get() == before && Instant::now() < ends_at {
+                store.pass(LOOK_INTERVAL).await;
+            }
+            store.0.stop_group(GROUP);
+        }
+        store.lose_power();
+        let answers = server.answer_count.get();
+        assert!((MAX_REJECTIONS..=MAX_FAILURES).contains(&answers), "{answers} attempts");
+    });
+}
+
 /// Guards against an item that is left for ever because the answers to several attempts were lost.
 #[test]
 fn an_item_whose_answers_were_lost_runs_in_the_end() {
--- a/crates/control-plane/src/store/tests/running_store.rs
+++ b/crates/control-plane/src/store/tests/running_store.rs
@@ -11,6 +11,8 @@
 
 pub const GROUP: GroupNumber = GroupNumber(3);
 pub const JOB: &str = "job";
+/// Retries with which the job is accepted.
+pub const RETRIES: u32 = 2;
 /// Much longer than any wait of a store that is in touch with the core.
 pub const LONG: Duration = Duration::from_secs(20);
 /// Time within which a store that is in touch gives up what is to be given up.
@@ -65,7 +67,8 @@
         store
     }
 
-    fn start_empty() -> Self {
+    /// Starts a store that holds nothing and knows no view.
+    pub fn start_empty() -> Self {
         let text = "node = \"s0\"\nip = \"127.0.0.1\"\nzone = \"z\"\nport_range = [1, 2]\n[tolerate]\nmachines = 0\n";
         let settings = Rc::new(Settings::parse(text, Path::new("test.toml")).expect("settings"));
         let identity = Identity { node: settings.node.clone(), disk: 1 };
@@ -108,7 +111,7 @@
 
     fn accept_job(&self, retention_ms: Option<u64>) {
         self.0.known.update_view_confirmation(Duration::ZERO);
-        let limits = ItemLimits { retention_ms, retries: 1 };
+        let limits = ItemLimits { retention_ms, retries: RETRIES };
         self.0.append_command(&self.0.view(), GROUP, Command::Accept(job(JOB, limits)));
     }
 
