--- a/crates/control-plane/src/store/permits.rs
+++ b/crates/control-plane/src/store/permits.rs
@@ -16,8 +16,8 @@
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Pause before another attempt to record something in a group that takes no changes.
 const RETRY_DELAY: Duration = Duration::from_millis(120);
-/// Time for which an item rests if the outcome of too many of its attempts is unknown. Below the five seconds of calm after which
-/// an item that no server has counts as lost.
+/// Time for which an item rests if the outcome of too many of its attempts is unknown. Clients expect of an item that is not
+/// listed that a server has had it within the last five seconds.
 const REST_DURATION: Duration = Duration::from_secs(3);
 
 /// A batch job that this store accepted as the head of its group.
