Logs: a stop tells the responses that are in progress or not all written

The HTTP library does not tell when the last byte of a response is written. A data plane and a member of the core log the counts when they end.

--- a/crates/control-plane/src/process.rs
+++ b/crates/control-plane/src/process.rs
@@ -5,7 +5,7 @@
 
 use actix_web::web::{Data, PayloadConfig};
 use actix_web::App;
-use fennelgauge_http::{serve_http, wait_for_shutdown_signal, HttpTimeouts};
+use fennelgauge_http::{serve_http, wait_for_shutdown_signal, HttpTimeouts, OpenConnections};
 use fennelgauge_settings::Settings;
 use fennelgauge_sharing::StatsAggregator;
 use fennelgauge_upstream::{subscribe, Subscription, TierState};
@@ -100,13 +100,15 @@
 
 /// Serves the operator's API if the settings name an address for it; returns when a signal stops the process.
 async fn serve_operator(settings: &Settings, core: Rc<Core>) -> anyhow::Result<()> {
+    let connections = OpenConnections::default();
     if let Some(control) = settings.listen.control {
         let listener = TcpListener::bind(control).await?;
         let operator = Data::new(Operator { core });
         let app =
             App::new().app_data(PayloadConfig::new(MAX_REQUEST_BYTES)).app_data(operator).configure(routes);
-        spawn_local(serve_http(listener, app, HttpTimeouts::default()));
+        spawn_local(serve_http(listener, app, HttpTimeouts::default(), connections.clone()));
     }
     wait_for_shutdown_signal().await;
+    log::info!("stopped: {} at the operator's API", connections.unfinished());
     Ok(())
 }
--- a/crates/data-plane/src/process.rs
+++ b/crates/data-plane/src/process.rs
@@ -6,7 +6,7 @@
 
 use actix_web::web::{Data, PayloadConfig};
 use actix_web::App;
-use fennelgauge_http::{serve_http, wait_for_shutdown_signal, HttpTimeouts};
+use fennelgauge_http::{serve_http, wait_for_shutdown_signal, HttpTimeouts, OpenConnections};
 use fennelgauge_settings::Settings;
 use fennelgauge_upstream::{
     exchange_server_stats, fetch_server_list, platform_client, probe_connections, subscribe, RequestSender,
@@ -54,6 +54,8 @@
     pub timeliness: RefCell<TimelinessCounters>,
     /// Number of client requests whose response is not complete.
     pub open_requests: Cell<usize>,
+    /// Connections of clients.
+    pub connections: OpenConnections,
     /// When a client request was last completed; the process's start before the first one.
     pub last_request_ended_at: Cell<Instant>,
     /// When a stop was requested; `None` while the process is running normally.
@@ -76,6 +78,7 @@
             tier_state: Rc::new(TierState::default()),
             caller,
             open_requests: Cell::new(0),
+            connections: OpenConnections::default(),
             last_request_ended_at: Cell::new(Instant::now()),
             stop_requested_at: Cell::new(None),
             was_ready: Cell::new(false),
@@ -136,7 +139,8 @@
     spawn_local(report_usage(plane.clone()));
     if let Some(address) = plane.settings.listen.ready {
         let app = App::new().app_data(Data::new(plane.clone())).configure(readiness::routes);
-        spawn_local(serve_http(TcpListener::bind(address).await?, app, HttpTimeouts::default()));
+        let (listener, connections) = (TcpListener::bind(address).await?, OpenConnections::default());
+        spawn_local(serve_http(listener, app, HttpTimeouts::default(), connections));
     }
     if let Some(address) = plane.settings.listen.front {
         let app = App::new()
@@ -145,7 +149,8 @@
             .configure(frontend::routes);
         let times =
             HttpTimeouts { request_head: Duration::from_secs(5), keep_alive: Duration::from_secs(60) };
-        spawn_local(serve_http(TcpListener::bind(address).await?, app, times));
+        let listener = TcpListener::bind(address).await?;
+        spawn_local(serve_http(listener, app, times, plane.connections.clone()));
     }
     wait_for_shutdown_signal().await;
     stop(&plane).await;
@@ -163,6 +168,12 @@
     while !plane.is_drained() && stop_requested_at.elapsed() < time_limit {
         sleep(Duration::from_millis(10)).await;
     }
+    log::info!(
+        "stopped after {:?} of {time_limit:?}: {} open requests, {}",
+        stop_requested_at.elapsed(),
+        plane.open_requests.get(),
+        plane.connections.unfinished()
+    );
 }
 
 /// Answers a call from another process: data planes pass on what they received from the control plane.
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -7,7 +7,7 @@
 
 use actix_web::web::{self, Data, Json};
 use actix_web::{App, HttpRequest, HttpResponse};
-use fennelgauge_http::{serve_http, HttpTimeouts};
+use fennelgauge_http::{serve_http, HttpTimeouts, OpenConnections};
 use serde_json::{json, Value};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
@@ -41,7 +41,7 @@
         .route("/instances", web::get().to(list_instances))
         .route("/usage", web::post().to(accept_usage))
         .route("/scale", web::post().to(|| async { HttpResponse::Ok().finish() }));
-    spawn_local(serve_http(listener, app, HttpTimeouts::default()));
+    spawn_local(serve_http(listener, app, HttpTimeouts::default(), OpenConnections::default()));
 }
 
 async fn wait_until_responsive(platform: &Platform) {
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -15,7 +15,7 @@
 use actix_web::http::StatusCode;
 use actix_web::web::{self, Bytes, Data};
 use actix_web::{App, HttpRequest, HttpResponse};
-use fennelgauge_http::{serve_http, HttpTimeouts};
+use fennelgauge_http::{serve_http, HttpTimeouts, OpenConnections};
 use futures_util::stream;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
@@ -64,7 +64,7 @@
     let address = listener.local_addr()?;
     let server = Rc::new(ModelServer { id: id.to_owned(), ..ModelServer::default() });
     let app = App::new().app_data(Data::new(server.clone())).default_service(web::to(handle_request));
-    spawn_local(serve_http(listener, app, HttpTimeouts::default()));
+    spawn_local(serve_http(listener, app, HttpTimeouts::default(), OpenConnections::default()));
     Ok((address, server))
 }
 
