--- a/crates/control-plane/src/process.rs
+++ b/crates/control-plane/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_web::web::{Data, PayloadConfig};
 use actix_web::App;
@@ -9,7 +10,7 @@
 use fennelgauge_settings::Settings;
 use fennelgauge_sharing::StatsAggregator;
 use fennelgauge_upstream::{subscribe, Subscription, TierState};
-use fennelgauge_wire::{serve, Caller, Reply, Request};
+use fennelgauge_wire::{serve, Caller, Reply, Request, UnwrittenReplies};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
@@ -21,6 +22,9 @@
 use crate::platform_reader::{read_server_list, watch_head};
 use crate::store;
 
+/// Reserve at the end of the time that a stop may take; responses are abandoned when only this is left.
+pub(crate) const SHUTDOWN_MARGIN: Duration = Duration::from_millis(600);
+
 /// Runs a store if the settings list the role `storage`, else a core member, until a signal stops the process.
 /// Fails if the data directory cannot be read or a socket cannot be opened.
 pub async fn run(settings: Settings) -> anyhow::Result<()> {
@@ -46,7 +50,8 @@
         home: Rc::default(),
         started: Instant::now(),
     };
-    spawn_local(serve(listener, move |request| answer(context.clone(), request)));
+    let replies = UnwrittenReplies::default();
+    spawn_local(serve(listener, replies.clone(), move |request| answer(context.clone(), request)));
     let subscription = Subscription::new(&settings);
     spawn_local(core.clone().run(Subscription::new(&settings).seeds));
     spawn_local(read_server_list(core.clone()));
@@ -55,7 +60,7 @@
     spawn_local(report_usage(core.clone(), collector.clone()));
     spawn_local(scale_services(core.clone(), collector));
     spawn_local(subscribe(known, caller, subscription));
-    serve_operator(&settings, core).await
+    serve_operator(&settings, core, replies).await
 }
 
 /// State from which calls of the tier's own processes are answered.
@@ -98,17 +103,32 @@
     }
 }
 
-/// Serves the operator's API if the settings name an address for it; returns when a signal stops the process.
-async fn serve_operator(settings: &Settings, core: Rc<Core>) -> anyhow::Result<()> {
+/// Serves the operator's API if the settings name an address for it; returns when a signal has stopped the process and
+/// the responses that operators and other processes wait for are written.
+async fn serve_operator(
+    settings: &Settings,
+    core: Rc<Core>,
+    replies: UnwrittenReplies,
+) -> anyhow::Result<()> {
     let connections = OpenConnections::default();
+    let mut accepting = None;
     if let Some(control) = settings.listen.control {
         let listener = TcpListener::bind(control).await?;
         let operator = Data::new(Operator { core });
         let app =
             App::new().app_data(PayloadConfig::new(MAX_REQUEST_BYTES)).app_data(operator).configure(routes);
-        spawn_local(serve_http(listener, app, HttpTimeouts::default(), connections.clone()));
+        let served = serve_http(listener, app, HttpTimeouts::default(), connections.clone());
+        accepting = Some(spawn_local(served));
     }
     wait_for_shutdown_signal().await;
-    log::info!("stopped: {} at the operator's API", connections.unfinished());
+    let until = Instant::now() + settings.shutdown_grace().saturating_sub(SHUTDOWN_MARGIN);
+    if let Some(accepting) = accepting {
+        // Operators turn to another machine at once when this one accepts no connections.
+        accepting.abort();
+    }
+    connections.close_idle();
+    let unfinished = connections.drain(until).await;
+    replies.wait_until_written(until).await;
+    log::info!("stopped: {unfinished} at the operator's API");
     Ok(())
 }
--- a/crates/control-plane/src/store/mod.rs
+++ b/crates/control-plane/src/store/mod.rs
@@ -34,7 +34,7 @@
     exchange_server_stats, probe_connections, subscribe, wall_clock, RequestSender, ServerPool, Subscription,
     TierState,
 };
-use fennelgauge_wire::{serve, Caller, Entry, Reply, Request, StoreReply, StoreRequest};
+use fennelgauge_wire::{serve, Caller, Entry, Reply, Request, StoreReply, StoreRequest, UnwrittenReplies};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, AbortHandle};
@@ -42,6 +42,7 @@
 
 use crate::disk::DiskHealth;
 use crate::identity::identity;
+use crate::process::SHUTDOWN_MARGIN;
 use journal::{Journal, Record};
 
 /// A checkpoint is written once this many bytes, or twice the size of the last checkpoint if that is more, were written
@@ -110,7 +111,8 @@
     let store = Store::open(settings.clone(), identity)?;
     let listener = TcpListener::bind(settings.control_peer_address()).await?;
     let answering_store = store.clone();
-    spawn_local(serve(listener, move |request| answer(answering_store.clone(), request)));
+    let replies = UnwrittenReplies::default();
+    spawn_local(serve(listener, replies.clone(), move |request| answer(answering_store.clone(), request)));
     spawn_local(subscribe(store.known.clone(), store.caller.clone(), Subscription::new(&settings)));
     spawn_local(store.clone().flush_entries());
     spawn_local(store.clone().repair_successors());
@@ -130,6 +132,8 @@
     ));
     spawn_local(probe_connections(store.pool.clone(), store.sender.clone()));
     wait_for_shutdown_signal().await;
+    let time_limit = store.settings.shutdown_grace().saturating_sub(SHUTDOWN_MARGIN);
+    replies.wait_until_written(Instant::now() + time_limit).await;
     Ok(())
 }
 
--- a/crates/data-plane/src/batch.rs
+++ b/crates/data-plane/src/batch.rs
@@ -15,7 +15,7 @@
 use serde::Deserialize;
 use tokio::time::{sleep, Instant};
 
-use crate::frontend::{self, empty_response, header_text, refuse_unexecuted, OpenRequest};
+use crate::frontend::{self, empty_response, header_text, refuse_unexecuted};
 use crate::process::DataPlane;
 
 /// `Retry-After` in responses to requests that no store executed.
@@ -212,7 +212,6 @@
     plane: Data<Rc<DataPlane>>,
 ) -> HttpResponse {
     let plane = plane.get_ref().clone();
-    let _open = OpenRequest::new(&plane);
     let Owner { tenant, group } = match owner(&plane, &request) {
         Ok(owner) => owner,
         Err(denial) => return denial_response(&plane, denial),
@@ -273,7 +272,6 @@
     plane: Data<Rc<DataPlane>>,
 ) -> HttpResponse {
     let plane = plane.get_ref().clone();
-    let _open = OpenRequest::new(&plane);
     let Owner { tenant, group } = match owner(&plane, &request) {
         Ok(owner) => owner,
         Err(denial) => return denial_response(&plane, denial),
@@ -311,7 +309,6 @@
     plane: Data<Rc<DataPlane>>,
 ) -> HttpResponse {
     let plane = plane.get_ref().clone();
-    let _open = OpenRequest::new(&plane);
     let Owner { tenant, group } = match owner(&plane, &request) {
         Ok(owner) => owner,
         Err(denial) => return denial_response(&plane, denial),
--- a/crates/data-plane/src/frontend.rs
+++ b/crates/data-plane/src/frontend.rs
@@ -29,27 +29,8 @@
         .default_service(web::to(handle_request));
 }
 
-/// Guard that counts a request as open until it is dropped.
-pub struct OpenRequest(Rc<DataPlane>);
-
-impl OpenRequest {
-    /// Counts one more open request.
-    pub fn new(plane: &Rc<DataPlane>) -> Self {
-        plane.open_requests.set(plane.open_requests.get() + 1);
-        Self(plane.clone())
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get().saturating_sub(1));
-        self.0.last_request_ended_at.set(tokio::time::Instant::now());
-    }
-}
-
 async fn handle_request(request: HttpRequest, body: Bytes, plane: Data<Rc<DataPlane>>) -> HttpResponse {
     let plane: Rc<DataPlane> = plane.get_ref().clone();
-    let open = OpenRequest::new(&plane);
     if plane.refuses_new_requests() {
         return refuse_unexecuted(&plane, StatusCode::SERVICE_UNAVAILABLE, STOPPING_RETRY_AFTER_S);
     }
@@ -68,7 +49,7 @@
             batch::submit(&plane, &request, &access, body).await
         }
         RouteKind::Batch => empty_response(&plane, HttpResponse::build(StatusCode::METHOD_NOT_ALLOWED)),
-        _ => live::answer(plane, open, &request, access, body).await,
+        _ => live::answer(plane, &request, access, body).await,
     }
 }
 
--- a/crates/data-plane/src/live.rs
+++ b/crates/data-plane/src/live.rs
@@ -17,7 +17,7 @@
 use futures_util::stream::{self, Stream};
 use tokio::time::{sleep, Instant};
 
-use crate::frontend::{close_if_stopping, empty_response, header_text, refuse_unexecuted, OpenRequest};
+use crate::frontend::{close_if_stopping, empty_response, header_text, refuse_unexecuted};
 use crate::process::DataPlane;
 use crate::resumable_stream;
 use crate::timeliness::ResponseTimer;
@@ -80,7 +80,6 @@
 /// Answers a request to a live route.
 pub async fn answer(
     plane: Rc<DataPlane>,
-    open: OpenRequest,
     request: &HttpRequest,
     access: Access,
     body: Bytes,
@@ -98,7 +97,7 @@
             if let (Some(tenant), true) = (&attempts.access.tenant, active.response.status().is_success()) {
                 plane.usage.borrow_mut().count(&tenant.name);
             }
-            forward(attempts, open, active)
+            forward(attempts, active)
         }
         Err(Failure::NotExecuted) => {
             refuse_unexecuted(&plane, StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S)
@@ -235,7 +234,7 @@
 }
 
 /// Streams a server's response to the client.
-fn forward(attempts: Attempts, open: OpenRequest, active: ActiveResponse) -> HttpResponse {
+fn forward(attempts: Attempts, active: ActiveResponse) -> HttpResponse {
     let upstream = &active.response;
     let mut response = HttpResponse::build(upstream.status());
     let end_to_end = upstream.headers().iter().filter(|(name, _)| !is_hop_by_hop(name));
@@ -249,20 +248,19 @@
         && attempts.access.route.resumable
         && upstream.status().is_success();
     match length {
-        _ if resumable => response.streaming(resumable_stream::stream(attempts, open, active)),
-        Some(length) => response.body(SizedStream::new(length, body_stream(attempts, open, active))),
-        None => response.streaming(body_stream(attempts, open, active)),
+        _ if resumable => response.streaming(resumable_stream::stream(attempts, active)),
+        Some(length) => response.body(SizedStream::new(length, body_stream(attempts, active))),
+        None => response.streaming(body_stream(attempts, active)),
     }
 }
 
 /// Passes the body on as it arrives. A body that the server cuts short is cut short for the client, too.
 fn body_stream(
     attempts: Attempts,
-    open: OpenRequest,
     active: ActiveResponse,
 ) -> impl Stream<Item = Result<Bytes, actix_web::Error>> {
     let ActiveResponse { response, in_flight } = active;
-    let parts = Box::new((response, attempts.timer, in_flight, open));
+    let parts = Box::new((response, attempts.timer, in_flight));
     stream::unfold(Some(parts), |parts| async move {
         let mut parts = parts?;
         match parts.0.next().await? {
--- a/crates/data-plane/src/process.rs
+++ b/crates/data-plane/src/process.rs
@@ -12,7 +12,7 @@
     exchange_server_stats, fetch_server_list, platform_client, probe_connections, subscribe, RequestSender,
     ServerListVersioner, ServerPool, Subscription, TierState,
 };
-use fennelgauge_wire::{serve, Caller, Reply, Request};
+use fennelgauge_wire::{serve, Caller, Reply, Request, UnwrittenReplies};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
@@ -28,8 +28,6 @@
 const NEW_REQUEST_GRACE: Duration = Duration::from_millis(2_900);
 /// Upper bound of [`NEW_REQUEST_GRACE`] as a share of the time that a stop may take.
 const MAX_NEW_REQUEST_GRACE_SHARE: f64 = 0.4;
-/// Time in which the last bytes of a response are written to its connection.
-const RESPONSE_FLUSH_TIME: Duration = Duration::from_millis(30);
 /// Reserve at the end of the time that a stop may take; open requests are abandoned when only this is left.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(600);
 const POOL_UPDATE_INTERVAL: Duration = Duration::from_millis(500);
@@ -52,12 +50,8 @@
     pub usage: RefCell<UsageCounters>,
     /// Late responses by service, to be reported to the core.
     pub timeliness: RefCell<TimelinessCounters>,
-    /// Number of client requests whose response is not complete.
-    pub open_requests: Cell<usize>,
-    /// Connections of clients.
+    /// Connections of clients, with what is still to be done on them.
     pub connections: OpenConnections,
-    /// When a client request was last completed; the process's start before the first one.
-    pub last_request_ended_at: Cell<Instant>,
     /// When a stop was requested; `None` while the process is running normally.
     pub stop_requested_at: Cell<Option<Instant>>,
     /// Whether a configuration and servers were available at some time.
@@ -77,9 +71,7 @@
             timeliness: RefCell::default(),
             tier_state: Rc::new(TierState::default()),
             caller,
-            open_requests: Cell::new(0),
             connections: OpenConnections::default(),
-            last_request_ended_at: Cell::new(Instant::now()),
             stop_requested_at: Cell::new(None),
             was_ready: Cell::new(false),
             started_at: Instant::now(),
@@ -98,11 +90,6 @@
         self.stop_requested_at.get().is_some_and(|since| since.elapsed() > grace)
     }
 
-    /// Whether no request is open and the last response has been written.
-    fn is_drained(&self) -> bool {
-        self.open_requests.get() == 0 && self.last_request_ended_at.get().elapsed() >= RESPONSE_FLUSH_TIME
-    }
-
     /// Whether the platform may send clients: a configuration and some servers have been received, and no stop was requested.
     /// Only a source whose view a majority confirmed a moment ago sends a configuration, so it was in force when it arrived.
     pub fn is_ready(&self) -> bool {
@@ -119,7 +106,9 @@
     let plane = Rc::new(DataPlane::new(settings));
     let peer_listener = TcpListener::bind(plane.settings.data_peer_address()).await?;
     let tier_state = plane.tier_state.clone();
-    spawn_local(serve(peer_listener, move |request| answer_peer(tier_state.clone(), request)));
+    spawn_local(serve(peer_listener, UnwrittenReplies::default(), move |request| {
+        answer_peer(tier_state.clone(), request)
+    }));
     spawn_local(subscribe(
         plane.tier_state.clone(),
         plane.caller.clone(),
@@ -164,16 +153,12 @@
     let time_limit = plane.settings.shutdown_grace().saturating_sub(SHUTDOWN_MARGIN);
     plane.stop_requested_at.set(Some(stop_requested_at));
     sleep(NEW_CONNECTION_GRACE.min(time_limit)).await;
-    // Nothing may be awaited after the last check: a request that was read in between would get no response.
-    while !plane.is_drained() && stop_requested_at.elapsed() < time_limit {
-        sleep(Duration::from_millis(10)).await;
+    let unfinished = plane.connections.drain(stop_requested_at + time_limit).await;
+    let duration = stop_requested_at.elapsed();
+    match unfinished.is_drained() {
+        true => log::info!("stopped after {duration:?} of {time_limit:?}: {unfinished}"),
+        false => log::warn!("stopped at the time limit of {time_limit:?} with unfinished work: {unfinished}"),
     }
-    log::info!(
-        "stopped after {:?} of {time_limit:?}: {} open requests, {}",
-        stop_requested_at.elapsed(),
-        plane.open_requests.get(),
-        plane.connections.unfinished()
-    );
 }
 
 /// Answers a call from another process: data planes pass on what they received from the control plane.
--- a/crates/data-plane/src/resumable_stream.rs
+++ b/crates/data-plane/src/resumable_stream.rs
@@ -8,7 +8,6 @@
 use futures_util::stream::{self, Stream};
 use tokio::time::{timeout, Instant};
 
-use crate::frontend::OpenRequest;
 use crate::live::{ActiveResponse, Attempts};
 
 struct ResumableStream {
@@ -19,7 +18,6 @@
     order: EventOrder,
     /// Whether the current response contained an event that is not the next one. The rest of it is discarded.
     out_of_order: bool,
-    _open: OpenRequest,
 }
 
 enum Step {
@@ -34,7 +32,6 @@
 /// deadline and the route's retries allow it.
 pub(crate) fn stream(
     attempts: Attempts,
-    open: OpenRequest,
     active: ActiveResponse,
 ) -> impl Stream<Item = Result<Bytes, actix_web::Error>> {
     let resumable = ResumableStream {
@@ -43,7 +40,6 @@
         parser: EventParser::default(),
         order: EventOrder::default(),
         out_of_order: false,
-        _open: open,
     };
     stream::unfold(Some(Box::new(resumable)), |resumable| async move {
         let mut resumable = resumable?;
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,38 +1,70 @@
-//! What is known of the connections of clients: which have a response that is being produced or not all written.
+//! What is known of the connections of clients: which have a response that is being produced or not all written, and
+//! which are being closed.
 
 use std::cell::Cell;
 use std::fmt;
 use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::{sleep, Instant};
+
+/// Longest time for which a connection that this process closes is kept until the client closes its side, too. Bytes
+/// that arrive after the end of the process would reset the connection and take what the client has not read yet.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How often a drain looks whether it is complete.
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The open connections of one or more listeners. Clones share the counts.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct OpenConnections {
     counts: Rc<Counts>,
+    /// Whether connections without a request are to be closed.
+    closes_idle: Rc<watch::Sender<bool>>,
+}
+
+impl Default for OpenConnections {
+    fn default() -> Self {
+        Self { counts: Rc::default(), closes_idle: Rc::new(watch::Sender::new(false)) }
+    }
 }
 
 #[derive(Debug, Default)]
 struct Counts {
-    /// Responses that their handlers have not produced completely.
+    open: Cell<usize>,
     in_progress: Cell<usize>,
-    /// Connections with bytes of complete responses that the socket has not accepted yet.
     unwritten: Cell<usize>,
+    lingering: Cell<usize>,
 }
 
 /// What is still to be done for clients.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Unfinished {
+    /// Open connections, idle ones included.
+    pub open: usize,
     /// Responses that their handlers have not produced completely.
     pub in_progress: usize,
     /// Connections with bytes of complete responses that the socket has not accepted yet.
     pub unwritten: usize,
+    /// Connections that this process has closed and the client has not closed yet.
+    pub lingering: usize,
+}
+
+impl Unfinished {
+    /// Returns whether the last byte of each response has been written, and no client of a connection that was closed
+    /// after its response may still be reading it.
+    pub fn is_drained(&self) -> bool {
+        self.in_progress == 0 && self.unwritten == 0 && self.lingering == 0
+    }
 }
 
 impl fmt::Display for Unfinished {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
-            "{} responses in progress, {} connections with a response that is not all written",
-            self.in_progress, self.unwritten
+            "{} responses in progress, {} connections with a response that is not all written, {} connections that clients \
+             have not closed yet, {} open connections in all",
+            self.in_progress, self.unwritten, self.lingering, self.open
         )
     }
 }
@@ -40,20 +72,61 @@
 impl OpenConnections {
     /// Returns what is still to be done for the clients of all connections.
     pub fn unfinished(&self) -> Unfinished {
-        Unfinished { in_progress: self.counts.in_progress.get(), unwritten: self.counts.unwritten.get() }
+        Unfinished {
+            open: self.counts.open.get(),
+            in_progress: self.counts.in_progress.get(),
+            unwritten: self.counts.unwritten.get(),
+            lingering: self.counts.lingering.get(),
+        }
+    }
+
+    /// Waits until all responses have been written, at most until `until`, then closes the idle connections and waits
+    /// until the clients have closed them, too. Requests that arrive meanwhile are answered. Nothing is awaited after
+    /// the last look, so the process can end without having read a request that it leaves unanswered.
+    pub async fn drain(&self, until: Instant) -> Unfinished {
+        self.wait_until(until, |unfinished| unfinished.is_drained()).await;
+        self.close_idle();
+        let closed_by = until.min(Instant::now() + LINGER_TIMEOUT);
+        let unfinished = self.wait_until(closed_by, |unfinished| unfinished.open == 0).await;
+        match unfinished.is_drained() {
+            true => unfinished,
+            false => self.wait_until(until, |unfinished| unfinished.is_drained()).await,
+        }
+    }
+
+    /// Closes each connection as soon as it has no request, those that are accepted later included.
+    pub fn close_idle(&self) {
+        self.closes_idle.send_replace(true);
+    }
+
+    async fn wait_until(&self, until: Instant, is_done: impl Fn(&Unfinished) -> bool) -> Unfinished {
+        loop {
+            let unfinished = self.unfinished();
+            if is_done(&unfinished) || Instant::now() >= until {
+                return unfinished;
+            }
+            sleep(DRAIN_CHECK_INTERVAL).await;
+        }
     }
 
     /// Starts tracking a connection.
     pub(crate) fn track(&self) -> Rc<ConnectionState> {
+        change(&self.counts.open, 1);
         Rc::new(ConnectionState {
             connections: self.clone(),
             in_progress: Cell::new(0),
             has_unwritten: Cell::new(false),
+            lingers_until: Cell::new(None),
         })
     }
+
+    /// Returns a receiver that is notified when idle connections are to be closed.
+    pub(crate) fn idle_closing(&self) -> watch::Receiver<bool> {
+        self.closes_idle.subscribe()
+    }
 }
 
-/// State of one connection, shared by its stream and its requests.
+/// State of one connection, shared by its stream, its requests and its task.
 #[derive(Debug)]
 pub(crate) struct ConnectionState {
     connections: OpenConnections,
@@ -61,6 +134,8 @@
     in_progress: Cell<usize>,
     /// Whether bytes of a complete response may not have been accepted by the socket yet.
     has_unwritten: Cell<bool>,
+    /// Set while this process has closed its side of the connection and waits for the client to close the other.
+    lingers_until: Cell<Option<Instant>>,
 }
 
 impl ConnectionState {
@@ -85,11 +160,37 @@
             change(&self.connections.counts.unwritten, -1);
         }
     }
+
+    /// Returns whether the connection is to be closed because it has no request.
+    pub(crate) fn closes_now(&self) -> bool {
+        self.in_progress.get() == 0 && *self.connections.closes_idle.borrow()
+    }
+
+    /// Records that this process has closed its side of the connection.
+    pub(crate) fn begin_linger(&self) {
+        if self.lingers_until.replace(Some(Instant::now() + LINGER_TIMEOUT)).is_none() {
+            change(&self.connections.counts.lingering, 1);
+        }
+    }
+
+    /// Records that the client has closed its side of the connection, too.
+    pub(crate) fn end_linger(&self) {
+        if self.lingers_until.replace(None).is_some() {
+            change(&self.connections.counts.lingering, -1);
+        }
+    }
+
+    /// Returns until when the connection is kept; `None` if there is no limit now.
+    pub(crate) fn kept_until(&self) -> Option<Instant> {
+        self.lingers_until.get()
+    }
 }
 
 impl Drop for ConnectionState {
     fn drop(&mut self) {
         self.record_flushed();
+        self.end_linger();
+        change(&self.connections.counts.open, -1);
     }
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,10 +3,11 @@
 //!
 //! The HTTP library does not tell when the last byte of a response has been written, nor that a client has left.
 //! Each connection is therefore tracked: its stream ([`client_stream`]) and its service ([`response_tracking`]) record
-//! in its state ([`connection`]) what the library does with them.
+//! in its state ([`connection`]) what the library does with them, and its task ([`connection_task`]) ends it.
 
 mod client_stream;
 mod connection;
+mod connection_task;
 mod response_tracking;
 mod server;
 mod shutdown_signal;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,6 +1,5 @@
 //! Accepts connections and serves an application on them.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::{HttpService, Request};
@@ -13,6 +12,7 @@
 
 use crate::client_stream::ClientStream;
 use crate::connection::OpenConnections;
+use crate::connection_task::serve_connection;
 use crate::response_tracking::{connection_of, track_response};
 
 /// Longest time for closing a connection in an orderly way.
@@ -72,17 +72,12 @@
         );
         return;
     };
-    let service = Rc::new(service);
     loop {
         let Some(stream) = accept(&listener).await else { continue };
         let peer = stream.peer_addr().ok();
         let state = connections.track();
-        let service = service.clone();
-        spawn_local(async move {
-            if let Err(reason) = service.call((ClientStream::new(stream, state), peer)).await {
-                log::debug!("client connection ended with an error: {reason:?}");
-            }
-        });
+        let dispatcher = service.call((ClientStream::new(stream, state.clone()), peer));
+        spawn_local(serve_connection(dispatcher, state, connections.clone()));
     }
 }
 
--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -18,6 +18,7 @@
 
 use crate::frame::{encode_frame, read_frame};
 use crate::messages::{CallMessage, Reply, Request};
+use crate::server::UnwrittenReply;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// A partially received reply counts as still arriving for this long after its latest bytes.
@@ -58,7 +59,7 @@
 
 struct Connection {
     /// Encoded requests for the writer; an empty frame tells it to stop.
-    outgoing: mpsc::UnboundedSender<Vec<u8>>,
+    outgoing: mpsc::UnboundedSender<OutgoingFrame>,
     /// Calls without a reply, by call id.
     pending: RefCell<HashMap<u64, oneshot::Sender<Reply>>>,
     next_call_id: Cell<u64>,
@@ -167,7 +168,7 @@
     fn close(&self, peer: SocketAddr, connection: &Rc<Connection>) {
         connection.closed.set(true);
         connection.pending.borrow_mut().clear();
-        let _ = connection.outgoing.send(Vec::new());
+        let _ = connection.outgoing.send(OutgoingFrame::default());
         let mut connections = self.connections.borrow_mut();
         if connections.get(&peer).is_some_and(|current| Rc::ptr_eq(current, connection)) {
             connections.remove(&peer);
@@ -208,7 +209,7 @@
         let frame_bytes = frame.len();
         let (sender, reply) = oneshot::channel();
         self.pending.borrow_mut().insert(call_id, sender);
-        self.outgoing.send(frame).map_err(|_| ())?;
+        self.outgoing.send(OutgoingFrame { bytes: frame, _unwritten: None }).map_err(|_| ())?;
         Ok((call_id, reply, frame_bytes))
     }
 }
@@ -252,16 +253,32 @@
     }
 }
 
+/// A frame on its way to the writer of a connection.
+#[derive(Default)]
+pub(crate) struct OutgoingFrame {
+    /// The encoded frame; empty to stop the writer.
+    pub bytes: Vec<u8>,
+    /// Counts a reply until the frame is written or dropped.
+    pub _unwritten: Option<UnwrittenReply>,
+}
+
 /// Writes queued frames until the connection fails, the queue is closed or an empty frame arrives. Frames that are already
 /// queued are written together.
-pub(crate) async fn write_frames(mut write: OwnedWriteHalf, mut frames: mpsc::UnboundedReceiver<Vec<u8>>) {
-    while let Some(mut frame) = frames.recv().await {
-        let mut stop = frame.is_empty();
+pub(crate) async fn write_frames(
+    mut write: OwnedWriteHalf,
+    mut frames: mpsc::UnboundedReceiver<OutgoingFrame>,
+) {
+    while let Some(first) = frames.recv().await {
+        let mut batch = vec![first];
         while let Ok(next) = frames.try_recv() {
-            stop |= next.is_empty();
-            frame.extend_from_slice(&next);
+            batch.push(next);
         }
-        if stop || write.write_all(&frame).await.is_err() {
+        let stop = batch.iter().any(|frame| frame.bytes.is_empty());
+        let bytes = match batch.as_mut_slice() {
+            [only] => std::mem::take(&mut only.bytes),
+            several => several.iter().map(|frame| frame.bytes.as_slice()).collect::<Vec<_>>().concat(),
+        };
+        if stop || write.write_all(&bytes).await.is_err() {
             return;
         }
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,7 +11,7 @@
 pub use fennelgauge_replication::{Entry, EntryBatch, EntryPosition, GroupSnapshot};
 pub use frame::FrameError;
 pub use messages::*;
-pub use server::serve;
+pub use server::{serve, UnwrittenReplies};
 
 #[cfg(test)]
 mod tests;
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -1,5 +1,6 @@
 //! The server side: accepts connections and answers the calls that arrive on them.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,17 +8,51 @@
 use tokio::io::BufReader;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::{sleep, Instant};
 
-use crate::calls::write_frames;
+use crate::calls::{write_frames, OutgoingFrame};
 use crate::frame::{encode_frame, read_frame};
 use crate::messages::{CallMessage, Reply, Request};
 
 /// Pause after a failed accept. Keeps the loop from spinning while the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How often the end of the replies' writing is looked for.
+const REPLY_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Counts replies that are complete but not all written to their connections. Clones share the count.
+#[derive(Clone, Debug, Default)]
+pub struct UnwrittenReplies {
+    count: Rc<Cell<usize>>,
+}
+
+impl UnwrittenReplies {
+    /// Waits until all complete replies are written, at most until `until`. Calls that have no reply yet, such as those
+    /// that wait for news, are not waited for: their callers learn from the closed connection that they get none.
+    pub async fn wait_until_written(&self, until: Instant) {
+        while self.count.get() > 0 && Instant::now() < until {
+            sleep(REPLY_CHECK_INTERVAL).await;
+        }
+    }
+
+    fn begin(&self) -> UnwrittenReply {
+        self.count.set(self.count.get() + 1);
+        UnwrittenReply(self.clone())
+    }
+}
+
+/// Counts one reply until it is dropped.
+pub(crate) struct UnwrittenReply(UnwrittenReplies);
+
+impl Drop for UnwrittenReply {
+    fn drop(&mut self) {
+        self.0.count.set(self.0.count.get().saturating_sub(1));
+    }
+}
+
 /// Accepts connections on `listener` and answers their calls with `handler`; never returns. Each call runs in a task of its
-/// own, so replies may leave in another order than the requests came in. Must run within a `LocalSet`.
-pub async fn serve<H, F>(listener: TcpListener, handler: H)
+/// own, so replies may leave in another order than the requests came in. Counts the replies that are not written in `replies`. Must run within a `LocalSet`.
+pub async fn serve<H, F>(listener: TcpListener, replies: UnwrittenReplies, handler: H)
 where
     H: Fn(Request) -> F + 'static,
     F: Future<Output = Reply> + 'static,
@@ -26,8 +61,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let handler = handler.clone();
-                tokio::task::spawn_local(async move { serve_connection(stream, handler).await });
+                tokio::task::spawn_local(serve_connection(stream, replies.clone(), handler.clone()));
             }
             Err(error) => {
                 log::warn!("failed to accept a connection from a peer, will retry: {error}");
@@ -38,7 +72,7 @@
 }
 
 /// Answers the calls of one connection until it fails or the peer closes it.
-async fn serve_connection<H, F>(stream: TcpStream, handler: Rc<H>)
+async fn serve_connection<H, F>(stream: TcpStream, replies: UnwrittenReplies, handler: Rc<H>)
 where
     H: Fn(Request) -> F + 'static,
     F: Future<Output = Reply> + 'static,
@@ -57,10 +91,12 @@
             }
         };
         let reply = handler(body);
-        let outgoing = outgoing.clone();
+        let (outgoing, replies) = (outgoing.clone(), replies.clone());
         tokio::task::spawn_local(async move {
-            let frame = encode_frame(&CallMessage { call_id, body: reply.await });
-            let _ = outgoing.send(frame);
+            let message = CallMessage { call_id, body: reply.await };
+            let unwritten = replies.begin();
+            let _ =
+                outgoing.send(OutgoingFrame { bytes: encode_frame(&message), _unwritten: Some(unwritten) });
         });
     }
     drop(outgoing);
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -3,6 +3,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
+use tokio::time::Instant;
 
 /// Runs a test in a `LocalSet`, which servers and callers need.
 fn run_local<F: std::future::Future<Output = ()>>(test: F) {
@@ -14,7 +15,7 @@
 async fn start_server() -> std::net::SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    tokio::task::spawn_local(serve(listener, |request| async move {
+    tokio::task::spawn_local(serve(listener, UnwrittenReplies::default(), |request| async move {
         match request {
             Request::Core(CoreRequest::ChangeConfiguration(ConfigurationChange {
                 base_generation: 0,
@@ -116,7 +117,7 @@
         // The first call is abandoned, and answered only when the second one arrives on the same connection.
         let (release, released) = tokio::sync::watch::channel(false);
         let release = std::rc::Rc::new(release);
-        tokio::task::spawn_local(serve(listener, move |request| {
+        tokio::task::spawn_local(serve(listener, UnwrittenReplies::default(), move |request| {
             let (release, mut released) = (release.clone(), released.clone());
             async move {
                 let Request::Core(CoreRequest::ChangeConfiguration(change)) = request else {
@@ -194,3 +195,30 @@
         assert_eq!(stalled.expect_err("the reply stopped arriving"), CallError::NoReply(peer));
     });
 }
+
+/// Guards against a process that ends while a reply to another process is not all written (related to review/5).
+#[test]
+fn large_reply_counts_as_unwritten_until_a_slow_peer_has_read_it() {
+    const REPLY_BYTES: usize = 16 << 20;
+    run_local(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let replies = UnwrittenReplies::default();
+        tokio::task::spawn_local(serve(listener, replies.clone(), |_| async {
+            let configuration = ConfigurationBytes(vec![7; REPLY_BYTES]);
+            Reply::Core(CoreReply::Configuration(Some(configuration)))
+        }));
+        let mut peer = TcpStream::connect(address).await.expect("connected");
+        let call = CallMessage { call_id: 1, body: Request::Core(CoreRequest::ReadConfiguration) };
+        peer.write_all(&crate::frame::encode_frame(&call)).await.expect("sent");
+        peer.readable().await.expect("a reply");
+        let started_at = Instant::now();
+        replies.wait_until_written(started_at + Duration::from_millis(200)).await;
+        assert!(started_at.elapsed() >= Duration::from_millis(200), "nobody has read the reply");
+        let far_future = started_at + Duration::from_secs(20);
+        let read = crate::frame::read_frame::<CallMessage<Reply>>(&mut peer);
+        let ((), reply) = tokio::join!(replies.wait_until_written(far_future), read);
+        assert!(Instant::now() < far_future);
+        assert!(matches!(reply.expect("a whole reply").body, Reply::Core(CoreReply::Configuration(Some(_)))));
+    });
+}
