--- a/crates/control-plane/src/core/tests.rs
+++ b/crates/control-plane/src/core/tests.rs
@@ -53,7 +53,7 @@
         let core = Core::open(settings, Rc::default(), Caller::default(), peer).expect("opened");
         let is_isolated = Rc::new(Cell::new(false));
         let answering = (core.clone(), is_isolated.clone());
-        spawn_local(serve(listener, move |request| answer(answering.clone(), request)));
+        spawn_local(serve(listener, Default::default(), move |request| answer(answering.clone(), request)));
         let seeds = core.settings.seed_peer_addresses();
         let running = spawn_local(core.clone().run(move || seeds.clone()));
         machines.push(Machine { core, is_isolated, running });
--- a/crates/control-plane/src/store/tests/stable_reads.rs
+++ b/crates/control-plane/src/store/tests/stable_reads.rs
@@ -43,7 +43,9 @@
         let store = Store::open(settings, identity).expect("opened");
         let is_unresponsive = Rc::new(Cell::new(false));
         let context = (store.clone(), is_unresponsive.clone());
-        spawn_local(serve(listener, move |request| answer_if_responsive(context.clone(), request)));
+        spawn_local(serve(listener, Default::default(), move |request| {
+            answer_if_responsive(context.clone(), request)
+        }));
         spawn_local(store.clone().flush_entries());
         stores.push(RunningStore { store, is_unresponsive });
     }
