Fix: a step of a core member is completed when the caller that began it is dropped

A step changed the coordinator, awaited the disk and then sent its messages: dropped in between, the state stood without the write and the messages. Now a task of its own completes each step and holds the lock meanwhile; the caller only waits for it. Operator::ask's time limit, which dropped steps in the same way, is mended with it.

--- a/crates/control-plane/src/core/mod.rs
+++ b/crates/control-plane/src/core/mod.rs
@@ -22,6 +22,7 @@
 use fennelgauge_versions::VersionsError;
 use fennelgauge_wire::{Caller, Request};
 use tokio::sync::{Mutex, Notify};
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout_at, Instant};
 
 use crate::placement::HeartbeatTracker;
@@ -55,7 +56,7 @@
     /// Origin of the coordinator's clock.
     started: Instant,
     /// Held from the start of a step of the coordinator until its writes are done and its messages sent.
-    step_lock: Mutex<()>,
+    step_lock: Arc<Mutex<()>>,
     /// Held by the head during one change of the control state, so that each change builds on the one before.
     write_lock: Mutex<()>,
     /// Number of messages that wait for `step_lock`.
@@ -88,7 +89,7 @@
             coordinator: RefCell::new(coordinator),
             storage: opened.storage,
             started: Instant::now(),
-            step_lock: Mutex::new(()),
+            step_lock: Arc::default(),
             write_lock: Mutex::new(()),
             queued_messages: Cell::new(0),
             stepped: Notify::new(),
@@ -118,17 +119,24 @@
         self.queued_messages.set(self.queued_messages.get() - 1);
     }
 
-    /// Runs one step of the coordinator, its writes and messages, and publishes the result. Steps never overlap.
+    /// Runs one step of the coordinator, its writes and messages, and publishes the result. Steps never overlap. A step that
+    /// has begun is completed even if its caller is dropped: an operator may leave at any time, and a member whose state
+    /// is ahead of its disk and its messages would be wrong.
     async fn run_step<A>(
         self: &Rc<Self>,
         step: impl FnOnce(&mut Coordinator<ControlState>, Duration) -> (A, Effects),
     ) -> A {
-        let _guard = self.step_lock.lock().await;
+        let guard = self.step_lock.clone().lock_owned().await;
         let now = self.started.elapsed();
-        let (result, outcome) = step(&mut self.coordinator.borrow_mut(), now);
-        self.execute(outcome).await;
-        self.publish();
-        self.stepped.notify_waiters();
+        let (result, effects) = step(&mut self.coordinator.borrow_mut(), now);
+        let core = self.clone();
+        let completion = async move {
+            core.execute(effects).await;
+            core.publish();
+            core.stepped.notify_waiters();
+            drop(guard);
+        };
+        let _ = spawn_local(completion).await;
         result
     }
 
@@ -159,7 +167,7 @@
     fn send(self: &Rc<Self>, to: SocketAddr, message: Message) {
         let request = Request::Coordination(Box::new(Envelope { from: self.me.clone(), message }));
         let caller = self.caller.clone();
-        tokio::task::spawn_local(async move {
+        spawn_local(async move {
             let _ = caller.call(to, request, MESSAGE_TIMEOUT).await;
         });
     }
