--- a/crates/data-plane/src/timeliness.rs
+++ b/crates/data-plane/src/timeliness.rs
@@ -85,7 +85,15 @@
 }
 
 impl Drop for ResponseTimer {
+    /// Counts the response. Of one whose client left before it began, only the wait is known: it is counted if that was
+    /// too long already.
     fn drop(&mut self) {
+        if !self.has_data && !self.late {
+            self.late = self.last_data_at.elapsed() > self.first_data_limit;
+            if !self.late {
+                return;
+            }
+        }
         self.plane.timeliness.borrow_mut().count(&self.service, self.late);
     }
 }
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -124,6 +124,8 @@
             head_limit: Cell::new(None),
             linger_limit: Cell::new(None),
             is_incomplete: Cell::new(false),
+            is_read_closed: Cell::new(false),
+            awaits_bytes: Cell::new(false),
             ends_with_connection: Cell::new(false),
         })
     }
@@ -152,6 +154,10 @@
     linger_limit: Cell<Option<Instant>>,
     /// Whether the last response was dropped before its end.
     is_incomplete: Cell<bool>,
+    /// Whether the client has closed its side of the connection, or reset it.
+    is_read_closed: Cell<bool>,
+    /// Whether the last read found nothing, so that the connection's task is woken when the client closes.
+    awaits_bytes: Cell<bool>,
     /// Whether clients take the end of the connection for the end of the response (HTTP/1.0).
     ends_with_connection: Cell<bool>,
 }
@@ -190,8 +196,34 @@
         }
     }
 
-    /// Records that bytes of the client were received.
-    pub(crate) fn record_received(&self) {
+    /// Records the result of a read.
+    pub(crate) fn record_read(&self, read: Read) {
+        self.awaits_bytes.set(read == Read::Nothing);
+        match read {
+            Read::Nothing => {}
+            Read::Bytes => self.record_received(),
+            Read::Closed => self.is_read_closed.set(true),
+        }
+    }
+
+    /// Returns whether the client has closed its side of the connection, or reset it.
+    pub(crate) fn is_read_closed(&self) -> bool {
+        self.is_read_closed.get()
+    }
+
+    /// Returns whether the client has left although a response to it is in progress. Clients that close only their side
+    /// of the connection and go on reading look the same, and count as having left.
+    pub(crate) fn client_has_left(&self) -> bool {
+        self.is_read_closed.get() && self.in_progress.get() > 0
+    }
+
+    /// Returns whether a response is in progress while the HTTP library reads nothing, because its buffer is full or
+    /// another request waits: the end of the connection would not be noticed.
+    pub(crate) fn overlooks_close(&self) -> bool {
+        self.in_progress.get() > 0 && !self.awaits_bytes.get()
+    }
+
+    fn record_received(&self) {
         if self.in_progress.get() == 0 && self.head_limit.get().is_none() {
             self.head_limit.set(Some(Instant::now() + self.timeouts.request_head));
         }
@@ -237,6 +269,17 @@
     }
 }
 
+/// The result of a read from a client's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Read {
+    /// No bytes have arrived.
+    Nothing,
+    /// Bytes were received.
+    Bytes,
+    /// The client has closed its side of the connection, or reset it.
+    Closed,
+}
+
 /// Adds to a counter.
 fn change(counter: &Cell<usize>, by: isize) {
     counter.set(counter.get().saturating_add_signed(by));
--- a/crates/http/src/response_tracking.rs
+++ b/crates/http/src/response_tracking.rs
@@ -1,7 +1,7 @@
 //! Tracks each response from the moment its request's head has been read until its body has been produced.
 
-use std::future::Future;
-use std::pin::Pin;
+use std::future::{poll_fn, Future};
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 
@@ -35,9 +35,16 @@
     version: Version,
     call: impl Future<Output = Result<ServiceResponse<B>, Error>>,
 ) -> impl Future<Output = Result<Response<TrackedBody<B>>, Error>> {
-    let guard = connection.map(|connection| connection.begin_response(version));
+    let guard = connection.as_ref().map(|connection| connection.begin_response(version));
     async move {
-        let response: Response<B> = call.await?.into();
+        let mut call = pin!(call);
+        // A request whose client has left when it is read, or leaves amid it, goes no step further: the connection's task
+        // drops it.
+        let response = poll_fn(|context| match &connection {
+            Some(connection) if connection.client_has_left() => Poll::Pending,
+            _ => call.as_mut().poll(context),
+        });
+        let response: Response<B> = response.await?.into();
         Ok(response.map_body(|_, body| TrackedBody::new(body, guard)))
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
-use crate::client_stream::ClientStream;
+use crate::client_stream::{ClientSocket, ClientStream};
 use crate::connection::OpenConnections;
 use crate::connection_task::serve_connection;
 use crate::response_tracking::{connection_of, track_response};
@@ -83,8 +83,9 @@
         let Some(stream) = accept(&listener).await else { continue };
         let peer = stream.peer_addr().ok();
         let state = connections.track(timeouts);
-        let dispatcher = service.call((ClientStream::new(stream, state.clone()), peer));
-        spawn_local(serve_connection(dispatcher, state, connections.clone()));
+        let socket = ClientSocket::new(stream);
+        let dispatcher = service.call((ClientStream::new(socket.clone(), state.clone()), peer));
+        spawn_local(serve_connection(dispatcher, socket, state, connections.clone()));
     }
 }
 
--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -98,11 +98,11 @@
             connection.send(request).map_err(|()| CallError::NotSent(peer))?;
         let CallStats { calls, bytes } = self.stats.get();
         self.stats.set(CallStats { calls: calls + 1, bytes: bytes + frame_bytes as u64 });
+        let _pending = PendingCall { connection: &connection, call_id };
         match connection.wait_for_reply(reply, started, time_limit).await {
             Some(Ok(reply)) => Ok(reply),
             Some(Err(_)) => Err(CallError::NoReply(peer)),
             None => {
-                connection.pending.borrow_mut().remove(&call_id);
                 if connection.last_reply_at.get() < started {
                     self.close(peer, &connection);
                 }
@@ -214,6 +214,18 @@
     }
 }
 
+/// Forgets a call when its caller no longer waits, also if that is dropped: its reply is then read and discarded.
+struct PendingCall<'connection> {
+    connection: &'connection Connection,
+    call_id: u64,
+}
+
+impl Drop for PendingCall<'_> {
+    fn drop(&mut self) {
+        self.connection.pending.borrow_mut().remove(&self.call_id);
+    }
+}
+
 /// Passes replies to their pending calls until the connection fails. A reply to a call that was abandoned is dropped.
 async fn read_replies(read: OwnedReadHalf, connection: &Connection) {
     let mut read = BufReader::new(ActivityReader { read, last_read_at: connection.partial_reply_at.clone() });
