Soak: slow readers through a SIGTERM, servers that go dark amid an answer, clients that leave

Three kinds of clients in every plan, judged around planned work only: a large answer that is read slowly breaks off (LOST); an answer of a dark server is held past its route's time, or looks whole (CONFIG, MIXED); servers are still at work for a client that has left, or begin later (GONE). The stand-in's servers know large, dark and silent requests and tell when a run ends.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,6 +4,7 @@
 
 mod batch_client;
 mod connection;
+mod edge_clients;
 mod events;
 mod http;
 mod live_client;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -39,6 +39,15 @@
     /// Clients of live streams, each on one connection for as long as it is open.
     #[garde(range(min = 0, max = 200))]
     pub live_clients: u8,
+    /// Clients of live streams that read a large response slowly.
+    #[garde(range(min = 0, max = 50))]
+    pub slow_readers: u8,
+    /// Clients whose servers go dark amid the response.
+    #[garde(range(min = 0, max = 50))]
+    pub dark_clients: u8,
+    /// Clients that leave before their response, or amid it.
+    #[garde(range(min = 0, max = 50))]
+    pub leaving_clients: u8,
     #[garde(range(min = 1, max = 100))]
     pub readers: u8,
     /// For so long there are troubles.
@@ -125,6 +134,9 @@
             losses: 1,
             tenants: 3,
             live_clients: 6,
+            slow_readers: 3,
+            dark_clients: 2,
+            leaving_clients: 3,
             readers: 4,
             troubled_s: 12.0,
             recover_s: 25.0,
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -6,6 +6,8 @@
 
 use serde::Serialize;
 
+use crate::world::EdgeCases;
+
 /// A rule that was broken.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Fault {
@@ -27,6 +29,8 @@
     pub pages_read: u64,
     pub live_answers: u64,
     pub live_refused: u64,
+    /// Responses read slowly, cut off in time and left by their clients.
+    pub edge_cases: EdgeCases,
     /// Accepted batch jobs that the final read did not come to: nothing is known of them.
     pub jobs_not_read: usize,
     pub configurations: u64,
@@ -40,7 +44,7 @@
         write!(
             out,
             "seed {}: {} processes, {} troubles, {} starts in {:.0} s; {} batch jobs accepted, {} pages read, {} live answers \
-             ({} refused), {} configurations, {} batch jobs not read in the end; {} faults",
+             ({} refused), {} read slowly, {} cut off, {} left, {} configurations, {} batch jobs not read in the end; {} faults",
             self.seed,
             self.processes,
             self.troubles,
@@ -50,6 +54,9 @@
             self.pages_read,
             self.live_answers,
             self.live_refused,
+            self.edge_cases.read_slowly,
+            self.edge_cases.cut_off,
+            self.edge_cases.left,
             self.configurations,
             self.jobs_not_read,
             self.faults.len()
@@ -98,13 +105,16 @@
         }
         write!(
             out,
-            "{} seeds, {} troubles, {} starts, {} batch jobs, {} pages, {} live answers; broken: {broken:?} {rules:?}",
+            "{} seeds, {} troubles, {} starts, {} batch jobs, {} pages, {} live answers, {} read slowly, {} cut off, {} left; broken: {broken:?} {rules:?}",
             self.seeds.len(),
             sum(|seed| seed.troubles as u64),
             sum(|seed| seed.starts),
             sum(|seed| seed.jobs_accepted as u64),
             sum(|seed| seed.pages_read),
             sum(|seed| seed.live_answers),
+            sum(|seed| seed.edge_cases.read_slowly),
+            sum(|seed| seed.edge_cases.cut_off),
+            sum(|seed| seed.edge_cases.left),
         )
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,6 +13,7 @@
 use tokio::time::{sleep, Instant};
 
 use crate::batch_client::{end, read_on, submit, sweep};
+use crate::edge_clients;
 use crate::events::Events;
 use crate::live_client::{judge_all, stream};
 use crate::moments::watch_logs;
@@ -158,6 +159,16 @@
     for client in 0..world.plan.live_clients {
         clients.push(spawn_local(stream(world.clone(), client % world.plan.data_planes)));
     }
+    for client in 0..world.plan.slow_readers {
+        clients.push(spawn_local(edge_clients::read_slowly(world.clone(), client % world.plan.data_planes)));
+    }
+    for client in 0..world.plan.dark_clients {
+        let front = client % world.plan.data_planes;
+        clients.push(spawn_local(edge_clients::meet_dark_servers(world.clone(), front)));
+    }
+    for client in 0..world.plan.leaving_clients {
+        clients.push(spawn_local(edge_clients::leave(world.clone(), client % world.plan.data_planes)));
+    }
     for front in 0..world.plan.data_planes {
         clients.push(spawn_local(watch(world.clone(), front)));
     }
@@ -283,6 +294,7 @@
         pages_read: judge.pages_read,
         live_answers: world.live_answers.get(),
         live_refused: world.live_refused.borrow().len() as u64,
+        edge_cases: world.edge_cases.get(),
         jobs_not_read: world.not_read.get(),
         configurations: world.acknowledged.get(),
         folder: Some(folder.to_owned()),
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -8,6 +8,7 @@
 
 use fennelgauge_batch_judge::{BatchJobChecker, Limits, RouteTerms, Routes};
 use fennelgauge_standins::{Observer, Platform, Tier};
+use serde::Serialize;
 use serde_json::{json, Value};
 use tokio::sync::Mutex;
 
@@ -29,9 +30,24 @@
 const BATCH_RETRIES: usize = 2;
 /// Name of the route that batch jobs are submitted to.
 pub const BATCH_ROUTE: &str = "batch";
+/// Prefix of the route with a short time limit.
+pub const BRIEF_PREFIX: &str = "/brief/";
+/// Time limit of the route at [`BRIEF_PREFIX`].
+pub const BRIEF_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Of each tenant, in the configuration.
 pub const MOST_QUEUED: u64 = 1_000;
 
+/// Counts of requests whose client or server behaves badly, as far as each could be judged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct EdgeCases {
+    /// Large responses that a slow client has read as a whole.
+    pub read_slowly: u64,
+    /// Responses of dark servers that were cut off in time.
+    pub cut_off: u64,
+    /// Requests on which servers stopped to work in time after the client had left.
+    pub left: u64,
+}
+
 /// How far a run is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -62,6 +78,12 @@
     /// Live requests that were refused: they must never run.
     pub live_refused: RefCell<BTreeSet<String>>,
     pub live_answers: Cell<u64>,
+    /// Live requests that servers are at work on, each with the number of its runs.
+    pub live_at_work: RefCell<BTreeMap<String, u32>>,
+    /// When clients left, in microseconds, by the id of their request.
+    pub left_at: RefCell<BTreeMap<String, u64>>,
+    /// Responses that were read slowly, cut off because their server was dark, and left by their clients.
+    pub edge_cases: Cell<EdgeCases>,
     /// The newest configuration that was acknowledged.
     pub acknowledged: Cell<u64>,
     pub to_end: RefCell<Vec<String>>,
@@ -108,6 +130,9 @@
             live_runs: RefCell::default(),
             live_refused: RefCell::default(),
             live_answers: Cell::new(0),
+            live_at_work: RefCell::default(),
+            left_at: RefCell::default(),
+            edge_cases: Cell::default(),
             acknowledged: Cell::new(0),
             to_end: RefCell::default(),
             links: Rc::default(),
@@ -180,6 +205,11 @@
         configuration["tenants"] = Value::Array(tenants);
         if let Some(routes) = configuration["routes"].as_array_mut() {
             let stream = routes[0].clone();
+            let mut brief = stream.clone();
+            brief["name"] = json!("brief");
+            brief["path_prefix"] = json!(BRIEF_PREFIX);
+            brief["timeout_ms"] = json!(BRIEF_TIMEOUT.as_millis() as u64);
+            routes.push(brief);
             for since in 2..=generation {
                 let mut added = stream.clone();
                 added["name"] = json!(format!("since-{since}"));
@@ -214,6 +244,8 @@
     fn run_started(&self, id: &str, _after: u64) {
         if id.starts_with("live-") {
             *self.world.live_runs.borrow_mut().entry(id.to_owned()).or_default() += 1;
+            *self.world.live_at_work.borrow_mut().entry(id.to_owned()).or_default() += 1;
+            crate::edge_clients::judge_start(&self.world, id);
             return;
         }
         let now = self.world.events.now();
@@ -223,6 +255,12 @@
         }
     }
 
+    fn run_ended(&self, id: &str) {
+        if let Some(runs) = self.world.live_at_work.borrow_mut().get_mut(id) {
+            *runs = runs.saturating_sub(1);
+        }
+    }
+
     fn run_failed(&self, id: &str) {
         let now = self.world.events.now();
         self.world.judge.borrow_mut().record_item_failure(now, id);
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -12,7 +12,8 @@
     std::env::temp_dir().join(format!("fennelgauge-soak-{test}-{}", std::process::id()))
 }
 
-fn passes(test: &str, arguments: &[&str]) {
+/// Runs a soak that breaks no rule; returns what it tells.
+fn passes(test: &str, arguments: &[&str]) -> String {
     let folder = folder(test);
     let mut all = vec!["run", "--folder", folder.to_str().expect("a path")];
     all.extend(arguments);
@@ -21,6 +22,7 @@
         String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr);
     assert!(output.status.success(), "{told}");
     let _ = std::fs::remove_dir_all(folder);
+    told
 }
 
 fn plan(name: &str) -> String {
@@ -34,7 +36,10 @@
 
 #[test]
 fn planned_work_loses_no_live_request() {
-    passes("planned", &["--seed", "1", "--plan", &plan("planned")]);
+    let told = passes("planned", &["--seed", "1", "--plan", &plan("planned")]);
+    for judged in ["read slowly", "cut off", "left"] {
+        assert!(!told.contains(&format!(" 0 {judged}")), "none was judged that was {judged}: {told}");
+    }
 }
 
 #[test]
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,5 +6,5 @@
 mod tier;
 
 pub use platform::{instance_entry, start_platform, Platform};
-pub use server::{start_model_server, ModelServer, Observer, EVENTS_PER_RESPONSE};
+pub use server::{start_model_server, ModelServer, Observer, EVENTS_PER_RESPONSE, LARGE_EVENT_BYTES};
 pub use tier::{sample_configuration, Ports, Tier, API_KEY};
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -4,6 +4,9 @@
 //! - `/poison/` is answered with 422: the request can never succeed,
 //! - `/fail/` is answered with 500,
 //! - `/slow/` sends events at an interval,
+//! - `/silent/` is not answered at all,
+//! - `/dark/` sends nothing more after two events, as a server does that goes dark amid its response,
+//! - `/large/` pads each event to [`LARGE_EVENT_BYTES`],
 //! - `/run/` makes the events' text differ between runs of the same request.
 
 use std::cell::RefCell;
@@ -23,10 +26,12 @@
 
 /// Number of events in a complete response.
 pub const EVENTS_PER_RESPONSE: u64 = 5;
-/// Number of events after which a stream on `/break/` is cut off.
+/// Number of events after which a stream on `/break/` is cut off, and one on `/dark/` falls silent.
 const EVENTS_BEFORE_BREAK: u64 = 2;
 /// Pause before the end of a stream, so that the bytes written before are received even if it is cut off.
 const END_DELAY: Duration = Duration::from_millis(30);
+/// Size of the data of an event on `/large/`, in bytes.
+pub const LARGE_EVENT_BYTES: usize = 256 << 10;
 /// Interval of events on `/slow/`.
 const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -43,6 +48,23 @@
 
     /// A run is answered with 422.
     fn run_rejected(&self, _id: &str) {}
+
+    /// A run that sends events is over: it has sent all of them, or its connection is closed.
+    fn run_ended(&self, _id: &str) {}
+}
+
+/// Notifies the observer of the end of a run when it is dropped.
+struct RunGuard {
+    id: String,
+    observer: Option<Rc<dyn Observer>>,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        if let Some(observer) = &self.observer {
+            observer.run_ended(&self.id);
+        }
+    }
 }
 
 /// A running server's state, shared with the test.
@@ -111,23 +133,36 @@
     let pause = if path.contains("/slow/") { SLOW_EVENT_INTERVAL } else { Duration::ZERO };
     let run_suffix =
         if path.contains("/run/") { format!(" run {}.{run_number}", server.id) } else { String::new() };
-    let data: Vec<String> =
-        (after + 1..=EVENTS_PER_RESPONSE).map(|event| format!("{id} {event}{run_suffix}")).collect();
-    let events = stream::unfold(after + 1, move |event| {
+    let padded_bytes = if path.contains("/large/") { LARGE_EVENT_BYTES } else { 0 };
+    let event_data = |event| {
+        let text = format!("{id} {event}{run_suffix}");
+        let padding = ".".repeat(padded_bytes.saturating_sub(text.len()));
+        text + &padding
+    };
+    let data: Rc<Vec<String>> = Rc::new((after + 1..=EVENTS_PER_RESPONSE).map(event_data).collect());
+    let goes_dark = path.contains("/dark/");
+    let run = RunGuard { id: id.clone(), observer: observer.clone() };
+    if path.contains("/silent/") {
+        return std::future::pending().await;
+    }
+    let events = stream::unfold((after + 1, run), move |(event, run)| {
         let (id, data, observer) = (id.clone(), data.clone(), observer.clone());
         async move {
+            if goes_dark && event > EVENTS_BEFORE_BREAK {
+                std::future::pending::<()>().await;
+            }
             if event > last {
                 sleep(END_DELAY).await;
                 if let Some(observer) = observer.filter(|_| !breaks) {
                     observer.run_completed(&id, after, &data);
                 }
                 return (breaks && event == last + 1)
-                    .then(|| (Err(std::io::Error::other("stream cut off")), u64::MAX));
+                    .then(|| (Err(std::io::Error::other("stream cut off")), (u64::MAX, run)));
             }
             sleep(pause).await;
             let text = data.get((event - after - 1) as usize)?;
             let bytes = Bytes::from(format!("id: {event}\ndata: {text}\n\n"));
-            Some((Ok(bytes), event + 1))
+            Some((Ok(bytes), (event + 1, run)))
         }
     });
     response.content_type("text/event-stream").streaming(Box::pin(events))
