Tests: batch calls whose clients leave, through the whole tier; blocks of ports are claimed

Submissions, reads and cancellations whose client closes after 0 to 15 ms: the same job sent again is accepted, each item is listed once, what is listed stays, and no tokens are left in the count.

live_request_is_answered_... failed once beside two soaks with 'Address already in use', traced: a tier looks for free ports at the address of its first core machine, which a soak had just killed, and the soak's other processes were there. A block is now claimed by a listener at an address of its own until the process ends.

--- a/crates/standins/src/tier.rs
+++ b/crates/standins/src/tier.rs
@@ -13,6 +13,8 @@
 const PEER_PORT_COUNT: u16 = 20;
 /// Lowest port that a tier may use.
 const FIRST_PORT: u16 = 21_000;
+/// Loopback address that no process of a tier uses: a listener on the first port of a block there claims the block.
+const CLAIM_ADDRESS: Ipv4Addr = Ipv4Addr::new(127, 0, 2, 1);
 /// Distance between the first ports of two tiers.
 const PORT_STEP: u16 = 40;
 
@@ -23,8 +25,9 @@
 }
 
 impl Ports {
-    /// Finds a block of unused ports. The search starts at a block that depends on `salt`, so that tests which run at the
-    /// same time can be kept apart. `None` if all blocks are in use.
+    /// Finds a block of unused ports and claims it until this process ends: a process of another tier may be down just now
+    /// and come back. The search starts at a block that depends on `salt`, so that tests which run at the same time can be
+    /// kept apart. `None` if all blocks are in use.
     pub fn find_free(salt: u32) -> Option<Self> {
         let blocks = 600_u32;
         (0..blocks).find_map(|step| {
@@ -32,7 +35,10 @@
             let first = FIRST_PORT + block * PORT_STEP;
             let free =
                 (0..PEER_PORT_COUNT + 3).all(|port| TcpListener::bind(("127.0.0.1", first + port)).is_ok());
-            free.then_some(Self { first })
+            let claim = TcpListener::bind((CLAIM_ADDRESS, first)).ok().filter(|_| free)?;
+            // Never closed: the claim ends with the process.
+            std::mem::forget(claim);
+            Some(Self { first })
         })
     }
 
--- a/crates/standins/tests/end_to_end.rs
+++ b/crates/standins/tests/end_to_end.rs
@@ -12,7 +12,8 @@
     Tier, API_KEY,
 };
 use serde_json::{json, Value};
-use tokio::net::TcpListener;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, Instant};
 
@@ -193,12 +194,7 @@
 
     /// Submits a batch job as a client does: again until the response is not a server error. `items` are paths and tokens.
     async fn submit(&self, id: &str, items: &[(&str, u64)]) -> u16 {
-        let item = |(index, (path, tokens)): (usize, &(&str, u64))| {
-            json!({ "id": format!("{id}-{index}"), "path": path, "headers": {}, "tokens": tokens,
-                    "body": BASE64_STANDARD.encode([index as u8, 7]) })
-        };
-        let items: Vec<Value> = items.iter().enumerate().map(item).collect();
-        let body = serde_json::to_vec(&json!({ "requests": items })).expect("JSON");
+        let body = submission(id, items);
         let started_at = Instant::now();
         loop {
             let (status, _) = self.post("/batch/submit", id, body.clone()).await;
@@ -210,6 +206,19 @@
         }
     }
 
+    /// Sends a request with the tenant's key to the data plane and closes the connection after `stay`.
+    async fn send_and_leave(&self, head: &str, id: &str, body: &[u8], stay: Duration) {
+        let mut stream = TcpStream::connect(self.tier.front_address(0)).await.expect("connected");
+        let head = format!(
+            "{head} HTTP/1.1\r\nHost: tier.example\r\nAuthorization: {}\r\nX-Fennelgauge-Request-Id: {id}\r\n\
+             Content-Length: {}\r\n\r\n",
+            bearer(),
+            body.len()
+        );
+        stream.write_all(&[head.as_bytes(), body].concat()).await.expect("sent");
+        sleep(stay).await;
+    }
+
     /// Reads a page of results; `None` if the response is not a success.
     async fn results(&self, id: &str, start_after: usize) -> Option<Value> {
         let path = format!("/-/lots/{id}?start_after={start_after}");
@@ -239,6 +248,16 @@
     }
 }
 
+/// Returns the body of a submission. `items` are paths and tokens.
+fn submission(id: &str, items: &[(&str, u64)]) -> Vec<u8> {
+    let item = |(index, (path, tokens)): (usize, &(&str, u64))| {
+        json!({ "id": format!("{id}-{index}"), "path": path, "headers": {}, "tokens": tokens,
+                "body": BASE64_STANDARD.encode([index as u8, 7]) })
+    };
+    let items: Vec<Value> = items.iter().enumerate().map(item).collect();
+    serde_json::to_vec(&json!({ "requests": items })).expect("JSON")
+}
+
 fn bearer() -> String {
     format!("Bearer {API_KEY}")
 }
@@ -339,7 +358,7 @@
         running.core[0].abort();
         running
             .until("stop of a core machine", || async {
-                tokio::net::TcpStream::connect(running.tier.control_address(0)).await.is_err()
+                TcpStream::connect(running.tier.control_address(0)).await.is_err()
             })
             .await;
         let second_patch = json!({ "generation": 4, "upsert": {}, "remove": { "routes": ["added"] } });
@@ -383,6 +402,32 @@
     });
 }
 
+/// Guards against a batch job that is lost, kept twice or counted twice because the client that submitted, read or cancelled
+/// it left before its response (related to review/7).
+#[test]
+fn batch_calls_whose_clients_leave_lose_nothing_and_count_nothing_twice() {
+    run_local(async {
+        let running = RunningTier::start(5).await;
+        let items = [("/batch/1", 300), ("/batch/2", 300)];
+        for milliseconds in 0..16 {
+            let (id, stay) = (format!("job-{milliseconds}"), Duration::from_millis(milliseconds));
+            let body = submission(&id, &items);
+            running.send_and_leave("POST /batch/submit", &id, &body, stay).await;
+            running.send_and_leave(&format!("GET /-/lots/{id}?start_after=0"), "read", &[], stay).await;
+            assert_eq!(running.submit(&id, &items).await, 202, "{id}: the same job again");
+            let results = running.all_results(&id).await;
+            let mut ids: Vec<&str> = results.iter().filter_map(|result| result["id"].as_str()).collect();
+            ids.sort();
+            assert_eq!(ids, [format!("{id}-0"), format!("{id}-1")], "{id}: each item is listed once");
+            running.send_and_leave(&format!("DELETE /-/lots/{id}"), "cancel", &[], stay).await;
+            assert_eq!(running.all_results(&id).await, results, "{id}: listed results stay");
+        }
+        let full = [("/batch/1", 1_000)];
+        assert_eq!(running.submit("job-full", &full).await, 202, "no tokens are still counted as queued");
+        assert_eq!(running.all_results("job-full").await.len(), 1);
+    });
+}
+
 #[test]
 fn group_whose_holders_are_lost_can_be_given_up() {
     run_local(async {
