Fix: a data plane that stops writes its last replies to other processes

Callers saw nothing: a process that asks a data plane for news asks another one when its connection ends. Waited for at most 0.5 s, before the drain of the clients' connections, so that nothing is awaited after that one's last look.

--- a/crates/data-plane/src/process.rs
+++ b/crates/data-plane/src/process.rs
@@ -32,6 +32,8 @@
 const CLIENT_KEEP_ALIVE: Duration = Duration::from_secs(60);
 /// Reserve at the end of the time that a stop may take; open requests are abandoned when only this is left.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(600);
+/// Longest time for writing the last replies to other processes. They ask another process when they get none.
+const PEER_REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 const POOL_UPDATE_INTERVAL: Duration = Duration::from_millis(500);
 /// Age of the control plane's server list from which this process reads the list from the platform itself.
 const MAX_SERVER_LIST_AGE: Duration = Duration::from_millis(2_500);
@@ -108,7 +110,8 @@
     let plane = Rc::new(DataPlane::new(settings));
     let peer_listener = TcpListener::bind(plane.settings.data_peer_address()).await?;
     let tier_state = plane.tier_state.clone();
-    spawn_local(serve(peer_listener, UnwrittenReplies::default(), move |request| {
+    let replies = UnwrittenReplies::default();
+    spawn_local(serve(peer_listener, replies.clone(), move |request| {
         answer_peer(tier_state.clone(), request)
     }));
     spawn_local(subscribe(
@@ -143,18 +146,20 @@
         spawn_local(serve_http(listener, app, times, plane.connections.clone()));
     }
     wait_for_shutdown_signal().await;
-    stop(&plane).await;
+    stop(&plane, &replies).await;
     Ok(())
 }
 
 /// Shuts down gracefully: reports the process as not ready, keeps answering requests that still arrive, and waits until the
-/// last responses are written or the time for a stop is used up.
-async fn stop(plane: &DataPlane) {
+/// last responses and replies are written or the time for a stop is used up.
+async fn stop(plane: &DataPlane, replies: &UnwrittenReplies) {
     let stop_requested_at = Instant::now();
     let time_limit = plane.settings.shutdown_grace().saturating_sub(SHUTDOWN_MARGIN);
     plane.stop_requested_at.set(Some(stop_requested_at));
     sleep(NEW_CONNECTION_GRACE.min(time_limit)).await;
-    let unfinished = plane.connections.drain(stop_requested_at + time_limit).await;
+    let until = stop_requested_at + time_limit;
+    replies.wait_until_written(until.min(Instant::now() + PEER_REPLY_TIMEOUT)).await;
+    let unfinished = plane.connections.drain(until).await;
     let duration = stop_requested_at.elapsed();
     match unfinished.is_drained() {
         true => log::info!("stopped after {duration:?} of {time_limit:?}: {unfinished}"),
