--- a/crates/batch/src/item_step.rs
+++ b/crates/batch/src/item_step.rs
@@ -37,6 +37,15 @@
         }
     }
 
+    /// Returns whether the next attempt at an item with these attempts is left early if its server is silent, see
+    /// [`FailureLimits::leaves_silent_server`].
+    pub fn leaves_silent_server(self, attempts: Attempts) -> bool {
+        match self {
+            Self::Absent => true,
+            Self::InForce { failures, .. } => failures.leaves_silent_server(attempts),
+        }
+    }
+
     /// Returns whether an unfinished item with these attempts may be sent to a server.
     fn allows_attempt(self, attempts: Attempts, has_rested: bool) -> bool {
         match self {
--- a/crates/control-plane/src/store/configuration_wait.rs
+++ b/crates/control-plane/src/store/configuration_wait.rs
@@ -92,7 +92,7 @@
     }
 
     /// Returns what the configuration known here says about the route of a job's items.
-    fn route_status(&self, job: &Job, route: Option<&Route>) -> RouteStatus {
+    pub(super) fn route_status(&self, job: &Job, route: Option<&Route>) -> RouteStatus {
         let Some(route) = route else { return RouteStatus::Absent };
         let own = ItemLimits { retention_ms: route.retention_ms(), retries: route.max_failures() };
         // What was promised with the acceptance holds, too, if the route changed since.
--- a/crates/control-plane/src/store/item_run.rs
+++ b/crates/control-plane/src/store/item_run.rs
@@ -27,7 +27,8 @@
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(20);
 /// When an attempt is given up although its server still sends: it was told to stop at [`ATTEMPT_TIMEOUT`].
 const MAX_ATTEMPT_DURATION: Duration = Duration::from_secs(22);
-/// Longest wait for the head of a response or for more of its body; after it the item goes to another server.
+/// Longest wait for the head of a response or for more of its body; after it the item goes to another server. For the head
+/// only as long as the attempts with an unknown outcome are few.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time limit for the acceptance of the item's job to be committed.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(4_000);
@@ -43,6 +44,8 @@
     route: Option<Rc<Route>>,
     step: ItemStep,
     past: ItemPast,
+    /// Longest wait of the next attempt for the head of its response.
+    head_timeout: Duration,
     tenant: String,
     host: String,
 }
@@ -155,7 +158,7 @@
         run: &mut ItemRun,
         unfinished: &UnfinishedItem,
     ) -> Option<Attempt> {
-        let UnfinishedItem { item, route, tenant, host, .. } = unfinished;
+        let UnfinishedItem { item, route, tenant, host, head_timeout, .. } = unfinished;
         let service = route.as_ref()?.pick_service(stable_fraction(&item.id));
         if self.pool.mean_load(service).is_some_and(|load| load > MAX_MEAN_LOAD) {
             return None;
@@ -167,7 +170,7 @@
         self.end_rest(key);
         let outgoing = outgoing(item, tenant, host, run.event_order.last_id());
         let started = Instant::now();
-        let attempt = self.attempt(key, service, &ticket, &outgoing, run).await;
+        let attempt = self.attempt(key, service, &ticket, &outgoing, *head_timeout, run).await;
         match &attempt {
             Attempt::Finished(ItemOutcome::Succeeded) => {
                 self.run_durations.borrow_mut().record(item.tokens, started.elapsed());
@@ -245,11 +248,16 @@
         };
         let past = ItemPast { attempts, has_rested: self.has_rested(key) };
         let step = self.next_item_step(&state.job, route.as_deref(), past, run.wait);
+        let status = self.route_status(&state.job, route.as_deref());
         Some(UnfinishedItem {
             item,
             route,
             step,
             past,
+            head_timeout: match status.leaves_silent_server(attempts) {
+                true => IDLE_TIMEOUT,
+                false => MAX_ATTEMPT_DURATION,
+            },
             tenant: state.job.tenant.clone(),
             host: state.job.host.clone(),
         })
@@ -262,20 +270,22 @@
         service: &str,
         ticket: &InFlightGuard,
         outgoing: &OutgoingRequest,
+        head_timeout: Duration,
         run: &mut ItemRun,
     ) -> Attempt {
         let started = Instant::now();
-        let sent = self.sender.send(&ticket.server, outgoing, ATTEMPT_TIMEOUT, IDLE_TIMEOUT).await;
+        let sent = self.sender.send(&ticket.server, outgoing, ATTEMPT_TIMEOUT, head_timeout).await;
         self.update_concurrency(service, &sent, started.elapsed());
         let response = match sent {
             Ok(response) => response,
             Err(error) => {
                 self.pool.record_send_error(&ticket.server, &error);
-                if error == SendError::MayHaveExecuted {
+                if matches!(error, SendError::MayHaveExecuted | SendError::TimedOut) {
                     log::info!(
-                        "item {}: attempt at server {} failed: {error}",
+                        "item {}: attempt at server {} failed after {:?}: {error}",
                         outgoing.id,
-                        ticket.server.id
+                        ticket.server.id,
+                        started.elapsed()
                     );
                 }
                 return match error {
--- a/crates/control-plane/src/store/tests/failures.rs
+++ b/crates/control-plane/src/store/tests/failures.rs
@@ -9,6 +9,7 @@
 use fennelgauge_wire::{GroupSnapshot, WatchRequest};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::sleep_until;
 
 use super::super::*;
 use super::running_store::{job, run_local, RunningStore, GROUP, JOB, RETRIES, SOON};
@@ -27,6 +28,12 @@
 /// Longer than an item rests.
 const LONG_LIFE: Duration = Duration::from_secs(10);
 
+/// How long a server's queue is full. Longer than any attempt, and than all that are left early take together.
+const CROWD_DURATION: Duration = Duration::from_secs(35);
+/// The answer to a request whose time was up before it ran.
+const NOT_EXECUTED: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nx-fennelgauge-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+
 /// What a server answers to each request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Answer {
@@ -36,6 +43,9 @@
     Nothing,
     /// The answer is lost on its way, while the connection stays.
     Withheld,
+    /// The request waits in the server's queue until [`CROWD_DURATION`] after the server's start, or until its deadline, unless its
+    /// connection closes. Then the server answers.
+    Queued,
     Succeeds,
 }
 
@@ -45,16 +55,24 @@
             Self::Fails => "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n",
             Self::Rejects => "HTTP/1.1 422 Unprocessable Entity\r\ncontent-length: 0\r\n\r\n",
             Self::Nothing | Self::Withheld => "",
-            Self::Succeeds => {
+            Self::Queued | Self::Succeeds => {
                 "HTTP/1.1 200 OK\r\nx-fennelgauge-request-id: i\r\ncontent-length: 20\r\n\r\nid: 1\ndata: a text\n\n"
             }
         }
     }
 }
 
+/// Returns the time that a request's head leaves to the server.
+fn deadline_of(head: &[u8]) -> Duration {
+    let head = String::from_utf8_lossy(head).to_ascii_lowercase();
+    let value = head.split("x-fennelgauge-request-deadline: ").nth(1).and_then(|rest| rest.lines().next());
+    Duration::from_millis(value.and_then(|value| value.parse().ok()).expect("a deadline"))
+}
+
 /// A server, and what the group of the store that it serves had recorded when it answered last.
 struct StandIn {
     address: SocketAddr,
+    started_at: Instant,
     answer: Cell<Answer>,
     answer_count: Cell<u32>,
     store: RefCell<Option<Rc<Store>>>,
@@ -66,6 +84,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let server = Rc::new(Self {
             address: listener.local_addr().expect("its address"),
+            started_at: Instant::now(),
             answer: Cell::new(answer),
             answer_count: Cell::new(0),
             store: RefCell::default(),
@@ -87,6 +106,7 @@
             if !received.ends_with(b"\r\n\r\n") {
                 continue;
             }
+            let deadline = deadline_of(&received);
             received.clear();
             self.answer_count.set(self.answer_count.get() + 1);
             let recorded = self.store.borrow().as_ref().map(|store| store.replica(GROUP).borrow().snapshot());
@@ -94,7 +114,14 @@
             if self.answer.get() == Answer::Withheld {
                 std::future::pending::<()>().await;
             }
-            let response = self.answer.get().response();
+            let mut response = self.answer.get().response();
+            if self.answer.get() == Answer::Queued {
+                tokio::select! {
+                    () = sleep_until(self.started_at + CROWD_DURATION) => {}
+                    () = sleep(deadline) => response = NOT_EXECUTED,
+                    _ = stream.read_u8() => return,
+                }
+            }
             if response.is_empty() || stream.write_all(response.as_bytes()).await.is_err() {
                 return;
             }
@@ -281,6 +308,31 @@
     });
 }
 
+/// Guards against an item that is not sent again, though its servers are sound and soon idle, because its attempts were left while
+/// they waited in the servers' queues (review/4).
+#[test]
+fn an_item_that_waits_in_a_crowd_has_its_result_as_soon_as_servers_are_free() {
+    for retries in 1..=4 {
+        run_local(async {
+            let server = StandIn::start(Answer::Queued).await;
+            let store = RunningStore::start_empty();
+            store.publish_view(2, true);
+            store.0.known.update_view_confirmation(Duration::ZERO);
+            let retries_of_route = format!("\"retries\":{retries}");
+            store.configure(7, &ROUTE_WITH_RETENTION.replace("\"retries\":2", &retries_of_route));
+            server.serve_store(&store);
+            let limits = ItemLimits { retention_ms: Some(RETENTION_MS), retries };
+            assert!(matches!(store.0.submit(2, GROUP, job(JOB, limits), 0).await, StoreReply::Accepted));
+            while server.started_at.elapsed() < CROWD_DURATION + SOON {
+                store.pass(SOON).await;
+            }
+            store.lose_power();
+            let sent = server.answer_count.get();
+            assert_eq!(store.outcomes(), [ItemOutcome::Succeeded], "{retries} retries, sent {sent} times");
+        });
+    }
+}
+
 /// Guards against items that are never given up while the configuration changes again and again: each change came before the
 /// core could confirm the one before it.
 #[test]
