--- a/crates/settings/src/logging.rs
+++ b/crates/settings/src/logging.rs
@@ -16,6 +16,7 @@
         .level(log::LevelFilter::Warn)
         .level_for("fennelgauge_data_plane", level)
         .level_for("fennelgauge_control_plane", level)
+        .level_for("fennelgauge_http", level)
         .level_for("fennelgauge_wire", level)
         .level_for("fennelgauge_upstream", level)
         .level_for("fennelgauge_versions", level)
