Fix: batch calls that arrive late during a stop are refused like other requests

Cause: only requests to routes were refused from 2.9 s after the signal on (0.4 of grace_s if that is less). Reads of results and of bodies, and cancellations, were accepted until the end of the drain, whatever time was left. Ruled out: the count of responses (the log line tells the response that was cut).

Change: these calls get 503 with a Retry-After of 0.01 s from the same moment on. A poll is held no longer than a stop leaves to the last request that it accepts: 3.4 s with a grace_s of 8, it was up to 10 s.

--- a/crates/data-plane/src/batch.rs
+++ b/crates/data-plane/src/batch.rs
@@ -183,16 +183,30 @@
     group: GroupNumber,
 }
 
-fn owner(plane: &DataPlane, request: &HttpRequest) -> Result<Owner, Denial> {
-    let tenant = authenticate(plane, request)?;
+/// Why a call about a batch job is refused.
+enum Refusal {
+    /// It arrived too late during a stop.
+    Stopping,
+    /// It does not come from a known client.
+    Denied(Denial),
+}
+
+fn owner(plane: &DataPlane, request: &HttpRequest) -> Result<Owner, Refusal> {
+    if plane.refuses_new_requests() {
+        return Err(Refusal::Stopping);
+    }
+    let tenant = authenticate(plane, request).map_err(Refusal::Denied)?;
     Ok(Owner { group: group_of(&tenant), tenant })
 }
 
-fn denial_response(plane: &DataPlane, denial: Denial) -> HttpResponse {
-    match denial {
+fn refusal_response(plane: &DataPlane, refusal: Refusal) -> HttpResponse {
+    match refusal {
+        Refusal::Stopping => frontend::refuse_while_stopping(plane),
         // A configuration with routes for this host may not have arrived yet.
-        Denial::NoRoute => refuse_unexecuted(plane, StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S),
-        Denial::UnknownKey => empty_response(plane, HttpResponse::Unauthorized()),
+        Refusal::Denied(Denial::NoRoute) => {
+            refuse_unexecuted(plane, StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S)
+        }
+        Refusal::Denied(Denial::UnknownKey) => empty_response(plane, HttpResponse::Unauthorized()),
     }
 }
 
@@ -214,10 +228,11 @@
     let plane = plane.get_ref().clone();
     let Owner { tenant, group } = match owner(&plane, &request) {
         Ok(owner) => owner,
-        Err(denial) => return denial_response(&plane, denial),
+        Err(refusal) => return refusal_response(&plane, refusal),
     };
     let wait = header_text(&request, &POLL_WAIT).and_then(|value| value.parse().ok());
-    let wait = wait.map_or(Duration::ZERO, Duration::from_millis).min(MAX_POLL_WAIT);
+    let longest_wait = plane.longest_accepted_request().saturating_sub(READ_MARGIN).min(MAX_POLL_WAIT);
+    let wait = wait.map_or(Duration::ZERO, Duration::from_millis).min(longest_wait);
     let deadline = Instant::now() + wait + READ_MARGIN;
     let store_request = |view: &StoreView| StoreRequest::ReadResults {
         epoch: view.epoch,
@@ -274,7 +289,7 @@
     let plane = plane.get_ref().clone();
     let Owner { tenant, group } = match owner(&plane, &request) {
         Ok(owner) => owner,
-        Err(denial) => return denial_response(&plane, denial),
+        Err(refusal) => return refusal_response(&plane, refusal),
     };
     let store_request = |view: &StoreView| StoreRequest::ReadItemBody {
         epoch: view.epoch,
@@ -311,7 +326,7 @@
     let plane = plane.get_ref().clone();
     let Owner { tenant, group } = match owner(&plane, &request) {
         Ok(owner) => owner,
-        Err(denial) => return denial_response(&plane, denial),
+        Err(refusal) => return refusal_response(&plane, refusal),
     };
     let store_request = |view: &StoreView| StoreRequest::Cancel {
         epoch: view.epoch,
--- a/crates/data-plane/src/frontend.rs
+++ b/crates/data-plane/src/frontend.rs
@@ -56,7 +56,7 @@
         Err(error) => return upload_error_response(&plane, error),
     };
     if plane.refuses_new_requests() {
-        return refuse_unexecuted(&plane, StatusCode::SERVICE_UNAVAILABLE, STOPPING_RETRY_AFTER_S);
+        return refuse_while_stopping(&plane);
     }
     let Some(table) = plane.tier_state.routing_table() else {
         return refuse_unexecuted(&plane, StatusCode::SERVICE_UNAVAILABLE, NOT_READY_RETRY_AFTER_S);
@@ -170,6 +170,11 @@
     empty_response(plane, response)
 }
 
+/// Refuses a request that arrived too late during a stop.
+pub fn refuse_while_stopping(plane: &DataPlane) -> HttpResponse {
+    refuse_unexecuted(plane, StatusCode::SERVICE_UNAVAILABLE, STOPPING_RETRY_AFTER_S)
+}
+
 /// Closes the connection after this response if the process is stopping.
 pub fn close_if_stopping(plane: &DataPlane, response: &mut HttpResponseBuilder) {
     if plane.is_stopping() {
--- a/crates/data-plane/src/process.rs
+++ b/crates/data-plane/src/process.rs
@@ -89,9 +89,23 @@
 
     /// Whether a request that arrives now is refused, because the process could end before its response is complete.
     pub fn refuses_new_requests(&self) -> bool {
-        let grace =
-            NEW_REQUEST_GRACE.min(self.settings.shutdown_grace().mul_f64(MAX_NEW_REQUEST_GRACE_SHARE));
-        self.stop_requested_at.get().is_some_and(|since| since.elapsed() > grace)
+        self.stop_requested_at.get().is_some_and(|since| since.elapsed() > self.new_request_grace())
+    }
+
+    /// How long a request may take so that its response is complete when the process ends, even if the request is the last
+    /// one that a stop accepts.
+    pub fn longest_accepted_request(&self) -> Duration {
+        self.stop_time_limit().saturating_sub(self.new_request_grace())
+    }
+
+    /// How long after a stop is requested new requests are accepted.
+    fn new_request_grace(&self) -> Duration {
+        NEW_REQUEST_GRACE.min(self.settings.shutdown_grace().mul_f64(MAX_NEW_REQUEST_GRACE_SHARE))
+    }
+
+    /// Longest duration of a stop.
+    fn stop_time_limit(&self) -> Duration {
+        self.settings.shutdown_grace().saturating_sub(SHUTDOWN_MARGIN)
     }
 
     /// Whether the platform may send clients: a configuration and some servers have been received, and no stop was requested.
@@ -154,7 +168,7 @@
 /// last responses and replies are written or the time for a stop is used up.
 async fn stop(plane: &DataPlane, replies: &UnwrittenReplies) {
     let stop_requested_at = Instant::now();
-    let time_limit = plane.settings.shutdown_grace().saturating_sub(SHUTDOWN_MARGIN);
+    let time_limit = plane.stop_time_limit();
     plane.stop_requested_at.set(Some(stop_requested_at));
     sleep(NEW_CONNECTION_GRACE.min(time_limit)).await;
     let until = stop_requested_at + time_limit;
--- a/crates/data-plane/src/process/tests.rs
+++ b/crates/data-plane/src/process/tests.rs
@@ -22,6 +22,12 @@
             assert!(!plane.refuses_new_requests(), "clients that have not noticed the stop are still served");
             tokio::time::advance(Duration::from_millis(20)).await;
             assert!(plane.refuses_new_requests(), "the process could end before the response is complete");
+            let accepted_last = Duration::from_millis(accepted_ms) + plane.longest_accepted_request();
+            assert_eq!(
+                accepted_last,
+                plane.stop_time_limit(),
+                "the last request that is accepted can be answered"
+            );
         }
     });
 }
