Soak: clients that read large pages of results slowly, over small segments, through a SIGTERM

Clients now ask for segments of 1,400 bytes, and as many clients read a page of 1.3 MB of results, which is made at once and written for about a second.

--- a/crates/soak/src/edge_clients.rs
+++ b/crates/soak/src/edge_clients.rs
@@ -1,18 +1,25 @@
 //! Clients and servers that behave badly: clients that read a large response slowly, also through a SIGTERM; servers that go
 //! dark amid a response; clients that leave.
 
+mod result_readers;
+
 use std::rc::Rc;
 use std::time::Duration;
 
 use fennelgauge_standins::{EVENTS_PER_RESPONSE, LARGE_EVENT_BYTES};
+use socket2::{Domain, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+pub use self::result_readers::read_results_slowly;
 use crate::world::{EdgeCases, Phase, World, BRIEF_PREFIX, BRIEF_TIMEOUT};
 
 /// Receive buffer of a slow reader, in bytes: what it does not read stays at the data plane.
-const SMALL_RECEIVE_BUFFER: u32 = 8 << 10;
+const SMALL_RECEIVE_BUFFER: usize = 8 << 10;
+/// Largest segment that a client accepts, in bytes. With the large ones of the loopback device, the kernel of the data plane
+/// would take a whole response at once.
+const MAX_SEGMENT_BYTES: u32 = 1_400;
 /// Bytes that a client reads at once at most.
 const READ_BYTES: usize = 32 << 10;
 /// Bytes that a slow reader takes in a second: a large response lasts for about a second.
@@ -149,8 +156,11 @@
 }
 
 async fn connect(world: &World, front: u8) -> Option<TcpStream> {
-    let socket = TcpSocket::new_v4().ok()?;
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).ok()?;
+    socket.set_nonblocking(true).ok()?;
     socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).ok()?;
+    socket.set_tcp_mss(MAX_SEGMENT_BYTES).ok()?;
+    let socket = TcpSocket::from_std_stream(socket.into());
     let connected = timeout(Duration::from_secs(1), socket.connect(world.tier.front_address(front)));
     connected.await.ok()?.ok()
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -39,7 +39,7 @@
     /// Clients of live streams, each on one connection for as long as it is open.
     #[garde(range(min = 0, max = 200))]
     pub live_clients: u8,
-    /// Clients of live streams that read a large response slowly.
+    /// Clients that read a large live response slowly, and as many that read a large page of results slowly.
     #[garde(range(min = 0, max = 50))]
     pub slow_readers: u8,
     /// Clients whose servers go dark amid the response.
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -44,7 +44,7 @@
         write!(
             out,
             "seed {}: {} processes, {} troubles, {} starts in {:.0} s; {} batch jobs accepted, {} pages read, {} live answers \
-             ({} refused), {} read slowly, {} cut off, {} left, {} configurations, {} batch jobs not read in the end; {} faults",
+             ({} refused), {} read slowly, {} pages read slowly, {} cut off, {} left, {} configurations, {} batch jobs not read in the end; {} faults",
             self.seed,
             self.processes,
             self.troubles,
@@ -55,6 +55,7 @@
             self.live_answers,
             self.live_refused,
             self.edge_cases.read_slowly,
+            self.edge_cases.pages_read_slowly,
             self.edge_cases.cut_off,
             self.edge_cases.left,
             self.configurations,
@@ -105,7 +106,7 @@
         }
         write!(
             out,
-            "{} seeds, {} troubles, {} starts, {} batch jobs, {} pages, {} live answers, {} read slowly, {} cut off, {} left; broken: {broken:?} {rules:?}",
+            "{} seeds, {} troubles, {} starts, {} batch jobs, {} pages, {} live answers, {} read slowly, {} pages read slowly, {} cut off, {} left; broken: {broken:?} {rules:?}",
             self.seeds.len(),
             sum(|seed| seed.troubles as u64),
             sum(|seed| seed.starts),
@@ -113,6 +114,7 @@
             sum(|seed| seed.pages_read),
             sum(|seed| seed.live_answers),
             sum(|seed| seed.edge_cases.read_slowly),
+            sum(|seed| seed.edge_cases.pages_read_slowly),
             sum(|seed| seed.edge_cases.cut_off),
             sum(|seed| seed.edge_cases.left),
         )
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -160,7 +160,9 @@
         clients.push(spawn_local(stream(world.clone(), client % world.plan.data_planes)));
     }
     for client in 0..world.plan.slow_readers {
-        clients.push(spawn_local(edge_clients::read_slowly(world.clone(), client % world.plan.data_planes)));
+        let front = client % world.plan.data_planes;
+        clients.push(spawn_local(edge_clients::read_slowly(world.clone(), front)));
+        clients.push(spawn_local(edge_clients::read_results_slowly(world.clone(), front)));
     }
     for client in 0..world.plan.dark_clients {
         let front = client % world.plan.data_planes;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -42,6 +42,8 @@
 pub struct EdgeCases {
     /// Large responses that a slow client has read as a whole.
     pub read_slowly: u64,
+    /// Large pages of results that a slow client has read as a whole.
+    pub pages_read_slowly: u64,
     /// Responses of dark servers that were cut off in time.
     pub cut_off: u64,
     /// Requests on which servers stopped to work in time after the client had left.
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -37,7 +37,7 @@
 #[test]
 fn planned_work_loses_no_live_request() {
     let told = passes("planned", &["--seed", "1", "--plan", &plan("planned")]);
-    for judged in ["read slowly", "cut off", "left"] {
+    for judged in ["read slowly", "pages read slowly", "cut off", "left"] {
         assert!(!told.contains(&format!(" 0 {judged}")), "none was judged that was {judged}: {told}");
     }
 }
