Soak: the judges do not follow the batch jobs whose pages are only read slowly

The item belongs to such a batch job: it had the prefix of live requests, which may run once, while an item may run more than once, and its store had been killed. It has a prefix of its own now, and its runs are neither counted as live ones nor handed to the judge of batch jobs.

--- a/crates/soak/src/edge_clients/result_readers.rs
+++ b/crates/soak/src/edge_clients/result_readers.rs
@@ -12,7 +12,7 @@
 use super::{
     connect, count, exchange, request_head, ResponseEnd, MACHINE_SLACK, PAUSE, SLACK, SLOW_BYTES_PER_S,
 };
-use crate::world::{Phase, World};
+use crate::world::{Phase, World, PAGES_PREFIX};
 
 /// Time that clients give their requests, in milliseconds.
 const DEADLINE_MS: u64 = 5_000;
@@ -53,7 +53,7 @@
 
 /// Submits a batch job of one item with a long text, and waits until it has its result. Returns its id, unless it takes too long.
 async fn finish_job(world: &World, front: u8) -> Option<String> {
-    let job = format!("live-pages-{}", world.number());
+    let job = format!("{PAGES_PREFIX}{}", world.number());
     let stream = connect(world, front).await?;
     let ResponseEnd::Whole { status: 202, .. } = exchange(stream, &submission(&job), None).await else {
         return None;
