--- a/crates/data-plane/tests/departures.rs
+++ b/crates/data-plane/tests/departures.rs
@@ -62,6 +62,28 @@
     }
 }
 
+/// Guards against a server that is blamed for a client that left, and against responses that count as late although no client
+/// has waited for them too long.
+#[test]
+fn client_that_leaves_counts_as_served_late_only_if_it_has_waited_too_long() {
+    // The route's objective is 200 ms.
+    for (waits_ms, responses_and_late) in [(20, (0, 0)), (400, (1, 1))] {
+        run_local(async {
+            let plane = TestPlane::start(&[Script::Silent]).await;
+            let client = plane.send("/long/idempotent/a").await;
+            until("the request at a server", || plane.at_work() == 1).await;
+            sleep(Duration::from_millis(waits_ms)).await;
+            drop(client);
+            until("the end of the request", || plane.plane.connections.unfinished().in_progress == 0).await;
+            let report = plane.plane.timeliness.borrow().report();
+            let counted = report.first().map_or((0, 0), |service| (service.responses, service.late));
+            assert_eq!(counted, responses_and_late, "left after {waits_ms} ms");
+            let load = plane.plane.pool.mean_load("model");
+            assert_eq!(load, Some(0.0), "left after {waits_ms} ms: its server has not failed");
+        });
+    }
+}
+
 /// Guards against a request that is sent once a server is there, although its client left while it waited for one.
 #[test]
 fn client_that_leaves_while_there_is_no_server_gets_none() {
