--- a/crates/batch/src/attempts.rs
+++ b/crates/batch/src/attempts.rs
@@ -108,11 +108,11 @@
 
     /// Returns whether the next attempt is left early if its server is silent, so that another server can have the item. The
     /// outcome of an attempt that is left is unknown, although the item may only have waited in the server's queue. So an
-    /// item that has had to rest, or could not be sent again after the attempt, waits for what its server says.
+    /// item that could not be sent again after the attempt waits for what its server says.
     pub fn leaves_silent_server(self, attempts: Attempts) -> bool {
         let Attempts { failures, open_permits, has_responded } = attempts;
         let most_failures_if_left = failures.saturating_add(open_permits).saturating_add(1);
-        has_responded || (open_permits < MAX_OPEN_PERMITS && most_failures_if_left < self.max_by_larger)
+        has_responded || most_failures_if_left < self.max_by_larger
     }
 }
 
--- a/crates/batch/src/tests.rs
+++ b/crates/batch/src/tests.rs
@@ -250,14 +250,14 @@
 
 /// Guards against items that are not sent again because attempts were left early that had only waited in a queue.
 #[test]
-fn a_silent_server_is_left_early_only_while_enough_attempts_remain() {
+fn a_silent_server_is_left_early_unless_the_attempt_is_the_last() {
     let responded = Attempts { has_responded: true, ..attempts(0, 9) };
     let cases = [
         ("first attempt", 3, 3, attempts(0, 0), true),
-        ("two outcomes are unknown", 3, 3, attempts(0, 2), true),
-        ("three are, so the item has rested", 3, 3, attempts(0, 3), false),
-        ("known failures do not count", 3, 3, attempts(2, 2), true),
-        ("the last attempt but one", 1, 1, attempts(0, 1), true),
+        ("three outcomes are unknown, the item has rested", 3, 3, attempts(0, 3), true),
+        ("the last attempt but one", 3, 3, attempts(2, 5), true),
+        ("the last attempt after known failures", 3, 3, attempts(2, 6), false),
+        ("the last attempt but one of three", 1, 1, attempts(0, 1), true),
         ("the last attempt", 1, 1, attempts(0, 2), false),
         ("the last attempt, a failure is known", 1, 1, attempts(1, 1), false),
         ("the larger number of retries decides", 1, 2, attempts(0, 2), true),
--- a/crates/control-plane/src/store/item_run.rs
+++ b/crates/control-plane/src/store/item_run.rs
@@ -27,8 +27,8 @@
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(20);
 /// When an attempt is given up although its server still sends: it was told to stop at [`ATTEMPT_TIMEOUT`].
 const MAX_ATTEMPT_DURATION: Duration = Duration::from_secs(22);
-/// Longest wait for the head of a response or for more of its body; after it the item goes to another server. For the head
-/// only as long as the attempts with an unknown outcome are few.
+/// Longest wait for the head of a response or for more of its body; after it the item goes to another server. The head is
+/// awaited for longer in the last attempt that the item's limits allow.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time limit for the acceptance of the item's job to be committed.
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(4_000);
