Fix: a connection between processes ends if its peer accepts no byte for ten seconds

Callers saw nothing: their calls have limits of their own. A frozen process held the connections of its peers, with the requests or replies that waited to be written, for as long as it was frozen: no deadline bounded the write, on either side of a call.

The new test fails with the write as it was: the reply is held for the 60 s of the test.

--- a/crates/wire/src/calls.rs
+++ b/crates/wire/src/calls.rs
@@ -4,6 +4,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -26,6 +27,10 @@
 /// Upper bound of a call's duration while its reply keeps arriving, as a multiple of the call's time limit.
 const MAX_TIME_LIMIT_MULTIPLE: u32 = 5;
 
+/// A connection whose peer accepts no byte for this long is closed: a frozen peer would hold it, and what waits to be written,
+/// for as long as it is frozen.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Why a call has no reply.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CallError {
@@ -274,7 +279,7 @@
     pub _unwritten: Option<UnwrittenReply>,
 }
 
-/// Writes queued frames until the connection fails, the queue is closed or an empty frame arrives. Frames that are already
+/// Writes queued frames until the connection fails or stalls, the queue is closed or an empty frame arrives. Frames that are already
 /// queued are written together.
 pub(crate) async fn write_frames(
     mut write: OwnedWriteHalf,
@@ -290,8 +295,20 @@
             [only] => std::mem::take(&mut only.bytes),
             several => several.iter().map(|frame| frame.bytes.as_slice()).collect::<Vec<_>>().concat(),
         };
-        if stop || write.write_all(&bytes).await.is_err() {
+        if stop || write_while_accepted(&mut write, &bytes).await.is_err() {
             return;
         }
     }
 }
+
+/// Writes all bytes. Errs if the connection fails, or if the peer accepts none for [`WRITE_STALL_TIMEOUT`].
+async fn write_while_accepted(write: &mut OwnedWriteHalf, bytes: &[u8]) -> io::Result<()> {
+    let mut unwritten = bytes;
+    while !unwritten.is_empty() {
+        match timeout(WRITE_STALL_TIMEOUT, write.write(unwritten)).await?? {
+            0 => return Err(io::ErrorKind::WriteZero.into()),
+            written => unwritten = &unwritten[written..],
+        }
+    }
+    Ok(())
+}
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -196,7 +196,7 @@
     });
 }
 
-/// Guards against a process that ends while a reply to another process is not all written (related to review/5).
+/// Guards against a process that ends while a reply to another process is not all written.
 #[test]
 fn large_reply_counts_as_unwritten_until_a_slow_peer_has_read_it() {
     const REPLY_BYTES: usize = 16 << 20;
@@ -222,3 +222,32 @@
         assert!(matches!(reply.expect("a whole reply").body, Reply::Core(CoreReply::Configuration(Some(_)))));
     });
 }
+
+/// Guards against a connection, and a reply, that a peer which reads nothing holds for ever.
+#[test]
+fn connection_whose_peer_accepts_no_byte_is_closed() {
+    const REPLY_BYTES: usize = 64 << 20;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let replies = UnwrittenReplies::default();
+        tokio::task::spawn_local(serve(listener, replies.clone(), |_| async {
+            let configuration = ConfigurationBytes(vec![7; REPLY_BYTES]);
+            Reply::Core(CoreReply::Configuration(Some(configuration)))
+        }));
+        let mut peer = TcpStream::connect(address).await.expect("connected");
+        let call = CallMessage { call_id: 1, body: Request::Core(CoreRequest::ReadConfiguration) };
+        peer.write_all(&crate::frame::encode_frame(&call)).await.expect("sent");
+        peer.readable().await.expect("a part of the reply");
+        let started_at = Instant::now();
+        replies.wait_until_written(started_at + Duration::from_secs(60)).await;
+        assert!(started_at.elapsed() < Duration::from_secs(15), "held for {:?}", started_at.elapsed());
+        let reply = crate::frame::read_frame::<CallMessage<Reply>>(&mut peer).await;
+        assert!(reply.is_err(), "the reply is cut");
+    });
+}
