--- a/crates/control-plane/src/core/tests/dropped_callers.rs
+++ b/crates/control-plane/src/core/tests/dropped_callers.rs
@@ -68,7 +68,7 @@
 }
 
 /// Guards against a head whose state is ahead of its disk and its messages because the caller of a change was dropped
-/// between the change and the write (related to review/7).
+/// between the change and the write.
 #[test]
 fn change_whose_caller_is_dropped_at_any_await_is_written_and_sent_or_not_begun() {
     run_local(async {
--- a/crates/control-plane/src/store/tests/failures.rs
+++ b/crates/control-plane/src/store/tests/failures.rs
@@ -46,6 +46,8 @@
     /// The request waits in the server's queue until [`CROWD_DURATION`] after the server's start, or until its deadline, unless its
     /// connection closes. Then the server answers.
     Queued,
+    /// A response that sends a part of an event again and again, without end.
+    Endless,
     Succeeds,
 }
 
@@ -55,6 +57,7 @@
             Self::Fails => "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n",
             Self::Rejects => "HTTP/1.1 422 Unprocessable Entity\r\ncontent-length: 0\r\n\r\n",
             Self::Nothing | Self::Withheld => "",
+            Self::Endless => "HTTP/1.1 200 OK\r\nx-fennelgauge-request-id: i\r\ncontent-length: 1000000\r\n\r\n",
             Self::Queued | Self::Succeeds => {
                 "HTTP/1.1 200 OK\r\nx-fennelgauge-request-id: i\r\ncontent-length: 20\r\n\r\nid: 1\ndata: a text\n\n"
             }
@@ -122,6 +125,12 @@
                     _ = stream.read_u8() => return,
                 }
             }
+            if self.answer.get() == Answer::Endless {
+                let _ = stream.write_all(response.as_bytes()).await;
+                while stream.write_all(b": still here\n").await.is_ok() {
+                    sleep(Duration::from_secs(1)).await;
+                }
+            }
             if response.is_empty() || stream.write_all(response.as_bytes()).await.is_err() {
                 return;
             }
@@ -309,7 +318,7 @@
 }
 
 /// Guards against an item that is not sent again, though its servers are sound and soon idle, because its attempts were left while
-/// they waited in the servers' queues (review/4).
+/// they waited in the servers' queues.
 #[test]
 fn an_item_that_waits_in_a_crowd_has_its_result_as_soon_as_servers_are_free() {
     for retries in 1..=4 {
@@ -333,6 +342,24 @@
     }
 }
 
+/// Guards against a run of an item that goes on for as long as its server sends something.
+#[test]
+fn a_run_whose_server_never_ends_its_response_is_followed_by_another() {
+    const SEVERAL_RUNS: Duration = Duration::from_secs(60);
+    run_local(async {
+        let server = StandIn::start(Answer::Endless).await;
+        let store = RunningStore::recover(&recorded_job_with_retention(Some(RETENTION_MS)).await, 2);
+        store.configure(7, ROUTE_WITH_RETENTION);
+        server.serve_store(&store);
+        while server.started_at.elapsed() < SEVERAL_RUNS {
+            store.pass(SOON).await;
+        }
+        store.lose_power();
+        let runs = server.answer_count.get();
+        assert!((2..=4).contains(&runs), "{runs} runs in {SEVERAL_RUNS:?}");
+    });
+}
+
 /// Guards against items that are never given up while the configuration changes again and again: each change came before the
 /// core could confirm the one before it.
 #[test]
--- a/crates/data-plane/tests/departures.rs
+++ b/crates/data-plane/tests/departures.rs
@@ -1,4 +1,4 @@
-//! No server works for a client that has left, and none gets its request anew (review/7).
+//! No server works for a client that has left, and none gets its request anew.
 
 mod support;
 
@@ -9,7 +9,7 @@
 use tokio::net::TcpSocket;
 use tokio::time::{sleep, Instant};
 
-/// By when servers have stopped after a departure; the users' rule allows half a second.
+/// By when servers have stopped after a departure: well within the half second after which it counts as needless work.
 const STOPPED_BY: Duration = Duration::from_millis(400);
 /// Longer than a data plane waits for a server that it may leave for another one.
 const LONGER_THAN_IDLE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -24,7 +24,7 @@
     assert_eq!(plane.plane.pool.mean_load("model"), Some(0.0), "{name}: load of a request that is gone");
 }
 
-/// Guards against servers that work on, and against a further attempt, before the first byte of the response (review/7).
+/// Guards against servers that work on, and against a further attempt, before the first byte of the response.
 #[test]
 fn client_that_leaves_before_the_first_byte_ends_the_attempt_and_those_to_come() {
     for path in ["/long/idempotent/a", "/long/stream/a", "/long/resume/a"] {
--- a/crates/data-plane/tests/support/mod.rs
+++ b/crates/data-plane/tests/support/mod.rs
@@ -27,7 +27,7 @@
 pub const API_KEY: &str = "key-of-the-tenant";
 /// Time limit of all routes.
 pub const ROUTE_TIMEOUT: Duration = Duration::from_millis(400);
-/// By when a request has to be ended at the latest: half a second after the time limit, says the users' rule.
+/// By when a request has to be ended at the latest: half a second after its time limit.
 pub const ENDED_BY: Duration = Duration::from_millis(900);
 /// Time limit of routes under `/long/`.
 pub const LONG_TIMEOUT: Duration = Duration::from_secs(8);
@@ -194,8 +194,15 @@
 impl TestPlane {
     /// Starts a data plane with one server for each script.
     pub async fn start(scripts: &[Script]) -> Self {
-        let text = "node = \"e\"\nip = \"127.0.0.1\"\nzone = \"z\"\nport_range = [7000, 7010]\n";
-        let settings = Settings::parse(text, Path::new("test.toml")).expect("settings");
+        Self::start_with_grace(scripts, 8.0).await
+    }
+
+    /// Starts a data plane that has this many seconds for a stop.
+    pub async fn start_with_grace(scripts: &[Script], grace_s: f64) -> Self {
+        let text = format!(
+            "node = \"e\"\nip = \"127.0.0.1\"\nzone = \"z\"\nport_range = [7000, 7010]\n[bounds]\ngrace_s = {grace_s}\n"
+        );
+        let settings = Settings::parse(&text, Path::new("test.toml")).expect("settings");
         let plane = Rc::new(DataPlane::new(settings));
         let configuration = serde_json::to_vec(&configuration()).expect("JSON");
         assert!(plane.tier_state.update_configuration(1, configuration));
--- a/crates/data-plane/tests/time_limits.rs
+++ b/crates/data-plane/tests/time_limits.rs
@@ -1,4 +1,4 @@
-//! No request is held past the time limit of its route, whatever its server or its client does (review/6).
+//! No request is held past the time limit of its route, whatever its server or its client does.
 
 mod support;
 
--- a/crates/http/tests/departures.rs
+++ b/crates/http/tests/departures.rs
@@ -1,4 +1,4 @@
-//! A client that leaves ends the work for its request (review/7), also where the HTTP library does not notice that.
+//! A client that leaves ends the work for its request, also where the HTTP library does not notice that.
 
 mod support;
 
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
 
-/// By when the work for a client that has left is ended; the users' rule allows half a second.
+/// By when the work for a client that has left is ended: well within half a second.
 const DROPPED_BY: Duration = Duration::from_millis(400);
 
 /// Counts handlers and bodies that are at work.
@@ -98,7 +98,7 @@
     until(name, || server.connections.unfinished() == Default::default()).await;
 }
 
-/// Guards against handlers and bodies that work on for a client that has left, before and amid the response (review/7).
+/// Guards against handlers and bodies that work on for a client that has left, before and amid the response.
 #[test]
 fn work_ends_when_its_client_leaves() {
     for path in ["/never", "/begun"] {
--- a/crates/http/tests/drain.rs
+++ b/crates/http/tests/drain.rs
@@ -1,4 +1,4 @@
-//! A drain waits for the last byte of each response (review/5): a response counts as ended too early if it does so when its
+//! A drain waits for the last byte of each response: a response counts as ended too early if it does so when its
 //! handler returns, when its body has been taken, or while it can still be reset on its way.
 
 mod support;
@@ -23,7 +23,7 @@
     Instant::now() + Duration::from_secs(60)
 }
 
-/// Guards against a drain that ends when a handler has returned a body that its client has not read (review/5).
+/// Guards against a drain that ends when a handler has returned a body that its client has not read.
 #[test]
 fn drain_waits_until_a_slow_reader_has_a_large_body() {
     run_local(async {
@@ -42,7 +42,7 @@
     });
 }
 
-/// Guards against a drain that counts a response as written once the HTTP library has taken its last part (review/5).
+/// Guards against a drain that counts a response as written once the HTTP library has taken its last part.
 #[test]
 fn drain_waits_for_what_is_left_in_the_library_s_write_buffer() {
     run_local(async {
@@ -96,8 +96,9 @@
         let mut received = vec![0; 1 << 20];
         let mut read = 0;
         while server.connections.unfinished().lingering == 0 {
-            assert!(read <= LARGE_BODY_BYTES + 1_000);
-            read += client.read(&mut received).await.expect("read");
+            let bytes = client.read(&mut received).await.expect("read");
+            assert!(bytes > 0, "the connection does not linger after {read} bytes");
+            read += bytes;
         }
         client.write_all(b"GET /large HTTP/1.1\r\nHost: h\r\n").await.expect("the server still reads");
         sleep(Duration::from_millis(50)).await;
--- a/crates/http/tests/time_limits.rs
+++ b/crates/http/tests/time_limits.rs
@@ -1,4 +1,4 @@
-//! Each wait for a client has a limit (related to review/6), and a response that cannot be whole ends visibly incomplete.
+//! Each wait for a client has a limit, and a response that cannot be whole ends visibly incomplete.
 
 mod support;
 
@@ -25,6 +25,11 @@
     HttpResponse::Ok().body(vec![b'x'; LARGE_BODY_BYTES])
 }
 
+/// A body that the HTTP library takes as a whole, and the sockets do not.
+async fn buffered_body() -> HttpResponse {
+    HttpResponse::Ok().body(vec![b'x'; 30 << 10])
+}
+
 async fn endless_body() -> HttpResponse {
     let piece = || async { Some((Ok::<_, std::io::Error>(Bytes::from_static(&[b'x'; 1_024])), ())) };
     HttpResponse::Ok().streaming(Box::pin(stream::unfold((), move |()| piece())))
@@ -54,6 +59,22 @@
     }
 }
 
+/// Guards against a response that waits in the HTTP library's buffer, complete, for as long as its client does not read.
+#[test]
+fn complete_response_that_its_client_does_not_read_is_cut_at_its_limit() {
+    run_local(async {
+        let server = TestServer::start_with(short_timeouts(), |app| {
+            app.route("/buffered", web::get().to(buffered_body));
+        })
+        .await;
+        let _client = server.send_get("/buffered").await;
+        let sent_at = Instant::now();
+        until("the complete response", || server.connections.unfinished().unwritten == 1).await;
+        until("the cut", || server.connections.unfinished().open == 0).await;
+        assert!(sent_at.elapsed() >= LIMIT && sent_at.elapsed() < CUT_BY, "{:?}", sent_at.elapsed());
+    });
+}
+
 /// Guards against a limit that counts anew with each byte that a slow client takes.
 #[test]
 fn response_to_a_client_that_trickles_is_cut_at_its_limit() {
--- a/crates/soak/src/edge_clients.rs
+++ b/crates/soak/src/edge_clients.rs
@@ -26,9 +26,9 @@
 const SLOW_BYTES_PER_S: f64 = 1_400_000.0;
 /// Longest time that a client reads one response.
 const READ_TIMEOUT: Duration = Duration::from_secs(6);
-/// A request may be held past its route's time for so long, says the users' rule.
+/// A request that is held past its route's time by more than this is a fault.
 const OVERTIME: Duration = Duration::from_millis(500);
-/// Servers may work on for so long after a client has left, says the users' rule.
+/// Servers that work on for longer than this after a client has left are a fault.
 const WORK_AFTER_DEPARTURE: Duration = Duration::from_millis(500);
 /// A process that has read a whole request answers it, or closes the connection within so long.
 const SLACK: Duration = Duration::from_millis(200);
--- a/crates/standins/tests/end_to_end.rs
+++ b/crates/standins/tests/end_to_end.rs
@@ -403,7 +403,7 @@
 }
 
 /// Guards against a batch job that is lost, kept twice or counted twice because the client that submitted, read or cancelled
-/// it left before its response (related to review/7).
+/// it left before its response.
 #[test]
 fn batch_calls_whose_clients_leave_lose_nothing_and_count_nothing_twice() {
     run_local(async {
