Logs: what is concluded of each attempt and each call to a store, and from what

Promises (429, 503, 408, 421) rest on what was concluded of all attempts before them, and no line told it. Now, at info: what a server answered for a request, with whose id, with or without X-Fennelgauge-Not-Executed, on a kept or a new connection, unless it is a success; for each live request that gets no success, and each submission that is not accepted, what the client is told and every attempt or call before it (not sent, not executed, unknown); at a store, what it decides of a submission. No decision is changed.

--- a/crates/control-plane/src/store/serving.rs
+++ b/crates/control-plane/src/store/serving.rs
@@ -30,6 +30,7 @@
         let role = self.role(&view, group);
         let submission =
             self.replica(group).borrow().decide_submission(role.as_ref(), &job, max_queued_tokens);
+        log::info!("group {}: batch job {} is submitted in view {epoch}: {submission:?}", group.0, job.id);
         let entry = match submission {
             SubmissionDecision::NotWritable => return StoreReply::NotAccepted,
             SubmissionDecision::OverQuota => return StoreReply::OverQuota,
--- a/crates/data-plane/src/batch.rs
+++ b/crates/data-plane/src/batch.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 use tokio::time::{sleep, Instant};
 
+use crate::attempt_log::{AttemptLog, Conclusion};
 use crate::frontend::{self, empty_response, header_text, refuse_unexecuted};
 use crate::process::DataPlane;
 
@@ -65,12 +66,19 @@
         Err(reason) => return HttpResponse::BadRequest().json(serde_json::json!({ "error": reason })),
     };
     drop(body);
+    let id = job.id.clone();
     let group = group_of(&job.tenant);
     let max_queued = access.route.max_queued;
     let store_request =
         |view: &StoreView| StoreRequest::Submit { epoch: view.epoch, group, job: job.clone(), max_queued };
     let deadline = Instant::now() + RETRY_DURATION;
-    match call_store(plane, StoreView::head, group, store_request, CALL_TIMEOUT, deadline).await {
+    let mut calls = AttemptLog::default();
+    let outcome =
+        call_store(plane, StoreView::head, group, store_request, CALL_TIMEOUT, deadline, &mut calls).await;
+    if !matches!(outcome, StoreOutcome::Replied(StoreReply::Accepted)) {
+        log::info!("batch job {id}: its submission ends as {outcome:?}; {calls}");
+    }
+    match outcome {
         StoreOutcome::Replied(StoreReply::Accepted) => empty_response(plane, HttpResponse::Accepted()),
         StoreOutcome::Replied(StoreReply::OverQuota) => {
             refuse_unexecuted(plane, StatusCode::TOO_MANY_REQUESTS, QUOTA_RETRY_AFTER_S)
@@ -129,6 +137,7 @@
 }
 
 /// The outcome of a request to the stores.
+#[derive(Debug)]
 enum StoreOutcome {
     Replied(StoreReply),
     /// No store executed the request.
@@ -138,7 +147,7 @@
 }
 
 /// Sends a request to the store that `store` selects from the newest view. After a failure it is sent again, to the store
-/// selected then, until `deadline`. `call_timeout` limits each call.
+/// selected then, until `deadline`. `call_timeout` limits each call. Each call is recorded in `calls`.
 async fn call_store(
     plane: &DataPlane,
     store: impl Fn(&StoreView, GroupNumber) -> Option<&Store>,
@@ -146,6 +155,7 @@
     request: impl Fn(&StoreView) -> StoreRequest,
     call_timeout: Duration,
     deadline: Instant,
+    calls: &mut AttemptLog,
 ) -> StoreOutcome {
     let mut may_have_executed = false;
     loop {
@@ -153,7 +163,9 @@
         if let Some(store) = store(&view, group) {
             let time_left = deadline.saturating_duration_since(Instant::now()).min(call_timeout);
             let call = plane.caller.call(store.member.peer, Request::Store(request(&view)), time_left);
-            match call.await {
+            let reply = call.await;
+            record_call(calls, store, &reply);
+            match reply {
                 Ok(Reply::Store(StoreReply::NotAccepted | StoreReply::Undetermined))
                 | Ok(Reply::Unsupported) => {}
                 Ok(Reply::Store(StoreReply::OutcomeUnknown)) | Err(CallError::NoReply(_)) => {
@@ -170,6 +182,16 @@
     }
 }
 
+/// Records a call to a store with what its reply, or the lack of one, says.
+fn record_call(calls: &mut AttemptLog, store: &Store, reply: &Result<Reply, CallError>) {
+    let target = &store.member.identity.node;
+    match reply {
+        Ok(Reply::Store(reply)) => calls.record(target, Conclusion::from(reply), <&str>::from(reply)),
+        Ok(_) => calls.record(target, Conclusion::NotExecuted, "the process does not serve this request"),
+        Err(error) => calls.record(target, Conclusion::from(error), error),
+    }
+}
+
 /// Returns the name of the tenant whose key a request carries; empty if the configuration has no tenants. Errs before the
 /// first configuration, or if the key is unknown.
 fn authenticate(plane: &DataPlane, request: &HttpRequest) -> Result<String, Denial> {
@@ -242,7 +264,10 @@
         start_after: query.start_after,
         wait_ms: wait.as_millis() as u64,
     };
-    match call_store(&plane, StoreView::tail, group, store_request, wait + READ_MARGIN, deadline).await {
+    let mut calls = AttemptLog::default();
+    match call_store(&plane, StoreView::tail, group, store_request, wait + READ_MARGIN, deadline, &mut calls)
+        .await
+    {
         StoreOutcome::Replied(StoreReply::Page(page)) => page_response(&plane, page),
         StoreOutcome::Replied(StoreReply::NotFound) => empty_response(&plane, HttpResponse::NotFound()),
         StoreOutcome::Replied(StoreReply::GivenUp) => given_up_response(&plane),
@@ -305,6 +330,7 @@
         store_request,
         CALL_TIMEOUT,
         Instant::now() + RETRY_DURATION,
+        &mut AttemptLog::default(),
     )
     .await
     {
@@ -341,6 +367,7 @@
         store_request,
         CALL_TIMEOUT,
         Instant::now() + RETRY_DURATION,
+        &mut AttemptLog::default(),
     )
     .await
     {
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -1,6 +1,7 @@
 //! The data plane: accepts clients' requests, determines route and tenant, forwards live requests to model servers and
 //! streams their responses back. Batch jobs are handed to the stores that hold the tenant's group.
 
+mod attempt_log;
 pub mod batch;
 mod forwarded_body;
 pub mod frontend;
--- a/crates/data-plane/src/live.rs
+++ b/crates/data-plane/src/live.rs
@@ -15,6 +15,7 @@
 };
 use tokio::time::{sleep, Instant};
 
+use crate::attempt_log::{AttemptLog, Conclusion};
 use crate::forwarded_body;
 use crate::frontend::{close_if_stopping, empty_response, header_text, refuse_unexecuted};
 use crate::process::DataPlane;
@@ -50,6 +51,8 @@
     profile: RequestProfile,
     /// Ids of the servers tried so far.
     tried: Vec<String>,
+    /// What is known of each attempt that yielded no response.
+    failed_attempts: AttemptLog,
     /// Number of servers that may have executed the request.
     pub runs: u32,
     /// Counts whether the response is late.
@@ -86,6 +89,7 @@
         return empty_response(&plane, HttpResponse::BadRequest());
     };
     let result = attempts.next_response(None).await;
+    attempts.log_result(&result);
     match result {
         Ok(_) => attempts.timer.record_data(),
         Err(_) => attempts.timer.record_failure(),
@@ -130,6 +134,7 @@
             profile: RequestProfile::from_prefix_header(header_text(request, &PREFIX_HASH)),
             deadline,
             tried: Vec::new(),
+            failed_attempts: AttemptLog::default(),
             runs: 0,
             outgoing,
             access,
@@ -173,6 +178,7 @@
                 Err(error) => error,
             };
             self.plane.pool.record_send_error(&in_flight.server, &error);
+            self.failed_attempts.record(&in_flight.server.id, Conclusion::from(&error), &error);
             match error {
                 SendError::NotSent | SendError::NotExecuted(_) => refusals += 1,
                 SendError::MayHaveExecuted | SendError::TimedOut => self.runs += 1,
@@ -187,6 +193,21 @@
         }
     }
 
+    /// Logs what the client is told if it is no success, with the attempts before that.
+    fn log_result(&self, result: &Result<ActiveResponse, Failure>) {
+        let (id, attempts) = (&self.outgoing.id, &self.failed_attempts);
+        match result {
+            Ok(active) if active.response.status().is_success() => {}
+            Ok(active) => {
+                let (status, server) = (active.response.status(), &active.in_flight.server.id);
+                log::info!(
+                    "request {id}: the response {status} of server {server} is passed on; before it: {attempts}"
+                );
+            }
+            Err(failure) => log::info!("request {id}: fails as {failure:?}; {attempts}"),
+        }
+    }
+
     /// Returns how many servers may execute the request.
     pub(crate) fn max_runs(&self) -> u32 {
         self.access.route.retries.max(1)
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -57,6 +57,8 @@
 pub struct UpstreamResponse {
     head: ResponseHead,
     body: Body,
+    /// Whether its connection had been used for another request.
+    on_reused_connection: bool,
 }
 
 /// How the end of a body is detected.
@@ -103,7 +105,7 @@
         let method = head.method.clone();
         let head = RequestHeadType::Owned(head);
         codec.encode(Message::Item((head, size)), &mut request).map_err(|_| ExchangeError::NotSent)?;
-        let mut stream = self.acquire(peer).await.ok_or(ExchangeError::NotSent)?;
+        let (mut stream, on_reused_connection) = self.acquire(peer).await.ok_or(ExchangeError::NotSent)?;
         request.extend_from_slice(body);
         let written = stream.write_all(&request).await;
         let mut buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
@@ -138,17 +140,17 @@
         if !has_body && !ends_with_connection {
             body.finish();
         }
-        Ok(UpstreamResponse { head, body })
+        Ok(UpstreamResponse { head, body, on_reused_connection })
     }
 
-    /// Takes a usable idle connection or opens a new one.
-    async fn acquire(&self, peer: SocketAddr) -> Option<TcpStream> {
+    /// Takes a usable idle connection or opens a new one; returns it with whether it was idle.
+    async fn acquire(&self, peer: SocketAddr) -> Option<(TcpStream, bool)> {
         while let Some(stream) = self.take_idle(peer) {
             if is_open_and_unread(&stream) {
-                return Some(stream);
+                return Some((stream, true));
             }
         }
-        self.open(peer).await
+        Some((self.open(peer).await?, false))
     }
 
     async fn open(&self, peer: SocketAddr) -> Option<TcpStream> {
@@ -227,6 +229,11 @@
         self.head.headers()
     }
 
+    /// Whether the connection of this response had been idle before its request.
+    pub fn on_reused_connection(&self) -> bool {
+        self.on_reused_connection
+    }
+
     /// Returns the next bytes of the body, or `None` if it is complete.
     pub async fn next(&mut self) -> Option<Result<Bytes, TruncatedBody>> {
         self.body.next().await
--- a/crates/upstream/src/send.rs
+++ b/crates/upstream/src/send.rs
@@ -104,6 +104,7 @@
             Ok(Err(ExchangeError::Broken)) => return Err(SendError::MayHaveExecuted),
             Err(_) => return Err(SendError::TimedOut),
         };
+        log_evidence(&response, server, outgoing);
         validate_response(response, &outgoing.id).await
     }
 
@@ -146,6 +147,26 @@
     Ok(response)
 }
 
+/// Logs what the outcome of an attempt is concluded from, unless it is a success for this request.
+fn log_evidence(response: &UpstreamResponse, server: &Server, outgoing: &OutgoingRequest) {
+    let id = response.headers().get(REQUEST_ID).map(|value| String::from_utf8_lossy(value.as_bytes()));
+    if response.status().is_success() && id.as_deref() == Some(outgoing.id.as_str()) {
+        return;
+    }
+    log::info!(
+        "request {}: server {} answers {} for request {}, {}, on {} connection",
+        outgoing.id,
+        server.id,
+        response.status(),
+        id.as_deref().unwrap_or("(no id)"),
+        match response.headers().contains_key(NOT_EXECUTED) {
+            true => "with X-Fennelgauge-Not-Executed",
+            false => "without X-Fennelgauge-Not-Executed",
+        },
+        if response.on_reused_connection() { "a kept" } else { "a new" },
+    );
+}
+
 /// Returns whether the status indicates a failing server. A 504 does not: it means that the request had too little
 /// time.
 fn is_server_failure(status: StatusCode) -> bool {
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -4,6 +4,7 @@
 //! do: changing them breaks compatibility with running processes.
 
 use serde::{Deserialize, Serialize};
+use strum::IntoStaticStr;
 
 use fennelgauge_batch::{Job, Page};
 use fennelgauge_coordination::{
@@ -351,8 +352,8 @@
     pub head_results: u64,
 }
 
-/// The reply to a [`StoreRequest`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+/// The reply to a [`StoreRequest`]; as a string, the name of its variant.
+#[derive(Clone, Debug, IntoStaticStr, Serialize, Deserialize)]
 pub enum StoreReply {
     /// The batch job was accepted or cancelled, and this is committed.
     Accepted,
