Judge: an item must not run if each answer to its submission promised that it does not

Items of a refused job that had started count as well as those that start later, from any store, in touch or not. A test of each.

--- a/crates/batch-judge/src/lib.rs
+++ b/crates/batch-judge/src/lib.rs
@@ -42,6 +42,8 @@
     Budget,
     /// A store that is in touch with the core started an item of a route that had ended.
     Config,
+    /// A server ran an item of a job whose submissions were all answered with a status that promises that it does not run.
+    Refused,
     /// At the end of the run, an item of an accepted job that was neither cancelled nor given up has no result: it waits or runs
     /// on without end.
     Unfinished,
@@ -164,6 +166,26 @@
         }
     }
 
+    /// Records that a client gives up the submission of a job after each response to it promised that the job does not run.
+    pub fn record_refusal(&mut self, at: Micros, job: &str) {
+        let Some(observed) = self.jobs.get_mut(job) else { return };
+        observed.refused = true;
+        if let Some(item) = observed.started.first() {
+            let description = format!("{item} ran although its batch job is refused");
+            self.report(Rule::Refused, at, description);
+        }
+    }
+
+    /// Records that a server starts an item, and checks that its job was not refused. In contrast to
+    /// [`Self::record_item_start`] this holds for items that any store sends, in touch or not.
+    pub fn check_refusal_of_start(&mut self, at: Micros, item: &str) {
+        let Some(observed) = self.items.get(item).and_then(|job| self.jobs.get_mut(job)) else { return };
+        observed.started.insert(item.to_owned());
+        if observed.refused {
+            self.report(Rule::Refused, at, format!("{item} starts although its batch job was refused"));
+        }
+    }
+
     /// Records that a client requests the cancellation of a job.
     pub fn record_cancel_request(&mut self, job: &str) {
         if let Some(observed) = self.jobs.get_mut(job) {
--- a/crates/batch-judge/src/seen.rs
+++ b/crates/batch-judge/src/seen.rs
@@ -1,6 +1,6 @@
 //! What was observed of one batch job, and the checks of its result pages.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::routes::{RouteHistory, UnfinishedItem};
 use crate::{Limits, Micros, ResultPage, Rule};
@@ -52,6 +52,10 @@
     pub max_queued_tokens: u64,
     /// When a client first received status 202.
     pub accepted: Option<Micros>,
+    /// Whether the client gave up the submission after each response to it promised that the job does not run.
+    pub refused: bool,
+    /// Items that servers have started.
+    pub started: BTreeSet<String>,
     /// Whether a client requested the cancellation of the job.
     pub cancel_requested: bool,
     /// When the cancellation was first acknowledged.
@@ -74,6 +78,8 @@
             submitted,
             max_queued_tokens: limits.max_queued_tokens,
             accepted: None,
+            refused: false,
+            started: BTreeSet::new(),
             cancel_requested: false,
             cancelled: None,
             given_up: None,
--- a/crates/batch-judge/tests/judge.rs
+++ b/crates/batch-judge/tests/judge.rs
@@ -269,3 +269,20 @@
         assert_eq!(rules(&checker), expected, "lowered {lowered_before} us before");
     }
 }
+
+#[test]
+fn items_of_a_job_that_was_only_refused_must_not_run_before_or_after() {
+    let mut refused = checker_with_accepted_job();
+    refused.record_submission(&job("k", &["c", "d"]));
+    refused.record_refusal(2 * SECOND, "k");
+    refused.check_refusal_of_start(3 * SECOND, "a");
+    assert_eq!(rules(&refused), [], "an item of an accepted job starts");
+    refused.check_refusal_of_start(3 * SECOND, "c");
+    assert_eq!(rules(&refused), [Rule::Refused]);
+    let mut started = checker_with_accepted_job();
+    started.record_submission(&job("k", &["c", "d"]));
+    started.check_refusal_of_start(2 * SECOND, "d");
+    assert_eq!(rules(&started), []);
+    started.record_refusal(3 * SECOND, "k");
+    assert_eq!(rules(&started), [Rule::Refused], "it had started before the refusal");
+}
