Soak: unruly model servers, requests that run once, quotas, uneven links, a loss of power at the end

The soak had one kind of live client, a quota that no tenant reached, and servers without faults, so neither REFUSED nor a live TWICE could come. It gains clients of a mutating route with three retries and bodies of up to 60 kB, the servers' conduct while there are troubles, frozen servers and addresses used again (first by another service), links on which each connection has its own delay, so that later calls overtake earlier ones, a limit of queued tokens that the plan sets, the judge's new rule, and at the end lost disks while all other processes are killed at the same moment.

--- a/crates/soak/src/batch_client.rs
+++ b/crates/soak/src/batch_client.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 use tokio::time::{sleep, Instant};
 
-use crate::http::{request, send, To};
+use crate::http::{request, send, NoAnswer, To};
 use crate::world::{Phase, World, BATCH_ROUTE};
 
 const TOKENS: u64 = 10;
@@ -71,7 +71,8 @@
     }
 }
 
-/// Offers a batch job until it is taken or clearly refused; true if it was taken.
+/// Offers a batch job until it is taken or clearly refused; true if it was taken. One that every answer promised not to run is told
+/// to the judge.
 async fn submitted(world: &Rc<World>, job: &SubmittedJob) -> bool {
     let body = |item: &SubmittedItem| {
         json!({ "id": item.id, "path": item_path(&item.id), "headers": {}, "tokens": item.tokens,
@@ -80,6 +81,7 @@
     let requests: Vec<_> = job.items.iter().map(body).collect();
     let body = json!({ "requests": requests }).to_string().into_bytes();
     let key = World::key(tenant_of(&job.id));
+    let mut only_promises = true;
     while world.phase.get() <= Phase::Recovering {
         let to = To { address: world.tier.front_address(any_front(world)), path: "/batch/submit", key: &key };
         let call = request(&Client::default(), Method::POST, &to, SUBMIT_WITHIN).force_close();
@@ -94,15 +96,25 @@
             Ok(status @ 400..=499) if status != 408 && status != 421 => {
                 if status != 429 {
                     world.blame("DENIED", format!("{} is refused with {status}", job.id));
+                } else if only_promises && !is_accepted(world, &job.id) {
+                    world.judge.borrow_mut().record_refusal(world.events.now(), &job.id);
                 }
                 return false;
             }
-            _ => sleep(AGAIN).await,
+            Ok(503 | 408 | 421) | Err(NoAnswer::NotConnected) => sleep(AGAIN).await,
+            _ => {
+                only_promises = false;
+                sleep(AGAIN).await;
+            }
         }
     }
     false
 }
 
+fn is_accepted(world: &World, job: &str) -> bool {
+    world.judge.borrow().accepted_jobs().iter().any(|accepted| accepted == job)
+}
+
 /// Ends batch jobs that are to be ended.
 pub async fn end(world: Rc<World>) {
     while world.phase.get() <= Phase::Recovering {
--- a/crates/soak/src/live_client.rs
+++ b/crates/soak/src/live_client.rs
@@ -8,8 +8,12 @@
 
 use crate::connection::Connection;
 use crate::http::{NoAnswer, Whole};
-use crate::world::{Phase, World};
+use crate::world::{Phase, World, MUTATING_PREFIX};
 
+/// Length of the body of a request for a stream.
+const STREAM_REQUEST_BYTES: usize = 6;
+/// Of that of a request for a body, at most.
+const MOST_REQUEST_BYTES: usize = 60_000;
 const AGAIN: Duration = Duration::from_millis(100);
 const WITHIN: Duration = Duration::from_millis(5_000);
 /// A process that has read a whole request answers it, or closes the connection within so long.
@@ -17,8 +21,34 @@
 /// Of the machine's own slowness: what is written to a closed connection is told late.
 const SLACK_HERE: Duration = Duration::from_millis(150);
 
+/// What a client asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// A stream that may not be resumed.
+    Stream,
+    /// A body of known length, by a request that may run once only.
+    Body,
+}
+
+impl Asked {
+    fn path(self) -> String {
+        match self {
+            Self::Stream => "/stream/run/slow/x".to_owned(),
+            Self::Body => format!("{MUTATING_PREFIX}run/body/x"),
+        }
+    }
+
+    /// Length of a request's body.
+    fn request_bytes(self) -> usize {
+        match self {
+            Self::Stream => STREAM_REQUEST_BYTES,
+            Self::Body => fastrand::usize(0..=MOST_REQUEST_BYTES),
+        }
+    }
+}
+
 /// One client, at one data plane: a new connection only when the last one is gone.
-pub async fn stream(world: Rc<World>, front: u8) {
+pub async fn request_on(world: Rc<World>, front: u8, asked: Asked) {
     let mut connection: Option<Connection> = None;
     while world.phase.get() <= Phase::Recovering {
         if connection.as_ref().is_none_or(|connection| !connection.is_open()) {
@@ -30,7 +60,7 @@
         };
         let id = format!("live-{}", world.number());
         let (sent, began) = (world.events.now(), Instant::now());
-        let answer = open.exchange(&request(&id), WITHIN).await;
+        let answer = open.exchange(&request(&id, asked), WITHIN).await;
         if answer.is_err() {
             connection = None;
         }
@@ -39,13 +69,15 @@
     }
 }
 
-fn request(id: &str) -> Vec<u8> {
-    let key = World::key(0);
-    format!(
-        "POST /stream/run/slow/x HTTP/1.1\r\nHost: tier.example\r\nAuthorization: Bearer {key}\r\n\
-         X-Fennelgauge-Request-Id: {id}\r\nX-Fennelgauge-Request-Deadline: 4000\r\nContent-Length: 6\r\n\r\nprompt"
+fn request(id: &str, asked: Asked) -> Vec<u8> {
+    let (key, path, length) = (World::key(0), asked.path(), asked.request_bytes());
+    let mut request = format!(
+        "POST {path} HTTP/1.1\r\nHost: tier.example\r\nAuthorization: Bearer {key}\r\n\
+         X-Fennelgauge-Request-Id: {id}\r\nX-Fennelgauge-Request-Deadline: 4000\r\nContent-Length: {length}\r\n\r\n"
     )
-    .into_bytes()
+    .into_bytes();
+    request.resize(request.len() + length, b'p');
+    request
 }
 
 fn judge(world: &World, front: u8, id: &str, sent: u64, took: Duration, answer: Result<Whole, NoAnswer>) {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -16,6 +16,7 @@
 mod report;
 mod run;
 mod schedule;
+mod servers;
 mod troubles;
 mod world;
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
+use fennelgauge_standins::Conduct;
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
@@ -39,6 +40,9 @@
     /// Clients of live streams, each on one connection for as long as it is open.
     #[garde(range(min = 0, max = 200))]
     pub live_clients: u8,
+    /// Clients of requests that may run once only, with a body each and an answer of a known length, each on one connection.
+    #[garde(range(min = 0, max = 200))]
+    pub mutating_clients: u8,
     /// Clients that read a large live response slowly, and as many that read a large page of results slowly.
     #[garde(range(min = 0, max = 50))]
     pub slow_readers: u8,
@@ -50,6 +54,15 @@
     pub leaving_clients: u8,
     #[garde(range(min = 1, max = 100))]
     pub readers: u8,
+    /// Tokens of each tenant that may be queued; an item has ten.
+    #[garde(range(min = 0, max = 1_000_000))]
+    pub max_queued: u64,
+    /// How the stand-ins for model servers behave while there are troubles.
+    #[garde(skip)]
+    pub servers_conduct: Conduct,
+    /// Whether disks are lost at the end, as many as may be, while all other processes are killed at the same moment.
+    #[garde(skip)]
+    pub closing_power_loss: bool,
     /// For so long there are troubles.
     #[garde(range(min = 1.0, max = 3600.0))]
     pub troubled_s: f64,
@@ -122,6 +135,15 @@
     /// A store is cut off from the core and the other stores, and a data plane from the core: it may ask that store still.
     #[garde(skip)]
     pub stale_reader: u32,
+    /// Connections to a process are slow, each as much as is drawn for it: later ones overtake earlier ones.
+    #[garde(skip)]
+    pub uneven_links: u32,
+    /// A model server stands still.
+    #[garde(skip)]
+    pub freeze_server: u32,
+    /// A model server ends, and another one takes over its address, at first one of another service.
+    #[garde(skip)]
+    pub replace_server: u32,
 }
 
 impl Default for Plan {
@@ -134,10 +156,14 @@
             losses: 1,
             tenants: 3,
             live_clients: 6,
+            mutating_clients: 0,
             slow_readers: 3,
             dark_clients: 2,
             leaving_clients: 3,
             readers: 4,
+            max_queued: 1_000,
+            servers_conduct: Conduct::default(),
+            closing_power_loss: false,
             troubled_s: 12.0,
             recover_s: 25.0,
             sweep_s: 120.0,
@@ -169,6 +195,9 @@
             reset_link: 4,
             aimed: 6,
             stale_reader: 3,
+            uneven_links: 0,
+            freeze_server: 0,
+            replace_server: 0,
         }
     }
 }
--- a/crates/soak/src/relay.rs
+++ b/crates/soak/src/relay.rs
@@ -26,6 +26,8 @@
     Cut,
     /// Each chunk comes so much later.
     Slow(Duration),
+    /// Each connection has a part of this delay for all its chunks.
+    Uneven(Duration),
     /// So many chunks of a hundred are lost at first.
     Lossy(u8),
     /// The next chunk is cut in half, and the connection is reset.
@@ -78,11 +80,12 @@
         waits.map(|place| harmed.swap_remove(place)).is_some()
     }
 
-    /// Waits until a chunk may go on.
-    async fn passes(&self, from: Target, to: Target) {
+    /// Waits until a chunk may go on, on a connection that has `pace` of an uneven delay.
+    async fn passes(&self, from: Target, to: Target, pace: f64) {
         for harm in self.harms(from, to) {
             match harm {
                 Harm::Slow(by) => sleep(by).await,
+                Harm::Uneven(by) => sleep(by.mul_f64(pace)).await,
                 Harm::Lossy(part) if fastrand::u8(0..100) < part => {
                     sleep(Duration::from_millis(fastrand::u64(SENT_AGAIN.0..SENT_AGAIN.1))).await;
                 }
@@ -136,22 +139,29 @@
 }
 
 async fn relay(stream: TcpStream, from: Target, to: Target, own: SocketAddr, links: Rc<Links>) {
-    links.passes(from, to).await;
+    let pace = fastrand::f64();
+    links.passes(from, to, pace).await;
     let Ok(onward) = TcpStream::connect(own).await else { return };
     let _ = (stream.set_nodelay(true), onward.set_nodelay(true));
     let ((near_read, near_write), (far_read, far_write)) = (stream.into_split(), onward.into_split());
     tokio::select! {
-        () = carry(near_read, far_write, from, to, &links) => {}
-        () = carry(far_read, near_write, to, from, &links) => {}
+        () = carry(near_read, far_write, (from, to), pace, &links) => {}
+        () = carry(far_read, near_write, (to, from), pace, &links) => {}
     }
 }
 
 /// Carries what comes until either side ends or the link breaks.
-async fn carry(mut read: OwnedReadHalf, mut write: OwnedWriteHalf, from: Target, to: Target, links: &Links) {
+async fn carry(
+    mut read: OwnedReadHalf,
+    mut write: OwnedWriteHalf,
+    (from, to): (Target, Target),
+    pace: f64,
+    links: &Links,
+) {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
         let Ok(length @ 1..) = read.read(&mut chunk).await else { return };
-        links.passes(from, to).await;
+        links.passes(from, to, pace).await;
         if links.takes_reset(from, to) {
             let _ = write.write_all(&chunk[..length / 2]).await;
             return;
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::path::PathBuf;
 
+use fennelgauge_standins::ConductCounts;
 use serde::Serialize;
 
 use crate::world::EdgeCases;
@@ -31,6 +32,8 @@
     pub live_refused: u64,
     /// Responses read slowly, cut off in time and left by their clients.
     pub edge_cases: EdgeCases,
+    /// What the model servers did besides answering.
+    pub servers: ConductCounts,
     /// Accepted batch jobs that the final read did not come to: nothing is known of them.
     pub jobs_not_read: usize,
     pub configurations: u64,
@@ -44,7 +47,7 @@
         write!(
             out,
             "seed {}: {} processes, {} troubles, {} starts in {:.0} s; {} batch jobs accepted, {} pages read, {} live answers \
-             ({} refused), {} read slowly, {} pages read slowly, {} cut off, {} left, {} configurations, {} batch jobs not read in the end; {} faults",
+             ({} refused), {} read slowly, {} pages read slowly, {} cut off, {} left, {} configurations, {} batch jobs not read in the end; {}; {} faults",
             self.seed,
             self.processes,
             self.troubles,
@@ -60,6 +63,7 @@
             self.edge_cases.left,
             self.configurations,
             self.jobs_not_read,
+            self.servers,
             self.faults.len()
         )?;
         for fault in self.faults.iter().take(10) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use fennelgauge_standins::{instance_entry, start_model_server, start_platform, Platform, Ports, Tier};
+use fennelgauge_standins::{start_platform, Conduct, Observer, Platform, Ports, Tier};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
@@ -15,14 +15,15 @@
 use crate::batch_client::{end, read_on, submit, sweep};
 use crate::edge_clients;
 use crate::events::Events;
-use crate::live_client::{judge_all, stream};
+use crate::live_client::{judge_all, request_on, Asked};
 use crate::moments::watch_logs;
 use crate::operator::{has_route, watch, Operator};
 use crate::plan::Plan;
 use crate::relay::start_relays;
 use crate::report::{Fault, SeedResult};
 use crate::schedule::drawn;
-use crate::troubles::{start, strike, strike_at};
+use crate::servers;
+use crate::troubles::{lose_disks_and_power, start, strike, strike_at};
 use crate::world::{Phase, Runs, World};
 
 /// The whole tier is ready within so long, or there is no run.
@@ -61,6 +62,7 @@
     sleep(WARM).await;
 
     world.phase.set(Phase::Troubled);
+    servers::conduct(&world, world.plan.servers_conduct);
     let struck = world.clone();
     let watching = watch_logs(world.clone(), move |target, aimed| {
         spawn_local(strike_at(struck.clone(), target, aimed));
@@ -78,6 +80,10 @@
     }
     world.events.note("--- no more troubles");
     world.links.heal();
+    servers::conduct(&world, Conduct::default());
+    if world.plan.closing_power_loss {
+        lose_disks_and_power(&world).await;
+    }
     world.phase.set(Phase::Recovering);
     recovered(&world).await;
     judge_end(&world).await;
@@ -111,13 +117,8 @@
     start_platform(listener, platform.clone());
     let events = Events::create(&folder.join("events.log"))?;
     let world = Rc::new(World::new(plan, tier, setting.programs.clone(), events, platform));
-    let runs = Rc::new(Runs { world: world.clone(), given: Default::default() });
-    for place in 0..world.plan.servers {
-        let id = format!("i-{place}");
-        let (address, server) = start_model_server(&id).await?;
-        *server.observer.borrow_mut() = Some(runs.clone());
-        world.platform.instances.borrow_mut().push(instance_entry(&id, "model", address, "zone-0"));
-    }
+    let runs: Rc<dyn Observer> = Rc::new(Runs { world: world.clone(), given: Default::default() });
+    servers::start(&world, &runs).await?;
     if world.plan.relayed {
         let relayed = start_relays(&world.tier, &world.targets(), &world.links).await;
         relayed.context("a relay's address is taken")?;
@@ -157,7 +158,10 @@
     }
     clients.push(spawn_local(end(world.clone())));
     for client in 0..world.plan.live_clients {
-        clients.push(spawn_local(stream(world.clone(), client % world.plan.data_planes)));
+        clients.push(spawn_local(request_on(world.clone(), client % world.plan.data_planes, Asked::Stream)));
+    }
+    for client in 0..world.plan.mutating_clients {
+        clients.push(spawn_local(request_on(world.clone(), client % world.plan.data_planes, Asked::Body)));
     }
     for client in 0..world.plan.slow_readers {
         let front = client % world.plan.data_planes;
@@ -297,6 +301,7 @@
         live_answers: world.live_answers.get(),
         live_refused: world.live_refused.borrow().len() as u64,
         edge_cases: world.edge_cases.get(),
+        servers: servers::counts(world),
         jobs_not_read: world.not_read.get(),
         configurations: world.acknowledged.get(),
         folder: Some(folder.to_owned()),
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -74,6 +74,20 @@
         for_: Duration,
     },
     Aimed(Aimed),
+    /// Each connection is as slow as is drawn for it, at most by so much.
+    UnevenLinks {
+        target: Target,
+        by: Duration,
+        for_: Duration,
+    },
+    FreezeServer {
+        server: u8,
+        for_: Duration,
+    },
+    ReplaceServer {
+        server: u8,
+        for_: Duration,
+    },
 }
 
 /// A trouble and when it strikes, from the beginning of the troubles.
@@ -122,6 +136,9 @@
         of_links(troubles.reset_link),
         of_links(troubles.aimed),
         of_links(troubles.stale_reader),
+        of_links(troubles.uneven_links),
+        troubles.freeze_server,
+        troubles.replace_server,
     ];
     let sum: u32 = weights.iter().sum();
     if sum == 0 {
@@ -168,6 +185,12 @@
             let (store, data_plane) = (chance.u8(0..plan.stores), chance.u8(0..plan.data_planes));
             Trouble::StaleReader { store, data_plane, for_: 2 * down }
         }
+        17 => {
+            let by = Duration::from_millis(chance.u64(300..=3_000));
+            Trouble::UnevenLinks { target: store(chance), by, for_: 2 * down }
+        }
+        18 => Trouble::FreezeServer { server: chance.u8(0..plan.servers), for_: down },
+        19 => Trouble::ReplaceServer { server: chance.u8(0..plan.servers), for_: down },
         _ => {
             let moments: Vec<Moment> = Moment::iter().collect();
             let blows: Vec<Blow> = Blow::iter().collect();
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use tokio::time::{sleep, Instant};
 
 use crate::moments::{Aimed, Blow};
@@ -10,10 +11,13 @@
 use crate::process::{ends, Signal};
 use crate::relay::{Harm, Harmed};
 use crate::schedule::{Target, Trouble};
+use crate::servers;
 use crate::world::World;
 
 /// A process that is restarted in a planned way is back by itself within so long.
 const CONFIGURED_WITHIN: Duration = Duration::from_secs(30);
+/// All processes are down for so long in the end.
+const CLOSING_DOWN: Duration = Duration::from_millis(900);
 /// A reset waits so long for something to be sent.
 const RESET_WAITS: Duration = Duration::from_secs(2);
 
@@ -63,6 +67,11 @@
         Trouble::LossyLinks { part, for_ } => harm(&world, (None, None), Harm::Lossy(part), for_),
         Trouble::ResetLink { target } => harm(&world, (Some(target), None), Harm::Reset, RESET_WAITS),
         Trouble::Aimed(aimed) => world.waiting.add(aimed),
+        Trouble::UnevenLinks { target, by, for_ } => {
+            harm(&world, (None, Some(target)), Harm::Uneven(by), for_)
+        }
+        Trouble::FreezeServer { server, for_ } => servers::freeze(&world, server, for_).await,
+        Trouble::ReplaceServer { server, for_ } => servers::replace(&world, server, for_).await,
         Trouble::StaleReader { store, data_plane, for_ } => stale_reader(&world, store, data_plane, for_),
     }
 }
@@ -176,3 +185,26 @@
     sleep(down).await;
     start(world, target).await;
 }
+
+/// As many stores as may lose their disks now, and all other processes are killed at one moment.
+pub async fn lose_disks_and_power(world: &World) {
+    let lost = world.plan.losses.saturating_sub(world.wipes.get());
+    let mut stores: Vec<u8> = (0..world.plan.stores).collect();
+    fastrand::shuffle(&mut stores);
+    let wiped: Vec<Target> = stores.into_iter().take(lost.into()).map(Target::Store).collect();
+    world.wipes.set(world.plan.losses);
+    world.unplanned(CLOSING_DOWN);
+    world.events.note(format_args!("--- all processes are killed, {wiped:?} lose their disks"));
+    let kills = world.processes.iter().map(|process| async { process.lock().await.kill().await });
+    join_all(kills).await;
+    for target in wiped {
+        let Some(process) = world.process(target) else { continue };
+        if let Err(reason) = process.lock().await.wipe() {
+            world.blame("START", format!("{target}: its disk cannot be wiped: {reason}"));
+        }
+    }
+    sleep(CLOSING_DOWN).await;
+    for target in world.targets() {
+        start(world, target).await;
+    }
+}
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use fennelgauge_batch_judge::{BatchJobChecker, Limits, RouteTerms, Routes};
-use fennelgauge_standins::{Observer, Platform, Tier};
+use fennelgauge_standins::{ModelServer, Observer, Platform, Tier};
 use serde::Serialize;
 use serde_json::{json, Value};
 use tokio::sync::Mutex;
@@ -36,8 +36,10 @@
 pub const BRIEF_PREFIX: &str = "/brief/";
 /// Time limit of the route at [`BRIEF_PREFIX`].
 pub const BRIEF_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Of each tenant, in the configuration.
-pub const MOST_QUEUED: u64 = 1_000;
+/// Prefix of the route whose requests may run once only.
+pub const MUTATING_PREFIX: &str = "/mutate/";
+/// `retries` of that route.
+const MUTATING_RETRIES: u64 = 3;
 
 /// Counts of requests whose client or server behaves badly, as far as each could be judged.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
@@ -69,6 +71,8 @@
     pub programs: Option<PathBuf>,
     pub events: Events,
     pub platform: Rc<Platform>,
+    /// Stand-ins for model servers.
+    pub servers: RefCell<Vec<Rc<ModelServer>>>,
     pub processes: Vec<Mutex<Process>>,
     pub judge: RefCell<BatchJobChecker>,
     pub faults: RefCell<Vec<Fault>>,
@@ -113,7 +117,7 @@
         let bounds = Limits {
             visibility_delay: SETTLE_US,
             cancellation_grace: CANCEL_US,
-            max_queued_tokens: MOST_QUEUED,
+            max_queued_tokens: plan.max_queued,
             items_may_be_given_up: false,
             route_end_grace: ROUTE_END_GRACE_US,
         };
@@ -125,6 +129,7 @@
             programs,
             events,
             platform,
+            servers: RefCell::default(),
             processes,
             judge: RefCell::new(judge),
             faults: RefCell::default(),
@@ -208,7 +213,16 @@
             .collect();
         configuration["tenants"] = Value::Array(tenants);
         if let Some(routes) = configuration["routes"].as_array_mut() {
+            for route in routes.iter_mut() {
+                route["max_queued"] = json!(self.plan.max_queued);
+            }
             let stream = routes[0].clone();
+            let mut mutating = stream.clone();
+            mutating["name"] = json!("mutate");
+            mutating["kind"] = json!("mutating");
+            mutating["path_prefix"] = json!(MUTATING_PREFIX);
+            mutating["retries"] = json!(MUTATING_RETRIES);
+            routes.push(mutating);
             let mut brief = stream.clone();
             brief["name"] = json!("brief");
             brief["path_prefix"] = json!(BRIEF_PREFIX);
@@ -256,13 +270,15 @@
             return;
         }
         let now = self.world.events.now();
+        self.world.judge.borrow_mut().check_refusal_of_start(now, id);
         // A store that was frozen or just killed is not in touch: what it sends late does not count.
         if self.world.only_planned_since(now) {
             self.world.judge.borrow_mut().record_item_start(now, id);
         }
     }
 
-    fn run_ended(&self, id: &str) {
+    fn run_ended(&self, id: &str, after: u64, sent: &[String]) {
+        self.record_given(id, after, sent);
         if let Some(runs) = self.world.live_at_work.borrow_mut().get_mut(id) {
             *runs = runs.saturating_sub(1);
         }
@@ -281,17 +297,30 @@
         if id.starts_with("live-") || id.starts_with(PAGES_PREFIX) {
             return;
         }
-        let mut given = self.given.borrow_mut();
-        let earlier = given.entry(id.to_owned()).or_default();
-        let mut whole: Vec<Vec<String>> = match after {
-            0 => vec![events.to_vec()],
-            _ => {
-                earlier.iter().filter_map(|run| Some([run.get(..after as usize)?, events].concat())).collect()
-            }
-        };
-        for run in &whole {
+        for run in self.continued(id, after, events) {
             self.world.judge.borrow_mut().record_item_output(id, &run.join("\n"));
         }
-        earlier.append(&mut whole);
+    }
+}
+
+impl Runs {
+    /// Returns all that a reader may have when a run after this event has sent these events: what each earlier run gave up to
+    /// there, and these.
+    fn continued(&self, id: &str, after: u64, events: &[String]) -> Vec<Vec<String>> {
+        if after == 0 {
+            return vec![events.to_vec()];
+        }
+        let given = self.given.borrow();
+        let earlier = given.get(id).map_or(&[][..], Vec::as_slice);
+        earlier.iter().filter_map(|run| Some([run.get(..after as usize)?, events].concat())).collect()
+    }
+
+    /// Keeps what a run has sent, whole or not: another one may continue it.
+    fn record_given(&self, id: &str, after: u64, sent: &[String]) {
+        if id.starts_with("live-") || id.starts_with(PAGES_PREFIX) {
+            return;
+        }
+        let mut whole = self.continued(id, after, sent);
+        self.given.borrow_mut().entry(id.to_owned()).or_default().append(&mut whole);
     }
 }
