Fix: the connection of a response that belongs to another request is closed, also if there is no body

What callers saw: one surplus answer spoiled all that came after it on its connection: each request read the answer of the one before it and was answered 502, though it had run. Cause: the exchange gave the connection of a response without a body back before anybody had looked whose response it was. Now a response without a body gives its connection back once it is known to belong to the request; dropped before, it closes it. Connections are still reused after failures and refusals without a body.

Red before: a_connection_is_closed_after_a_response_of_another_request (1 connection after 2 requests).

--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -52,8 +52,8 @@
     expires_at: Instant,
 }
 
-/// The response of a server: its head, and its body as a stream. Dropping it before the end of the body closes the
-/// connection.
+/// The response of a server: its head, and its body as a stream. Dropping it before the end of the body was read closes the
+/// connection, also if there is none, until [`Self::finish_if_empty`].
 pub struct UpstreamResponse {
     head: ResponseHead,
     body: Body,
@@ -63,6 +63,8 @@
 
 /// How the end of a body is detected.
 enum Framing {
+    /// There is no body.
+    Empty,
     /// By its length or by its chunks.
     Delimited(ClientPayloadCodec),
     /// By the orderly end of the connection; a reset means that the body is truncated.
@@ -125,21 +127,21 @@
         let ends_with_connection = !has_body && ends_with_connection(&method, &head);
         let keep_alive = codec.keep_alive() && written.is_ok() && !ends_with_connection;
         let idle_timeout = announced_idle_timeout(head.headers()).unwrap_or(DEFAULT_IDLE_TIMEOUT);
-        let mut body = Body {
+        let framing = match codec.message_type() {
+            _ if ends_with_connection => Framing::UntilClose,
+            MessageType::Stream => Framing::UntilClose,
+            MessageType::None => Framing::Empty,
+            MessageType::Payload => Framing::Delimited(codec.into_payload_codec()),
+        };
+        let body = Body {
             stream: Some(stream),
             buffer,
-            framing: match ends_with_connection || codec.message_type() == MessageType::Stream {
-                true => Framing::UntilClose,
-                false => Framing::Delimited(codec.into_payload_codec()),
-            },
+            framing,
             keep_alive,
             idle_timeout,
             peer,
             connections: self.clone(),
         };
-        if !has_body && !ends_with_connection {
-            body.finish();
-        }
         Ok(UpstreamResponse { head, body, on_reused_connection })
     }
 
@@ -239,6 +241,13 @@
         self.body.next().await
     }
 
+    /// Makes the connection reusable at once if the response has no body.
+    pub(crate) fn finish_if_empty(&mut self) {
+        if matches!(self.body.framing, Framing::Empty) {
+            self.body.finish();
+        }
+    }
+
     /// Reads and drops the rest of the body, so that the connection can be reused.
     pub async fn discard(mut self) {
         while let Some(Ok(_)) = self.next().await {}
@@ -250,6 +259,10 @@
         loop {
             self.stream.as_ref()?;
             match &mut self.framing {
+                Framing::Empty => {
+                    self.finish();
+                    return None;
+                }
                 Framing::UntilClose if !self.buffer.is_empty() => {
                     return Some(Ok(self.buffer.split().freeze()));
                 }
@@ -285,7 +298,7 @@
     /// received.
     fn finish(&mut self) {
         let Some(stream) = self.stream.take() else { return };
-        if self.keep_alive && self.buffer.is_empty() && matches!(self.framing, Framing::Delimited(_)) {
+        if self.keep_alive && self.buffer.is_empty() && !matches!(self.framing, Framing::UntilClose) {
             self.connections.add_idle(self.peer, stream, self.idle_timeout);
         }
     }
--- a/crates/upstream/src/send.rs
+++ b/crates/upstream/src/send.rs
@@ -132,7 +132,7 @@
 
 /// Rejects a response that belongs to another request or to none, or that says that the request was not executed. A server
 /// repeats the id of the request in each response, whatever its status: one without it tells nothing about this request.
-async fn validate_response(response: UpstreamResponse, id: &str) -> Result<UpstreamResponse, SendError> {
+async fn validate_response(mut response: UpstreamResponse, id: &str) -> Result<UpstreamResponse, SendError> {
     let status = response.status();
     let is_for_this_request =
         response.headers().get(REQUEST_ID).is_some_and(|value| value.as_bytes() == id.as_bytes());
@@ -145,6 +145,7 @@
         let _ = timeout(DISCARD_TIMEOUT, response.discard()).await;
         return Err(SendError::NotExecuted(status));
     }
+    response.finish_if_empty();
     Ok(response)
 }
 
--- a/crates/upstream/tests/exchange.rs
+++ b/crates/upstream/tests/exchange.rs
@@ -221,3 +221,44 @@
         }
     });
 }
+
+#[test]
+fn a_connection_is_reused_after_a_response_without_a_body() {
+    let cases: [(&str, &'static [u8]); 2] = [
+        ("a failure", b"HTTP/1.1 500 Oops\r\nX-Fennelgauge-Request-Id: r-1\r\nContent-Length: 0\r\n\r\n"),
+        (
+            "a refusal",
+            b"HTTP/1.1 503 Busy\r\nX-Fennelgauge-Request-Id: r-1\r\nX-Fennelgauge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        ),
+    ];
+    run_local(async move {
+        for (name, bytes) in cases {
+            let (server, connections) = responding_server(bytes, false).await;
+            let sender = RequestSender::default();
+            for _ in 0..3 {
+                drop(sender.send(&server, &request(), TIMEOUT, TIMEOUT).await);
+            }
+            assert_eq!(connections.get(), 1, "{name}");
+        }
+    });
+}
+
+/// Guards against a response read by the request after the one it was for: the connection of a foreign response was reused.
+#[test]
+fn a_connection_is_closed_after_a_response_of_another_request() {
+    let cases: [(&str, &'static [u8]); 3] = [
+        ("without a body", b"HTTP/1.1 200 OK\r\nX-Fennelgauge-Request-Id: r-0\r\nContent-Length: 0\r\n\r\n"),
+        ("without an id", b"HTTP/1.1 503 Busy\r\nX-Fennelgauge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
+        ("with a body", b"HTTP/1.1 200 OK\r\nX-Fennelgauge-Request-Id: r-0\r\nContent-Length: 4\r\n\r\nbody"),
+    ];
+    run_local(async move {
+        for (name, bytes) in cases {
+            let (server, connections) = responding_server(bytes, false).await;
+            let sender = RequestSender::default();
+            for sent in 1..=3 {
+                assert!(body(&sender, &server).await.is_err(), "{name}");
+                assert_eq!(connections.get(), sent, "{name}: connections after {sent} requests");
+            }
+        }
+    });
+}
