Fix: a server's 503, 429 or 408 that does not say "not executed" is no promise to the client (REFUSED)

What callers saw: a request that may not be repeated was answered 503 (429, 408) with a server's signature, though that server had run it. PROTOCOL: 429 and 503 are a promise, as are 408 and 421; only an answer with X-Fennelgauge-Not-Executed says that a server did not run a request. Cause: whatever a server answered was passed on unless the header was there. Now such an answer means that the request may have run: another server gets it if it may run again, otherwise the client gets 502 without a signature (MIXED asks that a signed failure keeps its status). Other failures are passed on unchanged. For an item of a batch job nothing changes: it is tried again, and the answer is no failure of it.

--- a/crates/control-plane/src/store/item_run.rs
+++ b/crates/control-plane/src/store/item_run.rs
@@ -290,6 +290,8 @@
                 }
                 return match error {
                     SendError::MayHaveExecuted | SendError::TimedOut => Attempt::Lost,
+                    // No answer of 500, which alone counts as a failure of the item.
+                    SendError::UnmarkedRefusal(_) => Attempt::Retry,
                     SendError::NotSent | SendError::NotExecuted(_) => Attempt::Retry,
                 };
             }
--- a/crates/data-plane/src/attempt_log.rs
+++ b/crates/data-plane/src/attempt_log.rs
@@ -28,7 +28,7 @@
         match error {
             SendError::NotSent => Self::NotSent,
             SendError::NotExecuted(_) => Self::NotExecuted,
-            SendError::MayHaveExecuted | SendError::TimedOut => Self::Unknown,
+            SendError::UnmarkedRefusal(_) | SendError::MayHaveExecuted | SendError::TimedOut => Self::Unknown,
         }
     }
 }
--- a/crates/data-plane/src/live.rs
+++ b/crates/data-plane/src/live.rs
@@ -181,7 +181,9 @@
             self.failed_attempts.record(&in_flight.server.id, Conclusion::from(&error), &error);
             match error {
                 SendError::NotSent | SendError::NotExecuted(_) => refusals += 1,
-                SendError::MayHaveExecuted | SendError::TimedOut => self.runs += 1,
+                SendError::UnmarkedRefusal(_) | SendError::MayHaveExecuted | SendError::TimedOut => {
+                    self.runs += 1;
+                }
             }
             let may_run_again = self.access.route.is_retry_safe() && self.runs < self.max_runs();
             if self.runs > 0 && !may_run_again {
--- a/crates/data-plane/tests/promises.rs
+++ b/crates/data-plane/tests/promises.rs
@@ -46,3 +46,31 @@
         });
     }
 }
+
+/// Guards against REFUSED: a refusal of a server that does not say that it did not run the request was told to the client.
+#[test]
+fn request_that_a_server_ran_is_not_refused_because_the_server_answers_with_a_promising_status() {
+    for refusal in [503, 429, 408] {
+        for path in ["/mutating/a", "/stream/a", "/idempotent/a", "/resume/a"] {
+            run_local(async {
+                let plane = TestPlane::start(&[Script::Status(refusal)]).await;
+                let (response, _) = plane.exchange(path).await;
+                assert_eq!(status(&response), 502, "{path}, answered {refusal}: {response}");
+                assert!(!response.contains("signature"), "a failure of our own is not signed: {response}");
+                assert_eq!(plane.arrived(), 1);
+            });
+        }
+    }
+}
+
+#[test]
+fn failures_that_promise_nothing_are_passed_on_with_their_signature() {
+    for failure in [500, 504, 422, 400] {
+        run_local(async {
+            let plane = TestPlane::start(&[Script::Status(failure)]).await;
+            let (response, _) = plane.exchange("/mutating/a").await;
+            assert_eq!(status(&response), failure, "{response}");
+            assert!(response.contains("signature"), "{response}");
+        });
+    }
+}
--- a/crates/data-plane/tests/support/mod.rs
+++ b/crates/data-plane/tests/support/mod.rs
@@ -60,6 +60,8 @@
     Whole,
     /// The same, and once the next request of the connection has arrived, sends this before its response.
     WholeWithSurplus(&'static str),
+    /// Answers with this status, without a body and without a word on whether the request was executed.
+    Status(u16),
     /// Sends three events with the request's id, those after `Last-Event-Id` if that is given.
     FewEvents,
     /// The same, but the connection breaks amid the second event unless `Last-Event-Id` is given.
@@ -163,6 +165,10 @@
         Script::Whole | Script::WholeWithSurplus(_) => {
             head(&format!("Content-Length: {}\r\n", id.len())) + id
         }
+        Script::Status(status) => format!(
+            "HTTP/1.1 {status} Status\r\nX-Fennelgauge-Request-Id: {id}\r\nX-Fennelgauge-Response-Signature: s\r\n\
+             Content-Length: 0\r\n\r\n"
+        ),
         Script::BrokenEvents if *last_event == 0 => {
             chunked + &chunk(&format!("id: 1\ndata: {id}\n\n")) + &chunk("id: 2\nda")
         }
@@ -175,7 +181,7 @@
         return false;
     }
     match script {
-        Script::Whole | Script::WholeWithSurplus(_) | Script::FewEvents => return true,
+        Script::Whole | Script::WholeWithSurplus(_) | Script::Status(_) | Script::FewEvents => return true,
         Script::BrokenEvents => return *last_event > 0,
         _ => {}
     }
--- a/crates/upstream/src/send.rs
+++ b/crates/upstream/src/send.rs
@@ -21,6 +21,10 @@
 /// Longest time for reading the body of a response that says that the request was not executed.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Clients take a response with one of these statuses for a promise that their request is not executed.
+const PROMISING_STATUSES: [StatusCode; 3] =
+    [StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE, StatusCode::REQUEST_TIMEOUT];
+
 /// A request in the form in which it can be sent to any server.
 #[derive(Clone, Debug)]
 pub struct OutgoingRequest {
@@ -47,6 +51,9 @@
     /// The server responded that it has not executed the request.
     #[error("the server has not executed the request ({0})")]
     NotExecuted(StatusCode),
+    /// The server responded with a status that promises that the request is not executed, but does not say that it is not.
+    #[error("the server answers {0} without saying that it has not executed the request: it may have")]
+    UnmarkedRefusal(StatusCode),
     /// The connection was lost, or the response was invalid or belongs to another request.
     #[error("no valid response: the server may have executed the request")]
     MayHaveExecuted,
@@ -130,8 +137,8 @@
     Some(head)
 }
 
-/// Rejects a response that belongs to another request or to none, or that says that the request was not executed. A server
-/// repeats the id of the request in each response, whatever its status: one without it tells nothing about this request.
+/// Rejects a response that belongs to another request or to none, that says that the request was not executed, or that would tell
+/// the client so though the server does not. A server repeats the id of the request in each response, whatever its status: one without it tells nothing about this request.
 async fn validate_response(mut response: UpstreamResponse, id: &str) -> Result<UpstreamResponse, SendError> {
     let status = response.status();
     let is_for_this_request =
@@ -146,7 +153,10 @@
         return Err(SendError::NotExecuted(status));
     }
     response.finish_if_empty();
-    Ok(response)
+    match PROMISING_STATUSES.contains(&status) {
+        true => Err(SendError::UnmarkedRefusal(status)),
+        false => Ok(response),
+    }
 }
 
 /// Logs what the outcome of an attempt is concluded from, unless it is a success for this request.
@@ -195,7 +205,7 @@
             SendError::NotSent => self.record_connect_failure(&server.id),
             SendError::MayHaveExecuted | SendError::TimedOut => self.record_failure(&server.id),
             SendError::NotExecuted(StatusCode::MISDIRECTED_REQUEST) => self.record_failure(&server.id),
-            SendError::NotExecuted(_) => self.record_overload(&server.id),
+            SendError::NotExecuted(_) | SendError::UnmarkedRefusal(_) => self.record_overload(&server.id),
         }
     }
 }
