--- a/crates/data-plane/src/attempt_log.rs
+++ b/crates/data-plane/src/attempt_log.rs
@@ -75,11 +75,40 @@
     records: Vec<AttemptRecord>,
 }
 
+/// Proof that no server or store has executed a request or will: only with it may a client be promised so, by a status of 429, 503,
+/// 408 or 421.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unexecuted(());
+
+impl Unexecuted {
+    /// The request was not sent to any server or store.
+    pub fn before_any_attempt() -> Self {
+        Self(())
+    }
+
+    /// The request only reads, so that there is nothing to execute.
+    pub fn read_only() -> Self {
+        Self(())
+    }
+}
+
 impl AttemptLog {
     /// Adds an attempt at the server or store called `target`; `basis` is what the conclusion rests on.
     pub fn record(&mut self, target: &str, conclusion: Conclusion, basis: impl fmt::Display) {
         self.records.push(AttemptRecord { target: target.to_owned(), conclusion, basis: basis.to_string() });
     }
+
+    /// Returns how many of the attempts may have been executed.
+    pub fn possible_executions(&self) -> u32 {
+        let may_have_executed =
+            |record: &&AttemptRecord| matches!(record.conclusion, Conclusion::Unknown | Conclusion::Executed);
+        self.records.iter().filter(may_have_executed).count() as u32
+    }
+
+    /// Returns the proof that no attempt has been executed or will be, if that is certain of every one of them.
+    pub fn prove_unexecuted(&self) -> Option<Unexecuted> {
+        (self.possible_executions() == 0).then_some(Unexecuted(()))
+    }
 }
 
 impl fmt::Display for AttemptLog {
--- a/crates/data-plane/src/batch.rs
+++ b/crates/data-plane/src/batch.rs
@@ -15,8 +15,8 @@
 use serde::Deserialize;
 use tokio::time::{sleep, Instant};
 
-use crate::attempt_log::{AttemptLog, Conclusion};
-use crate::frontend::{self, empty_response, header_text, refuse_unexecuted};
+use crate::attempt_log::{AttemptLog, Conclusion, Unexecuted};
+use crate::frontend::{self, empty_response, header_text, refuse, refuse_unsent};
 use crate::process::DataPlane;
 
 /// `Retry-After` in responses to requests that no store executed.
@@ -78,13 +78,15 @@
     if !matches!(outcome, StoreOutcome::Replied(StoreReply::Accepted)) {
         log::info!("batch job {id}: its submission ends as {outcome:?}; {calls}");
     }
-    match outcome {
-        StoreOutcome::Replied(StoreReply::Accepted) => empty_response(plane, HttpResponse::Accepted()),
-        StoreOutcome::Replied(StoreReply::OverQuota) => {
-            refuse_unexecuted(plane, StatusCode::TOO_MANY_REQUESTS, QUOTA_RETRY_AFTER_S)
+    match (outcome, calls.prove_unexecuted()) {
+        (StoreOutcome::Replied(StoreReply::Accepted), _) => empty_response(plane, HttpResponse::Accepted()),
+        (StoreOutcome::Replied(StoreReply::GivenUp), _) => given_up_response(plane),
+        (StoreOutcome::Replied(StoreReply::OverQuota), Some(proof)) => {
+            refuse(plane, proof, StatusCode::TOO_MANY_REQUESTS, QUOTA_RETRY_AFTER_S)
+        }
+        (StoreOutcome::Undecided, Some(proof)) => {
+            refuse(plane, proof, StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S)
         }
-        StoreOutcome::Replied(StoreReply::GivenUp) => given_up_response(plane),
-        StoreOutcome::NotExecuted => refuse_unexecuted(plane, StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S),
         _ => empty_response(plane, HttpResponse::GatewayTimeout()),
     }
 }
@@ -140,10 +142,8 @@
 #[derive(Debug)]
 enum StoreOutcome {
     Replied(StoreReply),
-    /// No store executed the request.
-    NotExecuted,
-    /// A store may have executed the request.
-    Unknown,
+    /// No call had a reply that decides. What is known of them is recorded.
+    Undecided,
 }
 
 /// Sends a request to the store that `store` selects from the newest view. After a failure it is sent again, to the store
@@ -157,7 +157,6 @@
     deadline: Instant,
     calls: &mut AttemptLog,
 ) -> StoreOutcome {
-    let mut may_have_executed = false;
     loop {
         let view = plane.tier_state.store_view();
         if let Some(store) = store(&view, group) {
@@ -166,17 +165,15 @@
             let reply = call.await;
             record_call(calls, store, &reply);
             match reply {
-                Ok(Reply::Store(StoreReply::NotAccepted | StoreReply::Undetermined))
-                | Ok(Reply::Unsupported) => {}
-                Ok(Reply::Store(StoreReply::OutcomeUnknown)) | Err(CallError::NoReply(_)) => {
-                    may_have_executed = true
-                }
+                Ok(Reply::Store(
+                    StoreReply::NotAccepted | StoreReply::Undetermined | StoreReply::OutcomeUnknown,
+                )) => {}
                 Ok(Reply::Store(reply)) => return StoreOutcome::Replied(reply),
-                Ok(_) | Err(CallError::NotSent(_)) => {}
+                Ok(_) | Err(_) => {}
             }
         }
         if Instant::now() + RETRY_INTERVAL >= deadline {
-            return if may_have_executed { StoreOutcome::Unknown } else { StoreOutcome::NotExecuted };
+            return StoreOutcome::Undecided;
         }
         sleep(RETRY_INTERVAL).await;
     }
@@ -226,7 +223,7 @@
         Refusal::Stopping => frontend::refuse_while_stopping(plane),
         // A configuration with routes for this host may not have arrived yet.
         Refusal::Denied(Denial::NoRoute) => {
-            refuse_unexecuted(plane, StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S)
+            refuse_unsent(plane, StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S)
         }
         Refusal::Denied(Denial::UnknownKey) => empty_response(plane, HttpResponse::Unauthorized()),
     }
@@ -271,10 +268,15 @@
         StoreOutcome::Replied(StoreReply::Page(page)) => page_response(&plane, page),
         StoreOutcome::Replied(StoreReply::NotFound) => empty_response(&plane, HttpResponse::NotFound()),
         StoreOutcome::Replied(StoreReply::GivenUp) => given_up_response(&plane),
-        _ => refuse_unexecuted(&plane, StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S),
+        _ => refuse_read(&plane),
     }
 }
 
+/// Refuses a read that no store answers for certain.
+fn refuse_read(plane: &DataPlane) -> HttpResponse {
+    refuse(plane, Unexecuted::read_only(), StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S)
+}
+
 /// Builds the response about a batch job that was given up by an operator after more stores were lost than the deployment
 /// tolerates.
 fn given_up_response(plane: &DataPlane) -> HttpResponse {
@@ -339,7 +341,7 @@
         }
         StoreOutcome::Replied(StoreReply::NotFound) => empty_response(&plane, HttpResponse::NotFound()),
         StoreOutcome::Replied(StoreReply::GivenUp) => given_up_response(&plane),
-        _ => refuse_unexecuted(&plane, StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S),
+        _ => refuse_read(&plane),
     }
 }
 
--- a/crates/data-plane/src/frontend.rs
+++ b/crates/data-plane/src/frontend.rs
@@ -14,6 +14,7 @@
 use futures_util::FutureExt;
 use tokio::time::{timeout_at, Instant};
 
+use crate::attempt_log::Unexecuted;
 use crate::process::DataPlane;
 use crate::{batch, live};
 
@@ -59,7 +60,7 @@
         return refuse_while_stopping(&plane);
     }
     let Some(table) = plane.tier_state.routing_table() else {
-        return refuse_unexecuted(&plane, StatusCode::SERVICE_UNAVAILABLE, NOT_READY_RETRY_AFTER_S);
+        return refuse_unsent(&plane, StatusCode::SERVICE_UNAVAILABLE, NOT_READY_RETRY_AFTER_S);
     };
     let access = match table.authorize(host(&request), request.uri().path(), authorization(&request)) {
         Ok(access) => access,
@@ -121,7 +122,7 @@
 
 fn upload_error_response(plane: &DataPlane, error: UploadError) -> HttpResponse {
     match error {
-        UploadError::TimedOut => refuse_unexecuted(plane, StatusCode::REQUEST_TIMEOUT, 0.0),
+        UploadError::TimedOut => refuse_unsent(plane, StatusCode::REQUEST_TIMEOUT, 0.0),
         UploadError::TooLarge => empty_response(plane, HttpResponse::build(StatusCode::PAYLOAD_TOO_LARGE)),
         UploadError::Broken => empty_response(plane, HttpResponse::BadRequest()),
     }
@@ -163,16 +164,22 @@
     response.finish()
 }
 
-/// Refuses a request that was certainly not executed, with a `Retry-After` of `retry_after_s` seconds.
-pub fn refuse_unexecuted(plane: &DataPlane, status: StatusCode, retry_after_s: f64) -> HttpResponse {
+/// Refuses a request with a status by which the client may rely on it that the request is not executed, and a `Retry-After` of
+/// `retry_after_s` seconds.
+pub fn refuse(plane: &DataPlane, _proof: Unexecuted, status: StatusCode, retry_after_s: f64) -> HttpResponse {
     let mut response = HttpResponse::build(status);
     response.insert_header((header::RETRY_AFTER, format!("{retry_after_s:.3}")));
     empty_response(plane, response)
 }
 
+/// Refuses a request that was not sent to any server or store; see [`refuse`].
+pub fn refuse_unsent(plane: &DataPlane, status: StatusCode, retry_after_s: f64) -> HttpResponse {
+    refuse(plane, Unexecuted::before_any_attempt(), status, retry_after_s)
+}
+
 /// Refuses a request that arrived too late during a stop.
 pub fn refuse_while_stopping(plane: &DataPlane) -> HttpResponse {
-    refuse_unexecuted(plane, StatusCode::SERVICE_UNAVAILABLE, STOPPING_RETRY_AFTER_S)
+    refuse_unsent(plane, StatusCode::SERVICE_UNAVAILABLE, STOPPING_RETRY_AFTER_S)
 }
 
 /// Closes the connection after this response if the process is stopping.
--- a/crates/data-plane/src/live.rs
+++ b/crates/data-plane/src/live.rs
@@ -10,14 +10,14 @@
 use actix_web::{HttpRequest, HttpResponse};
 use fennelgauge_model::{stable_fraction, Access, RouteKind};
 use fennelgauge_upstream::{
-    is_hop_by_hop, InFlightGuard, OutgoingRequest, RequestProfile, SendError, UpstreamResponse, DEADLINE,
-    PREFIX_HASH, PRIORITY, REQUEST_ID, TARGET_INSTANCE, TENANT,
+    is_hop_by_hop, InFlightGuard, OutgoingRequest, RequestProfile, UpstreamResponse, DEADLINE, PREFIX_HASH,
+    PRIORITY, REQUEST_ID, TARGET_INSTANCE, TENANT,
 };
 use tokio::time::{sleep, Instant};
 
-use crate::attempt_log::{AttemptLog, Conclusion};
+use crate::attempt_log::{AttemptLog, Conclusion, Unexecuted};
 use crate::forwarded_body;
-use crate::frontend::{close_if_stopping, empty_response, header_text, refuse_unexecuted};
+use crate::frontend::{close_if_stopping, empty_response, header_text, refuse};
 use crate::process::DataPlane;
 use crate::resumable_stream;
 use crate::timeliness::ResponseTimer;
@@ -51,10 +51,8 @@
     profile: RequestProfile,
     /// Ids of the servers tried so far.
     tried: Vec<String>,
-    /// What is known of each attempt that yielded no response.
-    failed_attempts: AttemptLog,
-    /// Number of servers that may have executed the request.
-    pub runs: u32,
+    /// What is known of each attempt.
+    log: AttemptLog,
     /// Counts whether the response is late.
     pub timer: ResponseTimer,
 }
@@ -70,7 +68,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Failure {
     /// No server has executed the request or will.
-    NotExecuted,
+    NotExecuted(Unexecuted),
     /// A server may have executed the request.
     MayHaveExecuted,
     /// The deadline passed, and a server may have executed the request.
@@ -101,8 +99,8 @@
             }
             forward(attempts, active)
         }
-        Err(Failure::NotExecuted) => {
-            refuse_unexecuted(&plane, StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S)
+        Err(Failure::NotExecuted(proof)) => {
+            refuse(&plane, proof, StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_S)
         }
         Err(Failure::MayHaveExecuted) => empty_response(&plane, HttpResponse::BadGateway()),
         Err(Failure::DeadlineExceeded) => empty_response(&plane, HttpResponse::GatewayTimeout()),
@@ -134,8 +132,7 @@
             profile: RequestProfile::from_prefix_header(header_text(request, &PREFIX_HASH)),
             deadline,
             tried: Vec::new(),
-            failed_attempts: AttemptLog::default(),
-            runs: 0,
+            log: AttemptLog::default(),
             outgoing,
             access,
             plane,
@@ -152,7 +149,7 @@
         loop {
             let time_left = self.deadline.saturating_duration_since(Instant::now());
             if time_left.is_zero() {
-                return Err(if self.runs > 0 { Failure::DeadlineExceeded } else { Failure::NotExecuted });
+                return Err(self.failure());
             }
             let Some(in_flight) = self.plane.pool.choose(&self.service, &self.tried, &self.profile) else {
                 if self.tried.is_empty() && time_left > NO_SERVER_RETRY_DELAY {
@@ -162,7 +159,7 @@
                 return Err(self.failure());
             };
             self.tried.push(in_flight.server.id.clone());
-            let response_timeout = if self.may_leave_idle_server(self.runs + 1) {
+            let response_timeout = if self.may_leave_idle_server(self.runs() + 1) {
                 time_left.min(self.idle_timeout())
             } else {
                 time_left
@@ -172,21 +169,19 @@
             let error = match sent {
                 Ok(response) => {
                     self.plane.pool.record_response(&in_flight, &response);
-                    self.runs += 1;
+                    self.log.record(&in_flight.server.id, Conclusion::Executed, response.status());
                     return Ok(ActiveResponse { response, in_flight });
                 }
                 Err(error) => error,
             };
             self.plane.pool.record_send_error(&in_flight.server, &error);
-            self.failed_attempts.record(&in_flight.server.id, Conclusion::from(&error), &error);
-            match error {
-                SendError::NotSent | SendError::NotExecuted(_) => refusals += 1,
-                SendError::UnmarkedRefusal(_) | SendError::MayHaveExecuted | SendError::TimedOut => {
-                    self.runs += 1;
-                }
+            let conclusion = Conclusion::from(&error);
+            self.log.record(&in_flight.server.id, conclusion, &error);
+            if matches!(conclusion, Conclusion::NotSent | Conclusion::NotExecuted) {
+                refusals += 1;
             }
-            let may_run_again = self.access.route.is_retry_safe() && self.runs < self.max_runs();
-            if self.runs > 0 && !may_run_again {
+            let may_run_again = self.access.route.is_retry_safe() && self.runs() < self.max_runs();
+            if self.runs() > 0 && !may_run_again {
                 return Err(self.failure());
             }
             if refusals > MAX_REFUSALS {
@@ -197,19 +192,22 @@
 
     /// Logs what the client is told if it is no success, with the attempts before that.
     fn log_result(&self, result: &Result<ActiveResponse, Failure>) {
-        let (id, attempts) = (&self.outgoing.id, &self.failed_attempts);
+        let (id, attempts) = (&self.outgoing.id, &self.log);
         match result {
             Ok(active) if active.response.status().is_success() => {}
             Ok(active) => {
                 let (status, server) = (active.response.status(), &active.in_flight.server.id);
-                log::info!(
-                    "request {id}: the response {status} of server {server} is passed on; before it: {attempts}"
-                );
+                log::info!("request {id}: the response {status} of server {server} is passed on; {attempts}");
             }
             Err(failure) => log::info!("request {id}: fails as {failure:?}; {attempts}"),
         }
     }
 
+    /// Returns how many servers may have executed the request.
+    pub(crate) fn runs(&self) -> u32 {
+        self.log.possible_executions()
+    }
+
     /// Returns how many servers may execute the request.
     pub(crate) fn max_runs(&self) -> u32 {
         self.access.route.retries.max(1)
@@ -249,10 +247,10 @@
 
     /// Returns the failure to report when no further server is tried.
     fn failure(&self) -> Failure {
-        match self.runs {
-            0 => Failure::NotExecuted,
-            _ if self.is_past_deadline() => Failure::DeadlineExceeded,
-            _ => Failure::MayHaveExecuted,
+        match self.log.prove_unexecuted() {
+            Some(proof) => Failure::NotExecuted(proof),
+            None if self.is_past_deadline() => Failure::DeadlineExceeded,
+            None => Failure::MayHaveExecuted,
         }
     }
 }
--- a/crates/data-plane/src/resumable_stream.rs
+++ b/crates/data-plane/src/resumable_stream.rs
@@ -89,7 +89,7 @@
     /// When the stream continues elsewhere, or ends, if the server sends nothing by then. Where no other server may run
     /// the request, this is its deadline.
     fn silence_limit(&self) -> Instant {
-        match self.attempts.may_leave_idle_server(self.attempts.runs) {
+        match self.attempts.may_leave_idle_server(self.attempts.runs()) {
             true => self.attempts.deadline.min(Instant::now() + self.attempts.idle_timeout()),
             false => self.attempts.deadline,
         }
@@ -124,7 +124,7 @@
             self.attempts.plane.pool.record_failure(&failed.in_flight.server.id);
         }
         self.parser = EventParser::default();
-        if self.attempts.runs >= self.attempts.max_runs() {
+        if self.attempts.runs() >= self.attempts.max_runs() {
             return false;
         }
         match self.attempts.next_response(self.order.last_id()).await {
--- a/crates/data-plane/tests/dropped_handlers.rs
+++ b/crates/data-plane/tests/dropped_handlers.rs
@@ -10,13 +10,8 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use actix_web::body::to_bytes;
-use actix_web::test::{init_service, TestRequest};
-use actix_web::web::Data;
-use actix_web::{App, Error};
+use actix_web::test::TestRequest;
 use fennelgauge_batch::Page;
-use fennelgauge_coordination::{Identity, Member, Planner, StoreReport, StoreView};
-use fennelgauge_data_plane::frontend;
 use fennelgauge_wire::{serve, Reply, Request, StoreReply, StoreRequest};
 use support::*;
 use tokio::net::TcpListener;
@@ -46,17 +41,6 @@
     .await
 }
 
-/// Runs a request through the data plane's interface, its response's body included. Returns status and body.
-async fn exchange(plane: &TestPlane, request: TestRequest) -> (u16, String) {
-    let data = Data::new(plane.plane.clone());
-    let app = init_service(App::new().app_data(data).configure(frontend::routes)).await;
-    let response: Result<_, Error> = actix_web::dev::Service::call(&app, request.to_request()).await;
-    let response = response.expect("a response");
-    let status = response.status().as_u16();
-    let body = to_bytes(response.into_body()).await.map(|body| body.to_vec()).unwrap_or_default();
-    (status, String::from_utf8(body).expect("text"))
-}
-
 fn live_request(path: &str, id: &str) -> TestRequest {
     TestRequest::post()
         .uri(path)
@@ -87,11 +71,11 @@
             for polls in 1..MAX_POLLS {
                 let name = format!("{path} {script:?}, dropped after {polls} polls");
                 let before = usage(&plane);
-                let dropped = exchange(&plane, live_request(path, &format!("dropped-{polls}")));
+                let dropped = plane.answer(live_request(path, &format!("dropped-{polls}")));
                 completed = poll_times(dropped, polls).await.is_some();
                 assert!(usage(&plane) <= before + 1, "{name}: counted twice");
                 let before = usage(&plane);
-                let (status, body) = exchange(&plane, live_request(path, &format!("next-{polls}"))).await;
+                let (status, body) = plane.answer(live_request(path, &format!("next-{polls}"))).await;
                 assert!(status == 200 && body.contains(&format!("next-{polls}")), "{name}: {status} {body}");
                 assert!(!body.contains("dropped"), "{name}: another request's response: {body}");
                 assert_eq!(usage(&plane), before + 1, "{name}");
@@ -132,19 +116,7 @@
             })
         }
     }));
-    let report = |number: u8| StoreReport {
-        member: Member {
-            identity: Identity { node: format!("store-{number}"), disk: 1 },
-            peer,
-            zone: format!("z{number}"),
-            region: String::new(),
-        },
-        copied_groups: Vec::new(),
-        held_groups: Vec::new(),
-    };
-    let reports: Vec<StoreReport> = (0..3).map(report).collect();
-    let view = Planner::new(1, &reports, true).plan(&StoreView::default()).expect("a placement");
-    plane.plane.tier_state.update_store_view(view);
+    plane.list_stores(peer);
 }
 
 fn batch_request(number: usize, id: &str) -> TestRequest {
@@ -172,10 +144,10 @@
             let mut completed = false;
             for polls in 1..MAX_POLLS {
                 let before = submitted.get();
-                let dropped = exchange(&plane, batch_request(kind, "dropped"));
+                let dropped = plane.answer(batch_request(kind, "dropped"));
                 completed = poll_times(dropped, polls).await.is_some();
                 for (next, (status, body)) in expected.iter().enumerate() {
-                    let reply = exchange(&plane, batch_request(next, "next")).await;
+                    let reply = plane.answer(batch_request(next, "next")).await;
                     let is_own = reply.0 == *status && reply.1.contains(body);
                     assert!(is_own, "call {next} after call {kind}, dropped after {polls} polls: {reply:?}");
                 }
--- a/crates/data-plane/tests/promises.rs
+++ b/crates/data-plane/tests/promises.rs
@@ -2,7 +2,14 @@
 
 mod support;
 
+use std::cell::Cell;
+
+use actix_web::test::TestRequest;
+use fennelgauge_wire::{serve, Reply, StoreReply};
+use futures_util::future::join_all;
 use support::*;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
 
 /// A refusal that belongs to no request.
 const UNBOUND_REFUSAL: &str =
@@ -74,3 +81,57 @@
         });
     }
 }
+
+/// Starts a stand-in for all stores that gives these replies, one after the other and then the last one again and again. It does
+/// not reply where there is none.
+async fn start_store(plane: &TestPlane, replies: &'static [Option<StoreReply>]) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    plane.list_stores(listener.local_addr().expect("an address"));
+    let calls = Cell::new(0);
+    spawn_local(serve(listener, Default::default(), move |_| {
+        let reply = replies[calls.get().min(replies.len() - 1)].clone();
+        calls.set(calls.get() + 1);
+        async move {
+            match reply {
+                Some(reply) => Reply::Store(reply),
+                None => std::future::pending().await,
+            }
+        }
+    }));
+}
+
+fn submission() -> TestRequest {
+    let job = r#"{"requests":[{"id":"item","path":"/batch/1","headers":{},"body":"","tokens":1}]}"#;
+    TestRequest::post()
+        .uri("/batch/x")
+        .insert_header(("host", "h"))
+        .insert_header(("authorization", format!("Bearer {API_KEY}")))
+        .insert_header(("x-fennelgauge-request-id", "job"))
+        .set_payload(job)
+}
+
+/// Guards against REFUSED: a batch job was refused by the last reply though an earlier call had none, and was carried out later.
+#[test]
+fn batch_job_is_refused_only_if_no_call_for_it_may_have_been_executed() {
+    use StoreReply::{Accepted, NotAccepted, OutcomeUnknown, OverQuota};
+    let cases: [(&'static [Option<StoreReply>], u16); 9] = [
+        (&[Some(OverQuota)], 429),
+        (&[Some(NotAccepted), Some(OverQuota)], 429),
+        (&[None, Some(OverQuota)], 504),
+        (&[Some(OutcomeUnknown), Some(OverQuota)], 504),
+        (&[Some(OutcomeUnknown), Some(NotAccepted), Some(OverQuota)], 504),
+        (&[Some(NotAccepted)], 503),
+        (&[None, Some(NotAccepted)], 504),
+        (&[Some(OutcomeUnknown), Some(NotAccepted)], 504),
+        (&[None, Some(Accepted)], 202),
+    ];
+    run_local(async {
+        let answered = cases.map(|(replies, expected)| async move {
+            let plane = TestPlane::start(&[]).await;
+            start_store(&plane, replies).await;
+            let (status, _) = plane.answer(submission()).await;
+            assert_eq!(status, expected, "{replies:?}");
+        });
+        join_all(answered).await;
+    });
+}
--- a/crates/data-plane/tests/support/mod.rs
+++ b/crates/data-plane/tests/support/mod.rs
@@ -9,8 +9,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_web::body::to_bytes;
+use actix_web::test::{init_service, TestRequest};
 use actix_web::web::Data;
-use actix_web::App;
+use actix_web::{App, Error};
+use fennelgauge_coordination::{Identity, Member, Planner, StoreReport, StoreView};
 use fennelgauge_data_plane::frontend;
 use fennelgauge_data_plane::process::DataPlane;
 use fennelgauge_http::{serve_http, HttpTimeouts};
@@ -279,6 +282,34 @@
         (String::from_utf8_lossy(&received).into_owned(), sent_at.elapsed())
     }
 
+    /// Lists three stores, all at this address.
+    pub fn list_stores(&self, peer: SocketAddr) {
+        let report = |number: u8| StoreReport {
+            member: Member {
+                identity: Identity { node: format!("store-{number}"), disk: 1 },
+                peer,
+                zone: format!("z{number}"),
+                region: String::new(),
+            },
+            copied_groups: Vec::new(),
+            held_groups: Vec::new(),
+        };
+        let reports: Vec<StoreReport> = (0..3).map(report).collect();
+        let view = Planner::new(1, &reports, true).plan(&StoreView::default()).expect("a placement");
+        self.plane.tier_state.update_store_view(view);
+    }
+
+    /// Runs a request through the data plane's interface, its response's body included. Returns status and body.
+    pub async fn answer(&self, request: TestRequest) -> (u16, String) {
+        let data = Data::new(self.plane.clone());
+        let app = init_service(App::new().app_data(data).configure(frontend::routes)).await;
+        let response: Result<_, Error> = actix_web::dev::Service::call(&app, request.to_request()).await;
+        let response = response.expect("a response");
+        let status = response.status().as_u16();
+        let body = to_bytes(response.into_body()).await.map(|body| body.to_vec()).unwrap_or_default();
+        (status, String::from_utf8(body).expect("text"))
+    }
+
     /// Returns how many requests have arrived at servers.
     pub fn arrived(&self) -> usize {
         self.servers.iter().map(|server| server.arrived.get()).sum()
