Fix: whether a kept connection has unread bytes is asked of its socket, not of the runtime

Cause: try_read trusts what the runtime was told when it last waited for events, so bytes, or an end of the connection, that have reached the kernel since are not seen: the more so the busier the process is. Now the socket itself is read, without waiting. Red before: a_connection_with_unread_bytes_is_not_reused_even_if_the_runtime_has_not_seen_them (the surplus was read as the response).

--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -5,6 +5,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 use actix_web::web::{Bytes, BytesMut};
 use awc::http::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
 use awc::http::{Method, StatusCode};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
@@ -198,10 +200,12 @@
     }
 }
 
-/// Returns whether an idle connection is open and has no unread data, which could not belong to the next response.
+/// Returns whether an idle connection is open and has no unread data, which could not belong to the next response. Asks the
+/// socket itself: the runtime knows only what it has been told of since it last waited for events.
 fn is_open_and_unread(stream: &TcpStream) -> bool {
     let mut byte = [0; 1];
-    matches!(stream.try_read(&mut byte), Err(reason) if reason.kind() == std::io::ErrorKind::WouldBlock)
+    let read = (&*SockRef::from(stream)).read(&mut byte);
+    matches!(read, Err(reason) if reason.kind() == std::io::ErrorKind::WouldBlock)
 }
 
 /// Returns whether a response has a body that ends with its connection: it may have a body, but no header says where
--- a/crates/upstream/tests/exchange.rs
+++ b/crates/upstream/tests/exchange.rs
@@ -262,3 +262,46 @@
         }
     });
 }
+
+/// Guards against surplus bytes read as the next response because the runtime had not been told of them yet.
+#[test]
+fn a_connection_with_unread_bytes_is_not_reused_even_if_the_runtime_has_not_seen_them() {
+    const RESPONSE: &[u8] =
+        b"HTTP/1.1 200 OK\r\nX-Fennelgauge-Request-Id: r-1\r\nContent-Length: 4\r\n\r\nbody";
+    run_local(async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let server = server(listener.local_addr().expect("an address"));
+        let (write_surplus, surplus_due) = std::sync::mpsc::channel();
+        let (surplus_written, written) = std::sync::mpsc::channel();
+        std::thread::spawn(move || serve_with_surplus(&listener, RESPONSE, &surplus_due, &surplus_written));
+        let sender = RequestSender::default();
+        assert_eq!(body(&sender, &server).await.as_deref(), Ok(b"body".as_slice()));
+        write_surplus.send(()).expect("a server");
+        // Blocks the runtime, as other work does: it cannot notice what arrives.
+        written.recv().expect("surplus");
+        assert_eq!(body(&sender, &server).await.as_deref(), Ok(b"body".as_slice()), "on a new connection");
+    });
+}
+
+/// Answers the first request of each connection; then writes surplus bytes on the first connection when it is told to.
+fn serve_with_surplus(
+    listener: &std::net::TcpListener,
+    response: &[u8],
+    due: &std::sync::mpsc::Receiver<()>,
+    written: &std::sync::mpsc::Sender<()>,
+) {
+    use std::io::{Read, Write};
+    let mut open = Vec::new();
+    for stream in listener.incoming() {
+        let mut stream = stream.expect("a connection");
+        let mut request = [0; 4_096];
+        let _ = stream.read(&mut request).expect("a request");
+        stream.write_all(response).expect("written");
+        if open.is_empty() && due.recv().is_ok() {
+            stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").expect("written");
+            // Loopback delivers at once what was written before another system call of the same thread returns.
+            let _ = written.send(());
+        }
+        open.push(stream);
+    }
+}
