Fix: an attempt does not use the connection on which the same request was sent before

What callers could see: an item of a batch job listed as dead_lettered after one answer of 500 (MIXED), or a text of a run that had been given up: an item goes to the same server again, on the connection of its last attempt, and a second answer to that attempt has the item's id, which is all that tells answers apart. Live requests never go to one server twice. A connection whose last request had the same id is now left to other requests.

--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -14,7 +14,7 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::{RequestHead, RequestHeadType, ResponseHead};
 use actix_web::web::{Bytes, BytesMut};
-use awc::http::header::{HeaderMap, CONTENT_LENGTH, TRANSFER_ENCODING};
+use awc::http::header::{HeaderMap, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use awc::http::{Method, StatusCode};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -23,7 +23,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 use crate::connect_timeout::ConnectTimeout;
-use crate::KEEP_ALIVE;
+use crate::{KEEP_ALIVE, REQUEST_ID};
 
 /// Time for which an idle connection is reused if the server does not announce its own limit.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -51,6 +51,8 @@
 
 struct IdleConnection {
     stream: TcpStream,
+    /// Id of the last request that was sent on it, if any.
+    last_request_id: Option<HeaderValue>,
     expires_at: Instant,
 }
 
@@ -82,6 +84,7 @@
     keep_alive: bool,
     idle_timeout: Duration,
     peer: SocketAddr,
+    request_id: Option<HeaderValue>,
     connections: Connections,
 }
 
@@ -107,9 +110,11 @@
         let mut request = BytesMut::new();
         let size = BodySize::Sized(body.len() as u64);
         let method = head.method.clone();
+        let request_id = head.headers().get(REQUEST_ID).cloned();
         let head = RequestHeadType::Owned(head);
         codec.encode(Message::Item((head, size)), &mut request).map_err(|_| ExchangeError::NotSent)?;
-        let (mut stream, on_reused_connection) = self.acquire(peer).await.ok_or(ExchangeError::NotSent)?;
+        let (mut stream, on_reused_connection) =
+            self.acquire(peer, &request_id).await.ok_or(ExchangeError::NotSent)?;
         request.extend_from_slice(body);
         let written = stream.write_all(&request).await;
         let mut buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
@@ -142,14 +147,15 @@
             keep_alive,
             idle_timeout,
             peer,
+            request_id,
             connections: self.clone(),
         };
         Ok(UpstreamResponse { head, body, on_reused_connection })
     }
 
     /// Takes a usable idle connection or opens a new one; returns it with whether it was idle.
-    async fn acquire(&self, peer: SocketAddr) -> Option<(TcpStream, bool)> {
-        while let Some(stream) = self.take_idle(peer) {
+    async fn acquire(&self, peer: SocketAddr, request_id: &Option<HeaderValue>) -> Option<(TcpStream, bool)> {
+        while let Some(stream) = self.take_idle(peer, request_id) {
             if is_open_and_unread(&stream) {
                 return Some((stream, true));
             }
@@ -173,21 +179,37 @@
     /// Opens a connection and adds it to the pool; returns whether that succeeded.
     pub(crate) async fn open_idle(&self, peer: SocketAddr) -> bool {
         let Some(stream) = self.open(peer).await else { return false };
-        self.add_idle(peer, stream, DEFAULT_IDLE_TIMEOUT);
+        self.add_idle(peer, stream, None, DEFAULT_IDLE_TIMEOUT);
         true
     }
 
-    fn take_idle(&self, peer: SocketAddr) -> Option<TcpStream> {
+    /// Takes the newest idle connection on which the last request was another one: a second answer to that request would be taken
+    /// for one to its next attempt, which has the same id.
+    fn take_idle(&self, peer: SocketAddr, request_id: &Option<HeaderValue>) -> Option<TcpStream> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&peer)?;
         let now = Instant::now();
         connections.retain(|connection| connection.expires_at > now);
-        connections.pop().map(|connection| connection.stream)
+        let is_usable = |connection: &IdleConnection| {
+            connection.last_request_id.is_none() || connection.last_request_id != *request_id
+        };
+        let index = connections.iter().rposition(is_usable)?;
+        Some(connections.remove(index).stream)
     }
 
-    fn add_idle(&self, peer: SocketAddr, stream: TcpStream, idle_timeout: Duration) {
+    fn add_idle(
+        &self,
+        peer: SocketAddr,
+        stream: TcpStream,
+        last_request_id: Option<HeaderValue>,
+        idle_timeout: Duration,
+    ) {
         let expires_at = Instant::now() + idle_timeout.saturating_sub(IDLE_TIMEOUT_MARGIN);
-        self.idle.borrow_mut().entry(peer).or_default().push(IdleConnection { stream, expires_at });
+        self.idle.borrow_mut().entry(peer).or_default().push(IdleConnection {
+            stream,
+            last_request_id,
+            expires_at,
+        });
     }
 
     /// Closes the idle connections that have expired or lead to a peer for which `is_listed` returns false.
@@ -303,7 +325,7 @@
     fn finish(&mut self) {
         let Some(stream) = self.stream.take() else { return };
         if self.keep_alive && self.buffer.is_empty() && !matches!(self.framing, Framing::UntilClose) {
-            self.connections.add_idle(self.peer, stream, self.idle_timeout);
+            self.connections.add_idle(self.peer, stream, self.request_id.take(), self.idle_timeout);
         }
     }
 }
