Tests: the server in the tests of failing items repeats the request's id in every answer

Its answers of 500, 422 and 503 had none, which PROTOCOL does not allow; since "a response without the request's id says nothing" two of these tests were red for that. What they ask is unchanged.

--- a/crates/control-plane/src/store/tests/failures.rs
+++ b/crates/control-plane/src/store/tests/failures.rs
@@ -32,7 +32,7 @@
 const CROWD_DURATION: Duration = Duration::from_secs(35);
 /// The answer to a request whose time was up before it ran.
 const NOT_EXECUTED: &str =
-    "HTTP/1.1 503 Service Unavailable\r\nx-fennelgauge-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+    "HTTP/1.1 503 Service Unavailable\r\nx-fennelgauge-request-id: i\r\nx-fennelgauge-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
 
 /// What a server answers to each request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,8 +54,8 @@
 impl Answer {
     fn response(self) -> &'static str {
         match self {
-            Self::Fails => "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 0\r\n\r\n",
-            Self::Rejects => "HTTP/1.1 422 Unprocessable Entity\r\ncontent-length: 0\r\n\r\n",
+            Self::Fails => "HTTP/1.1 500 Internal Server Error\r\nx-fennelgauge-request-id: i\r\ncontent-length: 0\r\n\r\n",
+            Self::Rejects => "HTTP/1.1 422 Unprocessable Entity\r\nx-fennelgauge-request-id: i\r\ncontent-length: 0\r\n\r\n",
             Self::Nothing | Self::Withheld => "",
             Self::Endless => "HTTP/1.1 200 OK\r\nx-fennelgauge-request-id: i\r\ncontent-length: 1000000\r\n\r\n",
             Self::Queued | Self::Succeeds => {
