Fix: only a head that its chain confirms refuses a batch job for the tenant's quota

What callers could see: 429 for a batch job that had been accepted. A store that has been replaced as the head, and does not know it yet, decides by its own count of queued tokens; the job may be with its successor. Reads and "not found" ask the other links whether the view still holds, this decision did not. Now it does, after it has decided, so that a confirmation speaks of the view of the decision; without one the submission is not accepted and goes to the head that is known by then. Costs one question to each link for a job over the quota, nothing for others.

Red before: former_head_that_does_not_know_of_its_successor_refuses_nothing_for_the_quota (OverQuota).

--- a/crates/control-plane/src/store/serving.rs
+++ b/crates/control-plane/src/store/serving.rs
@@ -33,7 +33,7 @@
         log::info!("group {}: batch job {} is submitted in view {epoch}: {submission:?}", group.0, job.id);
         let entry = match submission {
             SubmissionDecision::NotWritable => return StoreReply::NotAccepted,
-            SubmissionDecision::OverQuota => return StoreReply::OverQuota,
+            SubmissionDecision::OverQuota => return self.over_quota_reply(&view, group).await,
             SubmissionDecision::GivenUp => return StoreReply::GivenUp,
             SubmissionDecision::AlreadyAccepted(entry) => entry,
             SubmissionDecision::Accept if self.has_room(&job) => {
@@ -50,6 +50,15 @@
         }
     }
 
+    /// Returns the reply for a batch job that exceeds the limit by this store's count. Another head may count otherwise, and may
+    /// have taken the job, unless the other links confirm that there is none.
+    async fn over_quota_reply(self: &Rc<Self>, view: &StoreView, group: GroupNumber) -> StoreReply {
+        match self.chain_confirms_view(view, group).await {
+            true => StoreReply::OverQuota,
+            false => StoreReply::NotAccepted,
+        }
+    }
+
     /// Returns the limit of queued tokens of a submitted job's route, if the configuration known here is newer than the one by
     /// which the data plane took the submission and still has the route.
     fn newest_quota(&self, job: &Job) -> Option<u64> {
--- a/crates/control-plane/src/store/tests/stable_reads.rs
+++ b/crates/control-plane/src/store/tests/stable_reads.rs
@@ -1,5 +1,6 @@
-//! Results that a reader was shown must never change. The tests drive stores on loopback step by step through the
-//! situations in which a reader could be shown an entry that is replaced later.
+//! Results that a reader was shown must never change, and only the head may refuse a batch job. The tests drive stores on loopback
+//! step by step through the situations in which a reader could be shown an entry that is replaced later, or a client be refused
+//! by a store that has been replaced as the head.
 
 use std::path::Path;
 
@@ -178,6 +179,26 @@
     });
 }
 
+/// Guards against a batch job refused for its quota by a former head, though the present head has taken it.
+#[test]
+fn former_head_that_does_not_know_of_its_successor_refuses_nothing_for_the_quota() {
+    const TAKES_ONE: u64 = 10;
+    run_local(async {
+        let stores = start_stores(4, 4).await;
+        let first = view(&stores, 1, &[0, 1, 2], None);
+        publish_view(&stores, &[0, 1, 2], &first);
+        let another = Job { id: "another".into(), ..job() };
+        assert!(matches!(stores[0].store.submit(1, GROUP, job(), TAKES_ONE).await, StoreReply::Accepted));
+        let full = stores[0].store.submit(1, GROUP, another.clone(), TAKES_ONE).await;
+        assert!(matches!(full, StoreReply::OverQuota), "the head itself: {full:?}");
+
+        let second = view(&stores, 2, &[1, 2, 3], None);
+        publish_view(&stores, &[1, 2, 3], &second);
+        let refused = stores[0].store.submit(1, GROUP, another, TAKES_ONE).await;
+        assert!(matches!(refused, StoreReply::NotAccepted), "the former head: {refused:?}");
+    });
+}
+
 /// A store has another entry at the position before the entry that it is sent.
 #[test]
 fn entry_is_appended_only_after_the_entry_that_it_was_made_after() {
