--- a/crates/batch-judge/src/lib.rs
+++ b/crates/batch-judge/src/lib.rs
@@ -119,13 +119,16 @@
         self.violations.push(Violation { rule, at, description: description.into() });
     }
 
-    /// Records that a client submits a job; a repeated submission of the same job changes nothing.
+    /// Records that a client submits a job. A repeated submission of the same job changes nothing but that it is not refused until
+    /// the responses to this one say so, too.
     pub fn record_submission(&mut self, job: &SubmittedJob) {
         for item in &job.items {
             self.items.insert(item.id.clone(), job.id.clone());
         }
         let limits = self.limits;
-        self.jobs.entry(job.id.clone()).or_insert_with(|| ObservedJob::new(job.clone(), &limits));
+        let observed =
+            self.jobs.entry(job.id.clone()).or_insert_with(|| ObservedJob::new(job.clone(), &limits));
+        observed.refused = false;
     }
 
     /// Records that a client received status 202 for a job, and checks the tenant's quota at its first acceptance.
--- a/crates/batch-judge/tests/judge.rs
+++ b/crates/batch-judge/tests/judge.rs
@@ -279,6 +279,12 @@
     assert_eq!(rules(&refused), [], "an item of an accepted job starts");
     refused.check_refusal_of_start(3 * SECOND, "c");
     assert_eq!(rules(&refused), [Rule::Refused]);
+    let mut again = checker_with_accepted_job();
+    again.record_submission(&job("k", &["c", "d"]));
+    again.record_refusal(2 * SECOND, "k");
+    again.record_submission(&job("k", &["c", "d"]));
+    again.check_refusal_of_start(3 * SECOND, "c");
+    assert_eq!(rules(&again), [], "a further submission may be accepted");
     let mut started = checker_with_accepted_job();
     started.record_submission(&job("k", &["c", "d"]));
     started.check_refusal_of_start(2 * SECOND, "d");
--- a/crates/soak/src/batch_client.rs
+++ b/crates/soak/src/batch_client.rs
@@ -51,7 +51,6 @@
             .collect();
         let (route, submitted_at) = (BATCH_ROUTE.to_owned(), world.events.now());
         let job = SubmittedJob { id: id.clone(), tenant: World::tenant(tenant), route, submitted_at, items };
-        world.judge.borrow_mut().record_submission(&job);
         if submitted(&world, &job).await && fastrand::u8(0..8) == 0 {
             world.to_end.borrow_mut().push(id);
         } else if fastrand::u8(0..6) == 0 {
@@ -82,6 +81,7 @@
     let body = json!({ "requests": requests }).to_string().into_bytes();
     let key = World::key(tenant_of(&job.id));
     let mut only_promises = true;
+    world.judge.borrow_mut().record_submission(job);
     while world.phase.get() <= Phase::Recovering {
         let to = To { address: world.tier.front_address(any_front(world)), path: "/batch/submit", key: &key };
         let call = request(&Client::default(), Method::POST, &to, SUBMIT_WITHIN).force_close();
