--- a/crates/simulation/src/main.rs
+++ b/crates/simulation/src/main.rs
@@ -20,8 +20,8 @@
                     each planted mistake: how many days until the judge finds it
 fennelgauge-simulate exhaust [--events N] [--threads N] [--planted]
                     every order of N events at a small size; with each planted mistake
-fennelgauge-simulate stores [--from N] [--count N] [--family NAME] [--threads N] [--changing-routes | --failing-items]
-fennelgauge-simulate stores-day SEED [--family NAME] [--print] [--planted NAME] [--changing-routes | --failing-items]
+fennelgauge-simulate stores [--from N] [--count N] [--family NAME] [--threads N] [--changing-routes | --failing-items | --late-calls]
+fennelgauge-simulate stores-day SEED [--family NAME] [--print] [--planted NAME] [--changing-routes | --failing-items | --late-calls]
 fennelgauge-simulate stores-planted [--most N] [--threads N] [--planted NAME]
                     the same for days of the stores; families of these: overlap, all-dark, halves, flap, repair, head-freeze, aimed,
                     disks, behind, given-up, mixed
--- a/crates/simulation/src/stores/client.rs
+++ b/crates/simulation/src/stores/client.rs
@@ -17,9 +17,19 @@
 /// What a client does.
 #[derive(Clone, Debug)]
 pub enum Duty {
-    Submit { tenant: usize, job: Option<Job>, tries: u32 },
-    End { job: Option<String> },
-    Read { job: Option<(String, u32)> },
+    Submit {
+        tenant: usize,
+        job: Option<Job>,
+        tries: u32,
+        /// Whether some call for the job may have been executed.
+        may_have_executed: bool,
+    },
+    End {
+        job: Option<String>,
+    },
+    Read {
+        job: Option<(String, u32)>,
+    },
 }
 
 #[derive(Debug)]
--- a/crates/simulation/src/stores/day.rs
+++ b/crates/simulation/src/stores/day.rs
@@ -2,6 +2,7 @@
 
 use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
 
+use super::client::MOST_QUEUED;
 use super::configuration::MAX_ROUTES;
 use super::moment::{Aimed, Blow, Moment, Whom};
 
@@ -236,6 +237,8 @@
     pub changes_routes: bool,
     /// Whether most items fail at each run or are rejected, and configurations follow each other without a pause.
     pub has_failing_items: bool,
+    /// Whether submissions arrive late now and then, also after their client has stopped waiting, and tenants are at their quota.
+    pub has_late_calls: bool,
     /// Of a thousand answers of servers to stores, so many are lost.
     pub lost_answers_per_mille: u64,
 }
@@ -262,6 +265,19 @@
         Self { changes_routes: true, items_at_once: ITEMS_AT_ONCE * MAX_ROUTES, ..self }
     }
 
+    /// The day of a seed on which submissions arrive late, and tenants are at their quota.
+    pub fn with_late_calls(seed: u64) -> Self {
+        Self { has_late_calls: true, ..Self::drawn(seed) }
+    }
+
+    /// The tokens of each tenant that may be queued on a route at first.
+    pub fn most_queued(&self) -> u64 {
+        match self.has_late_calls {
+            true => MOST_QUEUED / 8,
+            false => MOST_QUEUED,
+        }
+    }
+
     /// The day of a seed with changing routes, on which items fail, and heads are lost again and again.
     pub fn with_failing_items(seed: u64) -> Self {
         Self::with_changing_routes(seed).failing_items()
@@ -311,6 +327,7 @@
             gives_up: family == StoreFamily::GivenUp,
             changes_routes: false,
             has_failing_items: false,
+            has_late_calls: false,
             lost_answers_per_mille: 0,
             fixed_sync: None,
             most_items: MOST_ITEMS,
--- a/crates/simulation/src/stores/plant.rs
+++ b/crates/simulation/src/stores/plant.rs
@@ -59,6 +59,8 @@
     LostAnswersKeepThePermit,
     /// Attempts with an unknown outcome count as failures.
     UnknownOutcomesAreFailures,
+    /// A batch job is refused by the last reply, though an earlier call for it may have been executed, or may yet.
+    RefusesByTheLastReply,
     /// An item rests without end if the outcome of too many attempts is unknown.
     RestsWithoutEnd,
 }
@@ -92,6 +94,11 @@
         )
     }
 
+    /// Whether the mistake shows only on days with late calls.
+    pub fn needs_late_calls(self) -> bool {
+        self == Self::RefusesByTheLastReply
+    }
+
     pub fn all() -> Vec<Self> {
         let replica = ReplicaBug::iter().map(Self::Replica);
         let planner = PlannerBug::iter().map(Self::Planner);
@@ -122,6 +129,7 @@
             Self::LostAnswersKeepThePermit,
             Self::UnknownOutcomesAreFailures,
             Self::RestsWithoutEnd,
+            Self::RefusesByTheLastReply,
         ];
         replica.chain(planner).chain(around).collect()
     }
--- a/crates/simulation/src/stores/turns.rs
+++ b/crates/simulation/src/stores/turns.rs
@@ -60,12 +60,12 @@
         let epoch = view.epoch;
         let mut duty = client.duty.clone();
         let asked = match &mut duty {
-            Duty::Submit { tenant, job, tries } => {
+            Duty::Submit { tenant, job, tries, may_have_executed } => {
                 let is_away = self.away.get(tenant).is_some_and(|until| self.now < *until);
                 let configuration = self.planes[client.plane].configuration.clone();
                 if job.is_none() && self.may_submit() && !is_away {
                     *job = self.new_job(client, *tenant, &configuration);
-                    *tries = 0;
+                    (*tries, *may_have_executed) = (0, false);
                 }
                 let submitted = job.clone()?;
                 *tries += 1;
@@ -142,6 +142,9 @@
         let (asked, plane) = (self.clients[number].asked, self.clients[number].plane);
         let reader = format!("plane {plane}");
         let mut pause = self.chance.between(ASK_AGAIN.0, ASK_AGAIN.1);
+        if let Duty::Submit { may_have_executed, .. } = &mut duty {
+            *may_have_executed |= matches!(answer, None | Some(Answer::Unsure | Answer::Accepted));
+        }
         match (&mut duty, answer) {
             (Duty::Submit { job, .. }, Some(Answer::Accepted)) => {
                 if let Some(accepted) = job.take() {
@@ -151,7 +154,13 @@
                 }
                 pause = self.chance.between(self.day.pause / 2, self.day.pause);
             }
-            (Duty::Submit { job, .. }, Some(Answer::OverQuota | Answer::GivenUp)) => *job = None,
+            (Duty::Submit { job, may_have_executed, .. }, Some(Answer::OverQuota)) => {
+                let job = job.take();
+                if !*may_have_executed || self.plant == Some(StorePlant::RefusesByTheLastReply) {
+                    self.refused(job);
+                }
+            }
+            (Duty::Submit { job, .. }, Some(Answer::GivenUp)) => *job = None,
             (Duty::End { job }, Some(Answer::GivenUp)) => *job = None,
             (Duty::Submit { job, tries, .. }, _) if *tries > MOST_TRIES => *job = None,
             (Duty::End { job }, Some(Answer::Accepted)) => {
@@ -183,6 +192,14 @@
         self.client_again(number, pause);
     }
 
+    /// A client is told that its batch job does not run, now or later.
+    fn refused(&mut self, job: Option<Job>) {
+        let refused = job.filter(|job| !self.judge.accepted_jobs().contains(&job.id));
+        if let Some(job) = refused {
+            self.judge.record_refusal(self.now, &job.id);
+        }
+    }
+
     fn accepted(&mut self, job: &str) {
         self.acceptances += 1;
         self.judge.record_acceptance(self.now, job);
--- a/crates/simulation/src/stores/world.rs
+++ b/crates/simulation/src/stores/world.rs
@@ -6,7 +6,7 @@
 use fennelgauge_batch_judge::{BatchJobChecker, Limits, Rule, Violation};
 use fennelgauge_coordination::{StoreReport, StoreView};
 
-use super::client::{group_of, with_overage, Client, Duty, CLIENT_PATIENCE, MOST_QUEUED};
+use super::client::{group_of, with_overage, Client, Duty, CLIENT_PATIENCE};
 use super::configuration::{Configurations, Version};
 use super::core::{OfGroups, SimCore, PLAN_EVERY};
 use super::costs::Costs;
@@ -33,6 +33,8 @@
 pub(super) const OPERATOR_EVERY: Micros = 300 * MILLISECOND;
 const PLANES: usize = 3;
 const READERS: usize = 4;
+/// On days with late calls, so many submissions of a thousand are late.
+const LATE_CALLS_PER_MILLE: u64 = 100;
 pub(super) const CLIENT_DELAY: (Micros, Micros) = (MILLISECOND, 5 * MILLISECOND);
 const ROUTES_BEGIN: Micros = 500 * MILLISECOND;
 const SETTLE: Micros = SECOND;
@@ -217,7 +219,7 @@
         let bounds = Limits {
             visibility_delay: SETTLE,
             cancellation_grace: CANCEL,
-            max_queued_tokens: with_overage(MOST_QUEUED),
+            max_queued_tokens: with_overage(day.most_queued()),
             items_may_be_given_up: false,
             route_end_grace: CONVERGE,
         };
@@ -242,7 +244,7 @@
             out_of_touch_at: BTreeMap::new(),
             planes: (0..PLANES)
                 .map(|_| Plane {
-                    most_queued: MOST_QUEUED,
+                    most_queued: day.most_queued(),
                     configuration: Arc::new(first_configuration.clone()),
                     ..Plane::default()
                 })
@@ -256,7 +258,7 @@
             after_look: None,
             late: None,
             away: BTreeMap::new(),
-            quota: MOST_QUEUED,
+            quota: day.most_queued(),
             forgotten: 0,
             costs: Costs::default(),
             to_end: Vec::new(),
@@ -274,7 +276,12 @@
         for _ in 0..day.stores {
             world.add_store();
         }
-        let submitters = (0..day.tenants).map(|tenant| Duty::Submit { tenant, job: None, tries: 0 });
+        let submitters = (0..day.tenants).map(|tenant| Duty::Submit {
+            tenant,
+            job: None,
+            tries: 0,
+            may_have_executed: false,
+        });
         let readers = (0..READERS).map(|_| Duty::Read { job: None });
         world.clients = submitters.chain(readers).chain([Duty::End { job: None }]).map(Client::new).collect();
         for client in 0..world.clients.len() {
@@ -496,6 +503,7 @@
             Effect::Flush { at } => self.at(at, Event::Flush { store, life }),
             Effect::Began { item } => {
                 self.print(|| format!("s{store} has {item} run"));
+                self.judge.check_refusal_of_start(self.now, &item);
                 self.judge.record_item_start(self.now, &item);
                 if self.is_in_touch(store) {
                     self.judge.check_route_of_start(self.now, &item);
@@ -546,7 +554,11 @@
         self.next_call += 1;
         let call = Call { caller: Caller::Client(client), number: self.next_call };
         self.at(self.now + CLIENT_PATIENCE, Event::Answer { call, answer: None });
-        let at = self.now + self.chance.between(CLIENT_DELAY.0, CLIENT_DELAY.1);
+        let mut at = self.now + self.chance.between(CLIENT_DELAY.0, CLIENT_DELAY.1);
+        let may_be_late = self.day.has_late_calls && matches!(ask, Ask::Submit { .. });
+        if may_be_late && self.chance.per_mille(LATE_CALLS_PER_MILLE) {
+            at += self.chance.between(0, 2 * CLIENT_PATIENCE);
+        }
         self.at(at, Event::Ask { to, call, ask });
         self.next_call
     }
--- a/crates/simulation/src/stores_command.rs
+++ b/crates/simulation/src/stores_command.rs
@@ -22,6 +22,7 @@
         family,
         changes_routes: arguments.contains("--changing-routes"),
         has_failing_items: arguments.contains("--failing-items"),
+        has_late_calls: arguments.contains("--late-calls"),
     };
     let threads: u64 = arguments.opt_value_from_str("--threads")?.unwrap_or(4);
     let planted: Option<String> = arguments.opt_value_from_str("--planted")?;
@@ -87,12 +88,15 @@
     changes_routes: bool,
     /// Whether items fail besides, and heads are lost again and again.
     has_failing_items: bool,
+    /// Whether calls of clients arrive late, and tenants are at their quota.
+    has_late_calls: bool,
 }
 
 impl Days {
     fn drawn(self, seed: u64) -> StoreDay {
         let drawn = |family| StoreDay::of_family(seed, family);
         let day = self.family.map_or_else(|| StoreDay::drawn(seed), drawn);
+        let day = StoreDay { has_late_calls: self.has_late_calls, ..day };
         match self.has_failing_items {
             true => day.changing_routes().failing_items(),
             false if self.changes_routes => day.changing_routes(),
@@ -184,6 +188,7 @@
         let found: Mutex<Option<(u64, StoreFamily, Rule)>> = Mutex::new(None);
         run_seeds_on_threads(1, most, threads, |seed| {
             let day = match plant.needs_changing_routes() {
+                _ if plant.needs_late_calls() => StoreDay::with_late_calls(seed),
                 _ if plant.needs_failing_items() => StoreDay::with_failing_items(seed),
                 true => StoreDay::with_changing_routes(seed),
                 false => StoreDay::drawn(seed),
--- a/crates/simulation/tests/stores.rs
+++ b/crates/simulation/tests/stores.rs
@@ -174,3 +174,12 @@
         assert_eq!(played.broken, [], "seed {seed}");
     }
 }
+
+/// Guards against a batch job that is refused by the last reply, and that an earlier submission has accepted or accepts later.
+#[test]
+fn refused_jobs_never_run_though_submissions_arrive_late() {
+    const FOUND_ON: u64 = 46;
+    assert_no_rule_is_broken(StoreDay::with_late_calls, 100);
+    let played = play_stores(&StoreDay::with_late_calls(FOUND_ON), Some(StorePlant::RefusesByTheLastReply));
+    assert!(played.broken.iter().any(|broken| broken.rule == Rule::Refused), "{:?}", played.broken);
+}
