--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -42,9 +42,21 @@
     }
 }
 
+/// Guards against TWICE and REFUSED by answers that do not belong to the request, and by refusals that promise too much.
+#[test]
+fn unruly_servers_make_no_request_run_twice_or_after_a_refusal() {
+    let told = passes("servers", &["--seed", "1", "--plan", &plan("servers")]);
+    for conduct in ["early", "misdirected", "unmarked refusals", "answers lost", "surplus"] {
+        assert!(
+            !told.contains(&format!(" 0 {conduct}")),
+            "the servers did nothing of this: {conduct}: {told}"
+        );
+    }
+}
+
 #[test]
 fn plans_that_ship_are_in_order() {
-    for name in ["planned", "stores", "large"] {
+    for name in ["planned", "stores", "large", "servers", "sites"] {
         let output = soak(&["check-plan", &plan(name)]);
         assert!(output.status.success(), "{name}: {}", String::from_utf8_lossy(&output.stderr));
     }
