Soak: the processes of a run that cannot be made are ended

The run and its model servers held each other since the servers are struck, so that the children, which end when the run is dropped, went on after "edge-0 is not ready" (seen once, with the programs of: an address was in use). Checked with programs that do not start: no process is left.

--- a/crates/soak/src/servers.rs
+++ b/crates/soak/src/servers.rs
@@ -1,6 +1,6 @@
 //! The stand-ins for model servers: their start, and what strikes them.
 
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use fennelgauge_standins::{
@@ -28,14 +28,14 @@
         let (address, server) = start_model_server(&id).await?;
         *server.observer.borrow_mut() = Some(observer.clone());
         world.platform.instances.borrow_mut().push(instance_entry(&id, SERVICE, address, "zone-0"));
-        world.servers.borrow_mut().push(server);
+        world.servers.borrow_mut().push(Rc::downgrade(&server));
     }
     Ok(())
 }
 
 /// Has all servers behave so from now on.
 pub fn conduct(world: &World, conduct: Conduct) {
-    for server in world.servers.borrow().iter() {
+    for server in all(world) {
         server.conduct.set(conduct);
     }
 }
@@ -43,7 +43,7 @@
 /// How often the servers behaved in each way.
 pub fn counts(world: &World) -> ConductCounts {
     let mut counts = ConductCounts::default();
-    for server in world.servers.borrow().iter() {
+    for server in all(world) {
         counts.add(&server.counts.get());
     }
     counts
@@ -72,7 +72,11 @@
 }
 
 fn at(world: &World, place: u8) -> Option<Rc<ModelServer>> {
-    world.servers.borrow().get(usize::from(place)).cloned()
+    world.servers.borrow().get(usize::from(place))?.upgrade()
+}
+
+fn all(world: &World) -> Vec<Rc<ModelServer>> {
+    world.servers.borrow().iter().filter_map(Weak::upgrade).collect()
 }
 
 /// Has the platform list a server in the place of another one.
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use fennelgauge_batch_judge::{BatchJobChecker, Limits, RouteTerms, Routes};
@@ -71,8 +71,8 @@
     pub programs: Option<PathBuf>,
     pub events: Events,
     pub platform: Rc<Platform>,
-    /// Stand-ins for model servers.
-    pub servers: RefCell<Vec<Rc<ModelServer>>>,
+    /// Stand-ins for model servers, which tell this run of theirs and are kept by the tasks that serve them.
+    pub servers: RefCell<Vec<Weak<ModelServer>>>,
     pub processes: Vec<Mutex<Process>>,
     pub judge: RefCell<BatchJobChecker>,
     pub faults: RefCell<Vec<Fault>>,
