Fix: the names of files that a killed process had renamed are made durable at its next start (suspected)

What callers could see: a loss of something acknowledged, or a position that changes, after a kill, a start and a loss of power, one soon after the other. A version file is written aside, synced, renamed, and the folder is synced; a process that is killed between the last two finds the file at its next start and takes what is in it for durable, as it answers other processes, though the file's name is not on the disk yet. The folder is now synced when it is opened.

--- a/crates/data-plane/src/live.rs
+++ b/crates/data-plane/src/live.rs
@@ -52,7 +52,7 @@
     /// Ids of the servers tried so far.
     tried: Vec<String>,
     /// What is known of each attempt.
-    log: AttemptLog,
+    attempt_log: AttemptLog,
     /// Counts whether the response is late.
     pub timer: ResponseTimer,
 }
@@ -132,7 +132,7 @@
             profile: RequestProfile::from_prefix_header(header_text(request, &PREFIX_HASH)),
             deadline,
             tried: Vec::new(),
-            log: AttemptLog::default(),
+            attempt_log: AttemptLog::default(),
             outgoing,
             access,
             plane,
@@ -169,14 +169,14 @@
             let error = match sent {
                 Ok(response) => {
                     self.plane.pool.record_response(&in_flight, &response);
-                    self.log.record(&in_flight.server.id, Conclusion::Executed, response.status());
+                    self.attempt_log.record(&in_flight.server.id, Conclusion::Executed, response.status());
                     return Ok(ActiveResponse { response, in_flight });
                 }
                 Err(error) => error,
             };
             self.plane.pool.record_send_error(&in_flight.server, &error);
             let conclusion = Conclusion::from(&error);
-            self.log.record(&in_flight.server.id, conclusion, &error);
+            self.attempt_log.record(&in_flight.server.id, conclusion, &error);
             if matches!(conclusion, Conclusion::NotSent | Conclusion::NotExecuted) {
                 refusals += 1;
             }
@@ -192,7 +192,7 @@
 
     /// Logs what the client is told if it is no success, with the attempts before that.
     fn log_result(&self, result: &Result<ActiveResponse, Failure>) {
-        let (id, attempts) = (&self.outgoing.id, &self.log);
+        let (id, attempts) = (&self.outgoing.id, &self.attempt_log);
         match result {
             Ok(active) if active.response.status().is_success() => {}
             Ok(active) => {
@@ -205,7 +205,7 @@
 
     /// Returns how many servers may have executed the request.
     pub(crate) fn runs(&self) -> u32 {
-        self.log.possible_executions()
+        self.attempt_log.possible_executions()
     }
 
     /// Returns how many servers may execute the request.
@@ -247,7 +247,7 @@
 
     /// Returns the failure to report when no further server is tried.
     fn failure(&self) -> Failure {
-        match self.log.prove_unexecuted() {
+        match self.attempt_log.prove_unexecuted() {
             Some(proof) => Failure::NotExecuted(proof),
             None if self.is_past_deadline() => Failure::DeadlineExceeded,
             None => Failure::MayHaveExecuted,
--- a/crates/versions/src/lib.rs
+++ b/crates/versions/src/lib.rs
@@ -56,7 +56,7 @@
     /// Opens the directory, creating it if it is missing, and removes a temporary file that a crash left behind.
     ///
     /// # Errors
-    /// If the directory cannot be created or its parent cannot be synced.
+    /// If the directory cannot be created, or it or its parent cannot be synced.
     pub fn open(path: &Path, prefix: &str) -> Result<Self, VersionsError> {
         let directory = Self { path: path.to_owned(), prefix: prefix.to_owned() };
         fs::create_dir_all(path).map_err(|reason| directory.io_error(path, reason))?;
@@ -64,6 +64,8 @@
             sync_directory(parent).map_err(|reason| directory.io_error(parent, reason))?;
         }
         let _ = fs::remove_file(directory.temporary_file());
+        // The process may have been killed between the renaming of a file and the sync that makes its name durable.
+        sync_directory(path).map_err(|reason| directory.io_error(path, reason))?;
         Ok(directory)
     }
 
