Stand-ins: the ports of a tier lie below those of outgoing connections

Processes bind outgoing connections to their own address with any free port from 32768 on, and the blocks of ports went up to 45000.

--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -50,7 +50,7 @@
         .with_context(|| format!("failed to create the directory {}", directory.display()))?;
     let directory = directory.canonicalize()?;
     let ports = Ports::find_free(std::process::id())
-        .context("no free ports on 127.0.0.1: stop what uses ports 21000 to 45000")?;
+        .context("no free ports on 127.0.0.1: stop what uses ports 21000 to 32600")?;
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let tier = Tier {
         ports,
--- a/crates/standins/src/tier.rs
+++ b/crates/standins/src/tier.rs
@@ -13,6 +13,9 @@
 const PEER_PORT_COUNT: u16 = 20;
 /// Lowest port that a tier may use.
 const FIRST_PORT: u16 = 21_000;
+/// Number of blocks of ports. All of them are below the ports that Linux gives to outgoing connections, which could otherwise take the
+/// port of a process that is yet to start.
+const BLOCKS: u32 = 290;
 /// Loopback address that no process of a tier uses: a listener on the first port of a block there claims the block.
 const CLAIM_ADDRESS: Ipv4Addr = Ipv4Addr::new(127, 0, 2, 1);
 /// Distance between the first ports of two tiers.
@@ -29,9 +32,8 @@
     /// and come back. The search starts at a block that depends on `salt`, so that tests which run at the same time can be
     /// kept apart. `None` if all blocks are in use.
     pub fn find_free(salt: u32) -> Option<Self> {
-        let blocks = 600_u32;
-        (0..blocks).find_map(|step| {
-            let block = (salt.wrapping_add(step) % blocks) as u16;
+        (0..BLOCKS).find_map(|step| {
+            let block = (salt.wrapping_add(step) % BLOCKS) as u16;
             let first = FIRST_PORT + block * PORT_STEP;
             let free =
                 (0..PEER_PORT_COUNT + 3).all(|port| TcpListener::bind(("127.0.0.1", first + port)).is_ok());
