Soak: servers that are full, refuse from the queue and reset connections; the stand-in's long functions in parts

In the first runs of the plan "servers" few requests met a full server, none a 503 from the queue and none a reset connection.

--- a/crates/soak/src/live_client.rs
+++ b/crates/soak/src/live_client.rs
@@ -12,6 +12,9 @@
 
 /// Length of the body of a request for a stream.
 const STREAM_REQUEST_BYTES: usize = 6;
+/// Longest and shortest time that clients give their requests.
+const LONGEST_DEADLINE_MS: u64 = 4_000;
+const SHORTEST_DEADLINE_MS: u64 = 150;
 /// Of that of a request for a body, at most.
 const MOST_REQUEST_BYTES: usize = 60_000;
 const AGAIN: Duration = Duration::from_millis(100);
@@ -38,6 +41,14 @@
         }
     }
 
+    /// How long a client waits, in milliseconds.
+    fn deadline_ms(self) -> u64 {
+        match self {
+            Self::Stream => LONGEST_DEADLINE_MS,
+            Self::Body => fastrand::u64(SHORTEST_DEADLINE_MS..=LONGEST_DEADLINE_MS),
+        }
+    }
+
     /// Length of a request's body.
     fn request_bytes(self) -> usize {
         match self {
@@ -71,9 +82,10 @@
 
 fn request(id: &str, asked: Asked) -> Vec<u8> {
     let (key, path, length) = (World::key(0), asked.path(), asked.request_bytes());
+    let deadline_ms = asked.deadline_ms();
     let mut request = format!(
         "POST {path} HTTP/1.1\r\nHost: tier.example\r\nAuthorization: Bearer {key}\r\n\
-         X-Fennelgauge-Request-Id: {id}\r\nX-Fennelgauge-Request-Deadline: 4000\r\nContent-Length: {length}\r\n\r\n"
+         X-Fennelgauge-Request-Id: {id}\r\nX-Fennelgauge-Request-Deadline: {deadline_ms}\r\nContent-Length: {length}\r\n\r\n"
     )
     .into_bytes();
     request.resize(request.len() + length, b'p');
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -46,7 +46,16 @@
 #[test]
 fn unruly_servers_make_no_request_run_twice_or_after_a_refusal() {
     let told = passes("servers", &["--seed", "1", "--plan", &plan("servers")]);
-    for conduct in ["early", "misdirected", "unmarked refusals", "answers lost", "surplus"] {
+    for conduct in [
+        "requests refused full",
+        "in the queue",
+        "early",
+        "misdirected",
+        "unmarked refusals",
+        "answers lost",
+        "connections reset",
+        "surplus",
+    ] {
         assert!(
             !told.contains(&format!(" 0 {conduct}")),
             "the servers did nothing of this: {conduct}: {told}"
--- a/crates/standins/src/model_server/connection.rs
+++ b/crates/standins/src/model_server/connection.rs
@@ -8,8 +8,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Instant};
 
-use super::admission::Refusal;
-use super::conduct::drawn;
+use super::admission::{Refusal, Slot};
+use super::conduct::{drawn, Conduct};
 use super::request::{RequestHead, RequestReader};
 use super::response::{
     chunk, promising_status, ResponseHead, Surplus, SurplusMoment, END_DELAY, EVENTS_BEFORE_BREAK,
@@ -50,6 +50,36 @@
     sent: usize,
 }
 
+impl<'head> Run<'head> {
+    /// Begins work on a request.
+    fn start(server: &ModelServer, head: &'head RequestHead) -> Self {
+        let observer = server.observer();
+        server.runs.borrow_mut().push((head.id.clone(), head.tenant.clone(), head.after));
+        let run_number = server.runs.borrow().len();
+        if let Some(observer) = &observer {
+            observer.run_started(&head.id, head.after);
+        }
+        Self { head, observer, data: event_data(server, head, run_number), sent: 0 }
+    }
+
+    /// Returns the status with which the run fails, if it does, after telling the observer.
+    fn failure(&self, server: &ModelServer) -> Option<u16> {
+        let Self { head, observer, .. } = self;
+        if head.path.contains("/poison/") {
+            observer.iter().for_each(|observer| observer.run_rejected(&head.id));
+            return Some(422);
+        }
+        if head.path.contains("/fail/") {
+            observer.iter().for_each(|observer| observer.run_failed(&head.id));
+            return Some(500);
+        }
+        drawn(server.conduct.get().unmarked_refusals).then(|| {
+            server.count(|counts| counts.unmarked_refusals += 1);
+            promising_status()
+        })
+    }
+}
+
 impl Drop for Run<'_> {
     fn drop(&mut self) {
         if let Some(observer) = &self.observer {
@@ -58,6 +88,16 @@
     }
 }
 
+impl ResponseHead {
+    /// What follows after a whole answer with this head.
+    fn next(&self) -> Next {
+        match self.closes {
+            true => Next::Close,
+            false => Next::KeepOpen,
+        }
+    }
+}
+
 /// Counts a connection as open until dropped.
 struct OpenConnection(Rc<ModelServer>);
 
@@ -106,14 +146,10 @@
 
     /// Answers one request; `None` if the connection is broken.
     async fn serve_request(&mut self, head: &RequestHead) -> Option<Next> {
-        let conduct = self.server.conduct.get();
         let is_misdirected = !head.target.is_empty() && head.target != self.server.id();
-        if head.content_length > 0 && !is_misdirected && drawn(conduct.early_refusals) {
-            self.server.count(|counts| counts.refused_early += 1);
-            let next = self.refuse(head, 503).await?;
-            sleep(MAX_LATE_BODY_PAUSE.mul_f64(fastrand::f64())).await;
-            self.reader.discard_body(head.content_length).await?;
-            return Some(next);
+        let refuses_early = head.content_length > 0 && drawn(self.server.conduct.get().early_refusals);
+        if refuses_early && !is_misdirected {
+            return self.refuse_early(head).await;
         }
         self.reader.discard_body(head.content_length).await?;
         if is_misdirected {
@@ -124,26 +160,20 @@
             *self.server.received_api_key.borrow_mut() = true;
         }
         let server = self.server.clone();
-        let admitted = tokio::select! {
-            admitted = server.admission.admit(conduct.slots, conduct.queue, Instant::now() + head.deadline) => admitted,
-            () = self.reader.closed() => return None,
-        };
-        let _slot = match admitted {
+        let _slot = match self.admit(&server, head).await? {
             Ok(slot) => slot,
             Err(refusal) => {
-                self.server.count(|counts| match refusal {
+                server.count(|counts| match refusal {
                     Refusal::Full => counts.refused_full += 1,
                     Refusal::DeadlinePassed => counts.refused_in_queue += 1,
                 });
                 return self.refuse(head, 503).await;
             }
         };
-        let next = {
-            let Self { reader, write, .. } = self;
-            tokio::select! {
-                next = run(&server, head, write) => next?,
-                () = reader.closed() => return None,
-            }
+        let Self { reader, write, .. } = self;
+        let next = tokio::select! {
+            next = run(&server, head, write) => next?,
+            () = reader.closed() => return None,
         };
         match next {
             Next::KeepOpen => self.send_surplus(&head.id).await,
@@ -151,6 +181,28 @@
         }
     }
 
+    /// Waits for a slot; `None` if the client leaves.
+    async fn admit<'server>(
+        &mut self,
+        server: &'server ModelServer,
+        head: &RequestHead,
+    ) -> Option<Result<Slot<'server>, Refusal>> {
+        let Conduct { slots, queue, .. } = server.conduct.get();
+        tokio::select! {
+            admitted = server.admission.admit(slots, queue, Instant::now() + head.deadline) => Some(admitted),
+            () = self.reader.closed() => None,
+        }
+    }
+
+    /// Refuses a request before its body is read, and reads that later.
+    async fn refuse_early(&mut self, head: &RequestHead) -> Option<Next> {
+        self.server.count(|counts| counts.refused_early += 1);
+        let next = self.refuse(head, 503).await?;
+        sleep(MAX_LATE_BODY_PAUSE.mul_f64(fastrand::f64())).await;
+        self.reader.discard_body(head.content_length).await?;
+        Some(next)
+    }
+
     /// Answers that a request was not executed.
     async fn refuse(&mut self, head: &RequestHead, status: u16) -> Option<Next> {
         let conduct = self.server.conduct.get();
@@ -163,8 +215,9 @@
             idle_s: conduct.idle_s,
             ..ResponseHead::default()
         };
+        self.server.awake().await;
         self.write.write_all(&response.encode()).await.ok()?;
-        Some(if response.closes { Next::Close } else { Next::KeepOpen })
+        Some(response.next())
     }
 
     /// Sends, or holds back, what nobody asked for after an answer to the request with this id, now and then.
@@ -188,15 +241,9 @@
 
 /// Runs a request and answers it; `None` if the connection is broken.
 async fn run(server: &ModelServer, head: &RequestHead, write: &mut OwnedWriteHalf) -> Option<Next> {
-    let (conduct, observer) = (server.conduct.get(), server.observer());
-    server.runs.borrow_mut().push((head.id.clone(), head.tenant.clone(), head.after));
-    let run_number = server.runs.borrow().len();
-    if let Some(observer) = &observer {
-        observer.run_started(&head.id, head.after);
-    }
-    let data = event_data(server, head, run_number);
-    let mut run = Run { head, observer: observer.clone(), data, sent: 0 };
-    let mut response = ResponseHead {
+    let conduct = server.conduct.get();
+    let mut run = Run::start(server, head);
+    let response = ResponseHead {
         status: 200,
         id: Some(head.id.clone()),
         signed_by: Some(server.id()),
@@ -205,28 +252,14 @@
         idle_s: conduct.idle_s,
         ..ResponseHead::default()
     };
-    let next = if response.closes { Next::Close } else { Next::KeepOpen };
+    let next = response.next();
     if drawn(conduct.lost_answers) {
         server.count(|counts| counts.lost_answers += 1);
         sleep(END_DELAY).await;
         return Some(Next::Reset);
     }
-    let status = match () {
-        () if head.path.contains("/poison/") => Some(422),
-        () if head.path.contains("/fail/") => Some(500),
-        () if drawn(conduct.unmarked_refusals) => {
-            server.count(|counts| counts.unmarked_refusals += 1);
-            Some(promising_status())
-        }
-        () => None,
-    };
-    if let Some(status) = status {
-        match (&observer, status) {
-            (Some(observer), 422) => observer.run_rejected(&head.id),
-            (Some(observer), 500) => observer.run_failed(&head.id),
-            _ => {}
-        }
-        response.status = status;
+    if let Some(status) = run.failure(server) {
+        let response = ResponseHead { status, ..response };
         write.write_all(&response.encode()).await.ok()?;
         return Some(next);
     }
@@ -236,7 +269,7 @@
     let is_complete = match head.path.contains("/body/") {
         true => send_body(server, response, &mut run, write).await?,
         false => {
-            response.length = None;
+            let response = ResponseHead { length: None, ..response };
             write.write_all(&response.encode()).await.ok()?;
             send_events(server, &mut run, write).await?
         }
@@ -244,7 +277,7 @@
     if !is_complete {
         return Some(Next::Close);
     }
-    if let Some(observer) = &observer {
+    if let Some(observer) = &run.observer {
         observer.run_completed(&head.id, head.after, &run.data);
     }
     Some(next)
