--- /dev/null
+++ b/crates/data-plane/tests/broken_responses.rs
@@ -0,0 +1,147 @@
+//! What a server in trouble sends reaches no client as a complete response, unless it is one.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use support::*;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// Receive buffer of a server that does not read an upload, in bytes.
+const SMALL_RECEIVE_BUFFER: u32 = 4 << 10;
+/// More than the sockets' buffers take: the upload is still being written when the response comes.
+const UPLOAD_BYTES: usize = 4_000_000;
+/// A server resets the connection so long after its early response.
+const RESET_DELAY: Duration = Duration::from_millis(50);
+/// Routes of each kind, by a path on them.
+const PATHS: [&str; 4] = ["/long/idempotent/a", "/mutating/a", "/long/stream/a", "/long/resume/a"];
+/// An event stream, so that it may be the body on each kind of route.
+const BODY: &str = "id: 1\ndata: first\n\nid: 2\ndata: second\n\n";
+
+/// How a server ends the connection after its response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Reset,
+}
+
+/// What a client received.
+#[derive(Debug, PartialEq, Eq)]
+enum Received {
+    /// A complete response.
+    Whole { status: u16, body: String },
+    /// A response that visibly breaks off.
+    Cut,
+}
+
+/// Starts a server that gives each request the same response. It does not read the bodies of requests if `reads_uploads` is false.
+async fn start_server(response: String, end: End, reads_uploads: bool) -> SocketAddr {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    if !reads_uploads {
+        socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).expect("a small buffer");
+    }
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let listener = socket.listen(64).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            spawn_local(respond(stream, response.clone(), end, reads_uploads));
+        }
+    });
+    address
+}
+
+async fn respond(mut stream: TcpStream, response: String, end: End, reads_uploads: bool) {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read_u8().await {
+            Ok(byte) => head.push(byte),
+            Err(_) => return,
+        }
+    }
+    let head = String::from_utf8_lossy(&head).to_ascii_lowercase();
+    let value = |name: &str| head.lines().find_map(|line| line.strip_prefix(name)).map(str::trim);
+    if reads_uploads {
+        let length = value("content-length:").and_then(|length| length.parse().ok()).unwrap_or(0);
+        let _ = stream.read_exact(&mut vec![0; length]).await;
+    }
+    let id = value("x-fennelgauge-request-id:").unwrap_or("");
+    let _ = stream.write_all(response.replace("REQUEST-ID", id).as_bytes()).await;
+    match end {
+        End::Reset => {
+            sleep(RESET_DELAY).await;
+            let _ = stream.set_zero_linger();
+        }
+    }
+}
+
+/// Returns a response with a first line, the fields that each response has, and more fields.
+fn response(status_line: &str, fields: &str, body: &str) -> String {
+    format!("{status_line}\r\nX-Fennelgauge-Request-Id: REQUEST-ID\r\nX-Fennelgauge-Response-Signature: s\r\n{fields}\r\n{body}")
+}
+
+/// Sends a request with a body to a data plane whose only server gives this response.
+async fn exchange(path: &str, upload_bytes: usize, server: SocketAddr) -> Received {
+    let plane = TestPlane::start(&[]).await;
+    plane.list_servers(&[server]);
+    let mut stream = TcpStream::connect(plane.address).await.expect("connected");
+    let head = request(path).replace("Content-Length: 0", &format!("Content-Length: {upload_bytes}"));
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    stream.write_all(&vec![b'u'; upload_bytes]).await.expect("sent");
+    let mut received = Vec::new();
+    let _ = timeout(TIMEOUT, stream.read_to_end(&mut received)).await.expect("the connection ends in time");
+    received_response(&received)
+}
+
+/// Takes apart what came on a connection until its end.
+fn received_response(received: &[u8]) -> Received {
+    let text = String::from_utf8_lossy(received).into_owned();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else { return Received::Cut };
+    let head = head.to_ascii_lowercase();
+    let length: Option<usize> =
+        head.lines().find_map(|line| line.strip_prefix("content-length: ")?.parse().ok());
+    let body = match length {
+        Some(length) => (body.len() == length).then(|| body.to_owned()),
+        None => unchunked(body),
+    };
+    match body {
+        Some(body) => Received::Whole { status: status(&text), body },
+        None => Received::Cut,
+    }
+}
+
+/// Returns the data of all chunks; `None` without the last one.
+fn unchunked(mut rest: &str) -> Option<String> {
+    let mut data = String::new();
+    loop {
+        let (size, after) = rest.split_once("\r\n")?;
+        let size = usize::from_str_radix(size, 16).ok()?;
+        if size == 0 {
+            return Some(data);
+        }
+        data += after.get(..size)?;
+        rest = after.get(size..)?.strip_prefix("\r\n")?;
+    }
+}
+
+/// Guards against MIXED: a part of a body looked complete because the reset had failed the upload before it could fail a read.
+#[test]
+fn early_response_to_an_upload_that_breaks_off_is_not_complete() {
+    let fields = ["", "Connection: close\r\n"];
+    let part = BODY.split_inclusive("\n\n").next().expect("an event");
+    let mut passed = Vec::new();
+    for (path, fields) in PATHS.iter().flat_map(|path| fields.map(|fields| (path, fields))) {
+        run_local(async {
+            let early = response("HTTP/1.1 200 OK", fields, part);
+            let server = start_server(early, End::Reset, false).await;
+            let received = exchange(path, UPLOAD_BYTES, server).await;
+            if matches!(received, Received::Whole { status: 200, .. }) {
+                passed.push(format!("{path}, {fields:?}: {received:?}"));
+            }
+        });
+    }
+    assert!(passed.is_empty(), "{} parts look complete:\n{}", passed.len(), passed.join("\n"));
+}
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -132,10 +132,15 @@
         let has_body = codec.message_type() != MessageType::None;
         // The codec takes a response without framing headers for one without a body.
         let ends_with_connection = !has_body && ends_with_connection(&method, &head);
+        let is_until_close = ends_with_connection || codec.message_type() == MessageType::Stream;
+        // A write that failed has taken the connection's error: the end of file says nothing any more.
+        if is_until_close && written.is_err() {
+            return Err(ExchangeError::Broken);
+        }
         let keep_alive = codec.keep_alive() && written.is_ok() && !ends_with_connection;
         let idle_timeout = announced_idle_timeout(head.headers()).unwrap_or(DEFAULT_IDLE_TIMEOUT);
         let framing = match codec.message_type() {
-            _ if ends_with_connection => Framing::UntilClose,
+            _ if is_until_close => Framing::UntilClose,
             MessageType::Stream => Framing::UntilClose,
             MessageType::None => Framing::Empty,
             MessageType::Payload => Framing::Delimited(codec.into_payload_codec()),
