Fix: a response whose head is spoilt is no response; where a body ends is decided in one place (MIXED)

Callers saw answers with another body than the server's, or a part of it, as complete ones, after a head that was spoilt where it tells the body's end or that held a line that is no field; and 1xx, 600 and 999 as final statuses.

Cause: heads were read by the library's codec for lenient clients. It takes blanks after a field's name, `identity`, a bare line feed, a length beside chunks, and leaves open what has no length, which was then read until the close though nothing said that the connection ends.

Refused already, and kept as cases: blanks and control bytes in names, lines without a colon, folded lines, letters, signs, blanks and nothing in the length, two lengths, 000 and 099.

Change: `crates/response-head` parses heads by httparse with its strict defaults and decides by RFC 9112, 6.3, where the body ends; what contradicts itself is no response. Stricter than the RFC asks: no bare line feeds, no blanks around a length but one before it (a digit spoilt to a blank would shorten it), and a body that nothing delimits ends with the connection only if the head says `Connection: close` or is HTTP/1.0. Interim responses are read past. The body's reading has left `connection.rs` for `response.rs`.

Two tests changed: servers that end a body by closing say so in them, and the one that did not is asserted to give no response (it was taken for whole before).

--- a/crates/data-plane/src/live.rs
+++ b/crates/data-plane/src/live.rs
@@ -10,8 +10,8 @@
 use actix_web::{HttpRequest, HttpResponse};
 use fennelgauge_model::{stable_fraction, Access, RouteKind};
 use fennelgauge_upstream::{
-    is_hop_by_hop, InFlightGuard, OutgoingRequest, RequestProfile, UpstreamResponse, DEADLINE, PREFIX_HASH,
-    PRIORITY, REQUEST_ID, TARGET_INSTANCE, TENANT,
+    is_hop_by_hop, BodyEnd, InFlightGuard, OutgoingRequest, RequestProfile, UpstreamResponse, DEADLINE,
+    PREFIX_HASH, PRIORITY, REQUEST_ID, TARGET_INSTANCE, TENANT,
 };
 use tokio::time::{sleep, Instant};
 
@@ -283,14 +283,16 @@
         response.append_header((name.clone(), value.clone()));
     }
     close_if_stopping(&attempts.plane, &mut response);
-    let length = upstream.headers().get(header::CONTENT_LENGTH);
-    let length: Option<u64> = length.and_then(|value| value.to_str().ok()?.parse().ok());
     let resumable = attempts.access.route.kind == RouteKind::Streaming
         && attempts.access.route.resumable
         && upstream.status().is_success();
-    match length {
+    match upstream.body_end() {
         _ if resumable => response.streaming(resumable_stream::stream(attempts, active)),
-        Some(length) => response.body(SizedStream::new(length, forwarded_body::stream(attempts, active))),
-        None => response.streaming(forwarded_body::stream(attempts, active)),
+        BodyEnd::Length(length) => {
+            response.body(SizedStream::new(length, forwarded_body::stream(attempts, active)))
+        }
+        BodyEnd::LastChunk | BodyEnd::ConnectionClose | BodyEnd::NoBody => {
+            response.streaming(forwarded_body::stream(attempts, active))
+        }
     }
 }
--- a/crates/data-plane/tests/broken_responses.rs
+++ b/crates/data-plane/tests/broken_responses.rs
@@ -25,7 +25,9 @@
 /// How a server ends the connection after its response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
+    Close,
     Reset,
+    KeepOpen,
 }
 
 /// What a client received.
@@ -71,6 +73,8 @@
     let id = value("x-fennelgauge-request-id:").unwrap_or("");
     let _ = stream.write_all(response.replace("REQUEST-ID", id).as_bytes()).await;
     match end {
+        End::Close => {}
+        End::KeepOpen => std::future::pending().await,
         End::Reset => {
             sleep(RESET_DELAY).await;
             let _ = stream.set_zero_linger();
@@ -127,6 +131,12 @@
     }
 }
 
+/// Returns the chunks of a body, each event in one.
+fn chunked(body: &str) -> String {
+    let chunk = |event: &str| format!("{:x}\r\n{event}\r\n", event.len());
+    body.split_inclusive("\n\n").map(chunk).collect::<String>() + "0\r\n\r\n"
+}
+
 /// Guards against MIXED: a part of a body looked complete because the reset had failed the upload before it could fail a read.
 #[test]
 fn early_response_to_an_upload_that_breaks_off_is_not_complete() {
@@ -145,3 +155,163 @@
     }
     assert!(passed.is_empty(), "{} parts look complete:\n{}", passed.len(), passed.join("\n"));
 }
+
+/// Guards against MIXED: a response whose head contradicts itself, or is none, reached the client as a complete one.
+#[test]
+fn response_whose_head_is_spoilt_does_not_reach_the_client() {
+    let length = BODY.len();
+    let chunks = chunked(BODY);
+    let cases: Vec<(&str, &str, String, &str)> = vec![
+        (
+            "a blank after the length's name",
+            "HTTP/1.1 200 OK",
+            format!("Content-Length : {length}\r\n"),
+            BODY,
+        ),
+        (
+            "a blank after another name",
+            "HTTP/1.1 200 OK",
+            format!("X-A : b\r\nContent-Length: {length}\r\n"),
+            BODY,
+        ),
+        ("a blank in a name", "HTTP/1.1 200 OK", format!("X A: b\r\nContent-Length: {length}\r\n"), BODY),
+        (
+            "a control byte in a name",
+            "HTTP/1.1 200 OK",
+            format!("X\u{1}A: b\r\nContent-Length: {length}\r\n"),
+            BODY,
+        ),
+        (
+            "a control byte in the length's name",
+            "HTTP/1.1 200 OK",
+            format!("Content\u{2}Length: {length}\r\n"),
+            BODY,
+        ),
+        ("a tab after a name", "HTTP/1.1 200 OK", format!("X-A\t: b\r\nContent-Length: {length}\r\n"), BODY),
+        ("no name", "HTTP/1.1 200 OK", format!(": b\r\nContent-Length: {length}\r\n"), BODY),
+        ("no colon", "HTTP/1.1 200 OK", format!("no field\r\nContent-Length: {length}\r\n"), BODY),
+        ("a folded line", "HTTP/1.1 200 OK", format!("X-A: b\r\n c\r\nContent-Length: {length}\r\n"), BODY),
+        (
+            "a bare line feed",
+            "HTTP/1.1 200 OK",
+            format!("Connection: close\r\nX-A: b\n\nContent-Length: {length}\r\n"),
+            BODY,
+        ),
+        ("letters in the length", "HTTP/1.1 200 OK", format!("Content-Length: {length}x\r\n"), BODY),
+        ("a sign in the length", "HTTP/1.1 200 OK", format!("Content-Length: +{length}\r\n"), BODY),
+        ("a blank in the length", "HTTP/1.1 200 OK", "Content-Length: 4 0\r\n".to_owned(), BODY),
+        ("a blank for the length's last digit", "HTTP/1.1 200 OK", "Content-Length: 4 \r\n".to_owned(), BODY),
+        ("an empty length", "HTTP/1.1 200 OK", "Content-Length: \r\n".to_owned(), BODY),
+        (
+            "two lengths",
+            "HTTP/1.1 200 OK",
+            format!("Content-Length: 4\r\nContent-Length: {length}\r\n"),
+            BODY,
+        ),
+        ("a list of lengths", "HTTP/1.1 200 OK", format!("Content-Length: 4, {length}\r\n"), BODY),
+        (
+            "a length and chunks",
+            "HTTP/1.1 200 OK",
+            format!("Transfer-Encoding: chunked\r\nContent-Length: {length}\r\n"),
+            &chunks,
+        ),
+        (
+            "a length before chunks",
+            "HTTP/1.1 200 OK",
+            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n".to_owned(),
+            &chunks,
+        ),
+        ("identity", "HTTP/1.1 200 OK", "Transfer-Encoding: identity\r\n".to_owned(), BODY),
+        (
+            "identity, closing",
+            "HTTP/1.1 200 OK",
+            "Connection: close\r\nTransfer-Encoding: identity\r\n".to_owned(),
+            BODY,
+        ),
+        (
+            "another coding",
+            "HTTP/1.1 200 OK",
+            "Transfer-Encoding: chunkex\r\nConnection: close\r\n".to_owned(),
+            &chunks,
+        ),
+        ("two codings", "HTTP/1.1 200 OK", "Transfer-Encoding: gzip, chunked\r\n".to_owned(), &chunks),
+        (
+            "chunked twice",
+            "HTTP/1.1 200 OK",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n".to_owned(),
+            &chunks,
+        ),
+        ("chunks in HTTP/1.0", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n".to_owned(), &chunks),
+        (
+            "the length's name spoilt to another",
+            "HTTP/1.1 200 OK",
+            format!("Content-Lexgth: {length}\r\n"),
+            BODY,
+        ),
+        (
+            "the coding's name spoilt to another",
+            "HTTP/1.1 200 OK",
+            "Transfex-Encoding: chunked\r\n".to_owned(),
+            &chunks,
+        ),
+        ("status 000", "HTTP/1.1 000 OK", format!("Content-Length: {length}\r\n"), BODY),
+        ("status 099", "HTTP/1.1 099 OK", format!("Content-Length: {length}\r\n"), BODY),
+        ("status 600", "HTTP/1.1 600 OK", format!("Content-Length: {length}\r\n"), BODY),
+        ("status 999", "HTTP/1.1 999 OK", format!("Content-Length: {length}\r\n"), BODY),
+        ("four digits", "HTTP/1.1 2000 OK", format!("Content-Length: {length}\r\n"), BODY),
+        ("two digits", "HTTP/1.1 20 OK", format!("Content-Length: {length}\r\n"), BODY),
+        ("an interim status at last", "HTTP/1.1 103 OK", String::new(), ""),
+        ("an upgrade", "HTTP/1.1 101 OK", String::new(), ""),
+        ("204 with a length", "HTTP/1.1 204 OK", format!("Content-Length: {length}\r\n"), BODY),
+        ("another protocol", "HTTP/2.0 200 OK", format!("Content-Length: {length}\r\n"), BODY),
+    ];
+    let mut passed = Vec::new();
+    for (name, status_line, fields, body) in &cases {
+        for path in PATHS {
+            run_local(async {
+                let response = response(status_line, fields, body);
+                let server = start_server(response, End::Close, true).await;
+                let received = exchange(path, 0, server).await;
+                if received != (Received::Whole { status: 502, body: String::new() }) {
+                    passed.push(format!("{name}, {path}: {received:?}"));
+                }
+            });
+        }
+    }
+    assert!(passed.is_empty(), "{} passed:\n{}", passed.len(), passed.join("\n"));
+}
+
+#[test]
+fn lawful_responses_reach_the_client_whole() {
+    let length = BODY.len();
+    let chunks = chunked(BODY);
+    let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK";
+    let cases: Vec<(&str, &str, String, &str, End)> = vec![
+        ("with a length", "HTTP/1.1 200 OK", format!("Content-Length: {length}\r\n"), BODY, End::KeepOpen),
+        (
+            "with a length, then reset",
+            "HTTP/1.1 200 OK",
+            format!("Content-Length: {length}\r\n"),
+            BODY,
+            End::Reset,
+        ),
+        ("in chunks", "HTTP/1.1 200 OK", "transfer-encoding: Chunked\r\n".to_owned(), &chunks, End::KeepOpen),
+        ("until the close", "HTTP/1.1 200 OK", "Connection: close\r\n".to_owned(), BODY, End::Close),
+        ("until the close in HTTP/1.0", "HTTP/1.0 200 OK", String::new(), BODY, End::Close),
+        ("without a reason", "HTTP/1.1 200", format!("Content-Length: {length}\r\n"), BODY, End::KeepOpen),
+        ("after interim responses", interim, format!("Content-Length: {length}\r\n"), BODY, End::KeepOpen),
+    ];
+    for (name, status_line, fields, body, end) in &cases {
+        for path in PATHS {
+            run_local(async {
+                let server = start_server(response(status_line, fields, body), *end, true).await;
+                let received = exchange(path, 0, server).await;
+                assert_eq!(
+                    received,
+                    Received::Whole { status: 200, body: BODY.to_owned() },
+                    "{name}, {path}"
+                );
+            });
+        }
+    }
+}
--- a/crates/data-plane/tests/support/mod.rs
+++ b/crates/data-plane/tests/support/mod.rs
@@ -51,7 +51,7 @@
     PartOfBody,
     /// Sends the head and a chunk of a body of unknown length, then nothing.
     PartOfChunks,
-    /// Sends the head without any framing, and a part of a body that ends with the connection.
+    /// Sends the head and a part of a body that ends with the connection.
     PartUntilClose,
     /// Sends an event each 20 ms, without end.
     EndlessEvents,
@@ -164,7 +164,7 @@
         Script::Silent => String::new(),
         Script::PartOfBody => head("Content-Length: 1000\r\n") + "part",
         Script::PartOfChunks => chunked + &chunk("part"),
-        Script::PartUntilClose => head("") + "part",
+        Script::PartUntilClose => head("Connection: close\r\n") + "part",
         Script::EndlessEvents | Script::EndlessBytes | Script::TricklingEvent => chunked,
         Script::OneEvent => chunked + &chunk("id: 1\ndata: a\n\n"),
         Script::Whole | Script::WholeWithSurplus(_) => {
--- a/crates/upstream/src/send.rs
+++ b/crates/upstream/src/send.rs
@@ -9,7 +9,8 @@
 
 use tokio::time::timeout;
 
-use crate::connection::{Connections, ExchangeError, UpstreamResponse};
+use crate::connection::{Connections, ExchangeError};
+use crate::response::UpstreamResponse;
 use crate::{DEADLINE, NOT_EXECUTED, REQUEST_ID, SERVER_LOAD, TARGET_INSTANCE};
 use fennelgauge_model::Server;
 use fennelgauge_settings::Policy;
--- a/crates/upstream/tests/exchange.rs
+++ b/crates/upstream/tests/exchange.rs
@@ -1,24 +1,15 @@
 //! Tests of HTTP exchanges over TCP connections: complete, truncated, foreign and surplus responses.
 
-use std::future::Future;
-use std::net::SocketAddr;
+mod support;
+
 use std::rc::Rc;
-use std::time::Duration;
 
-use actix_web::web::Bytes;
-use awc::http::Method;
-use fennelgauge_model::{Server, ServerState};
-use fennelgauge_upstream::{OutgoingRequest, RequestSender, SendError};
+use fennelgauge_model::Server;
+use fennelgauge_upstream::{RequestSender, SendError};
+use support::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{spawn_local, LocalSet};
-
-const TIMEOUT: Duration = Duration::from_secs(5);
-
-fn run_local<F: Future<Output = ()>>(test: F) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
+use tokio::task::spawn_local;
 
 /// Starts a server that responds to each request with `bytes`, in which the request's id takes the place of `r-1`, and, with `closes`, closes the connection after the
 /// first response. Returns it with a counter of its connections.
@@ -50,49 +41,6 @@
     }
 }
 
-fn server(addr: SocketAddr) -> Server {
-    Server {
-        id: "i-1".to_owned(),
-        backend: "s".to_owned(),
-        addr,
-        zone: "z".to_owned(),
-        slots: 1,
-        state: ServerState::Ready,
-        cold_ms: 0,
-    }
-}
-
-fn request() -> OutgoingRequest {
-    request_with_id("r-1")
-}
-
-fn request_with_id(id: &str) -> OutgoingRequest {
-    OutgoingRequest {
-        method: Method::POST,
-        path_and_query: "/a".to_owned(),
-        host: "h".to_owned(),
-        id: id.to_owned(),
-        headers: vec![],
-        body: Bytes::from_static(b"prompt"),
-    }
-}
-
-/// Sends a request and returns the body of the response; errs if it is incomplete.
-async fn body(sender: &RequestSender, server: &Server) -> Result<Vec<u8>, String> {
-    body_of(sender, server, "r-1").await
-}
-
-/// The same for a request with this id.
-async fn body_of(sender: &RequestSender, server: &Server, id: &str) -> Result<Vec<u8>, String> {
-    let response = sender.send(server, &request_with_id(id), TIMEOUT, TIMEOUT).await;
-    let mut response = response.map_err(|error| error.to_string())?;
-    let mut body = Vec::new();
-    while let Some(chunk) = response.next().await {
-        body.extend_from_slice(&chunk.map_err(|error| error.to_string())?);
-    }
-    Ok(body)
-}
-
 /// Starts a server that responds with `bytes` and then resets the connection.
 async fn resetting_server(bytes: &'static [u8]) -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -111,7 +59,8 @@
 
 #[test]
 fn a_body_without_a_length_ends_with_the_connection_but_not_with_a_reset() {
-    const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nX-Fennelgauge-Request-Id: r-1\r\n\r\nbody";
+    const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nX-Fennelgauge-Request-Id: r-1\r\nConnection: close\r\n\r\nbody";
+    const UNKNOWN_END: &[u8] = b"HTTP/1.1 200 OK\r\nX-Fennelgauge-Request-Id: r-1\r\n\r\nbody";
     run_local(async {
         let sender = RequestSender::default();
         let (closing, connections) = responding_server(HEAD, true).await;
@@ -120,6 +69,9 @@
         assert_eq!(connections.get(), 2, "the connection is not reused");
         let resetting = resetting_server(HEAD).await;
         assert!(body(&sender, &resetting).await.is_err(), "a reset does not end a body");
+        let (unknown, _) = responding_server(UNKNOWN_END, true).await;
+        let result = sender.send(&unknown, &request(), TIMEOUT, TIMEOUT).await;
+        assert_eq!(result.err(), Some(SendError::MayHaveExecuted), "nothing says that the connection ends");
         let (empty, _) =
             responding_server(b"HTTP/1.1 204 No Content\r\nX-Fennelgauge-Request-Id: r-1\r\n\r\n", false)
                 .await;
