Fix: a response without a body is not followed by the end of chunks (MIXED)

Callers saw five bytes after the head of a 204 or 304, `0\r\n\r\n`, on a connection that may be kept: bytes that are no answer.

Cause: what has no length was passed on as a stream, and the library ends a stream with the last chunk though it leaves `Transfer-Encoding` out for these statuses.

Change: a response without a body is passed on with an empty body of known length, or the declared one if the client asked for the head only.

--- a/crates/data-plane/src/live.rs
+++ b/crates/data-plane/src/live.rs
@@ -5,7 +5,7 @@
 
 use actix_web::body::SizedStream;
 use actix_web::http::header::{self, HeaderName, HeaderValue};
-use actix_web::http::StatusCode;
+use actix_web::http::{Method, StatusCode};
 use actix_web::web::Bytes;
 use actix_web::{HttpRequest, HttpResponse};
 use fennelgauge_model::{stable_fraction, Access, RouteKind};
@@ -287,12 +287,25 @@
         && attempts.access.route.resumable
         && upstream.status().is_success();
     match upstream.body_end() {
+        BodyEnd::NoBody => {
+            let length = declared_length(&attempts, upstream);
+            response.body(SizedStream::new(length, forwarded_body::stream(attempts, active)))
+        }
         _ if resumable => response.streaming(resumable_stream::stream(attempts, active)),
         BodyEnd::Length(length) => {
             response.body(SizedStream::new(length, forwarded_body::stream(attempts, active)))
         }
-        BodyEnd::LastChunk | BodyEnd::ConnectionClose | BodyEnd::NoBody => {
+        BodyEnd::LastChunk | BodyEnd::ConnectionClose => {
             response.streaming(forwarded_body::stream(attempts, active))
         }
     }
 }
+
+/// Returns the length to declare in a response without a body: the server's if the client asked for the head only.
+fn declared_length(attempts: &Attempts, upstream: &UpstreamResponse) -> u64 {
+    if attempts.outgoing.method != Method::HEAD {
+        return 0;
+    }
+    let length = upstream.headers().get(header::CONTENT_LENGTH);
+    length.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0)
+}
--- a/crates/data-plane/tests/broken_responses.rs
+++ b/crates/data-plane/tests/broken_responses.rs
@@ -315,3 +315,21 @@
         }
     }
 }
+
+/// Guards against MIXED: a response without a body was followed by the end of chunks, bytes that are no response.
+#[test]
+fn response_without_a_body_is_followed_by_nothing() {
+    let cases = [("HTTP/1.1 204 No Content", ""), ("HTTP/1.1 304 Not Modified", "Content-Length: 39\r\n")];
+    for ((status_line, fields), path) in cases.iter().flat_map(|case| PATHS.map(|path| (case, path))) {
+        run_local(async {
+            let server = start_server(response(status_line, fields, ""), End::KeepOpen, true).await;
+            let plane = TestPlane::start(&[]).await;
+            plane.list_servers(&[server]);
+            let (received, _) = plane.exchange(path).await;
+            assert!(
+                received.ends_with("\r\n\r\n") && !received.ends_with("0\r\n\r\n"),
+                "{path}: {received:?}"
+            );
+        });
+    }
+}
