--- a/crates/data-plane/src/live.rs
+++ b/crates/data-plane/src/live.rs
@@ -10,8 +10,8 @@
 use actix_web::{HttpRequest, HttpResponse};
 use fennelgauge_model::{stable_fraction, Access, RouteKind};
 use fennelgauge_upstream::{
-    is_hop_by_hop, BodyEnd, InFlightGuard, OutgoingRequest, RequestProfile, UpstreamResponse, DEADLINE,
-    PREFIX_HASH, PRIORITY, REQUEST_ID, TARGET_INSTANCE, TENANT,
+    is_hop_by_hop, BodyEnd, InFlightGuard, OutgoingRequest, RequestProfile, SendError, UpstreamResponse,
+    DEADLINE, PREFIX_HASH, PRIORITY, REQUEST_ID, RESPONSE_SIGNATURE, TARGET_INSTANCE, TENANT,
 };
 use tokio::time::{sleep, Instant};
 
@@ -166,7 +166,7 @@
             };
             let sent =
                 self.plane.sender.send(&in_flight.server, &outgoing, time_left, response_timeout).await;
-            let error = match sent {
+            let error = match sent.and_then(require_signature) {
                 Ok(response) => {
                     self.plane.pool.record_response(&in_flight, &response);
                     self.attempt_log.record(&in_flight.server.id, Conclusion::Executed, response.status());
@@ -255,6 +255,16 @@
     }
 }
 
+/// Rejects a success that the server has not signed: clients count none without the signature, and a head that has lost one field
+/// may have lost others.
+fn require_signature(response: UpstreamResponse) -> Result<UpstreamResponse, SendError> {
+    let is_signed = response.headers().contains_key(RESPONSE_SIGNATURE);
+    match is_signed || !response.status().is_success() {
+        true => Ok(response),
+        false => Err(SendError::MayHaveExecuted),
+    }
+}
+
 /// Returns the client's headers that are passed to the server, with the tenant and the priority added. Hop-by-hop headers,
 /// the client's key and the headers that the data plane sets itself are left out.
 fn headers_for_server(request: &HttpRequest, access: &Access) -> Vec<(HeaderName, HeaderValue)> {
--- a/crates/data-plane/tests/broken_responses.rs
+++ b/crates/data-plane/tests/broken_responses.rs
@@ -285,6 +285,8 @@
 fn lawful_responses_reach_the_client_whole() {
     let length = BODY.len();
     let chunks = chunked(BODY);
+    let extended_chunks =
+        chunks.replacen("\r\n", ";a=b\r\n", 1).replace("\r\n0\r\n\r\n", "\r\n0\r\nX-T: a\r\n\r\n");
     let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK";
     let cases: Vec<(&str, &str, String, &str, End)> = vec![
         ("with a length", "HTTP/1.1 200 OK", format!("Content-Length: {length}\r\n"), BODY, End::KeepOpen),
@@ -299,6 +301,13 @@
         ("until the close", "HTTP/1.1 200 OK", "Connection: close\r\n".to_owned(), BODY, End::Close),
         ("until the close in HTTP/1.0", "HTTP/1.0 200 OK", String::new(), BODY, End::Close),
         ("without a reason", "HTTP/1.1 200", format!("Content-Length: {length}\r\n"), BODY, End::KeepOpen),
+        (
+            "in chunks with an extension and a trailer",
+            "HTTP/1.1 200 OK",
+            "Transfer-Encoding: chunked\r\n".to_owned(),
+            &extended_chunks,
+            End::KeepOpen,
+        ),
         ("after interim responses", interim, format!("Content-Length: {length}\r\n"), BODY, End::KeepOpen),
     ];
     for (name, status_line, fields, body, end) in &cases {
@@ -333,3 +342,17 @@
         });
     }
 }
+
+/// Guards against MIXED: a success whose signature was lost, as its name was spoilt, reached the client.
+#[test]
+fn success_without_the_servers_signature_does_not_reach_the_client() {
+    let fields = format!("Content-Length: {}\r\n", BODY.len());
+    for path in PATHS {
+        run_local(async {
+            let response = response("HTTP/1.1 200 OK", &fields, BODY).replace("Signature", "Signatuse");
+            let server = start_server(response, End::Close, true).await;
+            let received = exchange(path, 0, server).await;
+            assert_eq!(received, Received::Whole { status: 502, body: String::new() }, "{path}");
+        });
+    }
+}
--- a/crates/data-plane/tests/support/mod.rs
+++ b/crates/data-plane/tests/support/mod.rs
@@ -157,7 +157,11 @@
     script: Script,
 ) -> bool {
     let ReceivedRequest { id, last_event } = request;
-    let head = |framing: &str| format!("HTTP/1.1 200 OK\r\nX-Fennelgauge-Request-Id: {id}\r\n{framing}\r\n");
+    let head = |framing: &str| {
+        format!(
+            "HTTP/1.1 200 OK\r\nX-Fennelgauge-Request-Id: {id}\r\nX-Fennelgauge-Response-Signature: s\r\n{framing}\r\n"
+        )
+    };
     let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
     let chunked = head("Transfer-Encoding: chunked\r\n");
     let first = match script {
--- a/crates/upstream/src/headers.rs
+++ b/crates/upstream/src/headers.rs
@@ -12,6 +12,8 @@
 pub const TENANT: HeaderName = HeaderName::from_static("x-fennelgauge-tenant");
 /// Present in a response if the server has not executed the request.
 pub const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-fennelgauge-not-executed");
+/// Present in each success of a server: clients count none without it.
+pub const RESPONSE_SIGNATURE: HeaderName = HeaderName::from_static("x-fennelgauge-response-signature");
 /// Load of the server that sends a response, as `running,waiting,slots`.
 pub const SERVER_LOAD: HeaderName = HeaderName::from_static("x-fennelgauge-server-load");
 /// Parts of a prompt as `ID:TOKENS`, separated by commas; see [`RequestProfile`](crate::RequestProfile).
