Fix: the gateway takes no part of a body for the whole one after a reset that failed the upload (MIXED)

The reset failed the rest of the upload, the end of file after it counted as the orderly end of an answer without a length.

Evidence: the new test, with small segments and a small window so that a request of 60 KB does not fit into the buffers, got 200 before and gets 429 now: by the protocol a server begins a request once its last byte has come, so one that was not written whole is refused. Ruled out: the calls of the counter and of the peers, which are lines.

Change: the end of a connection ends an answer only if all that was to be written on it was written; the same for the lists of discovery.

--- a/crates/gateway/src/wire/discovery.rs
+++ b/crates/gateway/src/wire/discovery.rs
@@ -261,7 +261,8 @@
         let channel = discovery.channel.as_mut()?;
         let flushed = channel.flush();
         let read = channel.fill(http::message_size_limit(MAX_LIST_BYTES));
-        let response = http::parse_response(&channel.input, read == ReadOutcome::Eof, MAX_LIST_BYTES);
+        let has_ended = read == ReadOutcome::Eof && matches!(flushed, Ok(true));
+        let response = http::parse_response(&channel.input, has_ended, MAX_LIST_BYTES);
         let (consumed, keep, listing) = match &response {
             Ok(Some(response)) => (response.consumed, response.keep_alive, parse_listing(response)),
             Ok(None) if flushed.is_ok() && read == ReadOutcome::Open && !channel.may_have_more => {
--- a/crates/gateway/src/wire/http.rs
+++ b/crates/gateway/src/wire/http.rs
@@ -94,13 +94,13 @@
 pub fn parse_body(
     rest: &[u8],
     length: BodyLength,
-    at_eof: bool,
+    has_ended: bool,
     max_body: usize,
 ) -> Result<Option<Body<'_>>, HttpError> {
     match length {
         BodyLength::Exactly(bytes) => Ok(rest.get(..bytes).map(|body| (Cow::from(body), bytes))),
         BodyLength::UntilClose if rest.len() > max_body => Err(HttpError(413)),
-        BodyLength::UntilClose => Ok(at_eof.then(|| (Cow::from(rest), rest.len()))),
+        BodyLength::UntilClose => Ok(has_ended.then(|| (Cow::from(rest), rest.len()))),
         BodyLength::Chunked => parse_chunks(rest, max_body),
     }
 }
@@ -184,11 +184,12 @@
     pub consumed: usize,
 }
 
-/// Parses the response at the start of `input`. Returns `None` until it is complete. Errs if it is malformed or its
-/// body is longer than `max_body` bytes.
+/// Parses the response at the start of `input`. `has_ended` says that the server has ended the connection in order, and that nothing
+/// had failed on it before: only then does that end a body. Returns `None` until the response is complete. Errs if it is malformed or
+/// its body is longer than `max_body` bytes.
 pub fn parse_response(
     input: &[u8],
-    at_eof: bool,
+    has_ended: bool,
     max_body: usize,
 ) -> Result<Option<Response<'_>>, HttpError> {
     let mut start = 0;
@@ -214,7 +215,7 @@
         } else {
             framing.length.unwrap_or(BodyLength::UntilClose)
         };
-        let Some((body, body_consumed)) = parse_body(&input[consumed..], length, at_eof, max_body)? else {
+        let Some((body, body_consumed)) = parse_body(&input[consumed..], length, has_ended, max_body)? else {
             return Ok(None);
         };
         let keep_alive = framing.keep_alive && length != BodyLength::UntilClose;
--- a/crates/gateway/src/wire/server.rs
+++ b/crates/gateway/src/wire/server.rs
@@ -189,7 +189,9 @@
             }
             return;
         };
-        match http::parse_response(&link.channel.input, read == ReadOutcome::Eof, max_body) {
+        // A write that failed has taken the connection's error: the end of file says nothing any more.
+        let has_ended = read == ReadOutcome::Eof && fully_sent;
+        match http::parse_response(&link.channel.input, has_ended, max_body) {
             Ok(Some(response)) => {
                 let (job, outcome) = (relay.job, outcome_of(&response));
                 let reusable = response.keep_alive
--- a/crates/gateway/tests/sockets/crossings.rs
+++ b/crates/gateway/tests/sockets/crossings.rs
@@ -2,6 +2,7 @@
 //! both when it goes on, and a connection comes up when the test lets it. `docs/crossings.md` has a row for each.
 
 use crate::stage::{accept, comes, count, job, listener, serve, unheard, Agent, Door, End, Stage, PATIENT};
+use socket2::SockRef;
 use std::io::{BufRead, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
@@ -634,6 +635,24 @@
     assert_eq!(client.status(), "200");
 }
 
+/// Guards against a part of a body passed on as the whole one: the reset failed the upload before it could fail a read.
+#[test]
+fn an_early_answer_to_an_upload_that_breaks_off_is_none() {
+    let stage = Stage::start(1, 200);
+    // The upload does not fit into the buffers of a connection with small segments and a small window.
+    let listener = SockRef::from(&stage.servers[0]);
+    listener.set_tcp_mss(536).unwrap();
+    listener.set_recv_buffer_size(2_048).unwrap();
+    let mut client = stage.client();
+    client.write(job("h4", "book", "open", PATIENT, &"u".repeat(60_000)));
+    let mut server = stage.server(0);
+    server.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of it");
+    std::thread::sleep(Duration::from_millis(50));
+    server.resets();
+    // Refused: a server begins a request once its last byte has come.
+    assert_eq!(client.status(), "429");
+}
+
 #[test]
 fn an_answer_that_never_ends_is_waited_for_as_long_as_its_job_has() {
     let stage = Stage::start(1, 200);
