--- a/crates/gateway/src/wire/http.rs
+++ b/crates/gateway/src/wire/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 parsing and writing for both clients and servers: message framing, bodies, and forwarded headers.
 
+use fennelgauge_response_head::{parse_response_head, BodyEnd};
 use httparse::Header;
 use std::borrow::Cow;
 use std::io::Write;
@@ -35,7 +36,7 @@
     UntilClose,
 }
 
-/// What the headers say about the message's framing.
+/// What the headers of a request say about its framing.
 #[derive(Debug)]
 pub struct Framing {
     /// `None` if no header specifies it.
@@ -44,7 +45,7 @@
     pub keep_alive: bool,
 }
 
-/// Derives the framing from the headers. Errs if they contradict one another, if the transfer coding is not supported,
+/// Derives the framing of a request from its headers. Errs if they contradict one another, if the transfer coding is not supported,
 /// or if the body is longer than `max_body` bytes.
 pub fn parse_framing(headers: &[Header], version: Option<u8>, max_body: usize) -> Result<Framing, HttpError> {
     let (mut length, mut keep_alive) = (None, version == Some(1));
@@ -192,34 +193,32 @@
     has_ended: bool,
     max_body: usize,
 ) -> Result<Option<Response<'_>>, HttpError> {
-    let mut start = 0;
-    loop {
-        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut head = httparse::Response::new(&mut headers);
-        let consumed = match head.parse(&input[start..]) {
-            Ok(httparse::Status::Complete(consumed)) => start + consumed,
-            Ok(httparse::Status::Partial) if input.len() - start > MAX_HEAD => return Err(HttpError(502)),
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(_) => return Err(HttpError(502)),
-        };
-        let (version, status) = (head.version, head.code.unwrap_or(0));
-        // Skips interim responses.
-        if (100..200).contains(&status) {
-            start = consumed;
-            continue;
+    let Some(head) = parse_response_head(input, false).map_err(|_| HttpError(502))? else {
+        return if input.len() > MAX_HEAD { Err(HttpError(502)) } else { Ok(None) };
+    };
+    let length = body_length(head.body_end, max_body)?;
+    let rest = &input[head.consumed_bytes..];
+    let Some((body, body_consumed)) = parse_body(rest, length, has_ended, max_body)? else {
+        return Ok(None);
+    };
+    Ok(Some(Response {
+        status: head.status,
+        headers: head.fields,
+        body,
+        keep_alive: head.keep_alive && length != BodyLength::UntilClose,
+        consumed: head.consumed_bytes + body_consumed,
+    }))
+}
+
+/// Returns how the body of a response ends. Errs if it is longer than `max_body` bytes.
+fn body_length(body_end: BodyEnd, max_body: usize) -> Result<BodyLength, HttpError> {
+    match body_end {
+        BodyEnd::NoBody => Ok(BodyLength::Exactly(0)),
+        BodyEnd::Length(bytes) => {
+            let bytes = usize::try_from(bytes).ok().filter(|bytes| *bytes <= max_body);
+            bytes.map(BodyLength::Exactly).ok_or(HttpError(413))
         }
-        let framing = parse_framing(head.headers, version, max_body)?;
-        let has_no_body = status == 204 || status == 304;
-        let length = if has_no_body {
-            BodyLength::Exactly(0)
-        } else {
-            framing.length.unwrap_or(BodyLength::UntilClose)
-        };
-        let Some((body, body_consumed)) = parse_body(&input[consumed..], length, has_ended, max_body)? else {
-            return Ok(None);
-        };
-        let keep_alive = framing.keep_alive && length != BodyLength::UntilClose;
-        let headers = head.headers.to_vec();
-        return Ok(Some(Response { status, headers, body, keep_alive, consumed: consumed + body_consumed }));
+        BodyEnd::LastChunk => Ok(BodyLength::Chunked),
+        BodyEnd::ConnectionClose => Ok(BodyLength::UntilClose),
     }
 }
--- a/crates/gateway/tests/sockets/crossings.rs
+++ b/crates/gateway/tests/sockets/crossings.rs
@@ -623,16 +623,18 @@
     client.write(job("h0", "book", "open", PATIENT, "x"));
     let mut server = stage.server(0);
     server.read();
-    server.write("HTTP/1.1 200 OK\r\n\r\npart of it");
+    server.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of it");
     server.resets();
     assert_eq!(client.status(), "502");
-    // An orderly end is one.
-    client.write(job("h1", "book", "open", PATIENT, "x"));
-    let mut server = stage.server(0);
-    server.read();
-    server.write("HTTP/1.1 200 OK\r\n\r\nall of it");
-    drop(server);
-    assert_eq!(client.status(), "200");
+    // An orderly end is one, if the head says that the connection ends.
+    for (connection, status) in [("Connection: close\r\n", "200"), ("", "502")] {
+        client.write(job("h1", "book", "open", PATIENT, "x"));
+        let mut server = stage.server(0);
+        server.read();
+        server.write(format!("HTTP/1.1 200 OK\r\n{connection}\r\nall of it"));
+        drop(server);
+        assert_eq!(client.status(), status, "{connection:?}");
+    }
 }
 
 /// Guards against a part of a body passed on as the whole one: the reset failed the upload before it could fail a read.
@@ -653,6 +655,33 @@
     assert_eq!(client.status(), "429");
 }
 
+/// Guards against an answer whose head is spoilt passed on with a body that is not the server's.
+#[test]
+fn an_answer_whose_head_is_spoilt_is_none() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\nContent-Length : 9",
+        "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 9",
+        "HTTP/1.1 200 OK\r\nX\u{1}: b\r\nContent-Length: 9",
+        "HTTP/1.1 200 OK\r\nno field\r\nContent-Length: 9",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2 ",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 9",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: identity",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nX: b\n\nContent-Length: 9",
+        "HTTP/1.1 200 OK\r\nContent-Lexgth: 9",
+        "HTTP/1.1 000 OK\r\nContent-Length: 9",
+    ];
+    for head in heads {
+        let stage = Stage::start(1, 200);
+        let mut client = stage.client();
+        client.write(job("h5", "book", "open", PATIENT, "x"));
+        let mut server = stage.server(0);
+        server.read();
+        server.write(format!("{head}\r\n\r\nall of it"));
+        drop(server);
+        assert_eq!(client.status(), "502", "{head:?}");
+    }
+}
+
 #[test]
 fn an_answer_that_never_ends_is_waited_for_as_long_as_its_job_has() {
     let stage = Stage::start(1, 200);
