Lab, soak: answers are read by the strict parser, and one that is no answer is told

What was seen: the soak's clients took a line without a colon for the end of a head, a sign in a length for a length and, through the library's client, a page that a lost connection had cut for a whole one; the lab took an answer without a length for one without a body.

Measured: their tests pass; status 000, names with blanks and lines that are no field are cases of them.

--- a/crates/lab/src/run/http.rs
+++ b/crates/lab/src/run/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 as far as the stand-ins speak it.
 
+use fennelgauge_response_head::{parse_response_head, BodyEnd};
 use std::io;
 use tokio::io::{AsyncRead, AsyncReadExt};
 
@@ -35,25 +36,48 @@
     io::Error::new(io::ErrorKind::InvalidData, reason)
 }
 
-/// Head and where the body begins, once the head is whole.
-fn head(input: &[u8], request: bool) -> io::Result<Option<(Message, usize)>> {
+/// A head, where the body begins and where it ends, once the head is whole.
+fn head(input: &[u8], request: bool) -> io::Result<Option<(Message, usize, usize)>> {
+    match request {
+        true => request_head(input),
+        false => answer_head(input),
+    }
+}
+
+fn request_head(input: &[u8]) -> io::Result<Option<(Message, usize, usize)>> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
-    let (status, first, headers) = if request {
-        let mut parsed = httparse::Request::new(&mut headers);
-        let status = parsed.parse(input).map_err(|error| bad(&error.to_string()))?;
-        let first = (parsed.method.unwrap_or("").to_string(), parsed.path.unwrap_or("").to_string());
-        (status, first, parsed.headers)
-    } else {
-        let mut parsed = httparse::Response::new(&mut headers);
-        let status = parsed.parse(input).map_err(|error| bad(&error.to_string()))?;
-        let first = (parsed.code.unwrap_or(0).to_string(), String::new());
-        (status, first, parsed.headers)
-    };
+    let mut parsed = httparse::Request::new(&mut headers);
+    let status = parsed.parse(input).map_err(|error| bad(&error.to_string()))?;
     let httparse::Status::Complete(start) = status else { return Ok(None) };
-    let headers = headers.iter().map(|header| {
+    let first = (parsed.method.unwrap_or("").to_string(), parsed.path.unwrap_or("").to_string());
+    let message = Message { first, headers: kept(parsed.headers), body: Vec::new() };
+    let length = message.length()?;
+    Ok(Some((message, start, start + length)))
+}
+
+fn answer_head(input: &[u8]) -> io::Result<Option<(Message, usize, usize)>> {
+    let parsed = parse_response_head(input, false).map_err(|error| bad(&error.to_string()))?;
+    let Some(parsed) = parsed else { return Ok(None) };
+    let length = match parsed.body_end {
+        BodyEnd::NoBody => 0,
+        BodyEnd::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
+        BodyEnd::LastChunk | BodyEnd::ConnectionClose => return Err(bad("an answer without a length")),
+    };
+    let start = parsed.consumed_bytes;
+    let first = (parsed.status.to_string(), String::new());
+    Ok(Some((
+        Message { first, headers: kept(&parsed.fields), body: Vec::new() },
+        start,
+        start.saturating_add(length),
+    )))
+}
+
+/// Headers as a message keeps them.
+fn kept(headers: &[httparse::Header]) -> Vec<(String, String)> {
+    let kept = headers.iter().map(|header| {
         (header.name.to_ascii_lowercase(), String::from_utf8_lossy(header.value).trim().to_string())
     });
-    Ok(Some((Message { first, headers: headers.collect(), body: Vec::new() }, start)))
+    kept.collect()
 }
 
 /// Reads messages one after another from a connection.
@@ -81,8 +105,7 @@
             begun();
         }
         loop {
-            if let Some((mut message, start)) = head(&self.input, request)? {
-                let end = start + message.length()?;
+            if let Some((mut message, start, end)) = head(&self.input, request)? {
                 if end > MOST {
                     return Err(bad("a message too large"));
                 }
--- a/crates/lab/src/run/http/tests.rs
+++ b/crates/lab/src/run/http/tests.rs
@@ -23,6 +23,13 @@
     );
     assert!(matches!(all[1], Ok(Some(_))) && matches!(all[2], Ok(None)));
     assert!(read(b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", false).await[0].is_err());
+    for head in [
+        "HTTP/1.1 000 OK\r\nContent-Length: 0",
+        "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 0",
+        "HTTP/1.1 200 OK",
+    ] {
+        assert!(read(format!("{head}\r\n\r\n").as_bytes(), false).await[0].is_err(), "{head}");
+    }
     assert!(read(b"GET / HTTP/1.1\r\nHos", true).await[0].is_err());
     assert!(read(b"\x00\x01\x02\r\n\r\n", true).await[0].is_err());
 }
--- a/crates/soak/src/connection.rs
+++ b/crates/soak/src/connection.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use fennelgauge_response_head::{parse_response_head, BodyEnd, MAX_HEAD_BYTES};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -33,34 +34,41 @@
 
     /// Sends a request and reads its whole answer.
     pub async fn exchange(&mut self, request: &[u8], within: Duration) -> Result<Whole, NoAnswer> {
-        match timeout(within, self.exchanged(request)).await {
-            Ok(Some(whole)) => Ok(whole),
-            Ok(None) => Err(NoAnswer::Broken),
-            Err(_) => Err(NoAnswer::TimedOut),
-        }
+        timeout(within, self.exchanged(request)).await.unwrap_or(Err(NoAnswer::TimedOut))
+    }
+
+    async fn exchanged(&mut self, request: &[u8]) -> Result<Whole, NoAnswer> {
+        self.stream.get_mut().write_all(request).await.map_err(|_| NoAnswer::Broken)?;
+        let head = self.head().await?;
+        let parsed = parse_response_head(&head, false).map_err(|_| NoAnswer::Malformed)?;
+        let parsed = parsed.ok_or(NoAnswer::Broken)?;
+        self.closes = !parsed.keep_alive;
+        let body = match parsed.body_end {
+            BodyEnd::NoBody => Some(Vec::new()),
+            BodyEnd::Length(length) => self.bytes(usize::try_from(length).unwrap_or(usize::MAX)).await,
+            BodyEnd::LastChunk => self.chunks().await,
+            // Data planes delimit all bodies.
+            BodyEnd::ConnectionClose => return Err(NoAnswer::Malformed),
+        };
+        let body = body.ok_or(NoAnswer::Broken)?;
+        Ok(Whole { status: parsed.status, body })
     }
 
-    async fn exchanged(&mut self, request: &[u8]) -> Option<Whole> {
-        self.stream.get_mut().write_all(request).await.ok()?;
-        let status: u16 = self.line().await?.split(' ').nth(1)?.parse().ok()?;
-        let mut length = None;
-        let mut chunked = false;
+    /// The lines up to the first empty one.
+    async fn head(&mut self) -> Result<Vec<u8>, NoAnswer> {
+        let mut head = Vec::new();
         loop {
-            let line = self.line().await?.to_ascii_lowercase();
-            let Some((name, value)) = line.split_once(':') else { break };
-            match (name, value.trim()) {
-                ("content-length", value) => length = Some(value.parse::<usize>().ok()?),
-                ("transfer-encoding", "chunked") => chunked = true,
-                ("connection", "close") => self.closes = true,
-                _ => {}
+            let line = self.stream.read_until(b'\n', &mut head).await.map_err(|_| NoAnswer::Broken)?;
+            if line == 0 {
+                return Err(NoAnswer::Broken);
+            }
+            if head.ends_with(b"\r\n\r\n") {
+                return Ok(head);
+            }
+            if head.len() > MAX_HEAD_BYTES {
+                return Err(NoAnswer::Malformed);
             }
         }
-        let body = match (chunked, length) {
-            (true, _) => self.chunks().await?,
-            (false, Some(length)) => self.bytes(length).await?,
-            (false, None) => return None,
-        };
-        Some(Whole { status, body })
     }
 
     async fn chunks(&mut self) -> Option<Vec<u8>> {
--- a/crates/soak/src/edge_clients.rs
+++ b/crates/soak/src/edge_clients.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fennelgauge_response_head::{parse_response_head, BodyEnd};
 use fennelgauge_standins::{EVENTS_PER_RESPONSE, LARGE_EVENT_BYTES};
 use socket2::{Domain, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -204,18 +205,17 @@
 /// Tells how a response ended of which these bytes came before the end of its connection.
 fn end_of(received: &[u8]) -> ResponseEnd {
     let broken = ResponseEnd::Broken { has_begun: !received.is_empty() };
-    let Some(end) = received.windows(4).position(|window| window == b"\r\n\r\n") else { return broken };
-    let head = String::from_utf8_lossy(&received[..end]).to_ascii_lowercase();
-    let body = &received[end + 4..];
-    let Some(status) = head.split(' ').nth(1).and_then(|status| status.parse().ok()) else { return broken };
-    let length: Option<usize> =
-        head.lines().find_map(|line| line.strip_prefix("content-length:")?.trim().parse().ok());
-    let is_whole = match length {
-        Some(length) => body.len() == length,
-        None => body.ends_with(b"\r\n0\r\n\r\n") || body == b"0\r\n\r\n",
+    let Ok(Some(head)) = parse_response_head(received, false) else { return broken };
+    let body = &received[head.consumed_bytes..];
+    let is_whole = match head.body_end {
+        BodyEnd::NoBody => body.is_empty(),
+        BodyEnd::Length(length) => body.len() as u64 == length,
+        BodyEnd::LastChunk => body.ends_with(b"\r\n0\r\n\r\n") || body == b"0\r\n\r\n",
+        // Data planes delimit all bodies.
+        BodyEnd::ConnectionClose => false,
     };
     match is_whole {
-        true => ResponseEnd::Whole { status, body: body.to_vec() },
+        true => ResponseEnd::Whole { status: head.status, body: body.to_vec() },
         false => broken,
     }
 }
--- a/crates/soak/src/edge_clients/tests.rs
+++ b/crates/soak/src/edge_clients/tests.rs
@@ -13,6 +13,11 @@
         (format!("{chunked}1\r\na\r\n"), ResponseEnd::Broken { has_begun: true }),
         (format!("{chunked}1\r\na\r\n0\r\n\r\n"), whole(200, "1\r\na\r\n0\r\n\r\n")),
         ("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n".to_owned(), whole(503, "")),
+        ("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n".to_owned(), ResponseEnd::Broken { has_begun: true }),
+        (
+            "HTTP/1.1 503 X\r\nno field\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            ResponseEnd::Broken { has_begun: true },
+        ),
         (
             "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab".to_owned(),
             ResponseEnd::Broken { has_begun: true },
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use awc::error::SendRequestError;
+use awc::http::header::CONTENT_LENGTH;
 use awc::http::Method;
 use awc::{Client, ClientRequest};
 
@@ -21,6 +22,8 @@
     NotConnected,
     /// The connection ended, or the answer did, before it was whole.
     Broken,
+    /// What came is no answer.
+    Malformed,
     TimedOut,
 }
 
@@ -53,8 +56,11 @@
         Err(_) => return Err(NoAnswer::Broken),
     };
     let status = answer.status().as_u16();
-    match answer.body().limit(MOST_BYTES).await {
-        Ok(body) => Ok(Whole { status, body: body.to_vec() }),
-        Err(_) => Err(NoAnswer::Broken),
+    let length = answer.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
+    let body = answer.body().limit(MOST_BYTES).await.map_err(|_| NoAnswer::Broken)?;
+    // The library takes the end of a connection for the end of a body.
+    match length.is_none_or(|length: usize| length == body.len()) {
+        true => Ok(Whole { status, body: body.to_vec() }),
+        false => Err(NoAnswer::Broken),
     }
 }
