--- a/crates/soak/src/live_client.rs
+++ b/crates/soak/src/live_client.rs
@@ -17,6 +17,8 @@
 const SHORTEST_DEADLINE_MS: u64 = 150;
 /// Of that of a request for a body, at most.
 const MOST_REQUEST_BYTES: usize = 60_000;
+/// Of a body that does not fit into buffers.
+const UPLOAD_BYTES: usize = 4_100_000;
 const AGAIN: Duration = Duration::from_millis(100);
 const WITHIN: Duration = Duration::from_millis(5_000);
 /// A process that has read a whole request answers it, or closes the connection within so long.
@@ -31,20 +33,22 @@
     Stream,
     /// A body of known length, by a request that may run once only.
     Body,
+    /// The same, by a request whose body does not fit into the buffers of its connection.
+    BodyForUpload,
 }
 
 impl Asked {
     fn path(self) -> String {
         match self {
             Self::Stream => "/stream/run/slow/x".to_owned(),
-            Self::Body => format!("{MUTATING_PREFIX}run/body/x"),
+            Self::Body | Self::BodyForUpload => format!("{MUTATING_PREFIX}run/body/x"),
         }
     }
 
     /// How long a client waits, in milliseconds.
     fn deadline_ms(self) -> u64 {
         match self {
-            Self::Stream => LONGEST_DEADLINE_MS,
+            Self::Stream | Self::BodyForUpload => LONGEST_DEADLINE_MS,
             Self::Body => fastrand::u64(SHORTEST_DEADLINE_MS..=LONGEST_DEADLINE_MS),
         }
     }
@@ -54,6 +58,7 @@
         match self {
             Self::Stream => STREAM_REQUEST_BYTES,
             Self::Body => fastrand::usize(0..=MOST_REQUEST_BYTES),
+            Self::BodyForUpload => UPLOAD_BYTES,
         }
     }
 }
@@ -107,6 +112,11 @@
         Ok(Whole { status: status @ 400..=499, .. }) => {
             world.blame("DENIED", format!("{id} at edge-{front} is answered {status}"));
         }
+        Err(NoAnswer::Malformed) => {
+            world.blame("MIXED", format!("{id} at edge-{front}: what came is no answer"));
+        }
+        // What its server broke off may be cut.
+        Err(NoAnswer::Broken) if world.live_broken_off.borrow().contains(id) => {}
         Err(NoAnswer::Broken)
             if world.only_planned_since(sent) && (runs > 0 || took > SLACK + SLACK_HERE) =>
         {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -43,6 +43,9 @@
     /// Clients of requests that may run once only, with a body each and an answer of a known length, each on one connection.
     #[garde(range(min = 0, max = 200))]
     pub mutating_clients: u8,
+    /// The same with bodies that do not fit into the buffers of a connection.
+    #[garde(range(min = 0, max = 20))]
+    pub uploading_clients: u8,
     /// Clients that read a large live response slowly, and as many that read a large page of results slowly.
     #[garde(range(min = 0, max = 50))]
     pub slow_readers: u8,
@@ -157,6 +160,7 @@
             tenants: 3,
             live_clients: 6,
             mutating_clients: 0,
+            uploading_clients: 0,
             slow_readers: 3,
             dark_clients: 2,
             leaving_clients: 3,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -163,6 +163,10 @@
     for client in 0..world.plan.mutating_clients {
         clients.push(spawn_local(request_on(world.clone(), client % world.plan.data_planes, Asked::Body)));
     }
+    for client in 0..world.plan.uploading_clients {
+        let front = client % world.plan.data_planes;
+        clients.push(spawn_local(request_on(world.clone(), front, Asked::BodyForUpload)));
+    }
     for client in 0..world.plan.slow_readers {
         let front = client % world.plan.data_planes;
         clients.push(spawn_local(edge_clients::read_slowly(world.clone(), front)));
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -85,6 +85,8 @@
     pub live_runs: RefCell<BTreeMap<String, u32>>,
     /// Live requests that were refused: they must never run.
     pub live_refused: RefCell<BTreeSet<String>>,
+    /// Live requests whose server broke its answer off.
+    pub live_broken_off: RefCell<BTreeSet<String>>,
     pub live_answers: Cell<u64>,
     /// Live requests that servers are at work on, each with the number of its runs.
     pub live_at_work: RefCell<BTreeMap<String, u32>>,
@@ -138,6 +140,7 @@
             wipes: Cell::new(0),
             live_runs: RefCell::default(),
             live_refused: RefCell::default(),
+            live_broken_off: RefCell::default(),
             live_answers: Cell::new(0),
             live_at_work: RefCell::default(),
             left_at: RefCell::default(),
@@ -277,6 +280,10 @@
         }
     }
 
+    fn run_broken_off(&self, id: &str) {
+        self.world.live_broken_off.borrow_mut().insert(id.to_owned());
+    }
+
     fn run_ended(&self, id: &str, after: u64, sent: &[String]) {
         self.record_given(id, after, sent);
         if let Some(runs) = self.world.live_at_work.borrow_mut().get_mut(id) {
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -42,7 +42,8 @@
     }
 }
 
-/// Guards against TWICE and REFUSED by answers that do not belong to the request, and by refusals that promise too much.
+/// Guards against TWICE and REFUSED by answers that do not belong to the request, and by refusals that promise too much; against
+/// MIXED by heads that are spoilt and by parts of answers before the end of an upload.
 #[test]
 fn unruly_servers_make_no_request_run_twice_or_after_a_refusal() {
     let told = passes("servers", &["--seed", "1", "--plan", &plan("servers")]);
@@ -55,6 +56,8 @@
         "answers lost",
         "connections reset",
         "surplus",
+        "spoilt heads",
+        "parts before the end of an upload",
     ] {
         assert!(
             !told.contains(&format!(" 0 {conduct}")),
--- a/crates/standins/src/model_server/conduct.rs
+++ b/crates/standins/src/model_server/conduct.rs
@@ -26,6 +26,11 @@
     pub closing_answers: u8,
     /// Share of the answers that are followed by something that nobody asked for.
     pub surplus: u8,
+    /// Share of the answers in whose heads a part is spoilt.
+    pub spoilt_heads: u8,
+    /// Share of the requests with a body that run and are answered before their body is read, with a part of a body that has no
+    /// length, and a reset.
+    pub early_parts: u8,
 }
 
 impl Default for Conduct {
@@ -40,6 +45,8 @@
             lost_answers: 0,
             closing_answers: 0,
             surplus: 0,
+            spoilt_heads: 0,
+            early_parts: 0,
         }
     }
 }
@@ -63,6 +70,10 @@
     pub connections_reset: u64,
     /// Surplus answers and bytes.
     pub surplus: u64,
+    /// Answers in whose heads a part was spoilt.
+    pub spoilt_heads: u64,
+    /// Parts of answers before the end of an upload.
+    pub early_parts: u64,
 }
 
 impl ConductCounts {
@@ -76,6 +87,8 @@
         self.lost_answers += other.lost_answers;
         self.connections_reset += other.connections_reset;
         self.surplus += other.surplus;
+        self.spoilt_heads += other.spoilt_heads;
+        self.early_parts += other.early_parts;
     }
 }
 
@@ -84,7 +97,7 @@
         write!(
             formatter,
             "servers: {} requests refused full, {} in the queue, {} early, {} misdirected, {} unmarked refusals, {} answers lost, \
-             {} connections reset, {} surplus",
+             {} connections reset, {} surplus, {} spoilt heads, {} parts before the end of an upload",
             self.refused_full,
             self.refused_in_queue,
             self.refused_early,
@@ -92,7 +105,9 @@
             self.unmarked_refusals,
             self.lost_answers,
             self.connections_reset,
-            self.surplus
+            self.surplus,
+            self.spoilt_heads,
+            self.early_parts
         )
     }
 }
--- a/crates/standins/src/model_server/mod.rs
+++ b/crates/standins/src/model_server/mod.rs
@@ -51,6 +51,9 @@
     /// A run is answered with 422.
     fn run_rejected(&self, _id: &str) {}
 
+    /// The server breaks its answer to a run off.
+    fn run_broken_off(&self, _id: &str) {}
+
     /// A run is over: it has sent all its events, or its connection is closed. `sent` is the data of the events after `after` that
     /// were sent.
     fn run_ended(&self, _id: &str, _after: u64, _sent: &[String]) {}
