--- a/crates/control-plane/src/store/tests/failures.rs
+++ b/crates/control-plane/src/store/tests/failures.rs
@@ -49,6 +49,8 @@
     /// A response that sends a part of an event again and again, without end.
     Endless,
     Succeeds,
+    /// A success that is not one, after which the connection is closed.
+    Spoilt(&'static str),
 }
 
 impl Answer {
@@ -57,6 +59,7 @@
             Self::Fails => "HTTP/1.1 500 Internal Server Error\r\nx-fennelgauge-request-id: i\r\ncontent-length: 0\r\n\r\n",
             Self::Rejects => "HTTP/1.1 422 Unprocessable Entity\r\nx-fennelgauge-request-id: i\r\ncontent-length: 0\r\n\r\n",
             Self::Nothing | Self::Withheld => "",
+            Self::Spoilt(response) => response,
             Self::Endless => "HTTP/1.1 200 OK\r\nx-fennelgauge-request-id: i\r\ncontent-length: 1000000\r\n\r\n",
             Self::Queued | Self::Succeeds => {
                 "HTTP/1.1 200 OK\r\nx-fennelgauge-request-id: i\r\ncontent-length: 20\r\n\r\nid: 1\ndata: a text\n\n"
@@ -131,6 +134,10 @@
                     sleep(Duration::from_secs(1)).await;
                 }
             }
+            if matches!(self.answer.get(), Answer::Spoilt(_)) {
+                let _ = stream.write_all(response.as_bytes()).await;
+                return;
+            }
             if response.is_empty() || stream.write_all(response.as_bytes()).await.is_err() {
                 return;
             }
@@ -342,6 +349,32 @@
     }
 }
 
+/// Guards against an item that has a part of its output, or nothing, as its result because the answer's head was spoilt.
+#[test]
+fn an_item_whose_answer_has_a_spoilt_head_has_no_result() {
+    let answers = [
+        "HTTP/1.1 200 OK\r\nx-fennelgauge-request-id: i\r\ncontent-lexgth: 40\r\n\r\nid: 1\ndata: a text\n\n",
+        "HTTP/1.1 200 OK\r\nx-fennelgauge-request-id: i\r\ncontent-length : 20\r\n\r\nid: 1\ndata: a text\n\n",
+        "HTTP/1.1 200 OK\r\nx-fennelgauge-request-id: i\r\ntransfer-encoding: identity\r\n\r\nid: 1\ndata: a text\n\n",
+        "HTTP/1.1 200 OK\r\nx-fennelgauge-request-id: i\r\nno field\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 000 OK\r\nx-fennelgauge-request-id: i\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nx-fennelgauge-request-id: i\r\nx a: b\r\ncontent-length: 0\r\n\r\n",
+    ];
+    for answer in answers {
+        run_local(async {
+            let server = StandIn::start(Answer::Spoilt(answer)).await;
+            let store = RunningStore::recover(&recorded_job_with_retention(Some(RETENTION_MS)).await, 2);
+            store.configure(7, ROUTE_WITH_RETENTION);
+            server.serve_store(&store);
+            while server.answer_count.get() < 2 && store.outcomes().is_empty() {
+                store.pass(SOON).await;
+            }
+            store.lose_power();
+            assert_eq!(store.outcomes(), [], "{answer:?}");
+        });
+    }
+}
+
 /// Guards against a run of an item that goes on for as long as its server sends something.
 #[test]
 fn a_run_whose_server_never_ends_its_response_is_followed_by_another() {
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
@@ -98,6 +98,37 @@
     });
 }
 
+#[test]
+fn reply_that_is_cut_or_spoilt_at_any_byte_is_none() {
+    let message = CallMessage { call_id: 0, body: Reply::Unsupported };
+    let frame = frame::encode_frame(&message);
+    let cut = (0..frame.len()).map(|at| frame[..at].to_vec());
+    let spoilt = (0..frame.len()).map(|at| {
+        let mut bytes = frame.clone();
+        bytes[at] ^= 0x20;
+        bytes
+    });
+    let replies: Vec<Vec<u8>> = cut.chain(spoilt).collect();
+    run_local(async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let peer = listener.local_addr().expect("an address");
+        for (reply, resets) in replies.iter().flat_map(|reply| [(reply, false), (reply, true)]) {
+            let serving = async {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                let _ = stream.read(&mut [0; 1_024]).await;
+                stream.write_all(reply).await.expect("written");
+                if resets {
+                    stream.set_zero_linger().expect("a reset");
+                }
+            };
+            let caller = Caller::default();
+            let call = caller.call(peer, request(3), Duration::from_secs(5));
+            let (result, ()) = tokio::join!(call, serving);
+            assert!(matches!(result, Err(CallError::NoReply(_))), "{reply:?}: {result:?}");
+        }
+    });
+}
+
 #[test]
 fn message_round_trips_and_trailing_or_missing_bytes_are_rejected() {
     let change = ConfigurationChange { kind: ChangeKind::Patch, base_generation: 7, body: vec![1, 2, 3] };
