--- a/crates/data-plane/tests/broken_responses.rs
+++ b/crates/data-plane/tests/broken_responses.rs
@@ -156,173 +156,93 @@
     assert!(passed.is_empty(), "{} parts look complete:\n{}", passed.len(), passed.join("\n"));
 }
 
+/// Heads without the fields that each response has; the body has 39 bytes, or is in chunks where the head has the word.
+const SPOILT_HEADS: [&str; 37] = [
+    "HTTP/1.1 200 OK\r\nContent-Length : 39",
+    "HTTP/1.1 200 OK\r\nX-A : b\r\nContent-Length: 39",
+    "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 39",
+    "HTTP/1.1 200 OK\r\nX\u{1}A: b\r\nContent-Length: 39",
+    "HTTP/1.1 200 OK\r\nContent\u{2}Length: 39",
+    "HTTP/1.1 200 OK\r\nX-A\t: b\r\nContent-Length: 39",
+    "HTTP/1.1 200 OK\r\n: b\r\nContent-Length: 39",
+    "HTTP/1.1 200 OK\r\nno field\r\nContent-Length: 39",
+    "HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\nContent-Length: 39",
+    "HTTP/1.1 200 OK\r\nConnection: close\r\nX-A: b\n\nContent-Length: 39",
+    "HTTP/1.1 200 OK\r\nContent-Length: 39x",
+    "HTTP/1.1 200 OK\r\nContent-Length: +39",
+    "HTTP/1.1 200 OK\r\nContent-Length: 3 9",
+    "HTTP/1.1 200 OK\r\nContent-Length: 3 ",
+    "HTTP/1.1 200 OK\r\nContent-Length: ",
+    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 39",
+    "HTTP/1.1 200 OK\r\nContent-Length: 4, 39",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 39",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity",
+    "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: identity",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunkex\r\nConnection: close",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked",
+    "HTTP/1.1 200 OK\r\nContent-Lexgth: 39",
+    "HTTP/1.1 200 OK\r\nTransfex-Encoding: chunked",
+    "HTTP/1.1 000 OK\r\nContent-Length: 39",
+    "HTTP/1.1 099 OK\r\nContent-Length: 39",
+    "HTTP/1.1 600 OK\r\nContent-Length: 39",
+    "HTTP/1.1 999 OK\r\nContent-Length: 39",
+    "HTTP/1.1 2000 OK\r\nContent-Length: 39",
+    "HTTP/1.1 20 OK\r\nContent-Length: 39",
+    "HTTP/1.1 103 OK\r\nX-A: b",
+    "HTTP/1.1 101 OK\r\nX-A: b",
+    "HTTP/1.1 204 OK\r\nContent-Length: 39",
+    "HTTP/2.0 200 OK\r\nContent-Length: 39",
+];
+
+/// Starts a server that gives this response, which lacks the fields that each has, and sends a request to it.
+async fn received_after(head: &str, end: End, path: &str) -> Received {
+    let body = if head.contains("chunk") { chunked(BODY) } else { BODY.to_owned() };
+    let (status_line, fields) = head.rsplit_once(" OK").expect("a status line");
+    let fields = format!("{}\r\n", fields.trim_start_matches("\r\n"));
+    let server = start_server(response(&format!("{status_line} OK"), &fields, &body), end, true).await;
+    exchange(path, 0, server).await
+}
+
 /// Guards against MIXED: a response whose head contradicts itself, or is none, reached the client as a complete one.
 #[test]
 fn response_whose_head_is_spoilt_does_not_reach_the_client() {
-    let length = BODY.len();
-    let chunks = chunked(BODY);
-    let cases: Vec<(&str, &str, String, &str)> = vec![
-        (
-            "a blank after the length's name",
-            "HTTP/1.1 200 OK",
-            format!("Content-Length : {length}\r\n"),
-            BODY,
-        ),
-        (
-            "a blank after another name",
-            "HTTP/1.1 200 OK",
-            format!("X-A : b\r\nContent-Length: {length}\r\n"),
-            BODY,
-        ),
-        ("a blank in a name", "HTTP/1.1 200 OK", format!("X A: b\r\nContent-Length: {length}\r\n"), BODY),
-        (
-            "a control byte in a name",
-            "HTTP/1.1 200 OK",
-            format!("X\u{1}A: b\r\nContent-Length: {length}\r\n"),
-            BODY,
-        ),
-        (
-            "a control byte in the length's name",
-            "HTTP/1.1 200 OK",
-            format!("Content\u{2}Length: {length}\r\n"),
-            BODY,
-        ),
-        ("a tab after a name", "HTTP/1.1 200 OK", format!("X-A\t: b\r\nContent-Length: {length}\r\n"), BODY),
-        ("no name", "HTTP/1.1 200 OK", format!(": b\r\nContent-Length: {length}\r\n"), BODY),
-        ("no colon", "HTTP/1.1 200 OK", format!("no field\r\nContent-Length: {length}\r\n"), BODY),
-        ("a folded line", "HTTP/1.1 200 OK", format!("X-A: b\r\n c\r\nContent-Length: {length}\r\n"), BODY),
-        (
-            "a bare line feed",
-            "HTTP/1.1 200 OK",
-            format!("Connection: close\r\nX-A: b\n\nContent-Length: {length}\r\n"),
-            BODY,
-        ),
-        ("letters in the length", "HTTP/1.1 200 OK", format!("Content-Length: {length}x\r\n"), BODY),
-        ("a sign in the length", "HTTP/1.1 200 OK", format!("Content-Length: +{length}\r\n"), BODY),
-        ("a blank in the length", "HTTP/1.1 200 OK", "Content-Length: 4 0\r\n".to_owned(), BODY),
-        ("a blank for the length's last digit", "HTTP/1.1 200 OK", "Content-Length: 4 \r\n".to_owned(), BODY),
-        ("an empty length", "HTTP/1.1 200 OK", "Content-Length: \r\n".to_owned(), BODY),
-        (
-            "two lengths",
-            "HTTP/1.1 200 OK",
-            format!("Content-Length: 4\r\nContent-Length: {length}\r\n"),
-            BODY,
-        ),
-        ("a list of lengths", "HTTP/1.1 200 OK", format!("Content-Length: 4, {length}\r\n"), BODY),
-        (
-            "a length and chunks",
-            "HTTP/1.1 200 OK",
-            format!("Transfer-Encoding: chunked\r\nContent-Length: {length}\r\n"),
-            &chunks,
-        ),
-        (
-            "a length before chunks",
-            "HTTP/1.1 200 OK",
-            "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n".to_owned(),
-            &chunks,
-        ),
-        ("identity", "HTTP/1.1 200 OK", "Transfer-Encoding: identity\r\n".to_owned(), BODY),
-        (
-            "identity, closing",
-            "HTTP/1.1 200 OK",
-            "Connection: close\r\nTransfer-Encoding: identity\r\n".to_owned(),
-            BODY,
-        ),
-        (
-            "another coding",
-            "HTTP/1.1 200 OK",
-            "Transfer-Encoding: chunkex\r\nConnection: close\r\n".to_owned(),
-            &chunks,
-        ),
-        ("two codings", "HTTP/1.1 200 OK", "Transfer-Encoding: gzip, chunked\r\n".to_owned(), &chunks),
-        (
-            "chunked twice",
-            "HTTP/1.1 200 OK",
-            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n".to_owned(),
-            &chunks,
-        ),
-        ("chunks in HTTP/1.0", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n".to_owned(), &chunks),
-        (
-            "the length's name spoilt to another",
-            "HTTP/1.1 200 OK",
-            format!("Content-Lexgth: {length}\r\n"),
-            BODY,
-        ),
-        (
-            "the coding's name spoilt to another",
-            "HTTP/1.1 200 OK",
-            "Transfex-Encoding: chunked\r\n".to_owned(),
-            &chunks,
-        ),
-        ("status 000", "HTTP/1.1 000 OK", format!("Content-Length: {length}\r\n"), BODY),
-        ("status 099", "HTTP/1.1 099 OK", format!("Content-Length: {length}\r\n"), BODY),
-        ("status 600", "HTTP/1.1 600 OK", format!("Content-Length: {length}\r\n"), BODY),
-        ("status 999", "HTTP/1.1 999 OK", format!("Content-Length: {length}\r\n"), BODY),
-        ("four digits", "HTTP/1.1 2000 OK", format!("Content-Length: {length}\r\n"), BODY),
-        ("two digits", "HTTP/1.1 20 OK", format!("Content-Length: {length}\r\n"), BODY),
-        ("an interim status at last", "HTTP/1.1 103 OK", String::new(), ""),
-        ("an upgrade", "HTTP/1.1 101 OK", String::new(), ""),
-        ("204 with a length", "HTTP/1.1 204 OK", format!("Content-Length: {length}\r\n"), BODY),
-        ("another protocol", "HTTP/2.0 200 OK", format!("Content-Length: {length}\r\n"), BODY),
-    ];
+    assert_eq!(BODY.len(), 39);
     let mut passed = Vec::new();
-    for (name, status_line, fields, body) in &cases {
-        for path in PATHS {
-            run_local(async {
-                let response = response(status_line, fields, body);
-                let server = start_server(response, End::Close, true).await;
-                let received = exchange(path, 0, server).await;
-                if received != (Received::Whole { status: 502, body: String::new() }) {
-                    passed.push(format!("{name}, {path}: {received:?}"));
-                }
-            });
-        }
+    for (head, path) in SPOILT_HEADS.iter().flat_map(|head| PATHS.map(|path| (head, path))) {
+        run_local(async {
+            let received = received_after(head, End::Close, path).await;
+            if received != (Received::Whole { status: 502, body: String::new() }) {
+                passed.push(format!("{head:?}, {path}: {received:?}"));
+            }
+        });
     }
     assert!(passed.is_empty(), "{} passed:\n{}", passed.len(), passed.join("\n"));
 }
 
 #[test]
 fn lawful_responses_reach_the_client_whole() {
-    let length = BODY.len();
-    let chunks = chunked(BODY);
-    let extended_chunks =
-        chunks.replacen("\r\n", ";a=b\r\n", 1).replace("\r\n0\r\n\r\n", "\r\n0\r\nX-T: a\r\n\r\n");
-    let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK";
-    let cases: Vec<(&str, &str, String, &str, End)> = vec![
-        ("with a length", "HTTP/1.1 200 OK", format!("Content-Length: {length}\r\n"), BODY, End::KeepOpen),
-        (
-            "with a length, then reset",
-            "HTTP/1.1 200 OK",
-            format!("Content-Length: {length}\r\n"),
-            BODY,
-            End::Reset,
-        ),
-        ("in chunks", "HTTP/1.1 200 OK", "transfer-encoding: Chunked\r\n".to_owned(), &chunks, End::KeepOpen),
-        ("until the close", "HTTP/1.1 200 OK", "Connection: close\r\n".to_owned(), BODY, End::Close),
-        ("until the close in HTTP/1.0", "HTTP/1.0 200 OK", String::new(), BODY, End::Close),
-        ("without a reason", "HTTP/1.1 200", format!("Content-Length: {length}\r\n"), BODY, End::KeepOpen),
-        (
-            "in chunks with an extension and a trailer",
-            "HTTP/1.1 200 OK",
-            "Transfer-Encoding: chunked\r\n".to_owned(),
-            &extended_chunks,
-            End::KeepOpen,
-        ),
-        ("after interim responses", interim, format!("Content-Length: {length}\r\n"), BODY, End::KeepOpen),
+    let cases = [
+        ("HTTP/1.1 200 OK\r\nContent-Length: 39", End::KeepOpen),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 39", End::Reset),
+        ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked", End::KeepOpen),
+        ("HTTP/1.1 200 OK\r\nConnection: close", End::Close),
+        ("HTTP/1.0 200 OK\r\nX-A: b", End::Close),
+        ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 39", End::KeepOpen),
     ];
-    for (name, status_line, fields, body, end) in &cases {
-        for path in PATHS {
-            run_local(async {
-                let server = start_server(response(status_line, fields, body), *end, true).await;
-                let received = exchange(path, 0, server).await;
-                assert_eq!(
-                    received,
-                    Received::Whole { status: 200, body: BODY.to_owned() },
-                    "{name}, {path}"
-                );
-            });
-        }
+    let whole = || Received::Whole { status: 200, body: BODY.to_owned() };
+    for ((head, end), path) in cases.iter().flat_map(|case| PATHS.map(|path| (case, path))) {
+        run_local(async { assert_eq!(received_after(head, *end, path).await, whole(), "{head:?}, {path}") });
     }
+    let chunks = chunked(BODY).replacen("\r\n", ";a=b\r\n", 1);
+    let extended = chunks.replace("\r\n0\r\n\r\n", "\r\n0\r\nX-T: a\r\n\r\n");
+    let response = response("HTTP/1.1 200", "Transfer-Encoding: chunked\r\n", &extended);
+    run_local(async {
+        let server = start_server(response, End::KeepOpen, true).await;
+        assert_eq!(exchange(PATHS[0], 0, server).await, whole(), "no reason, an extension and a trailer");
+    });
 }
 
 /// Guards against MIXED: a response without a body was followed by the end of chunks, bytes that are no response.
