--- a/crates/data-plane/tests/broken_responses.rs
+++ b/crates/data-plane/tests/broken_responses.rs
@@ -255,6 +255,7 @@
             let plane = TestPlane::start(&[]).await;
             plane.list_servers(&[server]);
             let (received, _) = plane.exchange(path).await;
+            assert!(received.starts_with(status_line), "not passed on, {path}: {received:?}");
             assert!(
                 received.ends_with("\r\n\r\n") && !received.ends_with("0\r\n\r\n"),
                 "{path}: {received:?}"
